The whole path as separate processes, in thin form

Change: one binary with entry, agent and ctl; HTTP/2 streams between entry and agent (nghttp2, one thread a process, flow control per stream); CBOR messages; configuration by one conditional update of a head object, watched and passed between peers; the memory ledger with epochs and fencing tokens; at-most-once keys owned by agents; stand-ins for store, engine, service and weights; scripts/demo and scripts/test. Ruled out: libraries' fixed thread pools (cpp-httplib's default would make requests wait unanswered), hence the elastic pool. Not yet proved: everything under failure.

--- /dev/null
+++ b/include/coursehead/http/message.hpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_HTTP_MESSAGE_HPP_INCLUDED
+#define COURSEHEAD_HTTP_MESSAGE_HPP_INCLUDED
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+//! HTTP messages as the rest of the system sees them; the library behind stays in two source files.
+namespace coursehead::http {
+
+//! Orders header names without regard to case.
+struct HeaderLess {
+    using is_transparent = void; // NOLINT(readability-identifier-naming): named by the standard
+    bool operator()( std::string_view a, std::string_view b ) const noexcept;
+};
+using Headers = std::map<std::string, std::string, HeaderLess>;
+
+struct Request {
+    std::string method = "GET";
+    std::string path; //!< without the query
+    std::map<std::string, std::string, std::less<>> query;
+    Headers headers;
+    std::string body;
+
+    //! The header's value, or `fallback` when it is absent.
+    std::string_view header( std::string_view name, std::string_view fallback = {} ) const;
+    //! The query parameter's value, or `fallback` when it is absent.
+    std::string_view parameter( std::string_view name, std::string_view fallback = {} ) const;
+};
+
+//! Writes part of a streamed body; false when the receiver has gone.
+using Sink = std::function<bool( std::string_view bytes )>;
+//! Produces a streamed body by calling the sink until done; false cuts the connection.
+using Producer = std::function<bool( const Sink& sink )>;
+
+struct Response {
+    int status = 200;
+    Headers headers;
+    std::string contentType = "application/json";
+    std::string body;
+    Producer producer; //!< when set, the body is streamed and `body` is ignored
+};
+
+} // namespace coursehead::http
+
+#endif // COURSEHEAD_HTTP_MESSAGE_HPP_INCLUDED
--- /dev/null
+++ b/include/coursehead/kernel/clock.hpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_KERNEL_CLOCK_HPP_INCLUDED
+#define COURSEHEAD_KERNEL_CLOCK_HPP_INCLUDED
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+//! Time sources. Decisions take times as arguments; services take a Clock, so tests can inject one.
+namespace coursehead {
+
+using Millis = std::chrono::milliseconds;
+//! A point on the process's monotonic clock; never compared between processes.
+using MonoTime = std::chrono::steady_clock::time_point;
+//! Milliseconds since the Unix epoch, as published in UUIDv7 keys and leases.
+using WallMillis = std::int64_t;
+
+//! The two clocks a service may read.
+struct Clock {
+    std::function<MonoTime()> now;
+    std::function<WallMillis()> wall;
+};
+
+//! The machine's clocks.
+Clock systemClock();
+
+//! Milliseconds from `from` until `to`, never negative.
+inline Millis remaining( MonoTime from, MonoTime to ) noexcept {
+    const auto left = std::chrono::duration_cast<Millis>( to - from );
+    return left.count() > 0 ? left : Millis{ 0 };
+}
+
+} // namespace coursehead
+
+#endif // COURSEHEAD_KERNEL_CLOCK_HPP_INCLUDED
--- /dev/null
+++ b/include/coursehead/kernel/elastic_pool.hpp
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_KERNEL_ELASTIC_POOL_HPP_INCLUDED
+#define COURSEHEAD_KERNEL_ELASTIC_POOL_HPP_INCLUDED
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace coursehead {
+
+//! Runs tasks that may block for long, each on a thread made when needed and ended when idle.
+class ElasticPool {
+public:
+    //! `limit` is the most threads at once.
+    explicit ElasticPool( std::size_t limit ) : m_limit( limit ) {}
+    ~ElasticPool() { shutdown(); }
+    ElasticPool( const ElasticPool& ) = delete;
+    ElasticPool& operator=( const ElasticPool& ) = delete;
+
+    //! Runs the task, or queues it while all threads are busy.
+    void run( std::function<void()> task );
+    //! Runs the task if a thread is free or may be made; false otherwise.
+    bool tryRun( std::function<void()> task );
+    //! Runs what is queued, then waits until every thread has ended.
+    void shutdown();
+
+private:
+    bool submit( std::function<void()> task, bool mayQueue );
+    void work();
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<std::function<void()>> m_tasks;
+    std::size_t m_limit;
+    std::size_t m_threads = 0;
+    std::size_t m_idle = 0;
+    bool m_stopping = false;
+};
+
+} // namespace coursehead
+
+#endif // COURSEHEAD_KERNEL_ELASTIC_POOL_HPP_INCLUDED
--- /dev/null
+++ b/include/coursehead/kernel/signals.hpp
@@ -0,0 +1,15 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_KERNEL_SIGNALS_HPP_INCLUDED
+#define COURSEHEAD_KERNEL_SIGNALS_HPP_INCLUDED
+
+namespace coursehead {
+
+//! Blocks SIGTERM and SIGINT in this thread and those it starts, and ignores SIGPIPE. To be called
+//! before any thread is started.
+void blockStopSignals();
+//! Waits for SIGTERM or SIGINT and returns its number.
+int waitForStopSignal();
+
+} // namespace coursehead
+
+#endif // COURSEHEAD_KERNEL_SIGNALS_HPP_INCLUDED
--- /dev/null
+++ b/src/agent/claim_service.hpp
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_AGENT_CLAIM_SERVICE_HPP_INCLUDED
+#define COURSEHEAD_AGENT_CLAIM_SERVICE_HPP_INCLUDED
+
+#include "coursehead/claims/table.hpp"
+#include "coursehead/peer/stream.hpp"
+
+#include <memory>
+#include <mutex>
+
+namespace coursehead::agent {
+
+//! Answers claims of the slots that this agent owns.
+class ClaimService {
+public:
+    ClaimService( std::string vm, claims::ClaimRules rules, const Clock& clock )
+        : m_vm( std::move( vm ) ), m_rules( rules ), m_clock( clock ) {}
+
+    //! Serves a stream on peer::claimPath.
+    void serve( std::shared_ptr<peer::Stream> stream );
+    //! Takes over and gives up slots as a new configuration says.
+    void update( const config::State& state );
+    void tidy();
+    std::size_t records() const;
+
+private:
+    std::string m_vm;
+    claims::ClaimRules m_rules;
+    const Clock& m_clock;
+    mutable std::mutex m_mutex;
+    claims::ClaimTable m_table;
+    config::Revision m_revision = 0;
+};
+
+} // namespace coursehead::agent
+
+#endif // COURSEHEAD_AGENT_CLAIM_SERVICE_HPP_INCLUDED
--- /dev/null
+++ b/src/entry/leader.hpp
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_ENTRY_LEADER_HPP_INCLUDED
+#define COURSEHEAD_ENTRY_LEADER_HPP_INCLUDED
+
+#include "coursehead/config/committer.hpp"
+#include "coursehead/planner/lease.hpp"
+#include "entry/directory.hpp"
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+//! The planner's duties of the entry that holds its region's lease.
+namespace coursehead::entry {
+
+struct LeaderSettings {
+    Place place;
+    Millis leaseLength{ 6000 };
+    Millis interval{ 1000 }; //!< between rounds
+    Millis settling{ 3000 }; //!< after winning the lease, before slots are given out
+    bool plans = true;
+};
+
+class Leader {
+public:
+    Leader( LeaderSettings settings, const platform::ObjectStore& store, Directory& directory,
+            config::Replica& replica, RandomSource& random, const Clock& clock );
+    ~Leader();
+    Leader( const Leader& ) = delete;
+    Leader& operator=( const Leader& ) = delete;
+
+    void start();
+    void stop();
+    //! True while this entry may act as the planner.
+    bool leading() const;
+    std::uint64_t epoch() const;
+
+private:
+    void run();
+    void keepLease();
+    void readLease();
+    void writeLease( planner::LeaseAction action );
+    void assignSlots();
+
+    LeaderSettings m_settings;
+    const platform::ObjectStore& m_store;
+    Directory& m_directory;
+    config::Replica& m_replica;
+    RandomSource& m_random;
+    const Clock& m_clock;
+    std::string m_leaseName;
+    mutable std::mutex m_mutex; //!< guards the view
+    planner::LeaseView m_view;
+    std::condition_variable m_wakeup;
+    bool m_stopping = false;
+    MonoTime m_wonAt;
+    std::thread m_thread;
+};
+
+} // namespace coursehead::entry
+
+#endif // COURSEHEAD_ENTRY_LEADER_HPP_INCLUDED
--- /dev/null
+++ b/src/kernel/log.cpp
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "coursehead/kernel/log.hpp"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace coursehead::log {
+
+namespace {
+
+bool needsQuotes( std::string_view value ) {
+    return value.empty() || value.find_first_of( " \"=\n\r\t" ) != std::string_view::npos;
+}
+
+void appendValue( std::string& line, std::string_view value ) {
+    if ( !needsQuotes( value ) ) {
+        line.append( value );
+        return;
+    }
+    line.push_back( '"' );
+    for ( const char c : value ) {
+        if ( c == '\n' || c == '\r' || c == '\t' ) {
+            line.push_back( ' ' );
+            continue;
+        }
+        if ( c == '"' || c == '\\' ) {
+            line.push_back( '\\' );
+        }
+        line.push_back( c );
+    }
+    line.push_back( '"' );
+}
+
+void write( spdlog::level::level_enum level, std::string_view event,
+            std::initializer_list<Field> fields ) {
+    if ( spdlog::should_log( level ) ) {
+        spdlog::log( level, "{}", formatLine( event, fields ) );
+    }
+}
+
+} // namespace
+
+void setUp( std::string_view level, std::string_view role, std::string_view vm ) {
+    auto logger = spdlog::stderr_logger_mt( "coursehead" );
+    logger->set_level( spdlog::level::from_str( std::string( level ) ) );
+    logger->flush_on( spdlog::level::info );
+    const std::string prefix = "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l role=" + std::string( role ) +
+                               " vm=" + std::string( vm ) + " %v";
+    logger->set_pattern( prefix, spdlog::pattern_time_type::utc );
+    spdlog::set_default_logger( std::move( logger ) );
+}
+
+std::string formatLine( std::string_view event, std::initializer_list<Field> fields ) {
+    std::string line = "event=";
+    line.append( event );
+    for ( const auto& it : fields ) {
+        line.push_back( ' ' );
+        line.append( it.key );
+        line.push_back( '=' );
+        appendValue( line, it.value );
+    }
+    return line;
+}
+
+void debug( std::string_view event, std::initializer_list<Field> fields ) {
+    write( spdlog::level::debug, event, fields );
+}
+void info( std::string_view event, std::initializer_list<Field> fields ) {
+    write( spdlog::level::info, event, fields );
+}
+void warn( std::string_view event, std::initializer_list<Field> fields ) {
+    write( spdlog::level::warn, event, fields );
+}
+void error( std::string_view event, std::initializer_list<Field> fields ) {
+    write( spdlog::level::err, event, fields );
+}
+
+} // namespace coursehead::log
--- /dev/null
+++ b/src/peer/connection.cpp
@@ -0,0 +1,481 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "peer/connection.hpp"
+
+#include "coursehead/kernel/log.hpp"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <vector>
+
+namespace coursehead::peer::Detail {
+
+namespace {
+
+constexpr std::size_t readBytes = 64U << 10U;
+constexpr std::uint32_t streamWindow = 256U << 10U;
+constexpr std::uint32_t maxHeaderBytes = 4U << 10U;
+//! Resets a peer may send within a second before it is taken for hostile.
+constexpr std::size_t maxResetsPerSecond = 2000;
+constexpr int connectionWindow = 16 << 20;
+constexpr std::size_t partialLimit = streamWindow / 4;
+
+nghttp2_nv header( std::string_view name, std::string_view value ) {
+    // nghttp2 copies names and values unless told otherwise; it never writes through them.
+    auto* nameBytes = reinterpret_cast<std::uint8_t*>( const_cast<char*>( name.data() ) );
+    auto* valueBytes = reinterpret_cast<std::uint8_t*>( const_cast<char*>( value.data() ) );
+    return { nameBytes, valueBytes, name.size(), value.size(), NGHTTP2_NV_FLAG_NONE };
+}
+
+std::string_view view( const std::uint8_t* bytes, std::size_t n ) {
+    return { reinterpret_cast<const char*>( bytes ), n };
+}
+
+Connection& self( void* user ) {
+    return *static_cast<Connection*>( user );
+}
+
+ssize_t readBody( nghttp2_session*, std::int32_t, std::uint8_t* buf, std::size_t length,
+                  std::uint32_t* flags, nghttp2_data_source* source, void* ) {
+    auto& state = *static_cast<StreamState*>( source->ptr );
+    const std::lock_guard lock( state.mutex );
+    const auto n = std::min( length, state.outbox.size() );
+    if ( n == 0 && !state.finishWanted ) {
+        return NGHTTP2_ERR_DEFERRED;
+    }
+    std::memcpy( buf, state.outbox.data(), n );
+    state.outbox.erase( 0, n );
+    if ( state.finishWanted && state.outbox.empty() ) {
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    }
+    state.changed.notify_all();
+    return static_cast<ssize_t>( n );
+}
+
+nghttp2_data_provider provider( StreamState& state ) {
+    nghttp2_data_provider out{};
+    out.source.ptr = &state;
+    out.read_callback = readBody;
+    return out;
+}
+
+nghttp2_session_callbacks* makeCallbacks() {
+    nghttp2_session_callbacks* out = nullptr;
+    nghttp2_session_callbacks_new( &out );
+    nghttp2_session_callbacks_set_on_begin_headers_callback(
+        out, []( nghttp2_session*, const nghttp2_frame* frame, void* user ) {
+            self( user ).onBeginHeaders( frame->hd.stream_id );
+            return 0;
+        } );
+    nghttp2_session_callbacks_set_on_header_callback(
+        out, []( nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
+                 std::size_t nameLength, const std::uint8_t* value, std::size_t valueLength,
+                 std::uint8_t, void* user ) {
+            self( user ).onHeader( frame->hd.stream_id, view( name, nameLength ),
+                                   view( value, valueLength ) );
+            return 0;
+        } );
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        out, []( nghttp2_session*, const nghttp2_frame* frame, void* user ) {
+            self( user ).onFrame( *frame );
+            return 0;
+        } );
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        out, []( nghttp2_session*, std::uint8_t, std::int32_t id, const std::uint8_t* data,
+                 std::size_t n, void* user ) {
+            self( user ).onData( id, view( data, n ) );
+            return 0;
+        } );
+    nghttp2_session_callbacks_set_on_stream_close_callback(
+        out, []( nghttp2_session*, std::int32_t id, std::uint32_t code, void* user ) {
+            self( user ).onClose( id, code );
+            return 0;
+        } );
+    return out;
+}
+
+const nghttp2_session_callbacks* callbacks() {
+    static const nghttp2_session_callbacks* const shared = makeCallbacks();
+    return shared;
+}
+
+const nghttp2_option* options() {
+    static const nghttp2_option* const shared = [] {
+        nghttp2_option* out = nullptr;
+        nghttp2_option_new( &out );
+        nghttp2_option_set_no_auto_window_update( out, 1 );
+        nghttp2_option_set_max_send_header_block_length( out, maxHeaderBytes );
+        return out;
+    }();
+    return shared;
+}
+
+bool sameToken( std::string_view a, std::string_view b ) {
+    if ( a.size() != b.size() ) {
+        return false;
+    }
+    unsigned difference = 0;
+    for ( std::size_t n = 0; n < a.size(); ++n ) {
+        difference |= static_cast<unsigned char>( a[n] ) ^ static_cast<unsigned char>( b[n] );
+    }
+    return difference == 0;
+}
+
+} // namespace
+
+void endStream( StreamState& state, StreamEnd end ) {
+    std::function<void()> listener;
+    {
+        const std::lock_guard lock( state.mutex );
+        if ( state.end != StreamEnd::open ) {
+            return;
+        }
+        state.end = end;
+        state.changed.notify_all();
+        listener = state.listener;
+    }
+    if ( listener ) {
+        listener();
+    }
+}
+
+Connection::Connection( std::uint64_t id, int fd, Side side, ConnectionHost& host, MonoTime now )
+    : m_id( id ), m_fd( fd ), m_side( side ), m_host( host ), m_connecting( side == Side::client ),
+      m_lastBytes( now ), m_lastPing( now ), m_resetWindow( now ) {
+    if ( side == Side::server ) {
+        startSession();
+    }
+}
+
+Connection::~Connection() {
+    for ( auto& it : m_streams ) {
+        endStream( *it.second, StreamEnd::broken );
+    }
+    nghttp2_session_del( m_session );
+    ::close( m_fd );
+}
+
+void Connection::startSession() {
+    const auto* settings = m_host.settings;
+    const std::array<nghttp2_settings_entry, 3> entries{ {
+        { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS,
+          static_cast<std::uint32_t>( settings->maxStreams ) },
+        { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindow },
+        { NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, maxHeaderBytes },
+    } };
+    if ( m_side == Side::client ) {
+        nghttp2_session_client_new2( &m_session, callbacks(), this, options() );
+    } else {
+        nghttp2_session_server_new2( &m_session, callbacks(), this, options() );
+    }
+    nghttp2_submit_settings( m_session, NGHTTP2_FLAG_NONE, entries.data(), entries.size() );
+    nghttp2_session_set_local_window_size( m_session, NGHTTP2_FLAG_NONE, 0, connectionWindow );
+    flush();
+}
+
+void Connection::fail( std::string_view why ) {
+    if ( !m_dead ) {
+        m_dead = true;
+        log::debug( "peer_connection_lost",
+                    { { "connection", static_cast<std::int64_t>( m_id ) }, { "reason", why } } );
+    }
+}
+
+void Connection::onReadable( MonoTime now ) {
+    std::array<std::uint8_t, readBytes> buf; // NOLINT(*-member-init): filled by recv
+    const auto n = ::recv( m_fd, buf.data(), buf.size(), 0 );
+    if ( n < 0 && ( errno == EAGAIN || errno == EINTR ) ) {
+        return;
+    }
+    if ( n <= 0 || m_session == nullptr ) {
+        fail( n == 0 ? "closed by peer" : "receive failed" );
+        return;
+    }
+    m_lastBytes = now;
+    m_host.stats->bytesIn += static_cast<std::uint64_t>( n );
+    const auto taken =
+        nghttp2_session_mem_recv( m_session, buf.data(), static_cast<std::size_t>( n ) );
+    if ( taken < 0 ) {
+        ++m_host.stats->protocolErrors;
+        fail( nghttp2_strerror( static_cast<int>( taken ) ) );
+        return;
+    }
+    flush();
+}
+
+void Connection::onWritable( MonoTime now ) {
+    if ( m_connecting ) {
+        int error = 0;
+        socklen_t n = sizeof( error );
+        ::getsockopt( m_fd, SOL_SOCKET, SO_ERROR, &error, &n );
+        if ( error != 0 ) {
+            fail( "connect failed" );
+            return;
+        }
+        m_connecting = false;
+        m_lastBytes = now;
+        startSession();
+        return;
+    }
+    flush();
+}
+
+void Connection::flush() {
+    if ( m_session == nullptr || m_dead ) {
+        return;
+    }
+    for ( ;; ) {
+        const std::uint8_t* data = nullptr;
+        while ( m_out.size() - m_outAt < readBytes ) {
+            const auto n = nghttp2_session_mem_send( m_session, &data );
+            if ( n < 0 ) {
+                fail( nghttp2_strerror( static_cast<int>( n ) ) );
+                return;
+            }
+            if ( n == 0 ) {
+                break;
+            }
+            m_out.append( view( data, static_cast<std::size_t>( n ) ) );
+        }
+        if ( m_outAt == m_out.size() ) {
+            break;
+        }
+        const auto sent =
+            ::send( m_fd, m_out.data() + m_outAt, m_out.size() - m_outAt, MSG_NOSIGNAL );
+        if ( sent < 0 && ( errno == EAGAIN || errno == EINTR ) ) {
+            return;
+        }
+        if ( sent <= 0 ) {
+            fail( "send failed" );
+            return;
+        }
+        m_host.stats->bytesOut += static_cast<std::uint64_t>( sent );
+        m_outAt += static_cast<std::size_t>( sent );
+        if ( m_outAt == m_out.size() ) {
+            m_out.clear();
+            m_outAt = 0;
+        }
+    }
+    if ( nghttp2_session_want_read( m_session ) == 0 &&
+         nghttp2_session_want_write( m_session ) == 0 ) {
+        fail( "session ended" );
+    }
+}
+
+void Connection::tick( MonoTime now ) {
+    const auto* settings = m_host.settings;
+    const auto quiet = now - m_lastBytes;
+    // The accepting side only sweeps up: the connecting side pings and decides first.
+    const auto patience =
+        m_side == Side::client ? settings->silence : 2 * settings->silence + 2 * settings->idlePing;
+    const auto interval = m_streams.size() > 1 ? settings->silence / 3 : settings->idlePing;
+    const bool pinged = m_lastPing > m_lastBytes;
+    const bool overdue = m_side == Side::server || m_connecting || pinged;
+    if ( quiet > patience && overdue &&
+         ( m_side == Side::server || m_connecting || now - m_lastPing > settings->silence / 2 ) ) {
+        fail( "silent for too long" );
+        return;
+    }
+    if ( m_side == Side::client && m_session != nullptr && now - m_lastPing >= interval ) {
+        m_lastPing = now;
+        nghttp2_submit_ping( m_session, NGHTTP2_FLAG_NONE, nullptr );
+        flush();
+    }
+}
+
+void Connection::submitRequest( const StatePtr& state ) {
+    const std::string authorization = "Bearer " + m_host.settings->token;
+    const std::array<nghttp2_nv, 5> headers{
+        header( ":method", "POST" ),
+        header( ":scheme", "http" ),
+        header( ":authority", "coursehead" ),
+        header( ":path", state->path ),
+        header( "authorization", authorization ),
+    };
+    const auto body = provider( *state );
+    const auto id = nghttp2_submit_request( m_session, nullptr, headers.data(), headers.size(),
+                                            &body, nullptr );
+    if ( id < 0 ) {
+        endStream( *state, StreamEnd::refused );
+        return;
+    }
+    state->id = id;
+    state->connection = m_id;
+    m_streams.emplace( id, state );
+}
+
+void Connection::serve( const StatePtr& state ) {
+    if ( find( state->id ) != state ) {
+        return;
+    }
+    std::size_t credit = 0;
+    bool cancelled = false;
+    {
+        const std::lock_guard lock( state->mutex );
+        const auto prepaid = std::min( state->prepaid, state->uncredited );
+        credit = state->uncredited - prepaid;
+        state->prepaid -= prepaid;
+        state->uncredited = 0;
+        cancelled = state->cancelWanted;
+    }
+    if ( credit > 0 ) {
+        nghttp2_session_consume_stream( m_session, state->id, credit );
+    }
+    if ( cancelled ) {
+        nghttp2_submit_rst_stream( m_session, NGHTTP2_FLAG_NONE, state->id, NGHTTP2_CANCEL );
+        return;
+    }
+    nghttp2_session_resume_data( m_session, state->id );
+}
+
+StatePtr Connection::find( std::int32_t id ) const {
+    const auto it = m_streams.find( id );
+    return it == m_streams.end() ? nullptr : it->second;
+}
+
+void Connection::refuse( std::int32_t id ) {
+    ++m_host.stats->refusedStreams;
+    nghttp2_submit_rst_stream( m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM );
+}
+
+void Connection::onBeginHeaders( std::int32_t id ) {
+    if ( m_side == Side::client || find( id ) != nullptr ) {
+        return;
+    }
+    auto state = std::make_shared<StreamState>();
+    state->id = id;
+    state->connection = m_id;
+    state->accepted = true;
+    m_streams.emplace( id, std::move( state ) );
+}
+
+void Connection::onHeader( std::int32_t id, std::string_view name, std::string_view value ) {
+    const auto state = find( id );
+    if ( state == nullptr || m_side == Side::client ) {
+        return;
+    }
+    constexpr std::string_view bearer = "Bearer ";
+    if ( name == ":path" ) {
+        state->path = value;
+    } else if ( name == "authorization" && value.rfind( bearer, 0 ) == 0 ) {
+        state->token = value.substr( bearer.size() );
+    }
+}
+
+void Connection::onFrame( const nghttp2_frame& frame ) {
+    if ( frame.hd.type == NGHTTP2_RST_STREAM ) {
+        const auto now = m_lastBytes;
+        if ( now - m_resetWindow > std::chrono::seconds( 1 ) ) {
+            m_resetWindow = now;
+            m_resets = 0;
+        }
+        if ( ++m_resets > maxResetsPerSecond ) {
+            ++m_host.stats->protocolErrors;
+            fail( "too many resets" );
+        }
+        return;
+    }
+    const auto state = find( frame.hd.stream_id );
+    if ( state == nullptr ) {
+        return;
+    }
+    if ( frame.hd.type == NGHTTP2_HEADERS && m_side == Side::server &&
+         frame.headers.cat == NGHTTP2_HCAT_REQUEST ) {
+        onRequestComplete( state );
+    }
+    const bool carriesEnd = frame.hd.type == NGHTTP2_HEADERS || frame.hd.type == NGHTTP2_DATA;
+    if ( carriesEnd && ( frame.hd.flags & NGHTTP2_FLAG_END_STREAM ) != 0 ) {
+        onRemoteDone( state );
+    }
+}
+
+void Connection::onRequestComplete( const StatePtr& state ) {
+    if ( !sameToken( state->token, m_host.settings->token ) ) {
+        ++m_host.stats->unauthorized;
+        log::warn( "peer_unauthorized", { { "connection", static_cast<std::int64_t>( m_id ) } } );
+        refuse( state->id );
+        nghttp2_session_terminate_session( m_session, NGHTTP2_NO_ERROR );
+        return;
+    }
+    if ( !m_host.accept( state ) ) {
+        refuse( state->id );
+        return;
+    }
+    const std::array<nghttp2_nv, 1> headers{ header( ":status", "200" ) };
+    const auto body = provider( *state );
+    nghttp2_submit_response( m_session, state->id, headers.data(), headers.size(), &body );
+}
+
+void Connection::onRemoteDone( const StatePtr& state ) {
+    std::function<void()> listener;
+    {
+        const std::lock_guard lock( state->mutex );
+        state->remoteDone = true;
+        state->changed.notify_all();
+        listener = state->listener;
+    }
+    if ( listener ) {
+        listener();
+    }
+}
+
+void Connection::onData( std::int32_t id, std::string_view bytes ) {
+    nghttp2_session_consume_connection( m_session, bytes.size() );
+    const auto state = find( id );
+    if ( state == nullptr ) {
+        return;
+    }
+    std::vector<std::string> frames;
+    if ( !state->reader.feed( bytes, frames ) ) {
+        ++m_host.stats->protocolErrors;
+        nghttp2_submit_rst_stream( m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_PROTOCOL_ERROR );
+        return;
+    }
+    if ( frames.empty() ) {
+        // A frame larger than the window could never complete if its start were not given back.
+        if ( state->reader.partialBytes() > partialLimit ) {
+            nghttp2_session_consume_stream( m_session, id, bytes.size() );
+            const std::lock_guard lock( state->mutex );
+            state->prepaid += bytes.size();
+        }
+        return;
+    }
+    std::function<void()> listener;
+    {
+        const std::lock_guard lock( state->mutex );
+        for ( auto& it : frames ) {
+            state->inbox.push_back( std::move( it ) );
+        }
+        state->changed.notify_all();
+        listener = state->listener;
+    }
+    if ( listener ) {
+        listener();
+    }
+}
+
+void Connection::onClose( std::int32_t id, std::uint32_t code ) {
+    const auto state = find( id );
+    if ( state == nullptr ) {
+        return;
+    }
+    m_streams.erase( id );
+    bool remoteDone = false;
+    {
+        const std::lock_guard lock( state->mutex );
+        remoteDone = state->remoteDone;
+    }
+    if ( code == NGHTTP2_REFUSED_STREAM ) {
+        endStream( *state, StreamEnd::refused );
+    } else if ( remoteDone ) {
+        endStream( *state, StreamEnd::finished );
+    } else {
+        endStream( *state, StreamEnd::broken );
+    }
+}
+
+} // namespace coursehead::peer::Detail
--- /dev/null
+++ b/src/platform/http_store.cpp
@@ -0,0 +1,281 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "coursehead/http/client.hpp"
+#include "coursehead/platform/store.hpp"
+
+#include <boost/leaf/error.hpp>
+#include <nlohmann/json.hpp>
+
+namespace coursehead::platform {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::string_view basePath = "/apis/coursehead/v1/";
+constexpr http::Timeouts callTimeouts{ Millis{ 500 }, Millis{ 2000 } };
+//! How much longer than a watch's own wait its connection may stay silent.
+constexpr Millis watchSlack{ 2000 };
+
+leaf::error_id fail( StoreStats& stats, StoreFailure failure, std::string detail ) {
+    ++stats.failures;
+    return leaf::new_error( StoreError{ failure, std::move( detail ) } );
+}
+
+std::string pathOf( std::string_view kind, std::string_view name ) {
+    std::string out( basePath );
+    out += kind;
+    if ( !name.empty() ) {
+        out += "/";
+        out += name;
+    }
+    return out;
+}
+
+bool readObject( const Json& from, std::string_view kind, Object& out ) {
+    try {
+        const auto& metadata = from.at( "metadata" );
+        out.kind = kind;
+        out.name = metadata.at( "name" ).get<std::string>();
+        out.version = std::stoull( metadata.at( "resourceVersion" ).get<std::string>() );
+        out.spec = from.contains( "spec" ) ? from.at( "spec" ).dump() : "{}";
+        return true;
+    } catch ( const std::exception& ) {
+        return false;
+    }
+}
+
+std::string writeObject( const Object& from ) {
+    Json out;
+    out["metadata"]["name"] = from.name;
+    if ( from.version != 0 ) {
+        out["metadata"]["resourceVersion"] = std::to_string( from.version );
+    }
+    out["spec"] = Json::parse( from.spec, nullptr, false );
+    return out.dump();
+}
+
+StoreFailure failureOf( int status ) {
+    constexpr int notFound = 404;
+    constexpr int conflict = 409;
+    constexpr int gone = 410;
+    constexpr int firstServerError = 500;
+    switch ( status ) {
+    case notFound:
+        return StoreFailure::notFound;
+    case conflict:
+        return StoreFailure::conflict;
+    case gone:
+        return StoreFailure::expired;
+    default:
+        // A server error may come after the write took effect.
+        return status >= firstServerError ? StoreFailure::unknown : StoreFailure::refused;
+    }
+}
+
+//! One call with its answer's JSON.
+leaf::result<Json> exchange( const std::string& url, StoreStats& stats,
+                             const http::Request& request ) {
+    http::Client client( url, callTimeouts );
+    const auto outcome = client.call( request );
+    if ( outcome.failure == http::Failure::notSent ) {
+        return fail( stats, StoreFailure::notSent, outcome.detail );
+    }
+    if ( outcome.failure == http::Failure::broken ) {
+        return fail( stats, StoreFailure::unknown, outcome.detail );
+    }
+    constexpr int firstError = 300;
+    if ( outcome.response.status >= firstError ) {
+        return fail( stats, failureOf( outcome.response.status ),
+                     "status " + std::to_string( outcome.response.status ) );
+    }
+    auto parsed = Json::parse( outcome.response.body, nullptr, false );
+    if ( parsed.is_discarded() ) {
+        return fail( stats, StoreFailure::unknown, "the answer is not JSON" );
+    }
+    return parsed;
+}
+
+leaf::result<Object> exchangeObject( const std::string& url, StoreStats& stats,
+                                     const http::Request& request, std::string_view kind ) {
+    BOOST_LEAF_AUTO( parsed, exchange( url, stats, request ) );
+    Object out;
+    if ( !readObject( parsed, kind, out ) ) {
+        return fail( stats, StoreFailure::unknown, "the answer is not an object" );
+    }
+    return out;
+}
+
+http::Request makeRequest( std::string method, std::string path, std::string body = {} ) {
+    http::Request out;
+    out.method = std::move( method );
+    out.path = std::move( path );
+    out.body = std::move( body );
+    return out;
+}
+
+leaf::result<Listing> listObjects( const std::string& url, StoreStats& stats, const Topic& topic ) {
+    auto request = makeRequest( "GET", pathOf( topic.kind, "" ) );
+    if ( !topic.name.empty() ) {
+        request.query["fieldSelector"] = "metadata.name=" + topic.name;
+    }
+    BOOST_LEAF_AUTO( parsed, exchange( url, stats, request ) );
+    Listing out;
+    try {
+        out.version =
+            std::stoull( parsed.at( "metadata" ).at( "resourceVersion" ).get<std::string>() );
+        for ( const auto& it : parsed.at( "items" ) ) {
+            Object object;
+            if ( !readObject( it, topic.kind, object ) ) {
+                return fail( stats, StoreFailure::unknown, "an item is not an object" );
+            }
+            out.objects.push_back( std::move( object ) );
+        }
+    } catch ( const std::exception& ex ) {
+        return fail( stats, StoreFailure::unknown, ex.what() );
+    }
+    return out;
+}
+
+EventType eventType( const std::string& word ) {
+    if ( word == "ADDED" ) {
+        return EventType::added;
+    }
+    if ( word == "DELETED" ) {
+        return EventType::removed;
+    }
+    return word == "BOOKMARK" ? EventType::bookmark : EventType::modified;
+}
+
+//! Cuts a watch's stream into lines and hands each over as an event; false ends the watch.
+class EventLines {
+public:
+    EventLines( std::string_view kind, const EventHandler& handler )
+        : m_kind( kind ), m_handler( handler ) {}
+
+    bool feed( std::string_view bytes ) {
+        m_partial.append( bytes );
+        for ( ;; ) {
+            const auto end = m_partial.find( '\n' );
+            if ( end == std::string::npos ) {
+                return true;
+            }
+            const bool more = line( std::string_view( m_partial ).substr( 0, end ) );
+            m_partial.erase( 0, end + 1 );
+            if ( !more ) {
+                return false;
+            }
+        }
+    }
+    bool expired() const noexcept { return m_expired; }
+
+private:
+    bool line( std::string_view text ) {
+        const auto parsed = Json::parse( text, nullptr, false );
+        if ( !parsed.is_object() || !parsed.contains( "type" ) || !parsed.contains( "object" ) ) {
+            return true;
+        }
+        const auto type = parsed["type"].is_string() ? parsed["type"].get<std::string>() : "";
+        if ( type == "ERROR" ) {
+            m_expired = true;
+            return false;
+        }
+        WatchEvent event;
+        event.type = eventType( type );
+        return !readObject( parsed["object"], m_kind, event.object ) || m_handler( event );
+    }
+
+    std::string m_kind;
+    const EventHandler& m_handler;
+    std::string m_partial;
+    bool m_expired = false;
+};
+
+leaf::result<void> watchObjects( const std::string& url, StoreStats& stats, const Topic& topic,
+                                 std::uint64_t version, Millis wait, const EventHandler& handler,
+                                 CallControl& control ) {
+    auto request = makeRequest( "GET", pathOf( topic.kind, "" ) );
+    request.query["watch"] = "true";
+    request.query["resourceVersion"] = std::to_string( version );
+    request.query["timeoutSeconds"] =
+        std::to_string( std::chrono::ceil<std::chrono::seconds>( wait ).count() );
+    if ( !topic.name.empty() ) {
+        request.query["fieldSelector"] = "metadata.name=" + topic.name;
+    }
+    http::Client client( url, { callTimeouts.connect, wait + watchSlack } );
+    EventLines lines( topic.kind, handler );
+    bool ended = false;
+    int status = 0;
+    control.bind( [&client] { client.abort(); } );
+    const auto outcome = client.stream( request, [&]( int code, std::string_view bytes ) {
+        status = code;
+        ended = code != 200 || !lines.feed( bytes );
+        return !ended;
+    } );
+    control.unbind();
+    if ( status >= 300 ) {
+        return fail( stats, failureOf( status ), "status " + std::to_string( status ) );
+    }
+    if ( lines.expired() ) {
+        return fail( stats, StoreFailure::expired, "the watch's version is too old" );
+    }
+    if ( outcome.failure != http::Failure::none && !ended ) {
+        return fail( stats, StoreFailure::unknown, outcome.detail );
+    }
+    return {};
+}
+
+} // namespace
+
+void CallControl::cancel() {
+    const std::lock_guard lock( m_mutex );
+    m_cancelled = true;
+    if ( m_abort ) {
+        m_abort();
+    }
+}
+
+void CallControl::bind( std::function<void()> abort ) {
+    const std::lock_guard lock( m_mutex );
+    m_abort = std::move( abort );
+    if ( m_cancelled ) {
+        m_abort();
+    }
+}
+
+void CallControl::unbind() {
+    const std::lock_guard lock( m_mutex );
+    m_abort = nullptr;
+}
+
+ObjectStore httpStore( std::string url, StoreStats& stats ) {
+    ObjectStore out;
+    out.get = [url, &stats]( std::string_view kind, std::string_view name ) {
+        ++stats.reads;
+        return exchangeObject( url, stats, makeRequest( "GET", pathOf( kind, name ) ), kind );
+    };
+    out.list = [url, &stats]( const Topic& topic ) {
+        ++stats.reads;
+        return listObjects( url, stats, topic );
+    };
+    out.create = [url, &stats]( const Object& object ) {
+        ++stats.writes;
+        const auto request =
+            makeRequest( "POST", pathOf( object.kind, "" ), writeObject( object ) );
+        return exchangeObject( url, stats, request, object.kind );
+    };
+    out.update = [url, &stats]( const Object& object ) {
+        ++stats.writes;
+        const auto request =
+            makeRequest( "PUT", pathOf( object.kind, object.name ), writeObject( object ) );
+        return exchangeObject( url, stats, request, object.kind );
+    };
+    out.watch = [url, &stats]( const Topic& topic, std::uint64_t version, Millis wait,
+                               const EventHandler& handler, CallControl& control ) {
+        ++stats.watches;
+        return watchObjects( url, stats, topic, version, wait, handler, control );
+    };
+    return out;
+}
+
+} // namespace coursehead::platform
--- /dev/null
+++ b/src/platform/vm.cpp
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "coursehead/platform/vm.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace coursehead::platform {
+
+namespace {
+
+bool readRole( const std::string& word, VmRole& out ) {
+    if ( word == "entry" ) {
+        out = VmRole::entry;
+    } else if ( word == "runner" ) {
+        out = VmRole::runner;
+    } else if ( word == "service" ) {
+        out = VmRole::service;
+    } else {
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+bool readVm( const Object& object, Vm& out ) {
+    const auto spec = nlohmann::json::parse( object.spec, nullptr, false );
+    if ( !spec.is_object() ) {
+        return false;
+    }
+    try {
+        out.name = object.name;
+        out.ip = spec.at( "ip" ).get<std::string>();
+        out.port = spec.at( "port" ).get<int>();
+        out.hall = spec.value( "hall", "" );
+        out.region = spec.value( "region", "" );
+        out.state = spec.value( "state", "live" ) == "live" ? VmState::live : VmState::leaving;
+        return readRole( spec.at( "role" ).get<std::string>(), out.role );
+    } catch ( const nlohmann::json::exception& ) {
+        return false;
+    }
+}
+
+} // namespace coursehead::platform
--- /dev/null
+++ b/tests/support/main.cpp
@@ -0,0 +1,3 @@
+// SPDX-License-Identifier: BSL-1.0
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
