--- a/include/coursehead/config/state.hpp
+++ b/include/coursehead/config/state.hpp
@@ -84,8 +84,8 @@
 //! The entry with that name, or nullptr.
 template <typename T>
 const T* findByName( const std::vector<T>& list, std::string_view name ) {
-    for ( const auto& it : list ) {
-        if ( it.name == name ) {
+    for( const auto& it : list ) {
+        if( it.name == name ) {
             return &it;
         }
     }
--- a/include/coursehead/kernel/kernel.hpp
+++ b/include/coursehead/kernel/kernel.hpp
@@ -43,7 +43,7 @@
     template <typename T>
     T& find( std::string_view name ) const {
         auto* const* found = std::any_cast<T*>( &lookUp( name ) );
-        if ( found == nullptr ) {
+        if( found == nullptr ) {
             throw KernelError( "service '" + std::string( name ) + "' has another type" );
         }
         return **found;
--- a/include/coursehead/ledger/steps.hpp
+++ b/include/coursehead/ledger/steps.hpp
@@ -27,6 +27,7 @@
     //! least their order lateness, so that a late duplicate of the load can't follow the unload.
     Millis minResidency{ 10000 };
     bool allowUnwanted = true; //!< keep items nobody wants while there is room
+    std::vector<Item> deleted; //!< items that no longer exist: dropped as soon as they are idle
 };
 
 //! The next order; empty when there is nothing to do or nothing possible. Charges the ledger.
--- a/include/coursehead/platform/store.hpp
+++ b/include/coursehead/platform/store.hpp
@@ -107,7 +107,7 @@
 };
 
 //! The store behind a URL, over HTTP. `stats` must outlive the result.
-ObjectStore httpStore( std::string url, StoreStats& stats );
+ObjectStore httpStore( const std::string& url, StoreStats& stats );
 
 //! A call's value, or its error when `ok` is false; see attempt().
 template <typename T>
--- a/include/coursehead/router/budget.hpp
+++ b/include/coursehead/router/budget.hpp
@@ -14,14 +14,14 @@
 //! Counts a first attempt.
 inline void earn( RetryBudget& budget ) noexcept {
     budget.saved += budget.share;
-    if ( budget.saved > budget.most ) {
+    if( budget.saved > budget.most ) {
         budget.saved = budget.most;
     }
 }
 
 //! Takes one retry; false when the budget is used up.
 inline bool spend( RetryBudget& budget ) noexcept {
-    if ( budget.saved < 1.0 ) {
+    if( budget.saved < 1.0 ) {
         return false;
     }
     budget.saved -= 1.0;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -145,14 +145,14 @@
     m_reporter = std::make_unique<Reporter>(
         ReporterSettings{}, m_replica, [this] { return status(); },
         [this]( const peer::PlanTargets& plan ) {
-            if ( m_residency ) {
+            if( m_residency ) {
                 m_residency->setPlan( plan );
             }
         },
         m_clock );
     m_replica.onChange( [this]( const config::State& state ) {
         m_claims.update( state );
-        if ( m_residency ) {
+        if( m_residency ) {
             m_residency->configChanged();
         }
         m_reporter->changed();
@@ -172,7 +172,7 @@
 }
 
 void Agent::makeResidency() {
-    if ( m_kind == UpstreamKind::service ) {
+    if( m_kind == UpstreamKind::service ) {
         return;
     }
     ResidencySettings out;
@@ -180,8 +180,7 @@
     out.upstream = m_settings.text( "upstream" );
     out.endpoint = endpointOf( m_settings );
     out.minResidency = Millis( m_settings.number( "min-residency-ms" ) );
-    m_residency =
-        std::make_unique<Residency>( out, m_store, m_replica, m_random, m_metrics, m_clock );
+    m_residency = std::make_unique<Residency>( out, m_store, m_replica, m_metrics, m_clock );
     m_residency->onChange( [this] { m_reporter->changed( true ); } );
 }
 
@@ -226,7 +225,7 @@
                     [this] {
                         m_ownVm.stop();
                     } } );
-    if ( m_residency ) {
+    if( m_residency ) {
         m_kernel.add( { "residency", [this] { m_residency->start(); },
                         [this] {
                             m_residency->stop();
@@ -244,8 +243,8 @@
                     [this] {
                         m_tidyThread = std::thread( [this] {
                             std::unique_lock lock( m_mutex );
-                            while ( !m_stopSignal.wait_for( lock, tidyInterval,
-                                                            [this] { return m_stopping; } ) ) {
+                            while( !m_stopSignal.wait_for( lock, tidyInterval,
+                                                           [this] { return m_stopping; } ) ) {
                                 m_runner->tidy();
                                 m_claims.tidy();
                             }
@@ -264,7 +263,7 @@
 void Agent::listenHttp() {
     const auto at = settings::splitAddress( m_settings.text( "http-listen" ) );
     const int port = m_http.start( at.host, at.port );
-    if ( port < 0 ) {
+    if( port < 0 ) {
         throw KernelError( "can't listen on http-listen = " + m_settings.text( "http-listen" ) );
     }
     log::info( "http_listening", { { "port", static_cast<std::int64_t>( port ) } } );
@@ -273,7 +272,7 @@
 void Agent::listenPeers() {
     const auto at = settings::splitAddress( m_settings.text( "listen" ) );
     const int port = m_loop.bind( at.host, at.port );
-    if ( port < 0 ) {
+    if( port < 0 ) {
         throw KernelError( "can't listen on listen = " + m_settings.text( "listen" ) );
     }
     m_loop.start();
@@ -281,17 +280,17 @@
 }
 
 void Agent::handleStream( const std::string& path, std::shared_ptr<peer::Stream> stream ) {
-    if ( path == peer::runPath ) {
+    if( path == peer::runPath ) {
         m_reporter->changed();
         m_runner->run( std::move( stream ) );
         m_reporter->changed();
-    } else if ( path == peer::joinPath ) {
-        m_runner->join( std::move( stream ) );
-    } else if ( path == peer::barPath ) {
-        m_runner->bar( std::move( stream ) );
-    } else if ( path == peer::claimPath ) {
-        m_claims.serve( std::move( stream ) );
-    } else if ( path == peer::controlPath ) {
+    } else if( path == peer::joinPath ) {
+        m_runner->join( *stream );
+    } else if( path == peer::barPath ) {
+        m_runner->bar( *stream );
+    } else if( path == peer::claimPath ) {
+        m_claims.serve( *stream );
+    } else if( path == peer::controlPath ) {
         m_reporter->add( std::move( stream ) );
     }
 }
@@ -300,12 +299,12 @@
     constexpr int notFound = 404;
     constexpr int unavailable = 503;
     http::Response out;
-    if ( request.path == "/metrics" ) {
+    if( request.path == "/metrics" ) {
         out.contentType = "text/plain; version=0.0.4";
         out.body = m_metrics.prometheus();
-    } else if ( request.path == "/healthz" ) {
+    } else if( request.path == "/healthz" ) {
         out.body = "{\"revision\":" + std::to_string( m_replica.revision() ) + "}";
-    } else if ( request.path == "/readyz" ) {
+    } else if( request.path == "/readyz" ) {
         out.status = m_runner->draining() ? unavailable : out.status;
         out.body = m_runner->draining() ? "{\"ready\":false}" : "{\"ready\":true}";
     } else {
@@ -328,7 +327,7 @@
     out.capacity = m_places.capacity();
     out.demand = m_runner->takeDemand();
     out.revision = m_replica.revision();
-    if ( m_residency ) {
+    if( m_residency ) {
         out.mayOrder = m_residency->mayOrder();
         out.accelerators = m_residency->accelerators();
         out.freeBytes = m_residency->freeBytes();
@@ -342,14 +341,14 @@
 void Agent::onOwnVm( const std::map<std::string, platform::Object>& objects ) {
     const auto found = objects.find( m_settings.text( "vm" ) );
     platform::Vm vm;
-    if ( found != objects.end() && platform::readVm( found->second, vm ) &&
-         vm.state == platform::VmState::leaving ) {
+    if( found != objects.end() && platform::readVm( found->second, vm ) &&
+        vm.state == platform::VmState::leaving ) {
         beginDrain( "the platform's list says that this VM is leaving" );
     }
 }
 
 void Agent::beginDrain( std::string_view why ) {
-    if ( !m_runner->draining() ) {
+    if( !m_runner->draining() ) {
         m_runner->drain();
         log::info( "drain_begins", { { "reason", why } } );
         m_reporter->changed( true );
@@ -359,7 +358,7 @@
 void Agent::waitUntilIdle() {
     const auto limit = m_clock.now() + Millis( m_settings.number( "drain-limit-ms" ) );
     constexpr Millis step{ 20 };
-    while ( m_runner->inFlight() > 0 && m_clock.now() < limit ) {
+    while( m_runner->inFlight() > 0 && m_clock.now() < limit ) {
         std::this_thread::sleep_for( step );
     }
     log::info( "drain_ends", { { "left", static_cast<std::int64_t>( m_runner->inFlight() ) } } );
--- a/src/agent/claim_service.hpp
+++ b/src/agent/claim_service.hpp
@@ -17,7 +17,7 @@
         : m_vm( std::move( vm ) ), m_rules( rules ), m_clock( clock ) {}
 
     //! Serves a stream on peer::claimPath.
-    void serve( std::shared_ptr<peer::Stream> stream );
+    void serve( peer::Stream& stream );
     //! Takes over and gives up slots as a new configuration says.
     void update( const config::State& state );
     void tidy();
--- a/src/agent/places.cpp
+++ b/src/agent/places.cpp
@@ -25,12 +25,12 @@
         return m_running < m_capacity && m_line.begin() == at;
     };
     bool got = myTurn();
-    while ( !got && std::chrono::steady_clock::now() < deadline && !abandoned() ) {
+    while( !got && std::chrono::steady_clock::now() < deadline && !abandoned() ) {
         const auto limit = std::min( deadline, std::chrono::steady_clock::now() + lookInterval );
         got = m_changed.wait_until( lock, limit, myTurn );
     }
     m_line.erase( at );
-    if ( got ) {
+    if( got ) {
         ++m_running;
     }
     m_changed.notify_all();
--- a/src/agent/reporter.cpp
+++ b/src/agent/reporter.cpp
@@ -24,7 +24,7 @@
         m_stopping = true;
         m_wakeup.notify_all();
     }
-    if ( m_thread.joinable() ) {
+    if( m_thread.joinable() ) {
         m_thread.join();
     }
     const std::lock_guard lock( m_mutex );
@@ -58,7 +58,7 @@
 }
 
 void Reporter::run() {
-    for ( ;; ) {
+    for( ;; ) {
         bool due = false;
         {
             std::unique_lock lock( m_mutex );
@@ -66,19 +66,19 @@
             m_wakeup.wait_until( lock, next, [this, next] {
                 return m_stopping || m_readable || m_urgent || ( m_dirty && m_clock.now() >= next );
             } );
-            if ( m_stopping ) {
+            if( m_stopping ) {
                 return;
             }
             const auto wait = m_dirty ? m_settings.least : m_settings.most;
             due = m_urgent || m_clock.now() >= m_lastReport + wait;
             m_readable = false;
-            if ( due ) {
+            if( due ) {
                 m_dirty = false;
                 m_urgent = false;
             }
         }
         readAll();
-        if ( due ) {
+        if( due ) {
             report();
         }
     }
@@ -91,10 +91,10 @@
         std::erase_if( m_streams, []( const auto& it ) { return it->ended(); } );
         streams = m_streams;
     }
-    for ( const auto& it : streams ) {
-        for ( ;; ) {
+    for( const auto& it : streams ) {
+        for( ;; ) {
             const auto got = it->receive( MonoTime{} );
-            if ( got.status != peer::ReceiveStatus::frame ) {
+            if( got.status != peer::ReceiveStatus::frame ) {
                 break;
             }
             take( *it, got.frame );
@@ -104,22 +104,22 @@
 
 void Reporter::take( peer::Stream& stream, const std::string& frame ) {
     const auto decoded = peer::decode( frame );
-    if ( !decoded.ok ) {
+    if( !decoded.ok ) {
         log::warn( "control_message_malformed", { { "detail", decoded.error.detail } } );
         stream.cancel();
         return;
     }
-    if ( const auto* news = std::get_if<peer::ConfigNews>( &decoded.message ) ) {
-        if ( m_replica.offer( *news ) ) {
+    if( const auto* news = std::get_if<peer::ConfigNews>( &decoded.message ) ) {
+        if( m_replica.offer( *news ) ) {
             log::info( "config_adopted",
                        { { "revision", static_cast<std::int64_t>( news->revision ) },
                          { "source", "peer" } } );
         }
-    } else if ( const auto* ask = std::get_if<peer::ConfigAsk>( &decoded.message ) ) {
-        if ( auto answer = m_replica.newsFor( ask->revision ) ) {
+    } else if( const auto* ask = std::get_if<peer::ConfigAsk>( &decoded.message ) ) {
+        if( auto answer = m_replica.newsFor( ask->revision ) ) {
             stream.trySend( encode( std::move( *answer ) ) );
         }
-    } else if ( const auto* plan = std::get_if<peer::PlanTargets>( &decoded.message ) ) {
+    } else if( const auto* plan = std::get_if<peer::PlanTargets>( &decoded.message ) ) {
         m_plans( *plan );
     }
 }
@@ -142,7 +142,7 @@
         full = m_fullWanted || shapeBytes != m_lastShape || now - m_lastFull >= m_settings.most;
         m_fullWanted = false;
     }
-    if ( !full ) {
+    if( !full ) {
         return encode( peer::LoadReport{ status.sequence, status.running, status.queued,
                                          status.revision, status.demand } );
     }
@@ -159,7 +159,7 @@
         m_lastReport = m_clock.now();
         streams = m_streams;
     }
-    for ( const auto& it : streams ) {
+    for( const auto& it : streams ) {
         it->trySend( bytes );
     }
 }
--- a/src/agent/residency.cpp
+++ b/src/agent/residency.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr Millis retryPause{ 500 };
-constexpr Millis idlePause{ 1000 };
+constexpr Millis idlePause{ 200 };
 constexpr Millis lookInterval{ 200 };
 
 Item modelItem( const config::Model& model ) {
@@ -35,6 +35,30 @@
     return { modelItem( model ), config::bytesPerAccelerator( model ), model.accelerators };
 }
 
+std::string_view outcomeWord( OrderOutcome outcome ) {
+    switch( outcome ) {
+    case OrderOutcome::done:
+        return "done";
+    case OrderOutcome::refused:
+        return "refused";
+    case OrderOutcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+ledger::OrderResult resultOf( OrderOutcome outcome ) {
+    switch( outcome ) {
+    case OrderOutcome::done:
+        return ledger::OrderResult::done;
+    case OrderOutcome::refused:
+        return ledger::OrderResult::refused;
+    case OrderOutcome::unknown:
+        return ledger::OrderResult::unknown;
+    }
+    return ledger::OrderResult::unknown;
+}
+
 std::string itemWord( const Item& item ) {
     return ( item.kind == ItemKind::model ? "model/" : "adapter/" ) + item.name + "@" +
            item.version;
@@ -51,10 +75,9 @@
 }
 
 Residency::Residency( ResidencySettings settings, const platform::ObjectStore& store,
-                      config::Replica& replica, RandomSource& random, metrics::Metrics& metrics,
-                      const Clock& clock )
+                      config::Replica& replica, metrics::Metrics& metrics, const Clock& clock )
     : m_settings( std::move( settings ) ), m_store( store ), m_replica( replica ),
-      m_random( random ), m_metrics( metrics ), m_clock( clock ) {}
+      m_metrics( metrics ), m_clock( clock ), m_began( clock.now() ) {}
 
 Residency::~Residency() {
     stop();
@@ -71,7 +94,7 @@
         m_wakeup.notify_all();
         m_progress.notify_all();
     }
-    if ( m_thread.joinable() ) {
+    if( m_thread.joinable() ) {
         m_thread.join();
     }
 }
@@ -90,7 +113,7 @@
 
 void Residency::changed() {
     m_progress.notify_all();
-    if ( m_listener ) {
+    if( m_listener ) {
         m_listener();
     }
 }
@@ -105,196 +128,164 @@
     m_wakeup.notify_all();
 }
 
-// --- taking over the upstream
+// --- the order thread
 
 void Residency::run() {
-    const auto began = m_clock.now();
-    while ( !stopping() && !findUpstream() ) {
+    while( !stopping() && !findUpstream() ) {
         pause( retryPause );
     }
-    adoptReport( true );
-    while ( !stopping() && !takeEpoch() ) {
-        // Without an epoch we serve what is resident and give no orders.
-        adoptReport( true );
-        pause( retryPause );
+    while( !stopping() ) {
+        carryOut( nextInstruction() );
     }
-    const Millis lateness{ m_upstream.checksOrders ? 0 : m_upstream.orderLatenessMs };
-    while ( !stopping() && m_clock.now() - began < lateness ) {
-        // An earlier process's orders may still land on an upstream that does not check tokens.
-        adoptReport( true );
-        pause( std::max( Millis{ 1 }, remaining( m_clock.now(), began + lateness ) ) );
-    }
-    while ( !stopping() && !( fenceOff() && adoptReport( true ) ) ) {
-        pause( retryPause );
-    }
-    {
-        const std::lock_guard lock( m_mutex );
-        m_ordering = !m_stopping;
-    }
-    log::info( "ordering_begins", { { "epoch", static_cast<std::int64_t>( m_token.epoch ) } } );
-    changed();
-    work();
 }
 
 bool Residency::findUpstream() {
     const auto state = m_replica.state();
     const auto* found = config::findByName( state->upstreams, m_settings.upstream );
-    if ( found == nullptr ) {
+    if( found == nullptr ) {
         return false;
     }
     const std::lock_guard lock( m_mutex );
-    m_upstream = *found;
+    m_protocol.capacity.assign( found->accelerators, found->memory );
+    m_protocol.checksOrders = found->checksOrders;
+    m_protocol.lateness = Millis( found->checksOrders ? 0 : found->orderLatenessMs );
+    m_protocol.reportInterval = m_settings.statusInterval;
+    m_protocol.began = m_began;
     return true;
 }
 
+ledger::Instruction Residency::nextInstruction() {
+    const auto state = m_replica.state();
+    const std::lock_guard lock( m_mutex );
+    ledger::StepRules rules;
+    rules.minResidency = m_settings.minResidency;
+    rules.deleted = deleted( *state );
+    auto out =
+        ledger::nextInstruction( m_protocol, wanted( *state ), usage(), rules, m_clock.now() );
+    if( out.kind == ledger::InstructionKind::idle ) {
+        markBlocked();
+    }
+    return out;
+}
+
+void Residency::carryOut( const ledger::Instruction& instruction ) {
+    switch( instruction.kind ) {
+    case ledger::InstructionKind::takeEpoch:
+        // Without an epoch we serve what is resident and give no orders.
+        readReport();
+        if( !takeEpoch() ) {
+            pause( retryPause );
+        }
+        return;
+    case ledger::InstructionKind::fence:
+        if( !fence( instruction.number ) ) {
+            readReport();
+            pause( retryPause );
+        }
+        return;
+    case ledger::InstructionKind::readReport:
+        if( !readReport() ) {
+            pause( retryPause );
+        }
+        return;
+    case ledger::InstructionKind::wait:
+        readReport();
+        pause( instruction.wait );
+        return;
+    case ledger::InstructionKind::order:
+        execute( instruction.order );
+        return;
+    case ledger::InstructionKind::idle:
+        pause( idlePause );
+        return;
+    }
+}
+
 bool Residency::takeEpoch() {
     const auto got =
         platform::attempt( [this] { return m_store.get( platform::epochKind, m_settings.vm ); } );
     const bool absent = !got.ok && got.error.failure == StoreFailure::notFound;
-    if ( !got.ok && !absent ) {
+    if( !got.ok && !absent ) {
         return false;
     }
     platform::Object next{ std::string( platform::epochKind ), m_settings.vm,
                            absent ? 0 : got.value.version, "" };
     const auto spec = nlohmann::json::parse( got.value.spec, nullptr, false );
     const auto epoch = spec.is_object() ? spec.value( "epoch", std::uint64_t{ 0 } ) + 1 : 1;
-    // The nonce makes a write whose answer was lost indistinguishable from a rival's: then we
-    // simply take the next epoch.
-    next.spec = nlohmann::json{ { "epoch", epoch }, { "nonce", m_random.hex( 16 ) } }.dump();
+    // After a write whose answer was lost we simply take the next epoch.
+    next.spec = nlohmann::json{ { "epoch", epoch } }.dump();
     const auto wrote = platform::attempt(
         [&] { return absent ? m_store.create( next ) : m_store.update( next ); } );
-    if ( !wrote.ok ) {
+    if( !wrote.ok ) {
         return false;
     }
+    log::info( "epoch_taken", { { "epoch", static_cast<std::int64_t>( epoch ) } } );
     const std::lock_guard lock( m_mutex );
-    m_token = { epoch, 0 };
+    ledger::epochTaken( m_protocol, epoch );
     return true;
 }
 
-bool Residency::fenceOff() {
+bool Residency::fence( ledger::OrderNumber number ) {
     engine::Token token;
     {
         const std::lock_guard lock( m_mutex );
-        if ( !m_upstream.checksOrders ) {
-            return true;
-        }
-        token = { m_token.epoch, ++m_ledger.lastOrder };
+        token = { m_protocol.epoch, number };
+    }
+    const auto outcome = engine::sendFence( m_settings.endpoint, token );
+    if( outcome == OrderOutcome::refused ) {
+        // Somebody holds a higher token: take a higher epoch.
+        const std::lock_guard lock( m_mutex );
+        m_protocol.epoch = 0;
     }
-    return engine::sendFence( m_settings.endpoint, token ) == OrderOutcome::done;
+    if( outcome != OrderOutcome::done ) {
+        return false;
+    }
+    const std::lock_guard lock( m_mutex );
+    ledger::fenceDone( m_protocol );
+    return true;
 }
 
-//! Compares with the engine's own report; `asLedger` replaces the ledger by it.
-bool Residency::adoptReport( bool asLedger ) {
+bool Residency::readReport() {
     const auto report = engine::readStatus( m_settings.endpoint );
-    if ( !report.ok ) {
+    if( !report.ok ) {
         return false;
     }
     {
         const std::lock_guard lock( m_mutex );
-        m_lastReport = m_clock.now();
-        if ( asLedger ) {
-            const auto order = m_ledger.lastOrder;
-            const std::vector<std::uint64_t> capacity( m_upstream.accelerators, m_upstream.memory );
-            m_ledger = ledger::adopt( capacity, report.items );
-            m_ledger.lastOrder = order;
-        } else {
-            ledger::settle( m_ledger, report.items, m_ledger.lastOrder );
-        }
+        ledger::reportRead( m_protocol, report.items, m_clock.now() );
     }
     changed();
     return true;
 }
 
-// --- the order thread
-
-void Residency::work() {
-    while ( !stopping() ) {
-        if ( hasUnknown() ) {
-            if ( !settleUnknown() ) {
-                pause( retryPause );
-            }
-            continue;
-        }
-        if ( m_clock.now() - m_lastReport > m_settings.statusInterval && !adoptReport( false ) ) {
-            pause( retryPause );
-            continue;
-        }
-        if ( const auto order = chooseOrder() ) {
-            execute( *order );
-            continue;
-        }
-        pause( idlePause );
-    }
-}
-
-bool Residency::hasUnknown() const {
-    const std::lock_guard lock( m_mutex );
-    return std::any_of( m_ledger.charges.begin(), m_ledger.charges.end(),
-                        []( const auto& it ) { return it.state == ChargeState::unknown; } );
-}
-
-bool Residency::settleUnknown() {
-    if ( m_upstream.checksOrders ) {
-        return fenceOff() && adoptReport( false );
-    }
-    const auto safe = m_lastOrderSent + Millis( m_upstream.orderLatenessMs );
-    if ( m_clock.now() < safe ) {
-        pause( remaining( m_clock.now(), safe ) + Millis{ 1 } );
-        return true;
-    }
-    return adoptReport( false );
-}
-
 void Residency::execute( const ledger::Order& order ) {
     engine::Token token;
     {
         const std::lock_guard lock( m_mutex );
-        token = { m_token.epoch, order.number };
+        token = { m_protocol.epoch, order.number };
     }
     const bool load = order.action == ledger::OrderAction::load;
     m_metrics.count( "moves", load ? "load" : "unload" );
     changed();
-    m_lastOrderSent = m_clock.now();
+    const auto sentAt = m_clock.now();
     const auto outcome = engine::sendOrder( m_settings.endpoint, token, order );
     log::info( "order", { { "action", load ? "load" : "unload" },
                           { "item", itemWord( order.footprint.item ) },
                           { "number", static_cast<std::int64_t>( order.number ) },
-                          { "outcome", outcome == OrderOutcome::done      ? "done"
-                                       : outcome == OrderOutcome::refused ? "refused"
-                                                                          : "unknown" } } );
+                          { "outcome", outcomeWord( outcome ) } } );
     {
         const std::lock_guard lock( m_mutex );
-        switch ( outcome ) {
-        case OrderOutcome::done:
-            ledger::confirm( m_ledger, order.number );
-            break;
-        case OrderOutcome::refused:
-            ledger::withdraw( m_ledger, order.number );
-            break;
-        case OrderOutcome::unknown:
-            ledger::lose( m_ledger, order.number );
-            break;
-        }
+        ledger::orderEnded( m_protocol, order.number, resultOf( outcome ), sentAt );
     }
     changed();
-    if ( outcome == OrderOutcome::refused ) {
-        adoptReport( false );
+    if( outcome == OrderOutcome::refused ) {
         pause( retryPause );
     }
 }
 
-ledger::StepRules Residency::rules() const {
-    ledger::StepRules out;
-    out.minResidency = m_settings.minResidency;
-    if ( !m_upstream.checksOrders ) {
-        out.minResidency = std::max( out.minResidency, Millis( m_upstream.orderLatenessMs ) );
-    }
-    return out;
-}
-
 std::vector<ledger::Usage> Residency::usage() const {
     std::vector<ledger::Usage> out;
-    for ( const auto& [item, use] : m_use ) {
+    for( const auto& [item, use] : m_use ) {
         out.push_back( { item, use.running, 0, use.lastUsed } );
     }
     return out;
@@ -303,8 +294,8 @@
 std::vector<ledger::Wanted> Residency::wanted( const config::State& state ) const {
     std::vector<ledger::Wanted> out;
     const auto add = [&out]( const ledger::Footprint& footprint, bool waiting ) {
-        for ( auto& it : out ) {
-            if ( it.footprint.item == footprint.item ) {
+        for( auto& it : out ) {
+            if( it.footprint.item == footprint.item ) {
                 it.waiting = it.waiting || waiting;
                 return;
             }
@@ -312,7 +303,7 @@
         out.push_back( { footprint, waiting } );
     };
     const auto addModel = [&]( const std::string& name, bool waiting ) {
-        if ( const auto* model = config::findByName( state.models, name ) ) {
+        if( const auto* model = config::findByName( state.models, name ) ) {
             add( modelFootprint( *model ), waiting );
         }
     };
@@ -320,34 +311,34 @@
         const auto* adapter = config::findByName( state.adapters, name );
         const auto* model =
             adapter == nullptr ? nullptr : config::findByName( state.models, adapter->model );
-        if ( model != nullptr ) {
+        if( model != nullptr ) {
             add( modelFootprint( *model ), waiting );
             add( { adapterItem( *adapter, *model ), adapter->memory, 0 }, waiting );
         }
     };
-    for ( const auto& [target, waiting] : m_waiting ) {
-        if ( target.adapter.empty() ) {
+    for( const auto& [target, waiting] : m_waiting ) {
+        if( target.adapter.empty() ) {
             addModel( target.name, true );
         } else {
             addAdapter( target.adapter, true );
         }
     }
-    for ( const auto& it : m_plan.items ) {
-        if ( it.kind == "adapter" ) {
+    for( const auto& it : m_plan.items ) {
+        if( it.kind == "adapter" ) {
             addAdapter( it.name, false );
         } else {
             addModel( it.name, false );
         }
     }
-    for ( const auto& it : m_ledger.charges ) {
+    for( const auto& it : m_protocol.ledger.charges ) {
         // A resident model or adapter moves on to a new version by itself.
         const auto& item = it.footprint.item;
         const auto& name = item.kind == ItemKind::model ? item.name : item.model;
         const auto* model = config::findByName( state.models, name );
-        if ( model == nullptr || model->version == item.version ) {
+        if( model == nullptr || model->version == item.version ) {
             continue;
         }
-        if ( item.kind == ItemKind::model ) {
+        if( item.kind == ItemKind::model ) {
             addModel( item.name, false );
         } else {
             addAdapter( item.name, false );
@@ -356,41 +347,25 @@
     return out;
 }
 
-std::optional<ledger::Order> Residency::dropDeleted( const config::State& state ) {
-    for ( const auto& it : m_ledger.charges ) {
-        const auto item = it.footprint.item;
+//! Charged items that no longer exist in the configuration.
+std::vector<Item> Residency::deleted( const config::State& state ) const {
+    std::vector<Item> out;
+    for( const auto& it : m_protocol.ledger.charges ) {
+        const auto& item = it.footprint.item;
         const bool exists = item.kind == ItemKind::model
                                 ? config::findByName( state.models, item.name ) != nullptr
                                 : config::findByName( state.adapters, item.name ) != nullptr;
-        const auto use = m_use.find( item );
-        const bool busy = use != m_use.end() && use->second.running > 0;
-        const bool young = m_clock.now() - it.loadSent < rules().minResidency;
-        if ( !exists && !busy && !young && it.state == ChargeState::resident ) {
-            if ( auto order = ledger::beginUnload( m_ledger, item ) ) {
-                return order;
-            }
+        if( !exists ) {
+            out.push_back( item );
         }
     }
-    return std::nullopt;
-}
-
-std::optional<ledger::Order> Residency::chooseOrder() {
-    const auto state = m_replica.state();
-    const std::lock_guard lock( m_mutex );
-    if ( auto order = dropDeleted( *state ) ) {
-        return order;
-    }
-    auto order = ledger::nextStep( m_ledger, wanted( *state ), usage(), rules(), m_clock.now() );
-    if ( !order ) {
-        markBlocked( *state );
-    }
-    return order;
+    return out;
 }
 
 //! Notes which waiting targets neither have room nor anything that could make room.
-void Residency::markBlocked( const config::State& ) {
-    for ( auto& [target, waiting] : m_waiting ) {
-        if ( !findPin( target ) && !waiting.blocked ) {
+void Residency::markBlocked() {
+    for( auto& [target, waiting] : m_waiting ) {
+        if( !findPin( target ) && !waiting.blocked ) {
             waiting.blocked = true;
             waiting.blockedSince = m_clock.now();
         }
@@ -402,29 +377,29 @@
 
 std::optional<Pin> Residency::findPin( const peer::Target& target ) const {
     const auto isResident = [this]( const Item& item ) {
-        const auto* charge = ledger::find( m_ledger, item );
+        const auto* charge = ledger::find( m_protocol.ledger, item );
         return charge != nullptr && charge->state == ChargeState::resident;
     };
     const auto state = m_replica.state();
     const auto* model = config::findByName( state->models, target.name );
     std::vector<Item> candidates;
-    if ( model != nullptr ) {
+    if( model != nullptr ) {
         candidates.push_back( modelItem( *model ) );
     }
-    for ( const auto& it : m_ledger.charges ) {
-        if ( it.footprint.item.kind == ItemKind::model && it.footprint.item.name == target.name ) {
+    for( const auto& it : m_protocol.ledger.charges ) {
+        if( it.footprint.item.kind == ItemKind::model && it.footprint.item.name == target.name ) {
             candidates.push_back( it.footprint.item );
         }
     }
-    for ( const auto& it : candidates ) {
-        if ( !isResident( it ) ) {
+    for( const auto& it : candidates ) {
+        if( !isResident( it ) ) {
             continue;
         }
-        if ( target.adapter.empty() ) {
+        if( target.adapter.empty() ) {
             return Pin{ it, std::nullopt };
         }
         const Item adapter{ ItemKind::adapter, target.adapter, it.version, it.name };
-        if ( isResident( adapter ) ) {
+        if( isResident( adapter ) ) {
             return Pin{ it, adapter };
         }
     }
@@ -440,8 +415,8 @@
                             const std::function<bool()>& abandoned, Pin& out ) {
     std::unique_lock lock( m_mutex );
     auto found = findPin( target );
-    if ( !found ) {
-        if ( !m_ordering ) {
+    if( !found ) {
+        if( !ledger::mayOrder( m_protocol ) ) {
             return ReadyStatus::impossible;
         }
         ++m_waiting[target].count;
@@ -450,17 +425,17 @@
     }
     const bool waited = !found;
     bool blocked = false;
-    while ( !found && !blocked && !m_stopping && !abandoned() && m_clock.now() < deadline ) {
+    while( !found && !blocked && !m_stopping && !abandoned() && m_clock.now() < deadline ) {
         m_progress.wait_for( lock, lookInterval );
         found = findPin( target );
         const auto& waiting = m_waiting[target];
         blocked =
             waiting.blocked && m_clock.now() - waiting.blockedSince > m_settings.blockedPatience;
     }
-    if ( waited && --m_waiting[target].count == 0 ) {
+    if( waited && --m_waiting[target].count == 0 ) {
         m_waiting.erase( target );
     }
-    if ( !found ) {
+    if( !found ) {
         return blocked ? ReadyStatus::impossible : ReadyStatus::timeout;
     }
     const auto use = [this]( const Item& item ) {
@@ -469,7 +444,7 @@
         it.lastUsed = m_clock.now();
     };
     use( found->model );
-    if ( found->adapter ) {
+    if( found->adapter ) {
         use( *found->adapter );
     }
     out = *found;
@@ -484,7 +459,7 @@
         it.lastUsed = m_clock.now();
     };
     drop( pin.model );
-    if ( pin.adapter ) {
+    if( pin.adapter ) {
         drop( *pin.adapter );
     }
     m_work = m_work || !m_waiting.empty();
@@ -495,7 +470,7 @@
     const std::lock_guard lock( m_mutex );
     const bool newer = plan.epoch > m_plan.epoch ||
                        ( plan.epoch == m_plan.epoch && plan.sequence > m_plan.sequence );
-    if ( !newer ) {
+    if( !newer ) {
         m_metrics.count( "stale_plans_dropped" );
         return;
     }
@@ -509,10 +484,10 @@
 std::vector<peer::ResidentItem> Residency::items() const {
     const std::lock_guard lock( m_mutex );
     std::vector<peer::ResidentItem> out;
-    for ( const auto& it : m_ledger.charges ) {
+    for( const auto& it : m_protocol.ledger.charges ) {
         const auto& item = it.footprint.item;
         const bool coming = it.state == ChargeState::loading || it.state == ChargeState::unknown;
-        if ( it.state == ChargeState::resident || coming ) {
+        if( it.state == ChargeState::resident || coming ) {
             out.push_back( { item.kind == ItemKind::model ? "model" : "adapter", item.name,
                              item.version, it.state == ChargeState::resident } );
         }
@@ -522,17 +497,17 @@
 
 std::uint64_t Residency::freeBytes() const {
     const std::lock_guard lock( m_mutex );
-    return ledger::largestRoom( m_ledger );
+    return ledger::largestRoom( m_protocol.ledger );
 }
 
 std::uint32_t Residency::accelerators() const {
     const std::lock_guard lock( m_mutex );
-    return static_cast<std::uint32_t>( m_ledger.capacity.size() );
+    return static_cast<std::uint32_t>( m_protocol.ledger.capacity.size() );
 }
 
 bool Residency::mayOrder() const {
     const std::lock_guard lock( m_mutex );
-    return m_ordering;
+    return ledger::mayOrder( m_protocol );
 }
 
 } // namespace coursehead::agent
--- a/src/agent/residency.hpp
+++ b/src/agent/residency.hpp
@@ -4,8 +4,7 @@
 
 #include "coursehead/config/replica.hpp"
 #include "coursehead/engine/engine.hpp"
-#include "coursehead/kernel/random.hpp"
-#include "coursehead/ledger/steps.hpp"
+#include "coursehead/ledger/protocol.hpp"
 #include "coursehead/metrics/metrics.hpp"
 #include "coursehead/platform/store.hpp"
 
@@ -47,8 +46,7 @@
 class Residency {
 public:
     Residency( ResidencySettings settings, const platform::ObjectStore& store,
-               config::Replica& replica, RandomSource& random, metrics::Metrics& metrics,
-               const Clock& clock );
+               config::Replica& replica, metrics::Metrics& metrics, const Clock& clock );
     ~Residency();
     Residency( const Residency& ) = delete;
     Residency& operator=( const Residency& ) = delete;
@@ -93,46 +91,38 @@
 
     void run();
     bool findUpstream();
+    ledger::Instruction nextInstruction();
+    void carryOut( const ledger::Instruction& instruction );
     bool takeEpoch();
-    bool fenceOff();
-    bool adoptReport( bool asLedger );
-    void work();
+    bool fence( ledger::OrderNumber number );
+    bool readReport();
     void execute( const ledger::Order& order );
-    bool settleUnknown();
-    bool hasUnknown() const;
-    std::optional<ledger::Order> chooseOrder();
     std::vector<ledger::Wanted> wanted( const config::State& state ) const;
     std::vector<ledger::Usage> usage() const;
-    std::optional<ledger::Order> dropDeleted( const config::State& state );
-    void markBlocked( const config::State& state );
+    std::vector<ledger::Item> deleted( const config::State& state ) const;
+    void markBlocked();
     std::optional<Pin> findPin( const peer::Target& target ) const;
     bool pause( Millis length );
     bool stopping() const;
     void changed();
-    ledger::StepRules rules() const;
 
     ResidencySettings m_settings;
     const platform::ObjectStore& m_store;
     config::Replica& m_replica;
-    RandomSource& m_random;
     metrics::Metrics& m_metrics;
     const Clock& m_clock;
+    MonoTime m_began;
     std::function<void()> m_listener;
 
     mutable std::mutex m_mutex;
     std::condition_variable m_wakeup;   //!< for the order thread
     std::condition_variable m_progress; //!< for requests that wait
-    ledger::Ledger m_ledger;
-    config::Upstream m_upstream;
-    engine::Token m_token;
-    bool m_ordering = false;
+    ledger::OrderProtocol m_protocol;
     bool m_stopping = false;
     bool m_work = false;
     std::map<ledger::Item, Use, ItemLess> m_use;
     std::map<peer::Target, Waiting, TargetLess> m_waiting;
     peer::PlanTargets m_plan;
-    MonoTime m_lastReport;
-    MonoTime m_lastOrderSent;
     std::thread m_thread;
 };
 
--- a/src/agent/runner.cpp
+++ b/src/agent/runner.cpp
@@ -22,11 +22,11 @@
 template <typename T>
 std::optional<T> readFirst( peer::Stream& stream, const Clock& clock ) {
     const auto got = stream.receive( clock.now() + requestPatience );
-    if ( got.status != ReceiveStatus::frame ) {
+    if( got.status != ReceiveStatus::frame ) {
         return std::nullopt;
     }
     auto decoded = peer::decode( got.frame );
-    if ( !decoded.ok || !std::holds_alternative<T>( decoded.message ) ) {
+    if( !decoded.ok || !std::holds_alternative<T>( decoded.message ) ) {
         log::warn( "peer_message_malformed", { { "detail", decoded.error.detail } } );
         return std::nullopt;
     }
@@ -50,7 +50,7 @@
 std::vector<peer::ModelDemand> Runner::takeDemand() {
     const std::lock_guard lock( m_mutex );
     std::vector<peer::ModelDemand> out;
-    for ( const auto& it : m_demand ) {
+    for( const auto& it : m_demand ) {
         out.push_back( { it.first, it.second } );
     }
     m_demand.clear();
@@ -66,7 +66,7 @@
 
 void Runner::run( std::shared_ptr<peer::Stream> stream ) {
     auto request = readFirst<peer::RunRequest>( *stream, m_context.clock );
-    if ( !request ) {
+    if( !request ) {
         return;
     }
     Job job;
@@ -77,7 +77,7 @@
     // Counted before the check, so that a stop that begins now sees the request or refuses it.
     ++m_inFlight;
     const auto reason = screen( job.request );
-    if ( reason.empty() ) {
+    if( reason.empty() ) {
         countDemand( job.request );
         serve( job );
     } else {
@@ -88,14 +88,14 @@
 
 //! Why the request can't be taken at all; empty when it can.
 std::string Runner::screen( const peer::RunRequest& request ) const {
-    if ( m_draining ) {
+    if( m_draining ) {
         return "draining";
     }
-    if ( request.incarnation != m_settings.incarnation ) {
+    if( request.incarnation != m_settings.incarnation ) {
         return "meant for an earlier process";
     }
     const bool service = request.target.kind == peer::TargetKind::service;
-    if ( service != ( m_settings.kind == UpstreamKind::service ) ) {
+    if( service != ( m_settings.kind == UpstreamKind::service ) ) {
         return "not this kind of upstream";
     }
     return {};
@@ -117,7 +117,7 @@
     const auto now = m_context.clock.now();
     const auto admission =
         m_context.places.admit( job.request.priority, remaining( now, job.deadline ) );
-    if ( !admission.admitted ) {
+    if( !admission.admitted ) {
         refuse( job, "full", admission.retryAfter );
         return;
     }
@@ -126,8 +126,8 @@
     const auto abandoned = [&job] {
         return job.stream->ended();
     };
-    if ( m_context.residency == nullptr ) {
-        if ( !m_context.places.acquire( job.request.priority, job.deadline, abandoned ) ) {
+    if( m_context.residency == nullptr ) {
+        if( !m_context.places.acquire( job.request.priority, job.deadline, abandoned ) ) {
             refuse( job, "no place in time", comeBackSoon );
             return;
         }
@@ -137,12 +137,12 @@
     Pin pin;
     const auto limit = std::min( job.deadline, now + m_settings.coldPatience );
     const auto ready = m_context.residency->pin( job.request.target, limit, abandoned, pin );
-    if ( ready != ReadyStatus::ready ) {
+    if( ready != ReadyStatus::ready ) {
         refuse( job, ready == ReadyStatus::impossible ? "no room to load it" : "not loaded in time",
                 comeBackCold );
         return;
     }
-    if ( m_context.places.acquire( job.request.priority, job.deadline, abandoned ) ) {
+    if( m_context.places.acquire( job.request.priority, job.deadline, abandoned ) ) {
         startAndRun( job, &pin );
     } else {
         refuse( job, "no place in time", comeBackSoon );
@@ -157,11 +157,11 @@
         const std::lock_guard lock( m_mutex );
         mayStart = claims::start( m_attempts, idOf( job.request ), began );
     }
-    if ( !mayStart ) {
+    if( !mayStart ) {
         refuse( job, "barred", comeBackSoon );
     } else {
         job.session = m_context.sessions.create( job.request.requestId, job.request.prefix );
-        if ( pin != nullptr ) {
+        if( pin != nullptr ) {
             runModel( job, *pin );
         } else {
             runService( job );
@@ -175,7 +175,7 @@
     {
         const std::lock_guard lock( m_mutex );
         const auto* failed = std::get_if<peer::RunFailed>( &end );
-        if ( failed != nullptr && !failed->mayHaveRun ) {
+        if( failed != nullptr && !failed->mayHaveRun ) {
             claims::withdraw( m_attempts, idOf( job.request ), now );
         } else {
             claims::finish( m_attempts, idOf( job.request ), now );
@@ -189,12 +189,12 @@
 
 //! True when nobody has read the answer for so long that it is not worth going on.
 bool Runner::orphaned( Job& job ) {
-    if ( !job.stream->ended() || job.session->readers() > 0 ) {
+    if( !job.stream->ended() || job.session->readers() > 0 ) {
         job.orphanedAt = MonoTime{};
         return false;
     }
     const auto now = m_context.clock.now();
-    if ( job.orphanedAt == MonoTime{} ) {
+    if( job.orphanedAt == MonoTime{} ) {
         job.orphanedAt = now;
     }
     return now - std::max( job.orphanedAt, job.session->changed() ) > m_settings.orphanPatience;
@@ -202,7 +202,7 @@
 
 bool Runner::passOn( Job& job, std::string_view text ) {
     const auto offset = job.session->append( text );
-    if ( !job.stream->ended() ) {
+    if( !job.stream->ended() ) {
         const peer::RunChunk chunk{ job.request.requestId, offset, std::string( text ) };
         job.stream->send( encode( chunk ), m_context.clock.now() + writePatience );
     }
@@ -226,19 +226,19 @@
 void Runner::runModel( Job& job, const Pin& pin ) {
     const auto& id = job.request.requestId;
     engine::GenerationResult result;
-    for ( std::uint32_t n = 0;; ++n ) {
+    for( std::uint32_t n = 0;; ++n ) {
         result = generateOnce( job, pin );
         const bool cut = result.end == GenerationEnd::cut;
-        if ( result.crossed > 0 ) {
+        if( result.crossed > 0 ) {
             m_context.metrics.count( "crossed_answers_dropped" );
         }
         // A request that may not be repeated is not generated again, not even its rest.
-        if ( !cut || !job.request.key.empty() || n >= m_settings.localRetries ) {
+        if( !cut || !job.request.key.empty() || n >= m_settings.localRetries ) {
             break;
         }
         log::info( "generation_continues", { { "request", id }, { "reason", result.detail } } );
     }
-    switch ( result.end ) {
+    switch( result.end ) {
     case GenerationEnd::complete: {
         peer::RunDone done;
         done.requestId = id;
@@ -277,15 +277,15 @@
     request.body = job.request.body;
     request.headers["Content-Type"] = job.request.contentType;
     request.headers["X-Request-Id"] = id;
-    if ( !job.request.key.empty() ) {
+    if( !job.request.key.empty() ) {
         request.headers["Idempotency-Key"] = job.request.key;
     }
     auto outcome = client.call( request );
-    if ( outcome.failure == http::Failure::notSent ) {
+    if( outcome.failure == http::Failure::notSent ) {
         finish( job, peer::RunFailed{ id, "the service can't be reached", false } );
         return;
     }
-    if ( outcome.failure == http::Failure::broken ) {
+    if( outcome.failure == http::Failure::broken ) {
         finish( job, peer::RunFailed{ id, "the service's answer was lost", true } );
         return;
     }
@@ -297,36 +297,36 @@
     finish( job, done );
 }
 
-void Runner::join( std::shared_ptr<peer::Stream> stream ) {
-    const auto request = readFirst<peer::JoinRequest>( *stream, m_context.clock );
-    if ( !request ) {
+void Runner::join( peer::Stream& stream ) {
+    const auto request = readFirst<peer::JoinRequest>( stream, m_context.clock );
+    if( !request ) {
         return;
     }
     const auto session = m_context.sessions.find( request->requestId );
-    if ( !session || request->offset > session->length() ) {
+    if( !session || request->offset > session->length() ) {
         const peer::RunRefused out{ request->requestId, "its text is not here", 0 };
-        stream->send( encode( out ), m_context.clock.now() + writePatience );
-        stream->finish();
+        stream.send( encode( out ), m_context.clock.now() + writePatience );
+        stream.finish();
         return;
     }
     ++m_inFlight;
-    session->follow( *stream, request->offset, m_context.clock );
+    session->follow( stream, request->offset, m_context.clock );
     --m_inFlight;
 }
 
-void Runner::bar( std::shared_ptr<peer::Stream> stream ) {
-    const auto request = readFirst<peer::BarRequest>( *stream, m_context.clock );
-    if ( !request ) {
+void Runner::bar( peer::Stream& stream ) {
+    const auto request = readFirst<peer::BarRequest>( stream, m_context.clock );
+    if( !request ) {
         return;
     }
     peer::BarAnswer out{ request->requestId, peer::AttemptState::unknown };
-    if ( request->incarnation == m_settings.incarnation ) {
+    if( request->incarnation == m_settings.incarnation ) {
         const std::lock_guard lock( m_mutex );
         out.state = claims::bar( m_attempts, { request->requestId, request->attempt },
                                  m_context.clock.now() );
     }
-    stream->send( encode( out ), m_context.clock.now() + writePatience );
-    stream->finish();
+    stream.send( encode( out ), m_context.clock.now() + writePatience );
+    stream.finish();
 }
 
 } // namespace coursehead::agent
--- a/src/agent/runner.hpp
+++ b/src/agent/runner.hpp
@@ -40,9 +40,9 @@
     //! Serves a stream on peer::runPath, on the calling thread.
     void run( std::shared_ptr<peer::Stream> stream );
     //! Serves a stream on peer::joinPath.
-    void join( std::shared_ptr<peer::Stream> stream );
+    void join( peer::Stream& stream );
     //! Serves a stream on peer::barPath.
-    void bar( std::shared_ptr<peer::Stream> stream );
+    void bar( peer::Stream& stream );
 
     //! Refuses new requests from now on.
     void drain() noexcept { m_draining = true; }
--- a/src/agent/session.cpp
+++ b/src/agent/session.cpp
@@ -26,7 +26,7 @@
 
 void Session::finish( peer::Message end ) {
     const std::lock_guard lock( m_mutex );
-    if ( !m_end ) {
+    if( !m_end ) {
         m_end = std::move( end );
     }
     m_grown.notify_all();
@@ -67,16 +67,16 @@
     ++m_readers;
     bool sent = true;
     bool whole = false;
-    while ( sent && !whole ) {
+    while( sent && !whole ) {
         m_grown.wait_for( lock, lookInterval,
                           [&] { return m_text.size() > offset || m_end.has_value(); } );
         peer::Message message;
         bool hasMessage = true;
-        if ( m_text.size() > offset ) {
+        if( m_text.size() > offset ) {
             peer::RunChunk chunk{ m_requestId, offset, m_text.substr( offset, pieceBytes ) };
             offset += chunk.text.size();
             message = std::move( chunk );
-        } else if ( m_end ) {
+        } else if( m_end ) {
             message = *m_end;
             whole = true;
         } else {
@@ -115,19 +115,19 @@
     } );
     std::size_t bytes = 0;
     std::vector<std::shared_ptr<Session>> done;
-    for ( const auto& it : m_sessions ) {
+    for( const auto& it : m_sessions ) {
         bytes += it.second->length();
-        if ( it.second->finished() && it.second->readers() == 0 ) {
+        if( it.second->finished() && it.second->readers() == 0 ) {
             done.push_back( it.second );
         }
     }
-    if ( bytes <= m_maxBytes ) {
+    if( bytes <= m_maxBytes ) {
         return;
     }
     std::sort( done.begin(), done.end(),
                []( const auto& a, const auto& b ) { return a->changed() < b->changed(); } );
-    for ( const auto& victim : done ) {
-        if ( bytes <= m_maxBytes ) {
+    for( const auto& victim : done ) {
+        if( bytes <= m_maxBytes ) {
             break;
         }
         bytes -= victim->length();
--- a/src/caller/api.cpp
+++ b/src/caller/api.cpp
@@ -96,7 +96,7 @@
 
 CallerApi::Slot CallerApi::takeSlot() {
     auto counter = m_inFlight;
-    if ( counter->fetch_add( 1 ) >= m_settings.maxSessions ) {
+    if( counter->fetch_add( 1 ) >= m_settings.maxSessions ) {
         counter->fetch_sub( 1 );
         return nullptr;
     }
@@ -128,10 +128,10 @@
 
 bool CallerApi::readKey( const http::Request& request, CallRequest& out, Failure& failure ) {
     const auto key = request.header( keyHeader );
-    if ( key.empty() ) {
+    if( key.empty() ) {
         return true;
     }
-    if ( !claims::keyTime( key ) ) {
+    if( !claims::keyTime( key ) ) {
         failure = bad( "header 'Idempotency-Key' = '" + std::string( key ) +
                        "': expected a UUID of version 7" );
         return false;
@@ -142,21 +142,21 @@
 }
 
 http::Response CallerApi::handle( const http::Request& request ) {
-    if ( request.method == "GET" && request.path == "/v1/models" ) {
+    if( request.method == "GET" && request.path == "/v1/models" ) {
         http::Response out;
         out.body = modelsBody( *m_context.replica.state() );
         return out;
     }
-    if ( request.method == "POST" && request.path == "/v1/chat/completions" ) {
+    if( request.method == "POST" && request.path == "/v1/chat/completions" ) {
         return complete( Api::chat, request );
     }
-    if ( request.method == "POST" && request.path == "/v1/completions" ) {
+    if( request.method == "POST" && request.path == "/v1/completions" ) {
         return complete( Api::text, request );
     }
-    if ( request.path.starts_with( servicesPath ) ) {
+    if( request.path.starts_with( servicesPath ) ) {
         return callService( request );
     }
-    if ( request.method == "GET" && request.path.starts_with( sessionsPath ) ) {
+    if( request.method == "GET" && request.path.starts_with( sessionsPath ) ) {
         return resume( request );
     }
     return errorResponse( { Reason::notFound,
@@ -169,22 +169,22 @@
 
 http::Response CallerApi::complete( Api api, const http::Request& request ) {
     auto call = baseRequest( request );
-    if ( m_draining ) {
+    if( m_draining ) {
         return fail( { Reason::draining, Outcome::notRun, "this entry is stopping",
                        m_settings.drainRetryAfter, 0 },
                      call );
     }
     const auto state = m_context.replica.state();
     auto parsed = parseCompletion( api, request.body, *state );
-    if ( !parsed.request ) {
+    if( !parsed.request ) {
         return fail( parsed.failure, call );
     }
     Failure failure;
-    if ( !readKey( request, call, failure ) ) {
+    if( !readKey( request, call, failure ) ) {
         return fail( failure, call );
     }
     auto slot = takeSlot();
-    if ( !slot ) {
+    if( !slot ) {
         return fail( { Reason::full, Outcome::notRun, "this entry has no room for another request",
                        m_settings.drainRetryAfter, 0 },
                      call );
@@ -193,10 +193,10 @@
     call.path = request.path;
     call.body = request.body;
     call.prefixHash = parsed.request->prefixHash;
-    if ( call.requestClass.empty() ) {
+    if( call.requestClass.empty() ) {
         call.requestClass = parsed.request->requestClass;
     }
-    if ( !parsed.request->user.empty() ) {
+    if( !parsed.request->user.empty() ) {
         call.caller = parsed.request->user.substr( 0, maxCallerName );
     }
     call.priority = priorityOf( *state, call.requestClass );
@@ -211,7 +211,7 @@
                                                            : parsed.target.adapter,
                              m_context.clock.wall() / millisPerSecond };
     auto first = call->next();
-    if ( first.kind == CallEventKind::failed ) {
+    if( first.kind == CallEventKind::failed ) {
         m_context.metrics.count( "requests", outcomeWord( first.failure.outcome ) );
         return fail( first.failure, request );
     }
@@ -237,13 +237,13 @@
     out.headers["X-Coursehead-Session"] = progress->call->session();
     out.headers["Cache-Control"] = "no-store";
     out.producer = [progress, names, request]( const http::Sink& sink ) {
-        for ( ;; progress->event = progress->call->next() ) {
+        for( ;; progress->event = progress->call->next() ) {
             const auto& event = progress->event;
-            if ( event.kind == CallEventKind::text ) {
+            if( event.kind == CallEventKind::text ) {
                 progress->watch.token();
                 const auto id = progress->call->session() + ":" +
                                 std::to_string( event.offset + event.text.size() );
-                if ( !sink( textEvent( names, event.text, id ) ) ) {
+                if( !sink( textEvent( names, event.text, id ) ) ) {
                     progress->watch.end( "caller-gone" );
                     logEnd( request, "caller-gone", "" );
                     return false;
@@ -266,11 +266,11 @@
                                    const CallRequest& request ) {
     Stopwatch watch( m_context, request.requestClass, request.caller );
     std::string text;
-    for ( ; event.kind == CallEventKind::text; event = call.next() ) {
+    for( ; event.kind == CallEventKind::text; event = call.next() ) {
         watch.token();
         text += event.text;
     }
-    if ( event.kind == CallEventKind::failed ) {
+    if( event.kind == CallEventKind::failed ) {
         watch.end( outcomeWord( event.failure.outcome ) );
         return fail( event.failure, request );
     }
@@ -286,7 +286,7 @@
 
 http::Response CallerApi::callService( const http::Request& request ) {
     auto call = baseRequest( request );
-    if ( m_draining ) {
+    if( m_draining ) {
         return fail( { Reason::draining, Outcome::notRun, "this entry is stopping",
                        m_settings.drainRetryAfter, 0 },
                      call );
@@ -299,7 +299,7 @@
     call.body = request.body;
     const auto state = m_context.replica.state();
     const auto* service = config::findByName( state->services, call.target.name );
-    if ( service == nullptr ) {
+    if( service == nullptr ) {
         return fail( { Reason::notFound,
                        Outcome::notRun,
                        "service '" + call.target.name + "': no such service",
@@ -308,10 +308,10 @@
                      call );
     }
     Failure failure;
-    if ( !readKey( request, call, failure ) ) {
+    if( !readKey( request, call, failure ) ) {
         return fail( failure, call );
     }
-    if ( !service->repeatable && call.key.empty() ) {
+    if( !service->repeatable && call.key.empty() ) {
         return fail( { Reason::keyRequired,
                        Outcome::notRun,
                        "service '" + call.target.name +
@@ -320,12 +320,12 @@
                        0 },
                      call );
     }
-    if ( call.requestClass.empty() ) {
+    if( call.requestClass.empty() ) {
         call.requestClass = service->requestClass;
     }
     call.priority = priorityOf( *state, call.requestClass );
     const auto slot = takeSlot();
-    if ( !slot ) {
+    if( !slot ) {
         return fail( { Reason::full, Outcome::notRun, "this entry has no room for another request",
                        m_settings.drainRetryAfter, 0 },
                      call );
@@ -333,7 +333,7 @@
     Stopwatch watch( m_context, call.requestClass, call.caller );
     Call running( m_context, call );
     const auto event = running.next();
-    if ( event.kind != CallEventKind::done ) {
+    if( event.kind != CallEventKind::done ) {
         watch.end( outcomeWord( event.failure.outcome ) );
         return fail( event.failure, call );
     }
@@ -356,13 +356,13 @@
     const auto colon = last.rfind( ':' );
     const bool usable = last.empty() || ( colon != std::string_view::npos &&
                                           parseWhole( last.substr( colon + 1 ), offset ) );
-    if ( !usable || session.find( '~' ) == std::string::npos ) {
+    if( !usable || session.find( '~' ) == std::string::npos ) {
         return fail( bad( "header 'Last-Event-ID' = '" + std::string( last ) +
                           "': expected the id of an event of this session" ),
                      call );
     }
     auto slot = takeSlot();
-    if ( !slot ) {
+    if( !slot ) {
         return fail( { Reason::full, Outcome::unknown, "this entry has no room for another request",
                        m_settings.drainRetryAfter, 0 },
                      call );
--- a/src/caller/failure.cpp
+++ b/src/caller/failure.cpp
@@ -48,7 +48,7 @@
 }
 
 std::string_view outcomeWord( Outcome outcome ) {
-    switch ( outcome ) {
+    switch( outcome ) {
     case Outcome::notRun:
         return "not-run";
     case Outcome::unknown:
@@ -85,7 +85,7 @@
     out.body = errorBody( failure, requestId );
     out.headers["X-Request-Id"] = requestId;
     out.headers["X-Coursehead-Outcome"] = outcomeWord( failure.outcome );
-    if ( failure.retryAfter.count() > 0 ) {
+    if( failure.retryAfter.count() > 0 ) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>( failure.retryAfter );
         out.headers["Retry-After"] = std::to_string( seconds.count() );
     }
--- a/src/caller/openai.cpp
+++ b/src/caller/openai.cpp
@@ -24,26 +24,26 @@
 
 //! Why the fields are not acceptable; empty when they are.
 std::string fieldProblem( Api api, const Json& body ) {
-    if ( !body.contains( "model" ) || !body["model"].is_string() ) {
+    if( !body.contains( "model" ) || !body["model"].is_string() ) {
         return "field 'model': expected a string";
     }
-    if ( api == Api::chat && ( !body.contains( "messages" ) || !body["messages"].is_array() ||
-                               body["messages"].empty() ) ) {
+    if( api == Api::chat && ( !body.contains( "messages" ) || !body["messages"].is_array() ||
+                              body["messages"].empty() ) ) {
         return "field 'messages': expected a non-empty array";
     }
-    if ( api == Api::text && ( !body.contains( "prompt" ) || !body["prompt"].is_string() ) ) {
+    if( api == Api::text && ( !body.contains( "prompt" ) || !body["prompt"].is_string() ) ) {
         return "field 'prompt': expected a string";
     }
-    if ( body.contains( "stream" ) && !body["stream"].is_boolean() ) {
+    if( body.contains( "stream" ) && !body["stream"].is_boolean() ) {
         return "field 'stream' = " + dump( body["stream"] ) + ": expected true or false";
     }
-    if ( body.contains( "n" ) && body["n"] != 1 ) {
+    if( body.contains( "n" ) && body["n"] != 1 ) {
         return "field 'n' = " + dump( body["n"] ) + ": only 1 is supported";
     }
-    if ( body.contains( "user" ) && !body["user"].is_string() ) {
+    if( body.contains( "user" ) && !body["user"].is_string() ) {
         return "field 'user': expected a string";
     }
-    if ( body.contains( "max_tokens" ) && !body["max_tokens"].is_number_unsigned() ) {
+    if( body.contains( "max_tokens" ) && !body["max_tokens"].is_number_unsigned() ) {
         return "field 'max_tokens' = " + dump( body["max_tokens"] ) +
                ": expected a whole number of at least 0";
     }
@@ -53,12 +53,12 @@
 //! Resolves a model's or an adapter's name; false when there is none.
 bool resolve( const std::string& name, const config::State& state, CompletionRequest& out ) {
     std::string modelName = name;
-    if ( const auto* adapter = config::findByName( state.adapters, name ) ) {
+    if( const auto* adapter = config::findByName( state.adapters, name ) ) {
         out.target.adapter = name;
         modelName = adapter->model;
     }
     const auto* model = config::findByName( state.models, modelName );
-    if ( model == nullptr ) {
+    if( model == nullptr ) {
         return false;
     }
     out.target.kind = peer::TargetKind::model;
@@ -75,7 +75,7 @@
 }
 
 std::string objectName( Api api, bool chunk ) {
-    if ( api == Api::text ) {
+    if( api == Api::text ) {
         return "text_completion";
     }
     return chunk ? "chat.completion.chunk" : "chat.completion";
@@ -97,7 +97,7 @@
 Json choice( const AnswerNames& names, std::string_view text, const Json& finishReason,
              std::string_view chatField ) {
     Json out{ { "index", 0 }, { "finish_reason", finishReason } };
-    if ( names.api == Api::text ) {
+    if( names.api == Api::text ) {
         out["text"] = text;
     } else {
         out[std::string( chatField )] = { { "role", "assistant" }, { "content", text } };
@@ -110,18 +110,18 @@
 ParsedCompletion parseCompletion( Api api, std::string_view text, const config::State& state ) {
     ParsedCompletion out;
     const auto body = Json::parse( text, nullptr, false );
-    if ( !body.is_object() ) {
+    if( !body.is_object() ) {
         out.failure = bad( "the body is not a JSON object" );
         return out;
     }
     const auto problem = fieldProblem( api, body );
-    if ( !problem.empty() ) {
+    if( !problem.empty() ) {
         out.failure = bad( problem );
         return out;
     }
     CompletionRequest request;
     const auto name = body["model"].get<std::string>();
-    if ( !resolve( name, state, request ) ) {
+    if( !resolve( name, state, request ) ) {
         out.failure = { Reason::notFound,
                         Outcome::notRun,
                         "field 'model' = '" + name + "': no such model or adapter",
@@ -166,11 +166,11 @@
 
 std::string modelsBody( const config::State& state ) {
     Json data = Json::array();
-    for ( const auto& it : state.models ) {
+    for( const auto& it : state.models ) {
         data.push_back(
             { { "id", it.name }, { "object", "model" }, { "owned_by", "coursehead" } } );
     }
-    for ( const auto& it : state.adapters ) {
+    for( const auto& it : state.adapters ) {
         data.push_back( { { "id", it.name },
                           { "object", "model" },
                           { "owned_by", "coursehead" },
--- a/src/claims/key.cpp
+++ b/src/claims/key.cpp
@@ -27,13 +27,13 @@
 }
 
 bool isKey( std::string_view key ) {
-    if ( key.size() != keyLength || key[versionAt] != '7' ) {
+    if( key.size() != keyLength || key[versionAt] != '7' ) {
         return false;
     }
-    for ( std::size_t n = 0; n < key.size(); ++n ) {
+    for( std::size_t n = 0; n < key.size(); ++n ) {
         const bool good = isDash( n ) ? key[n] == '-'
                                       : std::isxdigit( static_cast<unsigned char>( key[n] ) ) != 0;
-        if ( !good ) {
+        if( !good ) {
             return false;
         }
     }
@@ -53,14 +53,14 @@
 } // namespace
 
 std::optional<WallMillis> keyTime( std::string_view key ) {
-    if ( !isKey( key ) ) {
+    if( !isKey( key ) ) {
         return std::nullopt;
     }
     constexpr std::int64_t radix = 16;
     std::int64_t out = 0;
     std::size_t taken = 0;
-    for ( std::size_t n = 0; taken < timeDigits; ++n ) {
-        if ( !isDash( n ) ) {
+    for( std::size_t n = 0; taken < timeDigits; ++n ) {
+        if( !isDash( n ) ) {
             out = out * radix + digit( key[n] );
             ++taken;
         }
@@ -74,8 +74,8 @@
 }
 
 std::string_view ownerOf( const config::State& state, std::uint32_t slot ) {
-    for ( const auto& it : state.slots ) {
-        if ( it.slot == slot ) {
+    for( const auto& it : state.slots ) {
+        if( it.slot == slot ) {
             return it.vm;
         }
     }
@@ -87,7 +87,7 @@
     static constexpr std::string_view alphabet = "0123456789abcdef";
     constexpr unsigned nibble = 4;
     std::string digits( timeDigits, '0' );
-    for ( std::size_t n = 0; n < timeDigits; ++n ) {
+    for( std::size_t n = 0; n < timeDigits; ++n ) {
         const auto shift = nibble * static_cast<unsigned>( timeDigits - 1 - n );
         digits[n] = alphabet[( static_cast<std::uint64_t>( now ) >> shift ) & 0xFU];
     }
--- a/src/claims/table.cpp
+++ b/src/claims/table.cpp
@@ -39,10 +39,10 @@
 ClaimVerdict screen( const ClaimTable& table, std::string_view key, WallMillis made,
                      const ClaimRules& rules, WallMillis now ) {
     const auto owned = table.ownedSince.find( slotOf( key ) );
-    if ( owned == table.ownedSince.end() ) {
+    if( owned == table.ownedSince.end() ) {
         return ClaimVerdict::notOwner;
     }
-    if ( made > now + rules.skew.count() ) {
+    if( made > now + rules.skew.count() ) {
         return ClaimVerdict::early;
     }
     // A key made before we began, by a clock that may be ahead, may have run under an earlier
@@ -54,7 +54,7 @@
 
 ClaimAnswer claim( ClaimTable& table, const ClaimRequest& request, WallMillis made ) {
     const auto found = table.records.find( request.key );
-    if ( found == table.records.end() ) {
+    if( found == table.records.end() ) {
         ClaimRecord record;
         record.fingerprint = request.fingerprint;
         record.holder = request.holder;
@@ -62,7 +62,7 @@
         table.records.emplace( request.key, std::move( record ) );
         return verdict( ClaimVerdict::granted );
     }
-    if ( found->second.fingerprint != request.fingerprint ) {
+    if( found->second.fingerprint != request.fingerprint ) {
         return verdict( ClaimVerdict::mismatch );
     }
     // The same request asking again lost our first answer.
@@ -74,14 +74,14 @@
 
 ClaimAnswer move( ClaimTable& table, const ClaimRequest& request ) {
     const auto found = table.records.find( request.key );
-    if ( found == table.records.end() ) {
+    if( found == table.records.end() ) {
         return verdict( ClaimVerdict::unknown );
     }
     // Only the attempt that directly follows the barred one may take over, so that of two callers
     // who both saw the bar one loses.
     auto& record = found->second;
-    if ( record.state != ClaimVerdict::busy ||
-         request.holder.attempt != record.holder.attempt + 1 ) {
+    if( record.state != ClaimVerdict::busy ||
+        request.holder.attempt != record.holder.attempt + 1 ) {
         return describe( record );
     }
     record.holder = request.holder;
@@ -90,23 +90,23 @@
 
 ClaimAnswer resolve( ClaimTable& table, const ClaimRequest& request, const ClaimRules& rules ) {
     const auto found = table.records.find( request.key );
-    if ( found == table.records.end() ) {
+    if( found == table.records.end() ) {
         return verdict( ClaimVerdict::unknown );
     }
     auto& record = found->second;
     const bool holds = sameRequest( record.holder, request.holder ) &&
                        record.holder.attempt == request.holder.attempt;
-    if ( record.state != ClaimVerdict::busy || !holds ) {
+    if( record.state != ClaimVerdict::busy || !holds ) {
         return describe( record );
     }
-    if ( request.outcome == ClaimOutcome::notRun ) {
+    if( request.outcome == ClaimOutcome::notRun ) {
         table.records.erase( found );
         return verdict( ClaimVerdict::granted );
     }
     const bool keep =
         request.outcome == ClaimOutcome::finished && request.body.size() <= rules.answerBytes;
     record.state = keep ? ClaimVerdict::finished : ClaimVerdict::unknown;
-    if ( keep ) {
+    if( keep ) {
         record.status = request.status;
         record.contentType = request.contentType;
         record.body = request.body;
@@ -124,9 +124,9 @@
     std::string_view best;
     std::uint64_t bestHash = 0;
     const auto name = std::to_string( slot );
-    for ( const auto& it : members ) {
+    for( const auto& it : members ) {
         const auto h = hash64( it, name );
-        if ( best.empty() || h > bestHash ) {
+        if( best.empty() || h > bestHash ) {
             best = it;
             bestHash = h;
         }
@@ -139,8 +139,8 @@
 void updateOwnership( ClaimTable& table, const config::State& state, std::string_view vm,
                       WallMillis now ) {
     std::map<std::uint32_t, WallMillis> owned;
-    for ( const auto& it : state.slots ) {
-        if ( it.vm == vm ) {
+    for( const auto& it : state.slots ) {
+        if( it.vm == vm ) {
             const auto before = table.ownedSince.find( it.slot );
             owned[it.slot] = before == table.ownedSince.end() ? now : before->second;
         }
@@ -154,15 +154,15 @@
 ClaimAnswer answer( ClaimTable& table, const ClaimRequest& request, const ClaimRules& rules,
                     WallMillis now ) {
     const auto made = keyTime( request.key );
-    if ( !made ) {
+    if( !made ) {
         return verdict( ClaimVerdict::mismatch );
     }
     const auto screened = screen( table, request.key, *made, rules, now );
     const bool late = screened == ClaimVerdict::unknown && request.step != ClaimStep::claim;
-    if ( screened != ClaimVerdict::granted && !late ) {
+    if( screened != ClaimVerdict::granted && !late ) {
         return verdict( screened );
     }
-    switch ( request.step ) {
+    switch( request.step ) {
     case ClaimStep::claim:
         return claim( table, request, *made );
     case ClaimStep::move:
@@ -181,17 +181,17 @@
 
 std::vector<config::ClaimSlot> reassign( const config::State& state, const Presence& presence ) {
     std::vector<config::ClaimSlot> out;
-    if ( presence.members.empty() ) {
+    if( presence.members.empty() ) {
         return out;
     }
     std::vector<const config::ClaimSlot*> owners( slotCount, nullptr );
-    for ( const auto& it : state.slots ) {
-        if ( it.slot < slotCount ) {
+    for( const auto& it : state.slots ) {
+        if( it.slot < slotCount ) {
             owners[it.slot] = &it;
         }
     }
-    for ( std::uint32_t slot = 0; slot < slotCount; ++slot ) {
-        if ( owners[slot] == nullptr || provedGone( *owners[slot], presence ) ) {
+    for( std::uint32_t slot = 0; slot < slotCount; ++slot ) {
+        if( owners[slot] == nullptr || provedGone( *owners[slot], presence ) ) {
             const auto next = bestOwner( slot, presence.members );
             out.push_back( { slot, std::string( next ), presence.version } );
         }
--- a/src/config/change.cpp
+++ b/src/config/change.cpp
@@ -49,8 +49,8 @@
 template <typename T>
 leaf::result<void> setFields( T& object, const Change& change ) {
     std::vector<std::string_view> seen;
-    for ( const auto& it : change.fields ) {
-        if ( std::find( seen.begin(), seen.end(), it.field ) != seen.end() ) {
+    for( const auto& it : change.fields ) {
+        if( std::find( seen.begin(), seen.end(), it.field ) != seen.end() ) {
             return fail( change, it.field, it.value, "the field is given twice" );
         }
         seen.push_back( it.field );
@@ -58,11 +58,11 @@
         const auto row = std::find_if( table.begin(), table.end(), [&it]( const auto& field ) {
             return field.name == it.field;
         } );
-        if ( row == table.end() ) {
+        if( row == table.end() ) {
             return fail( change, it.field, it.value, "there is no such field" );
         }
         const std::string expected = row->set( object, it.value );
-        if ( !expected.empty() ) {
+        if( !expected.empty() ) {
             return fail( change, it.field, it.value, "expected " + expected );
         }
     }
@@ -75,11 +75,11 @@
         std::lower_bound( list.begin(), list.end(), change.name,
                           []( const T& a, const std::string& b ) { return a.name < b; } );
     const bool exists = at != list.end() && at->name == change.name;
-    if ( change.action == Action::create ) {
-        if ( exists ) {
+    if( change.action == Action::create ) {
+        if( exists ) {
             return fail( change, "", "", "it exists already" );
         }
-        if ( !validName( change.name ) ) {
+        if( !validName( change.name ) ) {
             return fail( change, "name", change.name,
                          "expected 1 to 128 letters, digits, '-', '_', '.' or '/'" );
         }
@@ -89,10 +89,10 @@
         list.insert( at, std::move( object ) );
         return {};
     }
-    if ( !exists ) {
+    if( !exists ) {
         return fail( change, "", "", "it does not exist" );
     }
-    if ( change.action == Action::remove ) {
+    if( change.action == Action::remove ) {
         list.erase( at );
         return {};
     }
@@ -105,19 +105,19 @@
                          std::all_of( change.name.begin(), change.name.end(), []( char c ) {
                              return std::isdigit( static_cast<unsigned char>( c ) ) != 0;
                          } );
-    if ( !numeric || std::stoul( change.name ) > maxSlot ) {
+    if( !numeric || std::stoul( change.name ) > maxSlot ) {
         return fail( change, "name", change.name, "expected a slot number from 0 to 4095" );
     }
     std::uint64_t seen = 0;
-    if ( change.fields.size() != 2 || change.fields[0].field != "vm" ||
-         change.fields[1].field != "seen" || !parseBytes( change.fields[1].value, seen ) ) {
+    if( change.fields.size() != 2 || change.fields[0].field != "vm" ||
+        change.fields[1].field != "seen" || !parseBytes( change.fields[1].value, seen ) ) {
         return fail( change, "vm", "", "expected exactly the fields vm and seen" );
     }
     const auto number = static_cast<std::uint32_t>( std::stoul( change.name ) );
     const auto at =
         std::lower_bound( state.slots.begin(), state.slots.end(), number,
                           []( const ClaimSlot& a, std::uint32_t b ) { return a.slot < b; } );
-    if ( at != state.slots.end() && at->slot == number ) {
+    if( at != state.slots.end() && at->slot == number ) {
         at->vm = change.fields[0].value;
         at->seen = seen;
     } else {
@@ -127,7 +127,7 @@
 }
 
 leaf::result<void> changeOne( State& state, const Change& it ) {
-    switch ( it.kind ) {
+    switch( it.kind ) {
     case Kind::model:
         return change( state.models, it );
     case Kind::adapter:
@@ -148,7 +148,7 @@
 
 //! True when an empty upstream of some kind could hold a copy of the model.
 bool fitsSomewhere( const State& state, const Model& model ) {
-    if ( state.upstreams.empty() ) {
+    if( state.upstreams.empty() ) {
         return true;
     }
     return std::any_of( state.upstreams.begin(), state.upstreams.end(), [&model]( const auto& it ) {
@@ -157,18 +157,18 @@
 }
 
 leaf::result<void> checkModels( const State& state ) {
-    for ( const auto& it : state.models ) {
+    for( const auto& it : state.models ) {
         const Change about{ Action::set, Kind::model, it.name, {} };
-        if ( it.memory == 0 ) {
+        if( it.memory == 0 ) {
             return fail( about, "memory", "0", "a model needs memory above 0" );
         }
-        if ( !fitsSomewhere( state, it ) ) {
+        if( !fitsSomewhere( state, it ) ) {
             return fail( about, "memory", formatBytes( bytesPerAccelerator( it ) ),
                          "no upstream has " + std::to_string( it.accelerators ) +
                              " accelerators of that much memory" );
         }
-        if ( it.requestClass != "standard" &&
-             findByName( state.classes, it.requestClass ) == nullptr ) {
+        if( it.requestClass != "standard" &&
+            findByName( state.classes, it.requestClass ) == nullptr ) {
             return fail( about, "class", it.requestClass, "there is no such class" );
         }
     }
@@ -176,21 +176,21 @@
 }
 
 leaf::result<void> checkOthers( const State& state ) {
-    for ( const auto& it : state.adapters ) {
-        if ( findByName( state.models, it.model ) == nullptr ) {
+    for( const auto& it : state.adapters ) {
+        if( findByName( state.models, it.model ) == nullptr ) {
             return fail( { Action::set, Kind::adapter, it.name, {} }, "model", it.model,
                          "there is no such model" );
         }
     }
-    for ( const auto& it : state.services ) {
-        if ( it.requestClass != "standard" &&
-             findByName( state.classes, it.requestClass ) == nullptr ) {
+    for( const auto& it : state.services ) {
+        if( it.requestClass != "standard" &&
+            findByName( state.classes, it.requestClass ) == nullptr ) {
             return fail( { Action::set, Kind::service, it.name, {} }, "class", it.requestClass,
                          "there is no such class" );
         }
     }
-    for ( const auto& it : state.upstreams ) {
-        if ( it.accelerators > 0 && it.memory == 0 ) {
+    for( const auto& it : state.upstreams ) {
+        if( it.accelerators > 0 && it.memory == 0 ) {
             return fail( { Action::set, Kind::upstream, it.name, {} }, "memory", "0",
                          "an upstream with accelerators needs memory above 0" );
         }
@@ -201,10 +201,10 @@
 template <typename T>
 std::vector<FieldValue> show( const T* object ) {
     std::vector<FieldValue> out;
-    if ( object == nullptr ) {
+    if( object == nullptr ) {
         return out;
     }
-    for ( const auto& it : Detail::fields<T>() ) {
+    for( const auto& it : Detail::fields<T>() ) {
         out.push_back( { std::string( it.name ), it.show( *object ) } );
     }
     return out;
@@ -214,7 +214,7 @@
 std::vector<std::string> names( const std::vector<T>& list ) {
     std::vector<std::string> out;
     out.reserve( list.size() );
-    for ( const auto& it : list ) {
+    for( const auto& it : list ) {
         out.push_back( it.name );
     }
     return out;
@@ -224,18 +224,18 @@
 
 std::string describe( const ConfigError& error ) {
     std::string out( kindName( error.kind ) );
-    if ( !error.name.empty() ) {
+    if( !error.name.empty() ) {
         out += " '" + error.name + "'";
     }
-    if ( !error.field.empty() ) {
+    if( !error.field.empty() ) {
         out += ", field '" + error.field + "' = '" + error.value + "'";
     }
     return out + ": " + error.message;
 }
 
 std::string_view kindName( Kind kind ) {
-    for ( const auto& it : kindWords ) {
-        if ( it.kind == kind ) {
+    for( const auto& it : kindWords ) {
+        if( it.kind == kind ) {
             return it.singular;
         }
     }
@@ -243,8 +243,8 @@
 }
 
 bool kindFromName( std::string_view word, Kind& out ) {
-    for ( const auto& it : kindWords ) {
-        if ( it.singular == word || it.plural == word ) {
+    for( const auto& it : kindWords ) {
+        if( it.singular == word || it.plural == word ) {
             out = it.kind;
             return true;
         }
@@ -254,7 +254,7 @@
 
 leaf::result<State> apply( const State& state, const ChangeSet& set ) {
     State next = state;
-    for ( const auto& it : set.changes ) {
+    for( const auto& it : set.changes ) {
         BOOST_LEAF_CHECK( changeOne( next, it ) );
     }
     BOOST_LEAF_CHECK( checkModels( next ) );
@@ -272,7 +272,7 @@
 }
 
 std::vector<FieldValue> fieldsOf( const State& state, Kind kind, std::string_view name ) {
-    switch ( kind ) {
+    switch( kind ) {
     case Kind::model:
         return show( findByName( state.models, name ) );
     case Kind::adapter:
@@ -286,8 +286,8 @@
     case Kind::weights:
         return show( &state.weights );
     case Kind::slot:
-        for ( const auto& it : state.slots ) {
-            if ( std::to_string( it.slot ) == name ) {
+        for( const auto& it : state.slots ) {
+            if( std::to_string( it.slot ) == name ) {
                 return { { "vm", it.vm }, { "seen", std::to_string( it.seen ) } };
             }
         }
@@ -297,7 +297,7 @@
 }
 
 std::vector<std::string> namesOf( const State& state, Kind kind ) {
-    switch ( kind ) {
+    switch( kind ) {
     case Kind::model:
         return names( state.models );
     case Kind::adapter:
@@ -312,7 +312,7 @@
         return { "weights" };
     case Kind::slot: {
         std::vector<std::string> out;
-        for ( const auto& it : state.slots ) {
+        for( const auto& it : state.slots ) {
             out.push_back( std::to_string( it.slot ) );
         }
         return out;
--- a/src/config/committer.cpp
+++ b/src/config/committer.cpp
@@ -30,7 +30,7 @@
     HeadRead out;
     const auto got =
         platform::attempt( [&] { return context.store.get( platform::configKind, headName ); } );
-    if ( !got.ok ) {
+    if( !got.ok ) {
         out.ok = got.error.failure == StoreFailure::notFound;
         out.detail = got.error.detail;
         return out;
@@ -51,10 +51,10 @@
     const auto wrote = platform::attempt( [&] {
         return read.exists ? context.store.update( object ) : context.store.create( object );
     } );
-    if ( wrote.ok ) {
+    if( wrote.ok ) {
         return WriteOutcome::written;
     }
-    switch ( wrote.error.failure ) {
+    switch( wrote.error.failure ) {
     case StoreFailure::conflict:
     case StoreFailure::notFound:
         return WriteOutcome::lostRace;
@@ -82,7 +82,7 @@
 
 //! Stores a snapshot and cuts the tail when it has grown long; leaves the head alone on failure.
 Head cutIfLong( const CommitContext& context, const Head& head, const State& state ) {
-    if ( !wantsCut( head ) ) {
+    if( !wantsCut( head ) ) {
         return head;
     }
     const Object snapshot{ std::string( platform::configKind ), snapshotName( state.revision ), 0,
@@ -93,8 +93,8 @@
 }
 
 bool conflicts( const Head& head, const ChangeSet& set, Revision base ) {
-    for ( const auto& it : head.tail ) {
-        if ( it.revision > base && overlaps( it.set, set ) ) {
+    for( const auto& it : head.tail ) {
+        if( it.revision > base && overlaps( it.set, set ) ) {
             return true;
         }
     }
@@ -121,22 +121,22 @@
     Round out;
     out.outcomeOpen = outcomeOpen;
     const auto read = readHead( context );
-    if ( !read.ok ) {
+    if( !read.ok ) {
         out.result.status = outcomeOpen ? CommitStatus::unknown : CommitStatus::unavailable;
         out.result.detail = read.detail;
         return out;
     }
-    if ( const auto* mine = findWrite( read.head, set.writeId ) ) {
+    if( const auto* mine = findWrite( read.head, set.writeId ) ) {
         out.done = true;
         out.result = committed( context, read.head, mine->revision );
         return out;
     }
     State state;
-    if ( !stateAt( context, read.head, state ) ) {
+    if( !stateAt( context, read.head, state ) ) {
         out.result.detail = "the state at the head can't be rebuilt";
         return out;
     }
-    if ( conflicts( read.head, set, base ) ) {
+    if( conflicts( read.head, set, base ) ) {
         out.done = true;
         out.result.status = CommitStatus::conflict;
         out.result.detail = "another change of the same object was committed after revision " +
@@ -144,20 +144,20 @@
         return out;
     }
     const auto checked = dryRun( state, set );
-    if ( checked.status != CommitStatus::committed ) {
+    if( checked.status != CommitStatus::committed ) {
         out.done = true;
         out.result = checked;
         return out;
     }
     const Head next = append( cutIfLong( context, read.head, state ), set );
     const auto outcome = writeHead( context, read, next );
-    if ( outcome == WriteOutcome::written ) {
+    if( outcome == WriteOutcome::written ) {
         out.done = true;
         out.result = committed( context, next, next.revision );
     }
     out.outcomeOpen = outcomeOpen || outcome == WriteOutcome::unknown;
     out.result.detail = outcome == WriteOutcome::lostRace ? "lost a race" : "the write failed";
-    if ( !out.done ) {
+    if( !out.done ) {
         out.result.status = out.outcomeOpen ? CommitStatus::unknown : CommitStatus::unavailable;
     }
     return out;
@@ -185,11 +185,11 @@
     Round round;
     do {
         round = tryOnce( context, set, base, round.outcomeOpen );
-        if ( round.done ) {
+        if( round.done ) {
             return round.result;
         }
         std::this_thread::sleep_for( retryPause );
-    } while ( context.clock.now() < deadline );
+    } while( context.clock.now() < deadline );
     return round.result;
 }
 
@@ -198,7 +198,7 @@
         const auto got = platform::attempt(
             [&] { return store.get( platform::configKind, snapshotName( revision ) ); } );
         State out;
-        if ( !got.ok || !fromText( got.value.spec, out ) || out.revision != revision ) {
+        if( !got.ok || !fromText( got.value.spec, out ) || out.revision != revision ) {
             return std::nullopt;
         }
         return out;
--- a/src/config/fields.cpp
+++ b/src/config/fields.cpp
@@ -43,7 +43,7 @@
 template <auto Member, std::uint64_t Low, std::uint64_t High, typename T>
 std::string setNumber( T& object, std::string_view text ) {
     std::uint64_t n = 0;
-    if ( !parseWhole( text, n ) || n < Low || n > High ) {
+    if( !parseWhole( text, n ) || n < Low || n > High ) {
         return "a whole number from " + std::to_string( Low ) + " to " + std::to_string( High );
     }
     object.*Member = static_cast<std::uint32_t>( n );
@@ -57,7 +57,7 @@
 
 template <auto Member, typename T>
 std::string setName( T& object, std::string_view text ) {
-    if ( text.empty() || text.size() > maxNameLength ) {
+    if( text.empty() || text.size() > maxNameLength ) {
         return "a name of 1 to " + std::to_string( maxNameLength ) + " characters";
     }
     object.*Member = std::string( text );
@@ -71,7 +71,7 @@
 
 template <auto Member, typename T>
 std::string setFlag( T& object, std::string_view text ) {
-    if ( text != "true" && text != "false" ) {
+    if( text != "true" && text != "false" ) {
         return "true or false";
     }
     object.*Member = text == "true";
@@ -88,7 +88,7 @@
     const std::string copy( text );
     char* end = nullptr;
     const double n = std::strtod( copy.c_str(), &end );
-    if ( copy.empty() || *end != '\0' || !( n >= 0.0 && n <= maxWeight ) ) {
+    if( copy.empty() || *end != '\0' || !( n >= 0.0 && n <= maxWeight ) ) {
         return "a decimal from 0 to 1000000";
     }
     object.*Member = n;
@@ -106,15 +106,15 @@
 
 bool parseBytes( std::string_view text, std::uint64_t& out ) {
     std::uint64_t unit = 1;
-    for ( const auto& it : units ) {
-        if ( text.ends_with( it.suffix ) ) {
+    for( const auto& it : units ) {
+        if( text.ends_with( it.suffix ) ) {
             text.remove_suffix( it.suffix.size() );
             unit = it.bytes;
             break;
         }
     }
     std::uint64_t n = 0;
-    if ( !parseWhole( text, n ) || n > maxBytes / unit ) {
+    if( !parseWhole( text, n ) || n > maxBytes / unit ) {
         return false;
     }
     out = n * unit;
@@ -122,8 +122,8 @@
 }
 
 std::string formatBytes( std::uint64_t bytes ) {
-    for ( const auto& it : units ) {
-        if ( bytes >= it.bytes && bytes % it.bytes == 0 ) {
+    for( const auto& it : units ) {
+        if( bytes >= it.bytes && bytes % it.bytes == 0 ) {
             return std::to_string( bytes / it.bytes ) + std::string( it.suffix );
         }
     }
--- a/src/config/follower.cpp
+++ b/src/config/follower.cpp
@@ -14,16 +14,16 @@
 
 void Follower::take( const std::map<std::string, platform::Object>& objects ) {
     const auto found = objects.find( std::string( headName ) );
-    if ( found == objects.end() ) {
+    if( found == objects.end() ) {
         return;
     }
     Head head;
-    if ( !fromText( found->second.spec, head ) ) {
+    if( !fromText( found->second.spec, head ) ) {
         log::error( "config_head_damaged",
                     { { "version", static_cast<std::int64_t>( found->second.version ) } } );
         return;
     }
-    if ( m_replica.offer( head, snapshotReader( m_store ) ) ) {
+    if( m_replica.offer( head, snapshotReader( m_store ) ) ) {
         log::info( "config_adopted", { { "revision", static_cast<std::int64_t>( head.revision ) },
                                        { "source", "store" } } );
     }
--- a/src/config/head.cpp
+++ b/src/config/head.cpp
@@ -14,19 +14,19 @@
 }
 
 HeadVerdict adopt( State& state, const Head& head ) {
-    if ( head.revision == state.revision ) {
+    if( head.revision == state.revision ) {
         return HeadVerdict::same;
     }
-    if ( head.revision < state.revision ) {
+    if( head.revision < state.revision ) {
         return HeadVerdict::older;
     }
     const bool reaches = !head.tail.empty() && head.tail.front().revision <= state.revision + 1;
-    if ( !reaches ) {
+    if( !reaches ) {
         return HeadVerdict::needSnapshot;
     }
     State next = state;
-    for ( const auto& it : head.tail ) {
-        if ( it.revision <= next.revision ) {
+    for( const auto& it : head.tail ) {
+        if( it.revision <= next.revision ) {
             continue;
         }
         const bool applied = leaf::try_handle_all(
@@ -35,11 +35,11 @@
                 return next.revision == it.revision;
             },
             [] { return false; } );
-        if ( !applied ) {
+        if( !applied ) {
             return HeadVerdict::invalid;
         }
     }
-    if ( next.revision != head.revision ) {
+    if( next.revision != head.revision ) {
         return HeadVerdict::invalid;
     }
     state = std::move( next );
@@ -63,15 +63,15 @@
     next.snapshotRevision = snapshotAt;
     const bool large = toText( head ).size() > headBytes;
     const std::size_t keep = large ? 1 : tailKept;
-    if ( next.tail.size() > keep ) {
+    if( next.tail.size() > keep ) {
         next.tail.erase( next.tail.begin(), next.tail.end() - static_cast<std::ptrdiff_t>( keep ) );
     }
     return next;
 }
 
 const TailEntry* findWrite( const Head& head, std::string_view writeId ) {
-    for ( const auto& it : head.tail ) {
-        if ( it.set.writeId == writeId ) {
+    for( const auto& it : head.tail ) {
+        if( it.set.writeId == writeId ) {
             return &it;
         }
     }
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -50,13 +50,13 @@
 template <typename T>
 bool parseInto( std::string_view text, T& out ) {
     const auto parsed = nlohmann::json::parse( text, nullptr, false );
-    if ( parsed.is_discarded() || !parsed.is_object() ) {
+    if( parsed.is_discarded() || !parsed.is_object() ) {
         return false;
     }
     try {
         out = parsed.get<T>();
         return true;
-    } catch ( const nlohmann::json::exception& ) {
+    } catch( const nlohmann::json::exception& ) {
         return false;
     }
 }
--- a/src/config/replica.cpp
+++ b/src/config/replica.cpp
@@ -6,7 +6,7 @@
 bool Replica::offer( const Head& head, const SnapshotReader& snapshots ) {
     State probe = *state();
     const auto verdict = adopt( probe, head );
-    if ( verdict != HeadVerdict::needSnapshot ) {
+    if( verdict != HeadVerdict::needSnapshot ) {
         return move( head, std::nullopt );
     }
     auto base = head.snapshotRevision == 0 ? std::optional<State>( State{} )
@@ -16,14 +16,14 @@
 
 bool Replica::offer( const peer::ConfigNews& news ) {
     Head head;
-    if ( !fromText( news.head, head ) ) {
+    if( !fromText( news.head, head ) ) {
         ++m_stats.invalid;
         return false;
     }
     std::optional<State> base;
-    if ( !news.snapshot.empty() ) {
+    if( !news.snapshot.empty() ) {
         base.emplace();
-        if ( !fromText( news.snapshot, *base ) ) {
+        if( !fromText( news.snapshot, *base ) ) {
             ++m_stats.invalid;
             return false;
         }
@@ -39,13 +39,13 @@
         const bool ahead = head.revision > m_state->revision;
         const auto verdict = adopt( next, head );
         const bool complete = verdict == HeadVerdict::adopted || verdict == HeadVerdict::same;
-        if ( head.revision < m_state->revision ) {
+        if( head.revision < m_state->revision ) {
             ++m_stats.olderDropped;
         }
-        if ( verdict == HeadVerdict::invalid ) {
+        if( verdict == HeadVerdict::invalid ) {
             ++m_stats.invalid;
         }
-        if ( !ahead || !complete ) {
+        if( !ahead || !complete ) {
             return false;
         }
         m_head = head;
@@ -53,7 +53,7 @@
         ++m_stats.adopted;
         moved = m_state;
     }
-    if ( m_listener ) {
+    if( m_listener ) {
         m_listener( *moved );
     }
     return true;
@@ -71,14 +71,14 @@
 
 std::optional<peer::ConfigNews> Replica::newsFor( Revision revision ) const {
     const std::lock_guard lock( m_mutex );
-    if ( revision >= m_state->revision ) {
+    if( revision >= m_state->revision ) {
         return std::nullopt;
     }
     peer::ConfigNews out;
     out.revision = m_state->revision;
     const bool reaches = !m_head.tail.empty() && m_head.tail.front().revision <= revision + 1;
     Head brief = m_head;
-    if ( reaches ) {
+    if( reaches ) {
         std::erase_if( brief.tail,
                        [revision]( const auto& it ) { return it.revision <= revision; } );
     } else {
--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -54,8 +54,8 @@
 } };
 
 ExitCode codeOf( std::string_view status ) {
-    for ( const auto& it : statusRows ) {
-        if ( it.word == status ) {
+    for( const auto& it : statusRows ) {
+        if( it.word == status ) {
             return it.code;
         }
     }
@@ -68,12 +68,12 @@
 }
 
 bool readAll( const std::string& path, std::string& out ) {
-    if ( path == "-" ) {
+    if( path == "-" ) {
         out.assign( std::istreambuf_iterator<char>( std::cin ), {} );
         return true;
     }
     std::ifstream file( path );
-    if ( !file ) {
+    if( !file ) {
         return false;
     }
     out.assign( std::istreambuf_iterator<char>( file ), {} );
@@ -82,9 +82,9 @@
 
 void printRow( const std::vector<std::string>& row, const std::vector<std::size_t>& widths ) {
     std::string line;
-    for ( std::size_t n = 0; n < row.size(); ++n ) {
+    for( std::size_t n = 0; n < row.size(); ++n ) {
         line += row[n];
-        if ( n + 1 < row.size() ) {
+        if( n + 1 < row.size() ) {
             line.append( widths[n] - row[n].size() + 2, ' ' );
         }
     }
@@ -95,41 +95,41 @@
     const auto columns = table.at( "columns" ).get<std::vector<std::string>>();
     const auto rows = table.at( "rows" ).get<std::vector<std::vector<std::string>>>();
     std::vector<std::size_t> widths;
-    for ( const auto& it : columns ) {
+    for( const auto& it : columns ) {
         widths.push_back( it.size() );
     }
-    for ( const auto& row : rows ) {
-        for ( std::size_t n = 0; n < row.size(); ++n ) {
+    for( const auto& row : rows ) {
+        for( std::size_t n = 0; n < row.size(); ++n ) {
             widths[n] = std::max( widths[n], row[n].size() );
         }
     }
-    if ( rows.empty() ) {
+    if( rows.empty() ) {
         std::cout << "(none)\n";
         return;
     }
     printRow( columns, widths );
-    for ( const auto& row : rows ) {
+    for( const auto& row : rows ) {
         printRow( row, widths );
     }
 }
 
 int print( const Options& options, const http::Outcome& outcome ) {
     const auto body = Json::parse( outcome.response.body, nullptr, false );
-    if ( !body.is_object() ) {
+    if( !body.is_object() ) {
         std::cerr << "coursehead ctl: the entry's answer is not understood (HTTP status "
                   << outcome.response.status << ")\n";
         return exitUnavailable;
     }
     const auto status = body.value( "status", "" );
-    if ( options.json ) {
+    if( options.json ) {
         std::cout << body.dump( 2 ) << "\n";
         return codeOf( status );
     }
-    for ( const auto& it : body.value( "tables", Json::array() ) ) {
+    for( const auto& it : body.value( "tables", Json::array() ) ) {
         printTable( it );
     }
     const auto message = body.value( "message", "" );
-    if ( !message.empty() ) {
+    if( !message.empty() ) {
         ( status == "ok" ? std::cout : std::cerr ) << message << "\n";
     }
     return codeOf( status );
@@ -146,11 +146,11 @@
                          { "wait_ms", options.waitMs },
                          { "author", environment( "USER", "" ) } }
                        .dump( -1, ' ', false, Json::error_handler_t::replace );
-    if ( !options.token.empty() ) {
+    if( !options.token.empty() ) {
         request.headers["Authorization"] = "Bearer " + options.token;
     }
     const auto outcome = client.call( request );
-    if ( outcome.failure != http::Failure::none ) {
+    if( outcome.failure != http::Failure::none ) {
         std::cerr << "coursehead ctl: entry " << options.entry << ": " << outcome.detail << "\n";
         return outcome.failure == http::Failure::notSent ? exitUnavailable : exitUnknown;
     }
@@ -185,14 +185,14 @@
     options.json = json.getValue();
     options.dryRun = dryRun.getValue();
     options.waitMs = wait.getValue() ? waitMs.getValue() : 0;
-    for ( const auto& it : words.getValue() ) {
+    for( const auto& it : words.getValue() ) {
         options.text += ( options.text.empty() ? "" : " " ) + it;
     }
-    if ( !file.getValue().empty() && !readAll( file.getValue(), options.text ) ) {
+    if( !file.getValue().empty() && !readAll( file.getValue(), options.text ) ) {
         std::cerr << "coursehead ctl: --file = '" << file.getValue() << "': can't be read\n";
         return exitUsage;
     }
-    if ( options.text.empty() ) {
+    if( options.text.empty() ) {
         std::cerr << "coursehead ctl: expected a text to run, or --file\n";
         return exitUsage;
     }
@@ -204,10 +204,10 @@
 int runCtl( std::span<const std::string> arguments ) {
     try {
         return parseAndSend( arguments );
-    } catch ( const TCLAP::ArgException& ex ) {
+    } catch( const TCLAP::ArgException& ex ) {
         std::cerr << "coursehead ctl: " << ex.argId() << ": " << ex.error() << "\n";
         return exitUsage;
-    } catch ( const TCLAP::ExitException& ) {
+    } catch( const TCLAP::ExitException& ) {
         return exitOk;
     }
 }
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -6,7 +6,6 @@
 namespace coursehead::engine {
 
 using Json = nlohmann::json;
-using ledger::Item;
 using ledger::ItemKind;
 
 namespace {
@@ -42,10 +41,10 @@
 OrderOutcome send( const Endpoint& endpoint, const Json& order ) {
     http::Client client( endpoint.url, { connectPatience, endpoint.orderPatience } );
     const auto outcome = client.call( post( "/orders", order ) );
-    if ( outcome.failure == http::Failure::notSent ) {
+    if( outcome.failure == http::Failure::notSent ) {
         return OrderOutcome::refused;
     }
-    if ( outcome.failure == http::Failure::broken || outcome.response.status >= firstServerError ) {
+    if( outcome.failure == http::Failure::broken || outcome.response.status >= firstServerError ) {
         return OrderOutcome::unknown;
     }
     return outcome.response.status == statusOk ? OrderOutcome::done : OrderOutcome::refused;
@@ -62,18 +61,18 @@
         : m_generation( generation ), m_handler( handler ) {}
 
     bool take( std::string_view data ) {
-        if ( data == doneMark ) {
+        if( data == doneMark ) {
             m_done = true;
             return true;
         }
         const auto event = Json::parse( data, nullptr, false );
-        if ( !event.is_object() || event.value( "id", "" ) != m_generation.requestId ) {
+        if( !event.is_object() || event.value( "id", "" ) != m_generation.requestId ) {
             ++m_result.crossed;
             return true;
         }
         try {
             return takeOwn( event );
-        } catch ( const Json::exception& ex ) {
+        } catch( const Json::exception& ex ) {
             m_result.detail = ex.what();
             return false;
         }
@@ -85,27 +84,27 @@
 
 private:
     bool takeOwn( const Json& event ) {
-        if ( event.contains( "usage" ) && event["usage"].is_object() ) {
+        if( event.contains( "usage" ) && event["usage"].is_object() ) {
             m_result.promptTokens = event["usage"].value( "prompt_tokens", 0U );
             m_result.completionTokens = event["usage"].value( "completion_tokens", 0U );
         }
-        if ( !event.contains( "choices" ) || event["choices"].empty() ) {
+        if( !event.contains( "choices" ) || event["choices"].empty() ) {
             return true;
         }
         const auto& choice = event["choices"][0];
         const auto text = textOf( choice );
-        if ( !text.empty() && !m_handler( text ) ) {
+        if( !text.empty() && !m_handler( text ) ) {
             m_stopped = true;
             return false;
         }
-        if ( choice.contains( "finish_reason" ) && choice["finish_reason"].is_string() ) {
+        if( choice.contains( "finish_reason" ) && choice["finish_reason"].is_string() ) {
             m_result.finishReason = choice["finish_reason"].get<std::string>();
         }
         return true;
     }
 
     static std::string textOf( const Json& choice ) {
-        if ( choice.contains( "delta" ) ) {
+        if( choice.contains( "delta" ) ) {
             return choice["delta"].value( "content", "" );
         }
         return choice.value( "text", "" );
@@ -120,7 +119,7 @@
 
 bool makeBody( const Generation& generation, Json& body ) {
     body = Json::parse( generation.body, nullptr, false );
-    if ( !body.is_object() ) {
+    if( !body.is_object() ) {
         return false;
     }
     body["stream"] = true;
@@ -129,23 +128,23 @@
     body["request_id"] = generation.requestId;
     body["priority"] = generation.priority;
     body["version"] = generation.version;
-    if ( !generation.adapter.empty() ) {
+    if( !generation.adapter.empty() ) {
         body["adapter"] = generation.adapter;
     }
-    if ( !generation.prefix.empty() ) {
+    if( !generation.prefix.empty() ) {
         body["continue_after"] = generation.prefix;
     }
     return true;
 }
 
 GenerationEnd endOf( const http::Outcome& outcome, const AnswerReader& reader, int status ) {
-    if ( reader.complete() ) {
+    if( reader.complete() ) {
         return GenerationEnd::complete;
     }
-    if ( reader.stopped() ) {
+    if( reader.stopped() ) {
         return GenerationEnd::cancelled;
     }
-    if ( outcome.failure == http::Failure::notSent ) {
+    if( outcome.failure == http::Failure::notSent ) {
         return GenerationEnd::notSent;
     }
     return status != 0 && status != statusOk ? GenerationEnd::rejected : GenerationEnd::cut;
@@ -159,19 +158,19 @@
     m_partial.append( bytes );
     std::size_t at = 0;
     bool more = true;
-    for ( ;; ) {
+    for( ;; ) {
         const auto end = m_partial.find( '\n', at );
-        if ( end == std::string::npos || !more ) {
+        if( end == std::string::npos || !more ) {
             break;
         }
         auto line = std::string_view( m_partial ).substr( at, end - at );
         at = end + 1;
-        if ( line.ends_with( '\r' ) ) {
+        if( line.ends_with( '\r' ) ) {
             line.remove_suffix( 1 );
         }
-        if ( line.starts_with( prefix ) ) {
+        if( line.starts_with( prefix ) ) {
             line.remove_prefix( prefix.size() );
-            if ( line.starts_with( ' ' ) ) {
+            if( line.starts_with( ' ' ) ) {
                 line.remove_prefix( 1 );
             }
             more = handler( line );
@@ -187,7 +186,7 @@
     http::Request request;
     request.path = "/status";
     const auto outcome = client.call( request );
-    if ( outcome.failure != http::Failure::none || outcome.response.status != statusOk ) {
+    if( outcome.failure != http::Failure::none || outcome.response.status != statusOk ) {
         return out;
     }
     const auto body = Json::parse( outcome.response.body, nullptr, false );
@@ -195,13 +194,13 @@
         out.applied.epoch = body.at( "token" ).at( "epoch" ).get<std::uint64_t>();
         out.applied.number = body.at( "token" ).at( "number" ).get<std::uint64_t>();
         out.capacity = body.at( "capacity" ).get<std::vector<std::uint64_t>>();
-        for ( const auto& it : body.at( "items" ) ) {
+        for( const auto& it : body.at( "items" ) ) {
             ledger::ReportedItem item;
             readItem( it, item );
             out.items.push_back( std::move( item ) );
         }
         out.ok = true;
-    } catch ( const Json::exception& ) {
+    } catch( const Json::exception& ) {
         out.ok = false;
     }
     return out;
@@ -229,7 +228,7 @@
 GenerationResult generate( const Endpoint& endpoint, const Generation& generation,
                            const TextHandler& handler ) {
     Json body;
-    if ( !makeBody( generation, body ) ) {
+    if( !makeBody( generation, body ) ) {
         GenerationResult out;
         out.end = GenerationEnd::rejected;
         out.detail = "the body is not a JSON object";
@@ -244,18 +243,18 @@
     std::string errorText;
     const auto outcome = client.stream( request, [&]( int code, std::string_view bytes ) {
         status = code;
-        if ( code != statusOk ) {
+        if( code != statusOk ) {
             errorText.append( bytes );
             return true;
         }
         return events.feed( bytes, [&reader]( auto data ) { return reader.take( data ); } );
     } );
-    if ( status == 0 && outcome.failure == http::Failure::none ) {
+    if( status == 0 && outcome.failure == http::Failure::none ) {
         status = outcome.response.status;
     }
     auto& result = reader.result();
     result.status = status;
-    if ( result.detail.empty() ) {
+    if( result.detail.empty() ) {
         result.detail = errorText.empty() ? outcome.detail : errorText;
     }
     result.end = endOf( outcome, reader, status );
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -37,11 +37,12 @@
 Call::Call( CallContext& context, CallRequest request )
     : m_context( context ), m_request( std::move( request ) ), m_answerId( m_request.requestId ) {}
 
-Call::Call( CallContext& context, CallRequest request, std::string session, std::uint64_t offset )
+Call::Call( CallContext& context, CallRequest request, std::string_view session,
+            std::uint64_t offset )
     : m_context( context ), m_request( std::move( request ) ), m_joined( true ), m_have( offset ) {
     const auto at = session.rfind( '~' );
     m_answerId = session.substr( 0, at );
-    m_vm = at == std::string::npos ? "" : session.substr( at + 1 );
+    m_vm = at == std::string_view::npos ? "" : std::string( session.substr( at + 1 ) );
 }
 
 std::string Call::session() const {
@@ -49,42 +50,42 @@
 }
 
 CallEvent Call::next() {
-    if ( m_replay ) {
+    if( m_replay ) {
         CallEvent out;
         out.kind = CallEventKind::done;
         out.done = std::move( *m_replay );
         m_replay.reset();
         return out;
     }
-    for ( ;; ) {
-        if ( !m_stream ) {
-            if ( auto problem = m_joined ? join( m_vm ) : dispatch() ) {
+    for( ;; ) {
+        if( !m_stream ) {
+            if( auto problem = m_joined ? join( m_vm ) : dispatch() ) {
                 return std::move( *problem );
             }
             continue;
         }
         const auto got = m_stream->receive( waitLimit() );
         std::optional<CallEvent> event;
-        if ( got.status == ReceiveStatus::frame ) {
+        if( got.status == ReceiveStatus::frame ) {
             const auto decoded = peer::decode( got.frame );
             event = decoded.ok ? take( decoded.message ) : onBroken();
-        } else if ( got.status == ReceiveStatus::refused && !m_accepted && !m_joined ) {
+        } else if( got.status == ReceiveStatus::refused && !m_accepted && !m_joined ) {
             event = takeRefusal( { m_request.requestId, "no handler is free", 0 } );
-        } else if ( got.status == ReceiveStatus::timeout &&
-                    m_context.clock.now() >= m_request.deadline ) {
+        } else if( got.status == ReceiveStatus::timeout &&
+                   m_context.clock.now() >= m_request.deadline ) {
             m_mayHaveRun = true;
             event = fail( Reason::deadline, Outcome::unknown, "the deadline passed", Millis{ 0 } );
         } else {
             event = onBroken();
         }
-        if ( event ) {
+        if( event ) {
             return std::move( *event );
         }
     }
 }
 
 MonoTime Call::waitLimit() const {
-    if ( m_accepted || m_joined ) {
+    if( m_accepted || m_joined ) {
         return m_request.deadline;
     }
     return std::min( m_request.deadline, m_sentAt + m_context.rules.acceptPatience );
@@ -95,7 +96,7 @@
 }
 
 CallEvent Call::fail( Reason reason, Outcome outcome, std::string message, Millis retryAfter ) {
-    if ( m_keyHeld ) {
+    if( m_keyHeld ) {
         resolveKey( outcome == Outcome::notRun ? peer::ClaimOutcome::notRun
                                                : peer::ClaimOutcome::unknown,
                     nullptr );
@@ -116,19 +117,19 @@
 
 Call::Problem Call::dispatch() {
     const auto now = m_context.clock.now();
-    if ( now >= m_request.deadline ) {
+    if( now >= m_request.deadline ) {
         return failNotRun( Reason::deadline, "the deadline passed before the request could start",
                            Millis{ 0 } );
     }
-    if ( m_attempt >= m_context.rules.maxAttempts ) {
+    if( m_attempt >= m_context.rules.maxAttempts ) {
         return failNotRun( Reason::retryBudget, "every attempt failed", comeBackSoon );
     }
     const auto choice =
         m_context.directory.choose( m_request.target, m_request.prefixHash, m_excluded );
     const bool found =
         choice.kind == router::RouteKind::warm || choice.kind == router::RouteKind::cold;
-    if ( !found ) {
-        if ( !m_lastRefusal.message.empty() ) {
+    if( !found ) {
+        if( !m_lastRefusal.message.empty() ) {
             return failNotRun( m_lastRefusal.reason, m_lastRefusal.message,
                                std::max( m_soonest, Millis{ 1 } ) );
         }
@@ -138,10 +139,10 @@
                                  "no agent can serve '" + m_request.target.name + "' now",
                                  comeBackCold );
     }
-    if ( m_attempt == 0 && !m_started ) {
+    if( m_attempt == 0 && !m_started ) {
         m_started = true;
         m_context.budgets.earn( m_request.requestClass );
-    } else if ( !m_context.budgets.spend( m_request.requestClass ) ) {
+    } else if( !m_context.budgets.spend( m_request.requestClass ) ) {
         m_context.metrics.count( "retries_denied", m_request.requestClass );
         return failNotRun( Reason::retryBudget,
                            "the retry budget of class '" + m_request.requestClass + "' is used up",
@@ -149,11 +150,11 @@
     } else {
         m_context.metrics.count( "retries", m_request.requestClass );
     }
-    if ( !m_request.key.empty() ) {
-        if ( auto problem = takeKey( choice ) ) {
+    if( !m_request.key.empty() ) {
+        if( auto problem = takeKey( choice ) ) {
             return problem;
         }
-        if ( m_joined ) {
+        if( m_joined ) {
             return std::nullopt;
         }
     }
@@ -161,7 +162,7 @@
 }
 
 Call::Problem Call::sendAttempt( const Choice& choice ) {
-    if ( m_request.key.empty() || !m_keyHeld ) {
+    if( m_request.key.empty() || !m_keyHeld ) {
         ++m_attempt;
     }
     m_accepted = false;
@@ -169,7 +170,7 @@
     m_incarnation = choice.incarnation;
     m_sentAt = m_context.clock.now();
     auto stream = m_context.directory.open( choice.vm, peer::runPath, m_sentAt );
-    if ( !stream ) {
+    if( !stream ) {
         return goElsewhere( "connection down" );
     }
     peer::RunRequest out;
@@ -189,7 +190,7 @@
     out.prefix = m_text;
     out.mayLoad = choice.kind == router::RouteKind::cold;
     out.revision = m_context.replica.revision();
-    if ( !stream->send( encode( out ), waitLimit() ) ) {
+    if( !stream->send( encode( out ), waitLimit() ) ) {
         m_stream = std::move( stream );
         return onBroken();
     }
@@ -213,7 +214,7 @@
     const auto state = m_context.replica.state();
     const auto owner = claims::ownerOf( *state, claims::slotOf( m_request.key ) );
     auto answer = ask( owner, peer::claimPath, request );
-    if ( !answer || !std::holds_alternative<peer::ClaimAnswer>( *answer ) ) {
+    if( !answer || !std::holds_alternative<peer::ClaimAnswer>( *answer ) ) {
         return std::nullopt;
     }
     return std::get<peer::ClaimAnswer>( std::move( *answer ) );
@@ -223,7 +224,7 @@
     ++m_attempt;
     const auto step = m_keyHeld ? peer::ClaimStep::move : peer::ClaimStep::claim;
     const auto answer = askOwner( claimRequest( step, choice ) );
-    if ( !answer ) {
+    if( !answer ) {
         // A claim whose answer was lost holds the key for an attempt that is never sent: the next
         // request with this key finds it barred and takes over.
         return failNotRun( Reason::keyOwner, "the owner of the idempotency key can't be reached",
@@ -233,7 +234,7 @@
 }
 
 Call::Problem Call::onClaimed( const peer::ClaimAnswer& answer, const Choice& choice ) {
-    switch ( answer.verdict ) {
+    switch( answer.verdict ) {
     case peer::ClaimVerdict::granted:
         m_keyHeld = true;
         return std::nullopt;
@@ -264,14 +265,14 @@
     out.kind = CallEventKind::done;
     out.done.requestId = answer.holder.requestId;
     out.done.status = answer.status;
-    if ( m_request.target.kind == peer::TargetKind::service ) {
+    if( m_request.target.kind == peer::TargetKind::service ) {
         out.done.contentType = answer.contentType;
         out.done.body = answer.body;
         return out;
     }
     out.done.finishReason = answer.contentType;
     out.done.length = answer.body.size();
-    if ( answer.body.empty() ) {
+    if( answer.body.empty() ) {
         return out;
     }
     m_replay = std::move( out.done );
@@ -283,21 +284,21 @@
 Call::Problem Call::onBusy( const peer::ClaimHolder& holder, const Choice& choice ) {
     const auto state =
         barAttempt( holder.executor, holder.incarnation, holder.requestId, holder.attempt );
-    if ( state == AttemptState::started || state == AttemptState::finished ) {
+    if( state == AttemptState::started || state == AttemptState::finished ) {
         m_joined = true;
         m_answerId = holder.requestId;
         m_vm = holder.executor;
         m_have = 0;
         return std::nullopt;
     }
-    if ( state == AttemptState::unknown ) {
+    if( state == AttemptState::unknown ) {
         return fail( Reason::keyBusy, Outcome::unknown,
                      "another request with this idempotency key is or was in progress",
                      comeBackSoon );
     }
     m_attempt = holder.attempt + 1;
     const auto moved = askOwner( claimRequest( peer::ClaimStep::move, choice ) );
-    if ( moved && moved->verdict == peer::ClaimVerdict::granted ) {
+    if( moved && moved->verdict == peer::ClaimVerdict::granted ) {
         m_keyHeld = true;
         return std::nullopt;
     }
@@ -309,7 +310,7 @@
     m_keyHeld = false;
     auto request = claimRequest( peer::ClaimStep::resolve, { {}, m_vm, m_incarnation } );
     request.outcome = outcome;
-    if ( done != nullptr ) {
+    if( done != nullptr ) {
         request.status = done->status;
         const bool service = m_request.target.kind == peer::TargetKind::service;
         request.contentType = service ? done->contentType : done->finishReason;
@@ -321,40 +322,40 @@
 // --- what an agent says
 
 std::optional<CallEvent> Call::take( const peer::Message& message ) {
-    if ( std::holds_alternative<peer::RunAccepted>( message ) ) {
+    if( std::holds_alternative<peer::RunAccepted>( message ) ) {
         m_accepted = true;
         return std::nullopt;
     }
-    if ( const auto* chunk = std::get_if<peer::RunChunk>( &message ) ) {
+    if( const auto* chunk = std::get_if<peer::RunChunk>( &message ) ) {
         return takeChunk( *chunk );
     }
-    if ( const auto* done = std::get_if<peer::RunDone>( &message ) ) {
-        if ( done->requestId != m_answerId ) {
+    if( const auto* done = std::get_if<peer::RunDone>( &message ) ) {
+        if( done->requestId != m_answerId ) {
             m_context.metrics.count( "crossed_answers_dropped" );
             return std::nullopt;
         }
         return done->length == m_have ? takeDone( *done ) : onBroken();
     }
-    if ( const auto* refusal = std::get_if<peer::RunRefused>( &message ) ) {
+    if( const auto* refusal = std::get_if<peer::RunRefused>( &message ) ) {
         return takeRefusal( *refusal );
     }
-    if ( const auto* failure = std::get_if<peer::RunFailed>( &message ) ) {
+    if( const auto* failure = std::get_if<peer::RunFailed>( &message ) ) {
         return takeFailure( *failure );
     }
     return onBroken();
 }
 
 std::optional<CallEvent> Call::takeChunk( const peer::RunChunk& chunk ) {
-    if ( chunk.requestId != m_answerId ) {
+    if( chunk.requestId != m_answerId ) {
         m_context.metrics.count( "crossed_answers_dropped" );
         return std::nullopt;
     }
     m_accepted = true;
-    if ( chunk.offset > m_have ) {
+    if( chunk.offset > m_have ) {
         return onBroken();
     }
     const auto known = m_have - chunk.offset;
-    if ( known >= chunk.text.size() ) {
+    if( known >= chunk.text.size() ) {
         return std::nullopt;
     }
     CallEvent out;
@@ -367,7 +368,7 @@
 }
 
 CallEvent Call::takeDone( peer::RunDone done ) {
-    if ( m_keyHeld ) {
+    if( m_keyHeld ) {
         resolveKey( peer::ClaimOutcome::finished, &done );
     }
     m_stream.reset();
@@ -379,7 +380,7 @@
 
 Call::Problem Call::takeRefusal( const peer::RunRefused& refusal ) {
     m_stream.reset();
-    if ( m_joined ) {
+    if( m_joined ) {
         return fail( Reason::notFound, Outcome::unknown, "no such session: " + refusal.reason,
                      Millis{ 0 } );
     }
@@ -392,11 +393,11 @@
 
 Call::Problem Call::takeFailure( const peer::RunFailed& failure ) {
     m_stream.reset();
-    if ( !failure.mayHaveRun ) {
+    if( !failure.mayHaveRun ) {
         m_lastRefusal = { Reason::upstreamSaid, Outcome::notRun, failure.reason, {}, 0 };
         return goElsewhere( failure.reason );
     }
-    if ( m_request.repeatable && !m_joined ) {
+    if( m_request.repeatable && !m_joined ) {
         m_mayHaveRun = true;
         return goElsewhere( failure.reason );
     }
@@ -415,11 +416,11 @@
 
 Call::Problem Call::onBroken() {
     m_stream.reset();
-    if ( m_joined ) {
+    if( m_joined ) {
         return fail( Reason::lostUpstream, Outcome::unknown, "the session was lost", Millis{ 0 } );
     }
     const auto state = barAttempt( m_vm, m_incarnation, m_request.requestId, m_attempt );
-    switch ( state ) {
+    switch( state ) {
     case AttemptState::barred:
         return goElsewhere( "barred" );
     case AttemptState::started:
@@ -429,7 +430,7 @@
         break;
     }
     m_mayHaveRun = true;
-    if ( m_request.repeatable ) {
+    if( m_request.repeatable ) {
         return goElsewhere( "lost" );
     }
     return fail( Reason::lostUpstream, Outcome::unknown,
@@ -442,8 +443,8 @@
     auto stream = m_context.directory.open( vm, peer::joinPath, limit );
     const bool sent =
         stream && stream->send( encode( peer::JoinRequest{ m_answerId, m_have } ), limit );
-    if ( !sent ) {
-        if ( m_request.repeatable && !m_joined ) {
+    if( !sent ) {
+        if( m_request.repeatable && !m_joined ) {
             m_mayHaveRun = true;
             return goElsewhere( "lost" );
         }
@@ -462,12 +463,12 @@
                                         const peer::Message& question ) {
     const auto limit = m_context.clock.now() + m_context.rules.askPatience;
     auto stream = m_context.directory.open( vm, path, limit );
-    if ( !stream || !stream->send( encode( question ), limit ) ) {
+    if( !stream || !stream->send( encode( question ), limit ) ) {
         return std::nullopt;
     }
     stream->finish();
     const auto got = stream->receive( limit );
-    if ( got.status != ReceiveStatus::frame ) {
+    if( got.status != ReceiveStatus::frame ) {
         return std::nullopt;
     }
     auto decoded = peer::decode( got.frame );
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -85,7 +85,8 @@
 public:
     Call( CallContext& context, CallRequest request );
     //! A call that follows a running session from an offset.
-    Call( CallContext& context, CallRequest request, std::string session, std::uint64_t offset );
+    Call( CallContext& context, CallRequest request, std::string_view session,
+          std::uint64_t offset );
 
     CallEvent next();
     //! The session to resume by: request id and the VM that holds its text.
--- a/src/entry/directory.cpp
+++ b/src/entry/directory.cpp
@@ -17,7 +17,7 @@
 constexpr Millis lookInterval{ 1000 };
 
 Distance distanceOf( const Place& place, const platform::Vm& vm ) {
-    if ( vm.region != place.region ) {
+    if( vm.region != place.region ) {
         return Distance::otherRegion;
     }
     return vm.hall == place.hall ? Distance::sameHall : Distance::sameRegion;
@@ -31,10 +31,10 @@
 }
 
 bool hasTarget( const peer::AgentStatus& status, const peer::Target& target, bool ready ) {
-    if ( target.kind == peer::TargetKind::service ) {
+    if( target.kind == peer::TargetKind::service ) {
         return ready && has( status, "service", "", true );
     }
-    if ( !target.adapter.empty() ) {
+    if( !target.adapter.empty() ) {
         return has( status, "adapter", target.adapter, ready );
     }
     return has( status, "model", target.name, ready );
@@ -65,11 +65,11 @@
         m_stopping = true;
         m_changed.notify_all();
     }
-    if ( m_thread.joinable() ) {
+    if( m_thread.joinable() ) {
         m_thread.join();
     }
     const std::lock_guard lock( m_mutex );
-    for ( auto& it : m_agents ) {
+    for( auto& it : m_agents ) {
         it.second.control.reset();
     }
 }
@@ -84,14 +84,14 @@
     const std::lock_guard lock( m_mutex );
     m_listVersion = std::max( m_listVersion, version );
     std::map<std::string, Agent, std::less<>> next;
-    for ( const auto& it : vms ) {
-        if ( it.role == platform::VmRole::entry ) {
+    for( const auto& it : vms ) {
+        if( it.role == platform::VmRole::entry ) {
             continue;
         }
         auto old = m_agents.find( it.name );
         const bool same = old != m_agents.end() && old->second.view.vm.ip == it.ip &&
                           old->second.view.vm.port == it.port;
-        if ( same ) {
+        if( same ) {
             next[it.name] = std::move( old->second );
             m_agents.erase( old );
         } else {
@@ -99,7 +99,7 @@
         }
         next[it.name].view.vm = it;
     }
-    for ( auto& it : m_agents ) {
+    for( auto& it : m_agents ) {
         m_loop.disconnect( it.second.link );
     }
     m_agents = std::move( next );
@@ -109,8 +109,8 @@
 
 void Directory::onLinkChange( peer::LinkId link, bool up ) {
     const std::lock_guard lock( m_mutex );
-    for ( auto& it : m_agents ) {
-        if ( it.second.link == link ) {
+    for( auto& it : m_agents ) {
+        if( it.second.link == link ) {
             it.second.view.up = up;
             it.second.view.reported = false;
         }
@@ -120,17 +120,17 @@
 }
 
 void Directory::run() {
-    for ( ;; ) {
+    for( ;; ) {
         openControls();
         readControls();
         std::unique_lock lock( m_mutex );
         const bool woken =
             m_changed.wait_for( lock, lookInterval, [this] { return m_work || m_stopping; } );
-        if ( !woken ) {
+        if( !woken ) {
             spreadConfig();
         }
         m_work = false;
-        if ( m_stopping ) {
+        if( m_stopping ) {
             return;
         }
     }
@@ -138,16 +138,16 @@
 
 void Directory::openControls() {
     const std::lock_guard lock( m_mutex );
-    for ( auto& [name, agent] : m_agents ) {
-        if ( agent.control && agent.control->ended() ) {
+    for( auto& [name, agent] : m_agents ) {
+        if( agent.control && agent.control->ended() ) {
             agent.control.reset();
             agent.view.reported = false;
         }
-        if ( agent.control ) {
+        if( agent.control ) {
             continue;
         }
         agent.control = m_loop.open( agent.link, peer::controlPath );
-        if ( !agent.control ) {
+        if( !agent.control ) {
             continue;
         }
         agent.control->listen( [this] { wake(); } );
@@ -157,8 +157,8 @@
 
 //! Passes our configuration to agents that still lag behind: their watch may be cut.
 void Directory::spreadConfig() {
-    for ( auto& [name, agent] : m_agents ) {
-        if ( agent.control && agent.view.reported ) {
+    for( auto& [name, agent] : m_agents ) {
+        if( agent.control && agent.view.reported ) {
             exchangeConfig( agent, agent.view.status.revision );
         }
     }
@@ -167,10 +167,10 @@
 void Directory::readControls() {
     std::vector<peer::ConfigNews> news;
     std::unique_lock lock( m_mutex );
-    for ( auto& [name, agent] : m_agents ) {
-        while ( agent.control ) {
+    for( auto& [name, agent] : m_agents ) {
+        while( agent.control ) {
             const auto got = agent.control->receive( MonoTime{} );
-            if ( got.status != ReceiveStatus::frame ) {
+            if( got.status != ReceiveStatus::frame ) {
                 break;
             }
             take( agent, got.frame, news );
@@ -178,7 +178,7 @@
     }
     // Adopting configuration calls back into services that look at us.
     lock.unlock();
-    for ( const auto& it : news ) {
+    for( const auto& it : news ) {
         m_replica.offer( it );
     }
 }
@@ -186,18 +186,18 @@
 void Directory::take( Agent& agent, const std::string& frame,
                       std::vector<peer::ConfigNews>& news ) {
     auto decoded = peer::decode( frame );
-    if ( !decoded.ok ) {
+    if( !decoded.ok ) {
         log::warn( "control_message_malformed",
                    { { "from", agent.view.vm.name }, { "detail", decoded.error.detail } } );
         return;
     }
-    if ( const auto* status = std::get_if<peer::AgentStatus>( &decoded.message ) ) {
+    if( const auto* status = std::get_if<peer::AgentStatus>( &decoded.message ) ) {
         takeStatus( agent, *status );
-    } else if ( const auto* load = std::get_if<peer::LoadReport>( &decoded.message ) ) {
+    } else if( const auto* load = std::get_if<peer::LoadReport>( &decoded.message ) ) {
         takeLoad( agent, *load );
-    } else if ( auto* brought = std::get_if<peer::ConfigNews>( &decoded.message ) ) {
+    } else if( auto* brought = std::get_if<peer::ConfigNews>( &decoded.message ) ) {
         news.push_back( std::move( *brought ) );
-    } else if ( const auto* ask = std::get_if<peer::ConfigAsk>( &decoded.message ) ) {
+    } else if( const auto* ask = std::get_if<peer::ConfigAsk>( &decoded.message ) ) {
         exchangeConfig( agent, ask->revision );
     }
 }
@@ -206,10 +206,10 @@
     auto& view = agent.view;
     const bool older = view.reported && view.status.incarnation == status.incarnation &&
                        status.sequence <= view.status.sequence;
-    if ( older ) {
+    if( older ) {
         return;
     }
-    for ( const auto& it : status.demand ) {
+    for( const auto& it : status.demand ) {
         m_demand[it.model] += it.arrivals;
     }
     view.status = status;
@@ -221,10 +221,10 @@
 
 void Directory::takeLoad( Agent& agent, const peer::LoadReport& load ) {
     auto& view = agent.view;
-    if ( !view.reported || load.sequence <= view.status.sequence ) {
+    if( !view.reported || load.sequence <= view.status.sequence ) {
         return;
     }
-    for ( const auto& it : load.demand ) {
+    for( const auto& it : load.demand ) {
         m_demand[it.model] += it.arrivals;
     }
     view.status.sequence = load.sequence;
@@ -237,9 +237,9 @@
 }
 
 void Directory::exchangeConfig( Agent& agent, config::Revision theirs ) {
-    if ( auto news = m_replica.newsFor( theirs ) ) {
+    if( auto news = m_replica.newsFor( theirs ) ) {
         agent.control->trySend( encode( std::move( *news ) ) );
-    } else if ( theirs > m_replica.revision() ) {
+    } else if( theirs > m_replica.revision() ) {
         agent.control->trySend( encode( peer::ConfigAsk{ m_replica.revision() } ) );
     }
 }
@@ -283,7 +283,7 @@
     const std::lock_guard lock( m_mutex );
     std::vector<Candidate> candidates;
     std::vector<Agent*> owners;
-    for ( auto& [name, agent] : m_agents ) {
+    for( auto& [name, agent] : m_agents ) {
         candidates.push_back( candidate( agent, *state, target, excluded ) );
         owners.push_back( &agent );
     }
@@ -291,7 +291,7 @@
         router::route( candidates, prefixHash, m_rules, router::Dice{ drawFrom, &m_random } );
     Choice out;
     out.kind = picked.kind;
-    if ( picked.kind == router::RouteKind::warm || picked.kind == router::RouteKind::cold ) {
+    if( picked.kind == router::RouteKind::warm || picked.kind == router::RouteKind::cold ) {
         auto& agent = *owners[picked.index];
         ++agent.sentSinceReport;
         out.vm = agent.view.vm.name;
@@ -303,15 +303,15 @@
 std::shared_ptr<peer::Stream> Directory::open( std::string_view vm, std::string_view path,
                                                MonoTime deadline ) {
     std::unique_lock lock( m_mutex );
-    for ( ;; ) {
+    for( ;; ) {
         const auto found = m_agents.find( vm );
-        if ( found == m_agents.end() ) {
+        if( found == m_agents.end() ) {
             return nullptr;
         }
-        if ( auto stream = m_loop.open( found->second.link, path ) ) {
+        if( auto stream = m_loop.open( found->second.link, path ) ) {
             return stream;
         }
-        if ( m_stopping || m_clock.now() >= deadline ) {
+        if( m_stopping || m_clock.now() >= deadline ) {
             return nullptr;
         }
         m_changed.wait_until( lock, deadline );
@@ -328,7 +328,7 @@
 std::vector<AgentView> Directory::agents() const {
     const std::lock_guard lock( m_mutex );
     std::vector<AgentView> out;
-    for ( const auto& it : m_agents ) {
+    for( const auto& it : m_agents ) {
         out.push_back( it.second.view );
     }
     return out;
@@ -342,7 +342,7 @@
 std::vector<peer::ModelDemand> Directory::takeDemand() {
     const std::lock_guard lock( m_mutex );
     std::vector<peer::ModelDemand> out;
-    for ( const auto& it : m_demand ) {
+    for( const auto& it : m_demand ) {
         out.push_back( { it.first, it.second } );
     }
     m_demand.clear();
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -90,6 +90,7 @@
     out.place = placeOf( settings );
     out.leaseLength = Millis( settings.number( "lease-ms" ) );
     out.interval = std::min( out.interval, out.leaseLength / 6 );
+    out.settling = out.leaseLength / 2;
     return out;
 }
 
@@ -185,7 +186,7 @@
                     [this] {
                         m_vms.stop();
                     } } );
-    if ( m_settings.flag( "plan" ) ) {
+    if( m_settings.flag( "plan" ) ) {
         m_kernel.add( { "leader", [this] { m_leader.start(); },
                         [this] {
                             m_leader.stop();
@@ -200,26 +201,26 @@
 void Entry::listen() {
     const auto at = settings::splitAddress( m_settings.text( "listen" ) );
     const int port = m_http.start( at.host, at.port );
-    if ( port < 0 ) {
+    if( port < 0 ) {
         throw KernelError( "can't listen on listen = " + m_settings.text( "listen" ) );
     }
     log::info( "http_listening", { { "port", static_cast<std::int64_t>( port ) } } );
 }
 
 http::Response Entry::handle( const http::Request& request ) {
-    if ( request.path == "/healthz" ) {
+    if( request.path == "/healthz" ) {
         return healthz();
     }
-    if ( request.path == "/readyz" ) {
+    if( request.path == "/readyz" ) {
         return readyz();
     }
-    if ( request.path == "/metrics" ) {
+    if( request.path == "/metrics" ) {
         http::Response out;
         out.contentType = "text/plain; version=0.0.4";
         out.body = m_metrics.prometheus();
         return out;
     }
-    if ( request.method == "POST" && request.path == "/operator/v1/command" ) {
+    if( request.method == "POST" && request.path == "/operator/v1/command" ) {
         return m_operators.handle( request );
     }
     return m_callers.handle( request );
@@ -246,14 +247,14 @@
                      std::uint64_t version ) {
     std::vector<platform::Vm> vms;
     std::vector<platform::Vm> entries;
-    for ( const auto& it : objects ) {
+    for( const auto& it : objects ) {
         platform::Vm vm;
-        if ( !platform::readVm( it.second, vm ) ) {
+        if( !platform::readVm( it.second, vm ) ) {
             log::warn( "vm_malformed", { { "name", it.first } } );
             continue;
         }
         const bool self = vm.name == m_settings.text( "vm" );
-        if ( vm.role == platform::VmRole::entry && !self && vm.state == platform::VmState::live ) {
+        if( vm.role == platform::VmRole::entry && !self && vm.state == platform::VmState::live ) {
             entries.push_back( vm );
         }
         vms.push_back( std::move( vm ) );
@@ -292,8 +293,8 @@
 
 bool Entry::waitForSpread( config::Revision revision, MonoTime deadline ) {
     constexpr Millis step{ 50 };
-    while ( !spreadTo( revision ) ) {
-        if ( m_clock.now() >= deadline ) {
+    while( !spreadTo( revision ) ) {
+        if( m_clock.now() >= deadline ) {
             return false;
         }
         std::this_thread::sleep_for( step );
@@ -302,8 +303,8 @@
 }
 
 bool Entry::spreadTo( config::Revision revision ) {
-    for ( const auto& it : m_directory.agents() ) {
-        if ( it.up && ( !it.reported || it.status.revision < revision ) ) {
+    for( const auto& it : m_directory.agents() ) {
+        if( it.up && ( !it.reported || it.status.revision < revision ) ) {
             return false;
         }
     }
@@ -312,14 +313,14 @@
         const std::lock_guard lock( m_mutex );
         entries = m_entries;
     }
-    for ( const auto& it : entries ) {
+    for( const auto& it : entries ) {
         http::Client client( it.ip + ":" + std::to_string( it.port ), {} );
         http::Request request;
         request.path = "/healthz";
         const auto got = client.call( request );
         const auto body = nlohmann::json::parse( got.response.body, nullptr, false );
-        if ( got.failure == http::Failure::none && body.is_object() &&
-             body.value( "revision", config::Revision{ 0 } ) < revision ) {
+        if( got.failure == http::Failure::none && body.is_object() &&
+            body.value( "revision", config::Revision{ 0 } ) < revision ) {
             return false;
         }
     }
@@ -329,7 +330,7 @@
 void Entry::waitUntilIdle() {
     const auto limit = m_clock.now() + Millis( m_settings.number( "drain-limit-ms" ) );
     constexpr Millis step{ 20 };
-    while ( m_callers.inFlight() > 0 && m_clock.now() < limit ) {
+    while( m_callers.inFlight() > 0 && m_clock.now() < limit ) {
         std::this_thread::sleep_for( step );
     }
     log::info( "drain_ends", { { "left", static_cast<std::int64_t>( m_callers.inFlight() ) } } );
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -48,7 +48,7 @@
         m_stopping = true;
         m_wakeup.notify_all();
     }
-    if ( m_thread.joinable() ) {
+    if( m_thread.joinable() ) {
         m_thread.join();
     }
 }
@@ -64,14 +64,14 @@
 }
 
 void Leader::run() {
-    for ( ;; ) {
+    for( ;; ) {
         keepLease();
-        if ( leading() && m_clock.now() - m_wonAt >= m_settings.settling ) {
+        if( leading() && m_clock.now() - m_wonAt >= m_settings.settling ) {
             assignSlots();
         }
         std::unique_lock lock( m_mutex );
         m_wakeup.wait_for( lock, m_settings.interval, [this] { return m_stopping; } );
-        if ( m_stopping ) {
+        if( m_stopping ) {
             return;
         }
     }
@@ -84,7 +84,7 @@
         const std::lock_guard lock( m_mutex );
         action = planner::nextAction( m_view, m_clock.now() );
     }
-    if ( action != LeaseAction::wait ) {
+    if( action != LeaseAction::wait ) {
         writeLease( action );
     }
 }
@@ -93,12 +93,12 @@
     const auto got =
         platform::attempt( [this] { return m_store.get( platform::leaseKind, m_leaseName ); } );
     const bool absent = !got.ok && got.error.failure == StoreFailure::notFound;
-    if ( !got.ok && !absent ) {
+    if( !got.ok && !absent ) {
         return;
     }
     planner::LeaseRecord record;
     const auto spec = nlohmann::json::parse( got.value.spec, nullptr, false );
-    if ( spec.is_object() ) {
+    if( spec.is_object() ) {
         record = spec.get<planner::LeaseRecord>();
     }
     const std::lock_guard lock( m_mutex );
@@ -118,11 +118,11 @@
     const auto wrote = platform::attempt( [&] {
         return action == LeaseAction::create ? m_store.create( object ) : m_store.update( object );
     } );
-    if ( !wrote.ok ) {
+    if( !wrote.ok ) {
         return;
     }
     const bool won = action != LeaseAction::renew;
-    if ( won ) {
+    if( won ) {
         m_wonAt = m_clock.now();
         log::info( "lease_won", { { "lease", m_leaseName },
                                   { "epoch", static_cast<std::int64_t>( record.epoch ) } } );
@@ -134,23 +134,23 @@
 void Leader::assignSlots() {
     claims::Presence presence;
     presence.version = m_directory.listVersion();
-    for ( const auto& it : m_directory.agents() ) {
+    for( const auto& it : m_directory.agents() ) {
         presence.present.push_back( it.vm.name );
         const bool leaving = it.status.draining || it.vm.state == platform::VmState::leaving;
-        if ( it.up && it.reported && !leaving && presence.members.size() < maxOwners ) {
+        if( it.up && it.reported && !leaving && presence.members.size() < maxOwners ) {
             presence.members.push_back( it.vm.name );
         }
     }
     const auto state = m_replica.state();
-    if ( presence.version == 0 || state->revision == 0 ) {
+    if( presence.version == 0 || state->revision == 0 ) {
         return;
     }
     const auto moved = claims::reassign( *state, presence );
-    if ( moved.empty() || !leading() ) {
+    if( moved.empty() || !leading() ) {
         return;
     }
     config::ChangeSet set{ m_random.hex( writeIdDigits ), "planner", {} };
-    for ( const auto& it : moved ) {
+    for( const auto& it : moved ) {
         set.changes.push_back( { config::Action::set,
                                  config::Kind::slot,
                                  std::to_string( it.slot ),
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -18,20 +18,20 @@
     httplib::Request out;
     out.method = from.method;
     out.path = from.path;
-    if ( !from.query.empty() ) {
+    if( !from.query.empty() ) {
         httplib::Params params( from.query.begin(), from.query.end() );
         out.path = httplib::append_query_params( from.path, params );
     }
     out.headers.insert( from.headers.begin(), from.headers.end() );
     out.body = from.body;
-    if ( !from.body.empty() && !out.has_header( "Content-Type" ) ) {
+    if( !from.body.empty() && !out.has_header( "Content-Type" ) ) {
         out.set_header( "Content-Type", "application/json" );
     }
     return out;
 }
 
 Failure classify( httplib::Error error ) {
-    switch ( error ) {
+    switch( error ) {
     case httplib::Error::Success:
         return Failure::none;
     case httplib::Error::Connection:
@@ -47,7 +47,7 @@
     Outcome out;
     out.failure = classify( result.error() );
     out.detail = httplib::to_string( result.error() );
-    if ( !result ) {
+    if( !result ) {
         return out;
     }
     out.response.status = result->status;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -58,7 +58,7 @@
         const Sink write = [&sink]( std::string_view bytes ) {
             return sink.is_writable() && sink.write( bytes.data(), bytes.size() );
         };
-        if ( !producer( write ) ) {
+        if( !producer( write ) ) {
             return false;
         }
         sink.done();
@@ -69,10 +69,10 @@
 
 void convert( Response from, httplib::Response& to ) {
     to.status = from.status;
-    for ( const auto& [name, value] : from.headers ) {
+    for( const auto& [name, value] : from.headers ) {
         to.set_header( name, value );
     }
-    if ( from.producer ) {
+    if( from.producer ) {
         streamBody( to, from.contentType, std::move( from.producer ) );
         return;
     }
@@ -108,7 +108,7 @@
     server.Delete( all, route );
     const httplib::Server::Handler onError =
         [errorBody = std::move( errorBody )]( const httplib::Request&, httplib::Response& to ) {
-            if ( to.body.empty() && !to.content_provider_ ) {
+            if( to.body.empty() && !to.content_provider_ ) {
                 convert( errorBody( to.status ), to );
             }
         };
@@ -123,11 +123,11 @@
     auto& server = m_impl->server;
     const int bound = port == 0 ? server.bind_to_any_port( host )
                                 : ( server.bind_to_port( host, port ) ? port : -1 );
-    if ( bound < 0 ) {
+    if( bound < 0 ) {
         return -1;
     }
     m_impl->thread = std::thread( [&server] { server.listen_after_bind(); } );
-    while ( !server.is_running() ) {
+    while( !server.is_running() ) {
         std::this_thread::yield();
     }
     return bound;
@@ -135,7 +135,7 @@
 
 void Server::stop() {
     m_impl->server.stop();
-    if ( m_impl->thread.joinable() ) {
+    if( m_impl->thread.joinable() ) {
         m_impl->thread.join();
     }
 }
--- a/src/kernel/daemon.cpp
+++ b/src/kernel/daemon.cpp
@@ -54,16 +54,16 @@
         return std::getenv( name );
     };
     const auto parsed = settings::parse( role, specs, arguments, environment );
-    if ( parsed.helpShown ) {
+    if( parsed.helpShown ) {
         return exitOk;
     }
-    for ( const auto& it : parsed.problems ) {
+    for( const auto& it : parsed.problems ) {
         std::cerr << "coursehead " << role << ": " << it << "\n";
     }
-    if ( !parsed.problems.empty() ) {
+    if( !parsed.problems.empty() ) {
         return exitUsage;
     }
-    if ( parsed.printSettings ) {
+    if( parsed.printSettings ) {
         std::cout << parsed.settings.print();
         return exitOk;
     }
@@ -73,7 +73,7 @@
     log::setUp( parsed.settings.text( "log-level" ), role, parsed.settings.text( "vm" ) );
     try {
         return run( parsed.settings );
-    } catch ( const std::exception& ex ) {
+    } catch( const std::exception& ex ) {
         log::error( "start_failed", { { "detail", ex.what() } } );
         return exitFailed;
     }
--- a/src/kernel/elastic_pool.cpp
+++ b/src/kernel/elastic_pool.cpp
@@ -22,11 +22,11 @@
     const std::lock_guard lock( m_mutex );
     const bool idleThread = m_idle > m_tasks.size();
     const bool newThread = !idleThread && m_threads < m_limit;
-    if ( m_stopping || ( !idleThread && !newThread && !mayQueue ) ) {
+    if( m_stopping || ( !idleThread && !newThread && !mayQueue ) ) {
         return false;
     }
     m_tasks.push_back( std::move( task ) );
-    if ( newThread ) {
+    if( newThread ) {
         ++m_threads;
         std::thread( [this] { work(); } ).detach();
     } else {
@@ -44,11 +44,11 @@
 
 void ElasticPool::work() {
     std::unique_lock lock( m_mutex );
-    for ( ;; ) {
+    for( ;; ) {
         ++m_idle;
         m_changed.wait_for( lock, keepIdle, [this] { return !m_tasks.empty() || m_stopping; } );
         --m_idle;
-        if ( m_tasks.empty() ) {
+        if( m_tasks.empty() ) {
             break;
         }
         auto task = std::move( m_tasks.front() );
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -16,8 +16,8 @@
 }
 
 void Kernel::add( Service service ) {
-    for ( const auto& it : m_services ) {
-        if ( it.name == service.name ) {
+    for( const auto& it : m_services ) {
+        if( it.name == service.name ) {
             throw KernelError( "service '" + service.name + "' is registered twice" );
         }
     }
@@ -25,10 +25,10 @@
 }
 
 void Kernel::start() {
-    while ( m_started < m_services.size() ) {
+    while( m_started < m_services.size() ) {
         try {
             m_services[m_started].start();
-        } catch ( ... ) {
+        } catch( ... ) {
             stop();
             throw;
         }
@@ -37,7 +37,7 @@
 }
 
 void Kernel::stop() {
-    while ( m_started > 0 ) {
+    while( m_started > 0 ) {
         --m_started;
         m_services[m_started].stop();
     }
@@ -45,14 +45,14 @@
 
 void Kernel::publish( std::string_view name, std::any object ) {
     const auto inserted = m_interfaces.emplace( std::string( name ), std::move( object ) ).second;
-    if ( !inserted ) {
+    if( !inserted ) {
         throw KernelError( "interface '" + std::string( name ) + "' is provided twice" );
     }
 }
 
 const std::any& Kernel::lookUp( std::string_view name ) const {
     const auto it = m_interfaces.find( name );
-    if ( it == m_interfaces.end() ) {
+    if( it == m_interfaces.end() ) {
         throw KernelError( "interface '" + std::string( name ) + "' is not provided" );
     }
     return it->second;
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -13,17 +13,17 @@
 }
 
 void appendValue( std::string& line, std::string_view value ) {
-    if ( !needsQuotes( value ) ) {
+    if( !needsQuotes( value ) ) {
         line.append( value );
         return;
     }
     line.push_back( '"' );
-    for ( const char c : value ) {
-        if ( c == '\n' || c == '\r' || c == '\t' ) {
+    for( const char c : value ) {
+        if( c == '\n' || c == '\r' || c == '\t' ) {
             line.push_back( ' ' );
             continue;
         }
-        if ( c == '"' || c == '\\' ) {
+        if( c == '"' || c == '\\' ) {
             line.push_back( '\\' );
         }
         line.push_back( c );
@@ -33,7 +33,7 @@
 
 void write( spdlog::level::level_enum level, std::string_view event,
             std::initializer_list<Field> fields ) {
-    if ( spdlog::should_log( level ) ) {
+    if( spdlog::should_log( level ) ) {
         spdlog::log( level, "{}", formatLine( event, fields ) );
     }
 }
@@ -53,7 +53,7 @@
 std::string formatLine( std::string_view event, std::initializer_list<Field> fields ) {
     std::string line = "event=";
     line.append( event );
-    for ( const auto& it : fields ) {
+    for( const auto& it : fields ) {
         line.push_back( ' ' );
         line.append( it.key );
         line.push_back( '=' );
--- a/src/kernel/random.cpp
+++ b/src/kernel/random.cpp
@@ -4,7 +4,7 @@
 namespace coursehead {
 
 std::uint64_t RandomSource::below( std::uint64_t bound ) {
-    if ( bound == 0 ) {
+    if( bound == 0 ) {
         return 0;
     }
     const std::lock_guard lock( m_mutex );
@@ -20,7 +20,7 @@
     static constexpr std::string_view alphabet = "0123456789abcdef";
     std::string out;
     out.reserve( digits );
-    for ( std::size_t n = 0; n < digits; ++n ) {
+    for( std::size_t n = 0; n < digits; ++n ) {
         out.push_back( alphabet[below( alphabet.size() )] );
     }
     return out;
--- a/src/kernel/settings.cpp
+++ b/src/kernel/settings.cpp
@@ -29,7 +29,7 @@
 
 //! Why a value is not acceptable; empty when it is.
 std::string complaint( const Spec& spec, const std::string& value ) {
-    switch ( spec.kind ) {
+    switch( spec.kind ) {
     case Kind::optional:
         return {};
     case Kind::text:
@@ -40,7 +40,7 @@
                    : "expected letters, digits, '-', '_' or '.'";
     case Kind::number: {
         std::int64_t n = 0;
-        if ( parseNumber( value, n ) && n >= spec.low && n <= spec.high ) {
+        if( parseNumber( value, n ) && n >= spec.low && n <= spec.high ) {
             return {};
         }
         return "expected a whole number from " + std::to_string( spec.low ) + " to " +
@@ -82,9 +82,9 @@
 std::vector<std::unique_ptr<ValueArg>>
 addArguments( TCLAP::CmdLine& line, std::span<const Spec> specs, Environment environment ) {
     std::vector<std::unique_ptr<ValueArg>> out;
-    for ( const auto& spec : specs ) {
-        const std::string help =
-            std::string( spec.help ) + " [" + environmentName( spec.name ) + "]";
+    for( const auto& spec : specs ) {
+        std::string help( spec.help );
+        help += " [" + environmentName( spec.name ) + "]";
         out.push_back( std::make_unique<ValueArg>( "", std::string( spec.name ), help, false,
                                                    startValue( spec, environment ), "value",
                                                    line ) );
@@ -95,11 +95,11 @@
 void check( std::span<const Spec> specs, const std::vector<std::unique_ptr<ValueArg>>& found,
             Parsed& out ) {
     std::map<std::string, std::string, std::less<>> values;
-    for ( std::size_t n = 0; n < specs.size(); ++n ) {
+    for( std::size_t n = 0; n < specs.size(); ++n ) {
         const Spec& spec = specs[n];
         const std::string& value = found[n]->getValue();
         const std::string why = complaint( spec, value );
-        if ( !why.empty() ) {
+        if( !why.empty() ) {
             out.problems.push_back( "--" + std::string( spec.name ) + " (" +
                                     environmentName( spec.name ) + ") = '" + value + "': " + why );
         }
@@ -112,20 +112,20 @@
 
 std::string environmentName( std::string_view name ) {
     std::string out = "COURSEHEAD_";
-    for ( const char c : name ) {
+    for( const char c : name ) {
         out.push_back( c == '-' ? '_' : static_cast<char>( std::toupper( c ) ) );
     }
     return out;
 }
 
 HostPort splitAddress( std::string_view text ) {
-    if ( text.rfind( urlScheme, 0 ) == 0 ) {
+    if( text.rfind( urlScheme, 0 ) == 0 ) {
         text.remove_prefix( urlScheme.size() );
     }
     const auto colon = text.rfind( ':' );
     std::int64_t port = 0;
-    if ( colon == std::string_view::npos || colon == 0 ||
-         !parseNumber( text.substr( colon + 1 ), port ) || port < 0 || port > maxPort ) {
+    if( colon == std::string_view::npos || colon == 0 ||
+        !parseNumber( text.substr( colon + 1 ), port ) || port < 0 || port > maxPort ) {
         return { "", -1 };
     }
     return { std::string( text.substr( 0, colon ) ), static_cast<int>( port ) };
@@ -144,9 +144,9 @@
         line.parse( args );
         out.printSettings = print.getValue();
         check( specs, found, out );
-    } catch ( const TCLAP::ArgException& ex ) {
+    } catch( const TCLAP::ArgException& ex ) {
         out.problems.push_back( ex.argId() + ": " + ex.error() );
-    } catch ( const TCLAP::ExitException& ) {
+    } catch( const TCLAP::ExitException& ) {
         out.helpShown = true;
     }
     return out;
@@ -154,7 +154,7 @@
 
 const std::string& Settings::text( std::string_view name ) const {
     const auto it = m_values.find( name );
-    if ( it == m_values.end() ) {
+    if( it == m_values.end() ) {
         throw std::logic_error( "no setting named " + std::string( name ) );
     }
     return it->second;
@@ -175,7 +175,7 @@
 std::string Settings::print() const {
     constexpr std::string_view secretSuffix = "-token";
     std::string out;
-    for ( const auto& [name, value] : m_values ) {
+    for( const auto& [name, value] : m_values ) {
         const bool secret = std::string_view( name ).ends_with( secretSuffix );
         out += name + "=" + ( secret && !value.empty() ? "(hidden)" : value ) + "\n";
     }
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 Charge* findOrder( Ledger& ledger, OrderNumber order ) {
-    for ( auto& it : ledger.charges ) {
-        if ( it.order == order ) {
+    for( auto& it : ledger.charges ) {
+        if( it.order == order ) {
             return &it;
         }
     }
@@ -18,8 +18,8 @@
 }
 
 Charge* findItem( Ledger& ledger, const Item& item ) {
-    for ( auto& it : ledger.charges ) {
-        if ( it.footprint.item == item ) {
+    for( auto& it : ledger.charges ) {
+        if( it.footprint.item == item ) {
             return &it;
         }
     }
@@ -46,13 +46,13 @@
 
 //! Where the item would go; empty when it has no place.
 std::vector<std::uint32_t> place( const Ledger& ledger, const Footprint& footprint ) {
-    if ( footprint.item.kind == ItemKind::adapter ) {
+    if( footprint.item.kind == ItemKind::adapter ) {
         const Item model{ ItemKind::model, footprint.item.model, footprint.item.version, "" };
         const auto* charge = find( ledger, model );
         const bool usable = charge != nullptr && charge->state == ChargeState::resident;
         return usable ? charge->accelerators : std::vector<std::uint32_t>{};
     }
-    if ( footprint.accelerators == 0 || footprint.accelerators > ledger.capacity.size() ) {
+    if( footprint.accelerators == 0 || footprint.accelerators > ledger.capacity.size() ) {
         return {};
     }
     return roomiest( ledger, footprint.accelerators );
@@ -91,9 +91,9 @@
 
 std::uint64_t chargedOn( const Ledger& ledger, std::uint32_t accelerator ) {
     std::uint64_t out = 0;
-    for ( const auto& it : ledger.charges ) {
-        if ( std::find( it.accelerators.begin(), it.accelerators.end(), accelerator ) !=
-             it.accelerators.end() ) {
+    for( const auto& it : ledger.charges ) {
+        if( std::find( it.accelerators.begin(), it.accelerators.end(), accelerator ) !=
+            it.accelerators.end() ) {
             out += it.footprint.bytes;
         }
     }
@@ -102,15 +102,15 @@
 
 std::uint64_t largestRoom( const Ledger& ledger ) {
     std::uint64_t out = 0;
-    for ( std::uint32_t n = 0; n < ledger.capacity.size(); ++n ) {
+    for( std::uint32_t n = 0; n < ledger.capacity.size(); ++n ) {
         out = std::max( out, roomOn( ledger, n ) );
     }
     return out;
 }
 
 bool withinCapacity( const Ledger& ledger ) {
-    for ( std::uint32_t n = 0; n < ledger.capacity.size(); ++n ) {
-        if ( chargedOn( ledger, n ) > ledger.capacity[n] ) {
+    for( std::uint32_t n = 0; n < ledger.capacity.size(); ++n ) {
+        if( chargedOn( ledger, n ) > ledger.capacity[n] ) {
             return false;
         }
     }
@@ -118,8 +118,8 @@
 }
 
 const Charge* find( const Ledger& ledger, const Item& item ) {
-    for ( const auto& it : ledger.charges ) {
-        if ( it.footprint.item == item ) {
+    for( const auto& it : ledger.charges ) {
+        if( it.footprint.item == item ) {
             return &it;
         }
     }
@@ -132,7 +132,7 @@
 }
 
 std::optional<Order> beginLoad( Ledger& ledger, const Footprint& footprint, MonoTime now ) {
-    if ( !fits( ledger, footprint ) ) {
+    if( !fits( ledger, footprint ) ) {
         return std::nullopt;
     }
     Charge charge;
@@ -147,8 +147,8 @@
 
 std::optional<Order> beginUnload( Ledger& ledger, const Item& item ) {
     auto* charge = findItem( ledger, item );
-    if ( charge == nullptr || charge->state != ChargeState::resident ||
-         ( item.kind == ItemKind::model && carriesAdapters( ledger, item ) ) ) {
+    if( charge == nullptr || charge->state != ChargeState::resident ||
+        ( item.kind == ItemKind::model && carriesAdapters( ledger, item ) ) ) {
         return std::nullopt;
     }
     charge->state = ChargeState::unloading;
@@ -158,31 +158,31 @@
 
 void confirm( Ledger& ledger, OrderNumber order ) {
     auto* charge = findOrder( ledger, order );
-    if ( charge == nullptr ) {
+    if( charge == nullptr ) {
         return;
     }
-    if ( charge->state == ChargeState::loading ) {
+    if( charge->state == ChargeState::loading ) {
         charge->state = ChargeState::resident;
-    } else if ( charge->state == ChargeState::unloading ) {
+    } else if( charge->state == ChargeState::unloading ) {
         release( ledger, charge );
     }
 }
 
 void withdraw( Ledger& ledger, OrderNumber order ) {
     auto* charge = findOrder( ledger, order );
-    if ( charge == nullptr ) {
+    if( charge == nullptr ) {
         return;
     }
-    if ( charge->state == ChargeState::loading ) {
+    if( charge->state == ChargeState::loading ) {
         release( ledger, charge );
-    } else if ( charge->state == ChargeState::unloading ) {
+    } else if( charge->state == ChargeState::unloading ) {
         charge->state = ChargeState::resident;
     }
 }
 
 void lose( Ledger& ledger, OrderNumber order ) {
     auto* charge = findOrder( ledger, order );
-    if ( charge != nullptr && charge->state != ChargeState::resident ) {
+    if( charge != nullptr && charge->state != ChargeState::resident ) {
         charge->state = ChargeState::unknown;
     }
 }
@@ -193,18 +193,18 @@
                             [&item]( const auto& it ) { return it.item == item; } );
     };
     std::erase_if( ledger.charges, [&]( Charge& it ) {
-        if ( it.order > decisive ) {
+        if( it.order > decisive ) {
             return false;
         }
-        if ( reported( it.footprint.item ) ) {
+        if( reported( it.footprint.item ) ) {
             it.state = ChargeState::resident;
             return false;
         }
         return true;
     } );
-    for ( const auto& it : report ) {
+    for( const auto& it : report ) {
         // An item that we hold no charge for is held all the same: count it.
-        if ( find( ledger, it.item ) == nullptr ) {
+        if( find( ledger, it.item ) == nullptr ) {
             ledger.charges.push_back( residentCharge( it ) );
         }
     }
--- a/src/ledger/steps.cpp
+++ b/src/ledger/steps.cpp
@@ -2,19 +2,29 @@
 #include "coursehead/ledger/steps.hpp"
 
 #include <algorithm>
+#include <functional>
 
 namespace coursehead::ledger {
 
 namespace {
 
-const Usage* usageOf( std::span<const Usage> usage, const Item& item ) {
-    const auto it = std::find_if( usage.begin(), usage.end(),
+//! What a choice is made from.
+struct Scene {
+    const Ledger& ledger;
+    std::span<const Wanted> wanted;
+    std::span<const Usage> usage;
+    const StepRules& rules;
+    MonoTime now;
+};
+
+const Usage* usageOf( const Scene& scene, const Item& item ) {
+    const auto it = std::find_if( scene.usage.begin(), scene.usage.end(),
                                   [&item]( const Usage& u ) { return u.item == item; } );
-    return it == usage.end() ? nullptr : &*it;
+    return it == scene.usage.end() ? nullptr : &*it;
 }
 
-bool isWanted( std::span<const Wanted> wanted, const Item& item ) {
-    return std::any_of( wanted.begin(), wanted.end(), [&item]( const Wanted& it ) {
+bool isWanted( const Scene& scene, const Item& item ) {
+    return std::any_of( scene.wanted.begin(), scene.wanted.end(), [&item]( const Wanted& it ) {
         const auto& want = it.footprint.item;
         // An adapter keeps its model.
         return want == item || ( want.kind == ItemKind::adapter && item.kind == ItemKind::model &&
@@ -22,22 +32,45 @@
     } );
 }
 
-bool inUse( std::span<const Usage> usage, const Item& item ) {
-    const auto* it = usageOf( usage, item );
+MonoTime lastUsed( const Scene& scene, const Item& item ) {
+    const auto* it = usageOf( scene, item );
+    return it == nullptr ? MonoTime{} : it->lastUsed;
+}
+
+bool inUse( const Scene& scene, const Item& item ) {
+    const auto* it = usageOf( scene, item );
     return it != nullptr && ( it->running > 0 || it->waiting > 0 );
 }
 
-MonoTime lastUsed( std::span<const Usage> usage, const Item& item ) {
-    const auto* it = usageOf( usage, item );
-    return it == nullptr ? MonoTime{} : it->lastUsed;
+bool carriesAdapters( const Scene& scene, const Item& item ) {
+    return item.kind == ItemKind::model &&
+           std::any_of( scene.ledger.charges.begin(), scene.ledger.charges.end(),
+                        [&item]( const Charge& it ) {
+                            const auto& other = it.footprint.item;
+                            return other.kind == ItemKind::adapter && other.model == item.name &&
+                                   other.version == item.version;
+                        } );
+}
+
+//! True when the item is resident, idle and has been there long enough.
+bool mayDrop( const Scene& scene, const Charge& charge ) {
+    const bool young =
+        charge.loadSent != MonoTime{} && scene.now - charge.loadSent < scene.rules.minResidency;
+    return charge.state == ChargeState::resident && !young &&
+           !inUse( scene, charge.footprint.item );
 }
 
-//! A version of the same model or adapter that is not wanted any more, while the new one is there.
-bool isReplaced( const Ledger& ledger, std::span<const Wanted> wanted, const Item& item ) {
-    return !isWanted( wanted, item ) &&
-           std::any_of( wanted.begin(), wanted.end(), [&]( const Wanted& it ) {
+bool isDeleted( const Scene& scene, const Item& item ) {
+    const auto& gone = scene.rules.deleted;
+    return std::find( gone.begin(), gone.end(), item ) != gone.end();
+}
+
+//! A version that is not wanted any more, while the one that replaces it is there.
+bool isReplaced( const Scene& scene, const Item& item ) {
+    return !isWanted( scene, item ) &&
+           std::any_of( scene.wanted.begin(), scene.wanted.end(), [&]( const Wanted& it ) {
                const auto& want = it.footprint.item;
-               const auto* charge = find( ledger, want );
+               const auto* charge = find( scene.ledger, want );
                return want.kind == item.kind && want.name == item.name && !( want == item ) &&
                       charge != nullptr && charge->state == ChargeState::resident;
            } );
@@ -52,29 +85,48 @@
     }
 };
 
-//! The idle item to give up for `target`, or nullptr. Unwanted ones first, then the longest unused;
-//! a wanted one only for a load that requests wait for.
-const Charge* chooseVictim( const Ledger& ledger, std::span<const Wanted> wanted,
-                            std::span<const Usage> usage, const StepRules& rules, MonoTime now,
-                            const Wanted& target ) {
+//! True when the charge may go for `target`: a wanted one only for a load that requests wait for.
+bool mayGoFor( const Scene& scene, const Charge& charge, const Wanted& target ) {
+    const auto& item = charge.footprint.item;
+    const bool carriesTarget = target.footprint.item.kind == ItemKind::adapter &&
+                               item.kind == ItemKind::model &&
+                               target.footprint.item.model == item.name;
+    return mayDrop( scene, charge ) && !carriesTarget &&
+           ( target.waiting || !isWanted( scene, item ) );
+}
+
+//! True when dropping everything that may go would make room: no item goes in vain.
+bool canMakeRoom( const Scene& scene, const Wanted& target ) {
+    std::uint32_t enough = 0;
+    for( std::uint32_t n = 0; n < scene.ledger.capacity.size(); ++n ) {
+        std::uint64_t stays = 0;
+        for( const auto& it : scene.ledger.charges ) {
+            const bool here = std::find( it.accelerators.begin(), it.accelerators.end(), n ) !=
+                              it.accelerators.end();
+            if( here && !mayGoFor( scene, it, target ) ) {
+                stays += it.footprint.bytes;
+            }
+        }
+        if( stays + target.footprint.bytes <= scene.ledger.capacity[n] ) {
+            ++enough;
+        }
+    }
+    const bool adapter = target.footprint.item.kind == ItemKind::adapter;
+    return enough >= ( adapter ? 1 : target.footprint.accelerators );
+}
+
+//! The item to give up for `target`: unwanted ones first, then the longest unused.
+const Charge* chooseVictim( const Scene& scene, const Wanted& target ) {
+    if( !canMakeRoom( scene, target ) ) {
+        return nullptr;
+    }
     const Charge* best = nullptr;
     VictimRank bestRank;
-    for ( const auto& it : ledger.charges ) {
+    for( const auto& it : scene.ledger.charges ) {
         const auto& item = it.footprint.item;
-        const VictimRank rank{ isWanted( wanted, item ), lastUsed( usage, item ) };
-        const bool young = now - it.loadSent < rules.minResidency && it.loadSent != MonoTime{};
-        if ( it.state != ChargeState::resident || inUse( usage, item ) || young ||
-             ( rank.wanted && !target.waiting ) || item == target.footprint.item ) {
-            continue;
-        }
-        const bool hasAdapters =
-            item.kind == ItemKind::model &&
-            std::any_of( ledger.charges.begin(), ledger.charges.end(), [&item]( const auto& c ) {
-                return c.footprint.item.kind == ItemKind::adapter &&
-                       c.footprint.item.model == item.name &&
-                       c.footprint.item.version == item.version;
-            } );
-        if ( !hasAdapters && ( best == nullptr || rank < bestRank ) ) {
+        const VictimRank rank{ isWanted( scene, item ), lastUsed( scene, item ) };
+        if( mayGoFor( scene, it, target ) && !carriesAdapters( scene, item ) &&
+            ( best == nullptr || rank < bestRank ) ) {
             best = &it;
             bestRank = rank;
         }
@@ -82,38 +134,34 @@
     return best;
 }
 
-//! The item's model, when it is an adapter whose model is not charged.
-bool lacksModel( const Ledger& ledger, const Footprint& footprint ) {
+//! True for an adapter whose model is not charged yet.
+bool lacksModel( const Scene& scene, const Footprint& footprint ) {
     const auto& item = footprint.item;
     const Item model{ ItemKind::model, item.model, item.version, "" };
-    return item.kind == ItemKind::adapter && find( ledger, model ) == nullptr;
+    return item.kind == ItemKind::adapter && find( scene.ledger, model ) == nullptr;
 }
 
-std::optional<Order> dropReplaced( Ledger& ledger, std::span<const Wanted> wanted,
-                                   std::span<const Usage> usage, const StepRules& rules,
-                                   MonoTime now ) {
-    for ( const auto& it : ledger.charges ) {
-        const auto item = it.footprint.item;
-        const bool young = now - it.loadSent < rules.minResidency && it.loadSent != MonoTime{};
-        if ( it.state == ChargeState::resident && !inUse( usage, item ) && !young &&
-             isReplaced( ledger, wanted, item ) ) {
-            if ( auto order = beginUnload( ledger, item ) ) {
-                return order;
-            }
+//! The wanted items that are not charged, those that requests wait for first.
+std::vector<const Wanted*> missing( const Scene& scene ) {
+    std::vector<const Wanted*> out;
+    for( const auto& it : scene.wanted ) {
+        if( find( scene.ledger, it.footprint.item ) == nullptr &&
+            !lacksModel( scene, it.footprint ) ) {
+            out.push_back( &it );
         }
     }
-    return std::nullopt;
+    std::stable_sort( out.begin(), out.end(),
+                      []( const auto* a, const auto* b ) { return a->waiting > b->waiting; } );
+    return out;
 }
 
-std::optional<Order> dropUnwanted( Ledger& ledger, std::span<const Wanted> wanted,
-                                   std::span<const Usage> usage, const StepRules& rules,
-                                   MonoTime now ) {
-    for ( const auto& it : ledger.charges ) {
+//! Unloads the first droppable item that `which` picks.
+std::optional<Order> dropFirst( Ledger& ledger, const Scene& scene,
+                                const std::function<bool( const Item& item )>& which ) {
+    for( const auto& it : ledger.charges ) {
         const auto item = it.footprint.item;
-        const bool young = now - it.loadSent < rules.minResidency && it.loadSent != MonoTime{};
-        if ( it.state == ChargeState::resident && !isWanted( wanted, item ) &&
-             !inUse( usage, item ) && !young ) {
-            if ( auto order = beginUnload( ledger, item ) ) {
+        if( mayDrop( scene, it ) && which( item ) ) {
+            if( auto order = beginUnload( ledger, item ) ) {
                 return order;
             }
         }
@@ -126,27 +174,27 @@
 std::optional<Order> nextStep( Ledger& ledger, std::span<const Wanted> wanted,
                                std::span<const Usage> usage, const StepRules& rules,
                                MonoTime now ) {
-    std::vector<const Wanted*> missing;
-    for ( const auto& it : wanted ) {
-        if ( find( ledger, it.footprint.item ) == nullptr && !lacksModel( ledger, it.footprint ) ) {
-            missing.push_back( &it );
-        }
+    const Scene scene{ ledger, wanted, usage, rules, now };
+    if( auto order =
+            dropFirst( ledger, scene, [&]( const Item& it ) { return isDeleted( scene, it ); } ) ) {
+        return order;
     }
-    std::stable_sort( missing.begin(), missing.end(),
-                      []( const auto* a, const auto* b ) { return a->waiting > b->waiting; } );
-    for ( const auto* it : missing ) {
-        if ( auto order = beginLoad( ledger, it->footprint, now ) ) {
+    for( const auto* it : missing( scene ) ) {
+        if( auto order = beginLoad( ledger, it->footprint, now ) ) {
             return order;
         }
-        const auto* victim = chooseVictim( ledger, wanted, usage, rules, now, *it );
-        if ( victim != nullptr ) {
+        if( const auto* victim = chooseVictim( scene, *it ) ) {
             return beginUnload( ledger, Item( victim->footprint.item ) );
         }
     }
-    if ( auto order = dropReplaced( ledger, wanted, usage, rules, now ) ) {
+    if( auto order = dropFirst( ledger, scene,
+                                [&]( const Item& it ) { return isReplaced( scene, it ); } ) ) {
         return order;
     }
-    return rules.allowUnwanted ? std::nullopt : dropUnwanted( ledger, wanted, usage, rules, now );
+    if( rules.allowUnwanted ) {
+        return std::nullopt;
+    }
+    return dropFirst( ledger, scene, [&]( const Item& it ) { return !isWanted( scene, it ); } );
 }
 
 } // namespace coursehead::ledger
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -23,17 +23,17 @@
 
 int main( int argc, char** argv ) {
     const std::vector<std::string> arguments( argv, argv + argc );
-    if ( arguments.size() < 2 ) {
+    if( arguments.size() < 2 ) {
         return usage();
     }
     const std::span<const std::string> rest( arguments.begin() + 2, arguments.end() );
-    if ( arguments[1] == "entry" ) {
+    if( arguments[1] == "entry" ) {
         return coursehead::entry::runEntry( rest );
     }
-    if ( arguments[1] == "agent" ) {
+    if( arguments[1] == "agent" ) {
         return coursehead::agent::runAgent( rest );
     }
-    if ( arguments[1] == "ctl" ) {
+    if( arguments[1] == "ctl" ) {
         return coursehead::ctl::runCtl( rest );
     }
     return usage();
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -43,8 +43,8 @@
 
 std::string escape( std::string_view text ) {
     std::string out;
-    for ( const char c : text ) {
-        if ( c == '"' || c == '\\' ) {
+    for( const char c : text ) {
+        if( c == '"' || c == '\\' ) {
             out.push_back( '\\' );
         }
         out.push_back( c == '\n' ? ' ' : c );
@@ -73,8 +73,8 @@
                        double ms ) {
     const std::lock_guard lock( m_impl->mutex );
     std::string who( caller );
-    if ( !m_impl->callers.contains( who ) ) {
-        if ( m_impl->callers.size() >= maxCallers ) {
+    if( !m_impl->callers.contains( who ) ) {
+        if( m_impl->callers.size() >= maxCallers ) {
             who = "other";
         }
         m_impl->callers.insert( who );
@@ -102,19 +102,19 @@
     const auto& bounds = histogram.axis( std::integral_constant<unsigned, 2>{} );
     const auto name = seriesNames[series];
     out << "# TYPE " << name << " histogram\n";
-    for ( int c = 0; c < classes.size(); ++c ) {
-        for ( int w = 0; w < who.size(); ++w ) {
+    for( int c = 0; c < classes.size(); ++c ) {
+        for( int w = 0; w < who.size(); ++w ) {
             const std::string labels = "class=\"" + escape( classes.value( c ) ) + "\",caller=\"" +
                                        escape( who.value( w ) ) + "\"";
             double total = histogram.at( c, w, -1 );
             std::ostringstream buckets;
-            for ( int b = 0; b < bounds.size(); ++b ) {
+            for( int b = 0; b < bounds.size(); ++b ) {
                 total += histogram.at( c, w, b );
                 buckets << name << "_bucket{" << labels << ",le=\"" << bounds.value( b + 1 )
                         << "\"} " << total << "\n";
             }
             total += histogram.at( c, w, bounds.size() );
-            if ( total <= 0 ) {
+            if( total <= 0 ) {
                 continue;
             }
             const auto sum = sums[series].find( CounterKey{ classes.value( c ), who.value( w ) } );
@@ -132,19 +132,19 @@
     std::map<std::string, std::function<double()>> gauges;
     {
         const std::lock_guard lock( m_impl->mutex );
-        for ( std::size_t n = 0; n < seriesCount; ++n ) {
+        for( std::size_t n = 0; n < seriesCount; ++n ) {
             m_impl->print( out, n );
         }
-        for ( const auto& [key, value] : m_impl->counters ) {
+        for( const auto& [key, value] : m_impl->counters ) {
             out << "coursehead_" << key.name << "_total";
-            if ( !key.reason.empty() ) {
+            if( !key.reason.empty() ) {
                 out << "{reason=\"" << escape( key.reason ) << "\"}";
             }
             out << " " << value << "\n";
         }
         gauges = m_impl->gauges;
     }
-    for ( const auto& [name, read] : gauges ) {
+    for( const auto& [name, read] : gauges ) {
         out << "coursehead_" << name << " " << read() << "\n";
     }
     return out.str();
--- a/src/operator/api.cpp
+++ b/src/operator/api.cpp
@@ -23,7 +23,7 @@
 }
 
 int httpStatus( CommandStatus status ) {
-    switch ( status ) {
+    switch( status ) {
     case CommandStatus::ok:
     case CommandStatus::waitTimedOut:
         return 200;
@@ -42,7 +42,7 @@
 } // namespace
 
 std::string_view statusWord( CommandStatus status ) {
-    switch ( status ) {
+    switch( status ) {
     case CommandStatus::ok:
         return "ok";
     case CommandStatus::syntax:
@@ -63,7 +63,7 @@
 
 std::string toJson( const CommandResult& result ) {
     Json tables = Json::array();
-    for ( const auto& it : result.tables ) {
+    for( const auto& it : result.tables ) {
         tables.push_back(
             { { "title", it.title }, { "columns", it.columns }, { "rows", it.rows } } );
     }
@@ -71,7 +71,7 @@
               { "revision", result.revision },
               { "message", result.message },
               { "tables", tables } };
-    if ( result.status == CommandStatus::syntax ) {
+    if( result.status == CommandStatus::syntax ) {
         out["syntax"] = { { "line", result.syntax.line },
                           { "column", result.syntax.column },
                           { "expected", result.syntax.expected },
@@ -88,13 +88,13 @@
 http::Response OperatorApi::handle( const http::Request& request ) {
     constexpr int badRequest = 400;
     constexpr int unauthorized = 401;
-    if ( !m_settings.token.empty() &&
-         request.header( "Authorization" ) != "Bearer " + m_settings.token ) {
+    if( !m_settings.token.empty() &&
+        request.header( "Authorization" ) != "Bearer " + m_settings.token ) {
         return answer( unauthorized,
                        R"({"status":"rejected","message":"operator token missing"})" );
     }
     const auto body = Json::parse( request.body, nullptr, false );
-    if ( !body.is_object() || !body.contains( "text" ) || !body["text"].is_string() ) {
+    if( !body.is_object() || !body.contains( "text" ) || !body["text"].is_string() ) {
         return answer( badRequest,
                        R"({"status":"rejected","message":"field 'text': expected a string"})" );
     }
@@ -105,7 +105,7 @@
         options.author = body.value( "author", "" );
         waitMs =
             std::clamp<std::int64_t>( body.value( "wait_ms", std::int64_t{ 0 } ), 0, maxWaitMs );
-    } catch ( const Json::exception& ex ) {
+    } catch( const Json::exception& ex ) {
         return answer( badRequest,
                        Json{ { "status", "rejected" }, { "message", ex.what() } }.dump() );
     }
@@ -114,8 +114,8 @@
                                      { "author", options.author },
                                      { "revision", static_cast<std::int64_t>( result.revision ) },
                                      { "message", result.message } } );
-    if ( result.status == CommandStatus::ok && waitMs > 0 && !options.dryRun &&
-         !m_waiter( result.revision, m_clock.now() + Millis( waitMs ) ) ) {
+    if( result.status == CommandStatus::ok && waitMs > 0 && !options.dryRun &&
+        !m_waiter( result.revision, m_clock.now() + Millis( waitMs ) ) ) {
         result.status = CommandStatus::waitTimedOut;
         result.message += "; not yet in force everywhere";
     }
--- a/src/operator/evaluate.cpp
+++ b/src/operator/evaluate.cpp
@@ -21,9 +21,9 @@
 Copies countCopies( const std::vector<entry::AgentView>& agents, std::string_view kind,
                     std::string_view name ) {
     Copies out;
-    for ( const auto& agent : agents ) {
-        for ( const auto& it : agent.status.items ) {
-            if ( agent.up && agent.reported && it.kind == kind && it.name == name ) {
+    for( const auto& agent : agents ) {
+        for( const auto& it : agent.status.items ) {
+            if( agent.up && agent.reported && it.kind == kind && it.name == name ) {
                 ++( it.ready ? out.ready : out.coming );
             }
         }
@@ -32,7 +32,7 @@
 }
 
 std::string stateWord( const Copies& copies ) {
-    if ( copies.ready > 0 ) {
+    if( copies.ready > 0 ) {
         return "loaded";
     }
     return copies.coming > 0 ? "loading" : "absent";
@@ -42,23 +42,23 @@
     Table out;
     out.title = config::kindName( kind );
     const bool loadable = kind == Kind::model || kind == Kind::adapter;
-    for ( const auto& objectName : config::namesOf( state, kind ) ) {
+    for( const auto& objectName : config::namesOf( state, kind ) ) {
         const auto fields = config::fieldsOf( state, kind, objectName );
-        if ( out.columns.empty() ) {
+        if( out.columns.empty() ) {
             out.columns.emplace_back( "name" );
-            for ( const auto& it : fields ) {
+            for( const auto& it : fields ) {
                 out.columns.push_back( it.field );
             }
-            if ( loadable ) {
+            if( loadable ) {
                 out.columns.emplace_back( "state" );
                 out.columns.emplace_back( "copies" );
             }
         }
         std::vector<std::string> row{ objectName };
-        for ( const auto& it : fields ) {
+        for( const auto& it : fields ) {
             row.push_back( it.value );
         }
-        if ( loadable ) {
+        if( loadable ) {
             const auto copies = countCopies( agents, config::kindName( kind ), objectName );
             row.push_back( stateWord( copies ) );
             row.push_back( std::to_string( copies.ready ) );
@@ -77,7 +77,7 @@
     out.title = "vm";
     out.columns = { "name",  "hall",   "region",  "kind",   "upstream", "up",
                     "state", "orders", "running", "queued", "items",    "revision" };
-    for ( const auto& it : agents ) {
+    for( const auto& it : agents ) {
         const bool leaving = it.status.draining || it.vm.state == platform::VmState::leaving;
         out.rows.push_back(
             { it.vm.name, it.vm.hall, it.vm.region,
@@ -96,10 +96,10 @@
 
 //! Keeps the rows that meet every condition; false, naming the field, when there is no such column.
 bool filter( Table& table, const std::vector<Condition>& where, std::string& problem ) {
-    for ( const auto& condition : where ) {
+    for( const auto& condition : where ) {
         const auto column =
             std::find( table.columns.begin(), table.columns.end(), condition.field );
-        if ( column == table.columns.end() && !table.columns.empty() ) {
+        if( column == table.columns.end() && !table.columns.empty() ) {
             problem = "field '" + condition.field + "': '" + table.title + "' has no such field";
             return false;
         }
@@ -114,28 +114,28 @@
 std::string whyHere( const entry::AgentView& agent, const State& state,
                      const config::Model& model ) {
     const auto& status = agent.status;
-    for ( const auto& it : status.items ) {
-        if ( it.kind == "model" && it.name == model.name ) {
+    for( const auto& it : status.items ) {
+        if( it.kind == "model" && it.name == model.name ) {
             const std::string version = "version " + it.version;
             return ( it.ready ? "loaded, " : "loading, " ) + version;
         }
     }
-    if ( !agent.up || !agent.reported ) {
+    if( !agent.up || !agent.reported ) {
         return "not here: the agent can't be reached";
     }
-    if ( status.draining ) {
+    if( status.draining ) {
         return "not here: the VM is leaving";
     }
     const auto* upstream = config::findByName( state.upstreams, status.upstream );
-    if ( upstream == nullptr ) {
+    if( upstream == nullptr ) {
         return "not here: upstream '" + status.upstream + "' is not configured";
     }
-    if ( upstream->accelerators < model.accelerators ||
-         upstream->memory < config::bytesPerAccelerator( model ) ) {
+    if( upstream->accelerators < model.accelerators ||
+        upstream->memory < config::bytesPerAccelerator( model ) ) {
         return "can't be here: it needs " + std::to_string( model.accelerators ) + " x " +
                config::formatBytes( config::bytesPerAccelerator( model ) );
     }
-    if ( !status.mayOrder ) {
+    if( !status.mayOrder ) {
         return "not here: the agent gives no orders (no epoch from the store yet)";
     }
     return status.freeBytes >= config::bytesPerAccelerator( model )
@@ -152,14 +152,14 @@
     }
 
     CommandResult run( const std::vector<Located>& statements ) {
-        for ( const auto& it : statements ) {
+        for( const auto& it : statements ) {
             m_at = &it;
             std::visit( [this]( const auto& statement ) { take( statement ); }, it.statement );
-            if ( m_result.status != CommandStatus::ok ) {
+            if( m_result.status != CommandStatus::ok ) {
                 return std::move( m_result );
             }
         }
-        if ( m_open ) {
+        if( m_open ) {
             fail( CommandStatus::rejected, "'begin' without 'commit': nothing was changed" );
         }
         return std::move( m_result );
@@ -175,18 +175,18 @@
         const auto state = m_world.state();
         Table table;
         Kind kind = Kind::model;
-        if ( statement.kind == "vms" || statement.kind == "vm" ) {
+        if( statement.kind == "vms" || statement.kind == "vm" ) {
             table = showVms( m_world.agents() );
-        } else if ( statement.kind == "revision" ) {
+        } else if( statement.kind == "revision" ) {
             table = showRevision( *state );
-        } else if ( config::kindFromName( statement.kind, kind ) ) {
+        } else if( config::kindFromName( statement.kind, kind ) ) {
             table = showObjects( *state, kind, m_world.agents() );
         } else {
             fail( CommandStatus::rejected, "kind '" + statement.kind + "': there is no such kind" );
             return;
         }
         std::string problem;
-        if ( !filter( table, statement.where, problem ) ) {
+        if( !filter( table, statement.where, problem ) ) {
             fail( CommandStatus::rejected, problem );
             return;
         }
@@ -196,7 +196,7 @@
     void take( const Why& statement ) {
         const auto state = m_world.state();
         const auto* model = config::findByName( state->models, statement.name );
-        if ( statement.kind != "model" || model == nullptr ) {
+        if( statement.kind != "model" || model == nullptr ) {
             fail( CommandStatus::rejected,
                   statement.kind + " '" + statement.name + "': there is no such model" );
             return;
@@ -204,12 +204,12 @@
         Table table;
         table.title = "why";
         table.columns = { "vm", "hall", "reason" };
-        for ( const auto& it : m_world.agents() ) {
-            if ( it.vm.role == platform::VmRole::runner ) {
+        for( const auto& it : m_world.agents() ) {
+            if( it.vm.role == platform::VmRole::runner ) {
                 table.rows.push_back( { it.vm.name, it.vm.hall, whyHere( it, *state, *model ) } );
             }
         }
-        for ( auto& it : m_world.planReasons( statement.name ) ) {
+        for( auto& it : m_world.planReasons( statement.name ) ) {
             table.rows.push_back( { "plan", "", std::move( it ) } );
         }
         m_result.tables.push_back( std::move( table ) );
@@ -222,31 +222,31 @@
         change.action = statement.verb == "create" ? config::Action::create
                         : statement.verb == "set"  ? config::Action::set
                                                    : config::Action::remove;
-        if ( !config::kindFromName( statement.kind, change.kind ) || change.kind == Kind::slot ) {
+        if( !config::kindFromName( statement.kind, change.kind ) || change.kind == Kind::slot ) {
             fail( CommandStatus::rejected, "kind '" + statement.kind + "': there is no such kind" );
             return;
         }
-        if ( change.kind == Kind::weights ) {
+        if( change.kind == Kind::weights ) {
             change.name.clear();
-        } else if ( change.name.empty() ) {
+        } else if( change.name.empty() ) {
             fail( CommandStatus::rejected, "expected a name behind '" + statement.kind + "'" );
             return;
         }
         m_pending.push_back( std::move( change ) );
-        if ( !m_open ) {
+        if( !m_open ) {
             commitPending();
         }
     }
 
     void take( const Begin& ) {
-        if ( m_open ) {
+        if( m_open ) {
             fail( CommandStatus::rejected, "'begin' inside 'begin'" );
         }
         m_open = true;
     }
 
     void take( const Commit& ) {
-        if ( !m_open ) {
+        if( !m_open ) {
             fail( CommandStatus::rejected, "'commit' without 'begin'" );
             return;
         }
@@ -259,7 +259,7 @@
         m_pending.clear();
         const auto done = m_options.dryRun ? config::dryRun( *m_world.state(), set )
                                            : m_world.commit( set, m_base );
-        switch ( done.status ) {
+        switch( done.status ) {
         case CommitStatus::committed:
             m_result.revision = done.revision;
             m_base = std::max( m_base, done.revision );
@@ -293,7 +293,7 @@
 
 CommandResult runText( std::string_view text, const World& world, const CommandOptions& options ) {
     const auto parsed = parse( text );
-    if ( !parsed.ok ) {
+    if( !parsed.ok ) {
         CommandResult out;
         out.status = CommandStatus::syntax;
         out.revision = world.state()->revision;
--- a/src/operator/language.cpp
+++ b/src/operator/language.cpp
@@ -82,8 +82,8 @@
 
 Position positionOf( std::string_view text, Iterator at ) {
     Position out;
-    for ( auto it = text.begin(); it != at; ++it ) {
-        if ( *it == '\n' ) {
+    for( auto it = text.begin(); it != at; ++it ) {
+        if( *it == '\n' ) {
             ++out.line;
             out.column = 1;
         } else {
@@ -117,27 +117,27 @@
     ParsedText out;
     auto it = text.begin();
     const auto end = text.end();
-    if ( text.size() > maxText ) {
+    if( text.size() > maxText ) {
         out.error = errorAt( text, it, "at most 1 MiB of text" );
         return out;
     }
     try {
-        for ( skipSeparators( it, end ); it != end; skipSeparators( it, end ) ) {
+        for( skipSeparators( it, end ); it != end; skipSeparators( it, end ) ) {
             const auto start = it;
             const auto where = positionOf( text, start );
             Located located{ {}, where.line, where.column };
-            if ( !x3::phrase_parse( it, end, statement, spaces, located.statement ) ) {
+            if( !x3::phrase_parse( it, end, statement, spaces, located.statement ) ) {
                 out.error =
                     errorAt( text, start, "show, why, create, set, delete, begin or commit" );
                 return out;
             }
-            if ( !atSeparator( it, end ) ) {
+            if( !atSeparator( it, end ) ) {
                 out.error = errorAt( text, it, "the end of the statement" );
                 return out;
             }
             out.statements.push_back( std::move( located ) );
         }
-    } catch ( const x3::expectation_failure<Iterator>& ex ) {
+    } catch( const x3::expectation_failure<Iterator>& ex ) {
         auto at = ex.where();
         x3::parse( at, end, *x3::blank );
         out.error = errorAt( text, at, ex.which() );
