--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -9,7 +9,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <vector>
 
 namespace coursehead::peer::Detail {
@@ -44,12 +43,12 @@
     auto& state = *static_cast<StreamState*>( source->ptr );
     const std::lock_guard lock( state.mutex );
     const auto n = std::min( length, state.outbox.size() );
-    if ( n == 0 && !state.finishWanted ) {
+    if( n == 0 && !state.finishWanted ) {
         return NGHTTP2_ERR_DEFERRED;
     }
-    std::memcpy( buf, state.outbox.data(), n );
+    std::copy_n( state.outbox.data(), n, reinterpret_cast<char*>( buf ) );
     state.outbox.erase( 0, n );
-    if ( state.finishWanted && state.outbox.empty() ) {
+    if( state.finishWanted && state.outbox.empty() ) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
     }
     state.changed.notify_all();
@@ -115,11 +114,11 @@
 }
 
 bool sameToken( std::string_view a, std::string_view b ) {
-    if ( a.size() != b.size() ) {
+    if( a.size() != b.size() ) {
         return false;
     }
     unsigned difference = 0;
-    for ( std::size_t n = 0; n < a.size(); ++n ) {
+    for( std::size_t n = 0; n < a.size(); ++n ) {
         difference |= static_cast<unsigned char>( a[n] ) ^ static_cast<unsigned char>( b[n] );
     }
     return difference == 0;
@@ -131,14 +130,14 @@
     std::function<void()> listener;
     {
         const std::lock_guard lock( state.mutex );
-        if ( state.end != StreamEnd::open ) {
+        if( state.end != StreamEnd::open ) {
             return;
         }
         state.end = end;
         state.changed.notify_all();
         listener = state.listener;
     }
-    if ( listener ) {
+    if( listener ) {
         listener();
     }
 }
@@ -146,13 +145,13 @@
 Connection::Connection( std::uint64_t id, int fd, Side side, ConnectionHost& host, MonoTime now )
     : m_id( id ), m_fd( fd ), m_side( side ), m_host( host ), m_connecting( side == Side::client ),
       m_lastBytes( now ), m_lastPing( now ), m_resetWindow( now ) {
-    if ( side == Side::server ) {
+    if( side == Side::server ) {
         startSession();
     }
 }
 
 Connection::~Connection() {
-    for ( auto& it : m_streams ) {
+    for( auto& it : m_streams ) {
         endStream( *it.second, StreamEnd::broken );
     }
     nghttp2_session_del( m_session );
@@ -167,7 +166,7 @@
         { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindow },
         { NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, maxHeaderBytes },
     } };
-    if ( m_side == Side::client ) {
+    if( m_side == Side::client ) {
         nghttp2_session_client_new2( &m_session, callbacks(), this, options() );
     } else {
         nghttp2_session_server_new2( &m_session, callbacks(), this, options() );
@@ -178,7 +177,7 @@
 }
 
 void Connection::fail( std::string_view why ) {
-    if ( !m_dead ) {
+    if( !m_dead ) {
         m_dead = true;
         log::debug( "peer_connection_lost",
                     { { "connection", static_cast<std::int64_t>( m_id ) }, { "reason", why } } );
@@ -188,10 +187,10 @@
 void Connection::onReadable( MonoTime now ) {
     std::array<std::uint8_t, readBytes> buf; // NOLINT(*-member-init): filled by recv
     const auto n = ::recv( m_fd, buf.data(), buf.size(), 0 );
-    if ( n < 0 && ( errno == EAGAIN || errno == EINTR ) ) {
+    if( n < 0 && ( errno == EAGAIN || errno == EINTR ) ) {
         return;
     }
-    if ( n <= 0 || m_session == nullptr ) {
+    if( n <= 0 || m_session == nullptr ) {
         fail( n == 0 ? "closed by peer" : "receive failed" );
         return;
     }
@@ -199,7 +198,7 @@
     m_host.stats->bytesIn += static_cast<std::uint64_t>( n );
     const auto taken =
         nghttp2_session_mem_recv( m_session, buf.data(), static_cast<std::size_t>( n ) );
-    if ( taken < 0 ) {
+    if( taken < 0 ) {
         ++m_host.stats->protocolErrors;
         fail( nghttp2_strerror( static_cast<int>( taken ) ) );
         return;
@@ -208,11 +207,11 @@
 }
 
 void Connection::onWritable( MonoTime now ) {
-    if ( m_connecting ) {
+    if( m_connecting ) {
         int error = 0;
         socklen_t n = sizeof( error );
         ::getsockopt( m_fd, SOL_SOCKET, SO_ERROR, &error, &n );
-        if ( error != 0 ) {
+        if( error != 0 ) {
             fail( "connect failed" );
             return;
         }
@@ -225,43 +224,43 @@
 }
 
 void Connection::flush() {
-    if ( m_session == nullptr || m_dead ) {
+    if( m_session == nullptr || m_dead ) {
         return;
     }
-    for ( ;; ) {
+    for( ;; ) {
         const std::uint8_t* data = nullptr;
-        while ( m_out.size() - m_outAt < readBytes ) {
+        while( m_out.size() - m_outAt < readBytes ) {
             const auto n = nghttp2_session_mem_send( m_session, &data );
-            if ( n < 0 ) {
+            if( n < 0 ) {
                 fail( nghttp2_strerror( static_cast<int>( n ) ) );
                 return;
             }
-            if ( n == 0 ) {
+            if( n == 0 ) {
                 break;
             }
             m_out.append( view( data, static_cast<std::size_t>( n ) ) );
         }
-        if ( m_outAt == m_out.size() ) {
+        if( m_outAt == m_out.size() ) {
             break;
         }
         const auto sent =
             ::send( m_fd, m_out.data() + m_outAt, m_out.size() - m_outAt, MSG_NOSIGNAL );
-        if ( sent < 0 && ( errno == EAGAIN || errno == EINTR ) ) {
+        if( sent < 0 && ( errno == EAGAIN || errno == EINTR ) ) {
             return;
         }
-        if ( sent <= 0 ) {
+        if( sent <= 0 ) {
             fail( "send failed" );
             return;
         }
         m_host.stats->bytesOut += static_cast<std::uint64_t>( sent );
         m_outAt += static_cast<std::size_t>( sent );
-        if ( m_outAt == m_out.size() ) {
+        if( m_outAt == m_out.size() ) {
             m_out.clear();
             m_outAt = 0;
         }
     }
-    if ( nghttp2_session_want_read( m_session ) == 0 &&
-         nghttp2_session_want_write( m_session ) == 0 ) {
+    if( nghttp2_session_want_read( m_session ) == 0 &&
+        nghttp2_session_want_write( m_session ) == 0 ) {
         fail( "session ended" );
     }
 }
@@ -275,12 +274,12 @@
     const auto interval = m_streams.size() > 1 ? settings->silence / 3 : settings->idlePing;
     const bool pinged = m_lastPing > m_lastBytes;
     const bool overdue = m_side == Side::server || m_connecting || pinged;
-    if ( quiet > patience && overdue &&
-         ( m_side == Side::server || m_connecting || now - m_lastPing > settings->silence / 2 ) ) {
+    if( quiet > patience && overdue &&
+        ( m_side == Side::server || m_connecting || now - m_lastPing > settings->silence / 2 ) ) {
         fail( "silent for too long" );
         return;
     }
-    if ( m_side == Side::client && m_session != nullptr && now - m_lastPing >= interval ) {
+    if( m_side == Side::client && m_session != nullptr && now - m_lastPing >= interval ) {
         m_lastPing = now;
         nghttp2_submit_ping( m_session, NGHTTP2_FLAG_NONE, nullptr );
         flush();
@@ -299,7 +298,7 @@
     const auto body = provider( *state );
     const auto id = nghttp2_submit_request( m_session, nullptr, headers.data(), headers.size(),
                                             &body, nullptr );
-    if ( id < 0 ) {
+    if( id < 0 ) {
         endStream( *state, StreamEnd::refused );
         return;
     }
@@ -309,7 +308,7 @@
 }
 
 void Connection::serve( const StatePtr& state ) {
-    if ( find( state->id ) != state ) {
+    if( find( state->id ) != state ) {
         return;
     }
     std::size_t credit = 0;
@@ -322,10 +321,10 @@
         state->uncredited = 0;
         cancelled = state->cancelWanted;
     }
-    if ( credit > 0 ) {
+    if( credit > 0 ) {
         nghttp2_session_consume_stream( m_session, state->id, credit );
     }
-    if ( cancelled ) {
+    if( cancelled ) {
         nghttp2_submit_rst_stream( m_session, NGHTTP2_FLAG_NONE, state->id, NGHTTP2_CANCEL );
         return;
     }
@@ -343,7 +342,7 @@
 }
 
 void Connection::onBeginHeaders( std::int32_t id ) {
-    if ( m_side == Side::client || find( id ) != nullptr ) {
+    if( m_side == Side::client || find( id ) != nullptr ) {
         return;
     }
     auto state = std::make_shared<StreamState>();
@@ -355,53 +354,53 @@
 
 void Connection::onHeader( std::int32_t id, std::string_view name, std::string_view value ) {
     const auto state = find( id );
-    if ( state == nullptr || m_side == Side::client ) {
+    if( state == nullptr || m_side == Side::client ) {
         return;
     }
     constexpr std::string_view bearer = "Bearer ";
-    if ( name == ":path" ) {
+    if( name == ":path" ) {
         state->path = value;
-    } else if ( name == "authorization" && value.rfind( bearer, 0 ) == 0 ) {
+    } else if( name == "authorization" && value.rfind( bearer, 0 ) == 0 ) {
         state->token = value.substr( bearer.size() );
     }
 }
 
 void Connection::onFrame( const nghttp2_frame& frame ) {
-    if ( frame.hd.type == NGHTTP2_RST_STREAM ) {
+    if( frame.hd.type == NGHTTP2_RST_STREAM ) {
         const auto now = m_lastBytes;
-        if ( now - m_resetWindow > std::chrono::seconds( 1 ) ) {
+        if( now - m_resetWindow > std::chrono::seconds( 1 ) ) {
             m_resetWindow = now;
             m_resets = 0;
         }
-        if ( ++m_resets > maxResetsPerSecond ) {
+        if( ++m_resets > maxResetsPerSecond ) {
             ++m_host.stats->protocolErrors;
             fail( "too many resets" );
         }
         return;
     }
     const auto state = find( frame.hd.stream_id );
-    if ( state == nullptr ) {
+    if( state == nullptr ) {
         return;
     }
-    if ( frame.hd.type == NGHTTP2_HEADERS && m_side == Side::server &&
-         frame.headers.cat == NGHTTP2_HCAT_REQUEST ) {
+    if( frame.hd.type == NGHTTP2_HEADERS && m_side == Side::server &&
+        frame.headers.cat == NGHTTP2_HCAT_REQUEST ) {
         onRequestComplete( state );
     }
     const bool carriesEnd = frame.hd.type == NGHTTP2_HEADERS || frame.hd.type == NGHTTP2_DATA;
-    if ( carriesEnd && ( frame.hd.flags & NGHTTP2_FLAG_END_STREAM ) != 0 ) {
+    if( carriesEnd && ( frame.hd.flags & NGHTTP2_FLAG_END_STREAM ) != 0 ) {
         onRemoteDone( state );
     }
 }
 
 void Connection::onRequestComplete( const StatePtr& state ) {
-    if ( !sameToken( state->token, m_host.settings->token ) ) {
+    if( !sameToken( state->token, m_host.settings->token ) ) {
         ++m_host.stats->unauthorized;
         log::warn( "peer_unauthorized", { { "connection", static_cast<std::int64_t>( m_id ) } } );
         refuse( state->id );
         nghttp2_session_terminate_session( m_session, NGHTTP2_NO_ERROR );
         return;
     }
-    if ( !m_host.accept( state ) ) {
+    if( !m_host.accept( state ) ) {
         refuse( state->id );
         return;
     }
@@ -418,7 +417,7 @@
         state->changed.notify_all();
         listener = state->listener;
     }
-    if ( listener ) {
+    if( listener ) {
         listener();
     }
 }
@@ -426,18 +425,18 @@
 void Connection::onData( std::int32_t id, std::string_view bytes ) {
     nghttp2_session_consume_connection( m_session, bytes.size() );
     const auto state = find( id );
-    if ( state == nullptr ) {
+    if( state == nullptr ) {
         return;
     }
     std::vector<std::string> frames;
-    if ( !state->reader.feed( bytes, frames ) ) {
+    if( !state->reader.feed( bytes, frames ) ) {
         ++m_host.stats->protocolErrors;
         nghttp2_submit_rst_stream( m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_PROTOCOL_ERROR );
         return;
     }
-    if ( frames.empty() ) {
+    if( frames.empty() ) {
         // A frame larger than the window could never complete if its start were not given back.
-        if ( state->reader.partialBytes() > partialLimit ) {
+        if( state->reader.partialBytes() > partialLimit ) {
             nghttp2_session_consume_stream( m_session, id, bytes.size() );
             const std::lock_guard lock( state->mutex );
             state->prepaid += bytes.size();
@@ -447,20 +446,20 @@
     std::function<void()> listener;
     {
         const std::lock_guard lock( state->mutex );
-        for ( auto& it : frames ) {
+        for( auto& it : frames ) {
             state->inbox.push_back( std::move( it ) );
         }
         state->changed.notify_all();
         listener = state->listener;
     }
-    if ( listener ) {
+    if( listener ) {
         listener();
     }
 }
 
 void Connection::onClose( std::int32_t id, std::uint32_t code ) {
     const auto state = find( id );
-    if ( state == nullptr ) {
+    if( state == nullptr ) {
         return;
     }
     m_streams.erase( id );
@@ -469,9 +468,9 @@
         const std::lock_guard lock( state->mutex );
         remoteDone = state->remoteDone;
     }
-    if ( code == NGHTTP2_REFUSED_STREAM ) {
+    if( code == NGHTTP2_REFUSED_STREAM ) {
         endStream( *state, StreamEnd::refused );
-    } else if ( remoteDone ) {
+    } else if( remoteDone ) {
         endStream( *state, StreamEnd::finished );
     } else {
         endStream( *state, StreamEnd::broken );
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -7,7 +7,7 @@
 
 std::size_t readLength( std::string_view bytes ) {
     std::size_t n = 0;
-    for ( std::size_t it = 0; it < frameHeaderBytes; ++it ) {
+    for( std::size_t it = 0; it < frameHeaderBytes; ++it ) {
         n = ( n << 8U ) | static_cast<unsigned char>( bytes[it] );
     }
     return n;
@@ -17,25 +17,25 @@
 
 void appendFrame( std::string& out, std::string_view message ) {
     const auto n = static_cast<std::uint32_t>( message.size() );
-    for ( int shift = 24; shift >= 0; shift -= 8 ) {
+    for( int shift = 24; shift >= 0; shift -= 8 ) {
         out.push_back( static_cast<char>( ( n >> static_cast<unsigned>( shift ) ) & 0xFFU ) );
     }
     out.append( message );
 }
 
 bool FrameReader::feed( std::string_view bytes, std::vector<std::string>& frames ) {
-    if ( m_bad ) {
+    if( m_bad ) {
         return false;
     }
     m_partial.append( bytes );
     std::size_t at = 0;
-    while ( m_partial.size() - at >= frameHeaderBytes ) {
+    while( m_partial.size() - at >= frameHeaderBytes ) {
         const auto n = readLength( std::string_view( m_partial ).substr( at ) );
-        if ( n > maxFrameBytes ) {
+        if( n > maxFrameBytes ) {
             m_bad = true;
             return false;
         }
-        if ( m_partial.size() - at - frameHeaderBytes < n ) {
+        if( m_partial.size() - at - frameHeaderBytes < n ) {
             break;
         }
         frames.emplace_back( m_partial, at + frameHeaderBytes, n );
--- a/src/peer/loop_core.cpp
+++ b/src/peer/loop_core.cpp
@@ -52,7 +52,7 @@
 
 LoopCore::~LoopCore() {
     stop();
-    if ( m_listenFd >= 0 ) {
+    if( m_listenFd >= 0 ) {
         ::close( m_listenFd );
     }
     ::close( m_wakeFd );
@@ -60,15 +60,15 @@
 
 int LoopCore::bind( const std::string& host, int port ) {
     sockaddr_in address{};
-    if ( !makeAddress( host, port, address ) ) {
+    if( !makeAddress( host, port, address ) ) {
         return -1;
     }
     m_listenFd = ::socket( AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0 );
     const int on = 1;
     ::setsockopt( m_listenFd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof( on ) );
     auto* generic = reinterpret_cast<sockaddr*>( &address );
-    if ( ::bind( m_listenFd, generic, sizeof( address ) ) != 0 ||
-         ::listen( m_listenFd, backlog ) != 0 ) {
+    if( ::bind( m_listenFd, generic, sizeof( address ) ) != 0 ||
+        ::listen( m_listenFd, backlog ) != 0 ) {
         return -1;
     }
     socklen_t n = sizeof( address );
@@ -82,11 +82,11 @@
 }
 
 void LoopCore::stop() {
-    if ( m_stopping.exchange( true ) ) {
+    if( m_stopping.exchange( true ) ) {
         return;
     }
     wake();
-    if ( m_thread.joinable() ) {
+    if( m_thread.joinable() ) {
         m_thread.join();
     }
     m_pool.shutdown();
@@ -103,7 +103,7 @@
 void LoopCore::disconnect( LinkId link ) {
     post( [this, link] {
         const auto it = m_links.find( link );
-        if ( it == m_links.end() ) {
+        if( it == m_links.end() ) {
             return;
         }
         m_connections.erase( it->second.connection );
@@ -118,7 +118,7 @@
 }
 
 std::shared_ptr<Stream> LoopCore::open( LinkId link, std::string_view path ) {
-    if ( !isUp( link ) ) {
+    if( !isUp( link ) ) {
         return nullptr;
     }
     auto state = std::make_shared<StreamState>();
@@ -127,7 +127,7 @@
         const auto it = m_links.find( link );
         const auto found =
             it == m_links.end() ? m_connections.end() : m_connections.find( it->second.connection );
-        if ( found == m_connections.end() || found->second->connecting() ) {
+        if( found == m_connections.end() || found->second->connecting() ) {
             endStream( *state, StreamEnd::refused );
             return;
         }
@@ -165,7 +165,7 @@
 }
 
 void LoopCore::run() {
-    while ( !m_stopping ) {
+    while( !m_stopping ) {
         runPosted();
         serveDirty();
         sweep();
@@ -188,7 +188,7 @@
         serveDirty();
         pollOnce( Millis{ 1 } );
         sweep();
-    } while ( pending() && now() < limit );
+    } while( pending() && now() < limit );
 }
 
 void LoopCore::runPosted() {
@@ -197,7 +197,7 @@
         const std::lock_guard lock( m_mutex );
         tasks.swap( m_posted );
     }
-    for ( auto& it : tasks ) {
+    for( auto& it : tasks ) {
         it();
     }
 }
@@ -209,18 +209,18 @@
         dirty.swap( m_dirty );
     }
     std::set<Connection*> touched;
-    for ( const auto& it : dirty ) {
+    for( const auto& it : dirty ) {
         {
             const std::lock_guard lock( it->mutex );
             it->queued = false;
         }
         const auto found = m_connections.find( it->connection );
-        if ( found != m_connections.end() ) {
+        if( found != m_connections.end() ) {
             found->second->serve( it );
             touched.insert( found->second.get() );
         }
     }
-    for ( auto* it : touched ) {
+    for( auto* it : touched ) {
         it->flush();
     }
 }
@@ -228,49 +228,49 @@
 void LoopCore::pollOnce( Millis timeout ) {
     std::vector<pollfd> fds{ { m_wakeFd, POLLIN, 0 }, { m_listenFd, POLLIN, 0 } };
     std::vector<std::uint64_t> ids;
-    for ( const auto& [id, connection] : m_connections ) {
+    for( const auto& [id, connection] : m_connections ) {
         const short wanted = connection->wantsWrite() ? POLLIN | POLLOUT : POLLIN;
         fds.push_back( { connection->fd(), wanted, 0 } );
         ids.push_back( id );
     }
-    if ( ::poll( fds.data(), fds.size(), static_cast<int>( timeout.count() ) ) <= 0 ) {
+    if( ::poll( fds.data(), fds.size(), static_cast<int>( timeout.count() ) ) <= 0 ) {
         return;
     }
     handleEvents( fds, ids );
 }
 
 void LoopCore::handleEvents( const std::vector<pollfd>& fds, std::span<const std::uint64_t> ids ) {
-    if ( fds[0].revents != 0 ) {
+    if( fds[0].revents != 0 ) {
         std::uint64_t count = 0;
         [[maybe_unused]] const auto n = ::read( m_wakeFd, &count, sizeof( count ) );
     }
-    if ( ( fds[1].revents & POLLIN ) != 0 ) {
+    if( ( fds[1].revents & POLLIN ) != 0 ) {
         acceptAll();
     }
     constexpr std::size_t fixed = 2;
-    for ( std::size_t n = 0; n < ids.size(); ++n ) {
+    for( std::size_t n = 0; n < ids.size(); ++n ) {
         const auto events = fds[n + fixed].revents;
         const auto found = m_connections.find( ids[n] );
-        if ( events == 0 || found == m_connections.end() ) {
+        if( events == 0 || found == m_connections.end() ) {
             continue;
         }
         auto& connection = *found->second;
-        if ( ( events & POLLOUT ) != 0 || ( connection.connecting() && events != 0 ) ) {
+        if( ( events & POLLOUT ) != 0 || ( connection.connecting() && events != 0 ) ) {
             connection.onWritable( now() );
         }
-        if ( ( events & ( POLLIN | POLLHUP | POLLERR ) ) != 0 && !connection.dead() ) {
+        if( ( events & ( POLLIN | POLLHUP | POLLERR ) ) != 0 && !connection.dead() ) {
             connection.onReadable( now() );
         }
     }
 }
 
 void LoopCore::acceptAll() {
-    for ( ;; ) {
+    for( ;; ) {
         const int fd = ::accept4( m_listenFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC );
-        if ( fd < 0 ) {
+        if( fd < 0 ) {
             return;
         }
-        if ( m_acceptedIds.size() >= m_settings.maxConnections ) {
+        if( m_acceptedIds.size() >= m_settings.maxConnections ) {
             ::close( fd );
             continue;
         }
@@ -285,11 +285,11 @@
 void LoopCore::tick() {
     const auto at = now();
     reconnect( at );
-    if ( at - m_lastTick < tickInterval ) {
+    if( at - m_lastTick < tickInterval ) {
         return;
     }
     m_lastTick = at;
-    for ( auto& it : m_connections ) {
+    for( auto& it : m_connections ) {
         it.second->tick( at );
     }
     const std::lock_guard lock( m_mutex );
@@ -298,13 +298,13 @@
 }
 
 void LoopCore::reconnect( MonoTime at ) {
-    for ( auto& [id, link] : m_links ) {
-        if ( link.connection == 0 && at >= link.nextTry ) {
+    for( auto& [id, link] : m_links ) {
+        if( link.connection == 0 && at >= link.nextTry ) {
             dial( id, link, at );
-        } else if ( link.connection != 0 && !isUp( id ) ) {
+        } else if( link.connection != 0 && !isUp( id ) ) {
             const auto found = m_connections.find( link.connection );
-            if ( found != m_connections.end() && !found->second->connecting() &&
-                 !found->second->dead() ) {
+            if( found != m_connections.end() && !found->second->connecting() &&
+                !found->second->dead() ) {
                 link.delay = m_settings.reconnect;
                 setUp( id, true );
             }
@@ -317,13 +317,13 @@
     link.nextTry = at + link.delay / 2 + Millis( jitter );
     link.delay = std::min( link.delay * 2, m_settings.reconnect * maxBackoffFactor );
     sockaddr_in address{};
-    if ( !makeAddress( link.host, link.port, address ) ) {
+    if( !makeAddress( link.host, link.port, address ) ) {
         return;
     }
     const int fd = ::socket( AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0 );
     setNoDelay( fd );
     const auto rc = ::connect( fd, reinterpret_cast<sockaddr*>( &address ), sizeof( address ) );
-    if ( rc != 0 && errno != EINPROGRESS ) {
+    if( rc != 0 && errno != EINPROGRESS ) {
         ::close( fd );
         return;
     }
@@ -333,16 +333,16 @@
 }
 
 void LoopCore::sweep() {
-    for ( auto it = m_connections.begin(); it != m_connections.end(); ) {
-        if ( !it->second->dead() ) {
+    for( auto it = m_connections.begin(); it != m_connections.end(); ) {
+        if( !it->second->dead() ) {
             ++it;
             continue;
         }
         const auto id = it->first;
         it = m_connections.erase( it );
         m_acceptedIds.erase( id );
-        for ( auto& [linkId, link] : m_links ) {
-            if ( link.connection == id ) {
+        for( auto& [linkId, link] : m_links ) {
+            if( link.connection == id ) {
                 link.connection = 0;
                 setUp( linkId, false );
             }
@@ -356,7 +356,7 @@
         const std::lock_guard lock( m_mutex );
         changed = up ? m_up.insert( link ).second : m_up.erase( link ) > 0;
     }
-    if ( changed && m_linkListener ) {
+    if( changed && m_linkListener ) {
         m_linkListener( link, up );
     }
 }
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -69,8 +69,8 @@
 
 template <std::size_t N>
 void readAs( const Json& body, std::size_t type, Decoded& out ) {
-    if constexpr ( N < std::variant_size_v<Message> ) {
-        if ( type == N ) {
+    if constexpr( N < std::variant_size_v<Message> ) {
+        if( type == N ) {
             out.message = body.get<std::variant_alternative_t<N, Message>>();
             out.ok = true;
             return;
@@ -100,17 +100,17 @@
 Decoded decode( std::string_view bytes ) {
     try {
         DepthCheck check;
-        if ( !Json::sax_parse( bytes, &check, Json::input_format_t::cbor ) ) {
+        if( !Json::sax_parse( bytes, &check, Json::input_format_t::cbor ) ) {
             return failure( "not CBOR, or nested too deeply" );
         }
         const Json parsed = Json::from_cbor( bytes );
-        if ( !parsed.is_array() || parsed.size() != 2 || !parsed[0].is_number_unsigned() ) {
+        if( !parsed.is_array() || parsed.size() != 2 || !parsed[0].is_number_unsigned() ) {
             return failure( "not an array of a type and a body" );
         }
         Decoded out;
         readAs<0>( parsed[1], parsed[0].get<std::size_t>(), out );
         return out;
-    } catch ( const Json::exception& ex ) {
+    } catch( const Json::exception& ex ) {
         return failure( ex.what() );
     }
 }
--- a/src/peer/stream.cpp
+++ b/src/peer/stream.cpp
@@ -18,7 +18,7 @@
         m_state->listener = nullptr;
         drains = m_state->accepted && m_state->finishWanted;
     }
-    if ( !drains ) {
+    if( !drains ) {
         cancel();
     }
 }
@@ -39,17 +39,17 @@
             return m_state->outbox.size() < Detail::outboxLimit ||
                    m_state->end != StreamEnd::open || m_state->cancelWanted;
         };
-        if ( !ready() && ( !wait || !m_state->changed.wait_until( lock, deadline, ready ) ) ) {
+        if( !ready() && ( !wait || !m_state->changed.wait_until( lock, deadline, ready ) ) ) {
             return false;
         }
-        if ( m_state->end != StreamEnd::open || m_state->finishWanted || m_state->cancelWanted ) {
+        if( m_state->end != StreamEnd::open || m_state->finishWanted || m_state->cancelWanted ) {
             return false;
         }
         appendFrame( m_state->outbox, message );
         wake = !m_state->queued;
         m_state->queued = true;
     }
-    if ( wake ) {
+    if( wake ) {
         m_loop->enqueue( m_state );
     }
     return true;
@@ -64,8 +64,8 @@
             return !m_state->inbox.empty() || m_state->remoteDone ||
                    m_state->end != StreamEnd::open;
         } );
-        if ( m_state->inbox.empty() ) {
-            switch ( m_state->end ) {
+        if( m_state->inbox.empty() ) {
+            switch( m_state->end ) {
             case StreamEnd::open:
                 out.status = m_state->remoteDone ? ReceiveStatus::finished : ReceiveStatus::timeout;
                 break;
@@ -88,7 +88,7 @@
         wake = m_state->uncredited >= Detail::creditStep && !m_state->queued;
         m_state->queued = m_state->queued || wake;
     }
-    if ( wake ) {
+    if( wake ) {
         m_loop->enqueue( m_state );
     }
     return out;
@@ -97,7 +97,7 @@
 void Stream::finish() {
     {
         const std::lock_guard lock( m_state->mutex );
-        if ( m_state->finishWanted ) {
+        if( m_state->finishWanted ) {
             return;
         }
         m_state->finishWanted = true;
@@ -109,7 +109,7 @@
 void Stream::cancel() {
     {
         const std::lock_guard lock( m_state->mutex );
-        if ( m_state->cancelWanted || m_state->end != StreamEnd::open ) {
+        if( m_state->cancelWanted || m_state->end != StreamEnd::open ) {
             return;
         }
         m_state->cancelWanted = true;
--- a/src/planner/lease.cpp
+++ b/src/planner/lease.cpp
@@ -20,10 +20,10 @@
     view.exists = exists;
     view.record = record;
     view.version = version;
-    if ( changed ) {
+    if( changed ) {
         view.seenAt = now;
     }
-    if ( !exists || record.holder != view.self ) {
+    if( !exists || record.holder != view.self ) {
         view.held = false;
     }
 }
@@ -39,13 +39,13 @@
 }
 
 LeaseAction nextAction( const LeaseView& view, MonoTime now ) {
-    if ( !view.known ) {
+    if( !view.known ) {
         return LeaseAction::wait;
     }
-    if ( !view.exists ) {
+    if( !view.exists ) {
         return LeaseAction::create;
     }
-    if ( view.held && mayAct( view, now ) ) {
+    if( view.held && mayAct( view, now ) ) {
         return now - view.renewedAt >= view.length / renewDivisor ? LeaseAction::renew
                                                                   : LeaseAction::wait;
     }
@@ -56,7 +56,7 @@
     LeaseRecord out = view.record;
     out.holder = view.self;
     ++out.renewals;
-    if ( action != LeaseAction::renew ) {
+    if( action != LeaseAction::renew ) {
         ++out.epoch;
     }
     return out;
--- a/src/platform/http_store.cpp
+++ b/src/platform/http_store.cpp
@@ -25,7 +25,7 @@
 std::string pathOf( std::string_view kind, std::string_view name ) {
     std::string out( basePath );
     out += kind;
-    if ( !name.empty() ) {
+    if( !name.empty() ) {
         out += "/";
         out += name;
     }
@@ -40,7 +40,7 @@
         out.version = std::stoull( metadata.at( "resourceVersion" ).get<std::string>() );
         out.spec = from.contains( "spec" ) ? from.at( "spec" ).dump() : "{}";
         return true;
-    } catch ( const std::exception& ) {
+    } catch( const std::exception& ) {
         return false;
     }
 }
@@ -48,7 +48,7 @@
 std::string writeObject( const Object& from ) {
     Json out;
     out["metadata"]["name"] = from.name;
-    if ( from.version != 0 ) {
+    if( from.version != 0 ) {
         out["metadata"]["resourceVersion"] = std::to_string( from.version );
     }
     out["spec"] = Json::parse( from.spec, nullptr, false );
@@ -60,7 +60,7 @@
     constexpr int conflict = 409;
     constexpr int gone = 410;
     constexpr int firstServerError = 500;
-    switch ( status ) {
+    switch( status ) {
     case notFound:
         return StoreFailure::notFound;
     case conflict:
@@ -78,19 +78,19 @@
                              const http::Request& request ) {
     http::Client client( url, callTimeouts );
     const auto outcome = client.call( request );
-    if ( outcome.failure == http::Failure::notSent ) {
+    if( outcome.failure == http::Failure::notSent ) {
         return fail( stats, StoreFailure::notSent, outcome.detail );
     }
-    if ( outcome.failure == http::Failure::broken ) {
+    if( outcome.failure == http::Failure::broken ) {
         return fail( stats, StoreFailure::unknown, outcome.detail );
     }
     constexpr int firstError = 300;
-    if ( outcome.response.status >= firstError ) {
+    if( outcome.response.status >= firstError ) {
         return fail( stats, failureOf( outcome.response.status ),
                      "status " + std::to_string( outcome.response.status ) );
     }
     auto parsed = Json::parse( outcome.response.body, nullptr, false );
-    if ( parsed.is_discarded() ) {
+    if( parsed.is_discarded() ) {
         return fail( stats, StoreFailure::unknown, "the answer is not JSON" );
     }
     return parsed;
@@ -100,7 +100,7 @@
                                      const http::Request& request, std::string_view kind ) {
     BOOST_LEAF_AUTO( parsed, exchange( url, stats, request ) );
     Object out;
-    if ( !readObject( parsed, kind, out ) ) {
+    if( !readObject( parsed, kind, out ) ) {
         return fail( stats, StoreFailure::unknown, "the answer is not an object" );
     }
     return out;
@@ -116,7 +116,7 @@
 
 leaf::result<Listing> listObjects( const std::string& url, StoreStats& stats, const Topic& topic ) {
     auto request = makeRequest( "GET", pathOf( topic.kind, "" ) );
-    if ( !topic.name.empty() ) {
+    if( !topic.name.empty() ) {
         request.query["fieldSelector"] = "metadata.name=" + topic.name;
     }
     BOOST_LEAF_AUTO( parsed, exchange( url, stats, request ) );
@@ -124,24 +124,24 @@
     try {
         out.version =
             std::stoull( parsed.at( "metadata" ).at( "resourceVersion" ).get<std::string>() );
-        for ( const auto& it : parsed.at( "items" ) ) {
+        for( const auto& it : parsed.at( "items" ) ) {
             Object object;
-            if ( !readObject( it, topic.kind, object ) ) {
+            if( !readObject( it, topic.kind, object ) ) {
                 return fail( stats, StoreFailure::unknown, "an item is not an object" );
             }
             out.objects.push_back( std::move( object ) );
         }
-    } catch ( const std::exception& ex ) {
+    } catch( const std::exception& ex ) {
         return fail( stats, StoreFailure::unknown, ex.what() );
     }
     return out;
 }
 
 EventType eventType( const std::string& word ) {
-    if ( word == "ADDED" ) {
+    if( word == "ADDED" ) {
         return EventType::added;
     }
-    if ( word == "DELETED" ) {
+    if( word == "DELETED" ) {
         return EventType::removed;
     }
     return word == "BOOKMARK" ? EventType::bookmark : EventType::modified;
@@ -155,14 +155,14 @@
 
     bool feed( std::string_view bytes ) {
         m_partial.append( bytes );
-        for ( ;; ) {
+        for( ;; ) {
             const auto end = m_partial.find( '\n' );
-            if ( end == std::string::npos ) {
+            if( end == std::string::npos ) {
                 return true;
             }
             const bool more = line( std::string_view( m_partial ).substr( 0, end ) );
             m_partial.erase( 0, end + 1 );
-            if ( !more ) {
+            if( !more ) {
                 return false;
             }
         }
@@ -172,11 +172,11 @@
 private:
     bool line( std::string_view text ) {
         const auto parsed = Json::parse( text, nullptr, false );
-        if ( !parsed.is_object() || !parsed.contains( "type" ) || !parsed.contains( "object" ) ) {
+        if( !parsed.is_object() || !parsed.contains( "type" ) || !parsed.contains( "object" ) ) {
             return true;
         }
         const auto type = parsed["type"].is_string() ? parsed["type"].get<std::string>() : "";
-        if ( type == "ERROR" ) {
+        if( type == "ERROR" ) {
             m_expired = true;
             return false;
         }
@@ -199,7 +199,7 @@
     request.query["resourceVersion"] = std::to_string( version );
     request.query["timeoutSeconds"] =
         std::to_string( std::chrono::ceil<std::chrono::seconds>( wait ).count() );
-    if ( !topic.name.empty() ) {
+    if( !topic.name.empty() ) {
         request.query["fieldSelector"] = "metadata.name=" + topic.name;
     }
     http::Client client( url, { callTimeouts.connect, wait + watchSlack } );
@@ -213,13 +213,13 @@
         return !ended;
     } );
     control.unbind();
-    if ( status >= 300 ) {
+    if( status >= 300 ) {
         return fail( stats, failureOf( status ), "status " + std::to_string( status ) );
     }
-    if ( lines.expired() ) {
+    if( lines.expired() ) {
         return fail( stats, StoreFailure::expired, "the watch's version is too old" );
     }
-    if ( outcome.failure != http::Failure::none && !ended ) {
+    if( outcome.failure != http::Failure::none && !ended ) {
         return fail( stats, StoreFailure::unknown, outcome.detail );
     }
     return {};
@@ -230,7 +230,7 @@
 void CallControl::cancel() {
     const std::lock_guard lock( m_mutex );
     m_cancelled = true;
-    if ( m_abort ) {
+    if( m_abort ) {
         m_abort();
     }
 }
@@ -238,7 +238,7 @@
 void CallControl::bind( std::function<void()> abort ) {
     const std::lock_guard lock( m_mutex );
     m_abort = std::move( abort );
-    if ( m_cancelled ) {
+    if( m_cancelled ) {
         m_abort();
     }
 }
@@ -248,7 +248,7 @@
     m_abort = nullptr;
 }
 
-ObjectStore httpStore( std::string url, StoreStats& stats ) {
+ObjectStore httpStore( const std::string& url, StoreStats& stats ) {
     ObjectStore out;
     out.get = [url, &stats]( std::string_view kind, std::string_view name ) {
         ++stats.reads;
--- a/src/platform/vm.cpp
+++ b/src/platform/vm.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 bool readRole( const std::string& word, VmRole& out ) {
-    if ( word == "entry" ) {
+    if( word == "entry" ) {
         out = VmRole::entry;
-    } else if ( word == "runner" ) {
+    } else if( word == "runner" ) {
         out = VmRole::runner;
-    } else if ( word == "service" ) {
+    } else if( word == "service" ) {
         out = VmRole::service;
     } else {
         return false;
@@ -24,7 +24,7 @@
 
 bool readVm( const Object& object, Vm& out ) {
     const auto spec = nlohmann::json::parse( object.spec, nullptr, false );
-    if ( !spec.is_object() ) {
+    if( !spec.is_object() ) {
         return false;
     }
     try {
@@ -35,7 +35,7 @@
         out.region = spec.value( "region", "" );
         out.state = spec.value( "state", "live" ) == "live" ? VmState::live : VmState::leaving;
         return readRole( spec.at( "role" ).get<std::string>(), out.role );
-    } catch ( const nlohmann::json::exception& ) {
+    } catch( const nlohmann::json::exception& ) {
         return false;
     }
 }
--- a/src/platform/watcher.cpp
+++ b/src/platform/watcher.cpp
@@ -28,7 +28,7 @@
         m_changed.notify_all();
     }
     m_control.cancel();
-    if ( m_thread.joinable() ) {
+    if( m_thread.joinable() ) {
         m_thread.join();
     }
 }
@@ -46,13 +46,13 @@
 void Watcher::run() {
     auto delay = m_settings.firstRetry;
     bool listed = false;
-    while ( !stopping() ) {
+    while( !stopping() ) {
         const bool ok = listed ? follow() : list();
         {
             const std::lock_guard lock( m_mutex );
             m_fresh = ok;
         }
-        if ( ok ) {
+        if( ok ) {
             listed = true;
             delay = m_settings.firstRetry;
             continue;
@@ -65,18 +65,18 @@
 
 bool Watcher::list() {
     auto listing = attempt( [this] { return m_store.list( m_topic ); } );
-    if ( !listing.ok ) {
+    if( !listing.ok ) {
         log::debug( "store_list_failed",
                     { { "kind", m_topic.kind }, { "detail", listing.error.detail } } );
         return false;
     }
-    if ( listing.value.version < m_version ) {
+    if( listing.value.version < m_version ) {
         log::warn( "store_stale_list_dropped", { { "kind", m_topic.kind } } );
         return false;
     }
     m_version = listing.value.version;
     m_objects.clear();
-    for ( auto& it : listing.value.objects ) {
+    for( auto& it : listing.value.objects ) {
         auto name = it.name;
         m_objects.emplace( std::move( name ), std::move( it ) );
     }
@@ -93,7 +93,7 @@
                 [this]( const WatchEvent& event ) { return take( event ); }, m_control );
         },
         ok );
-    if ( !ok && !stopping() ) {
+    if( !ok && !stopping() ) {
         log::debug( "store_watch_failed",
                     { { "kind", m_topic.kind }, { "detail", error.detail } } );
     }
@@ -101,18 +101,18 @@
 }
 
 bool Watcher::take( const WatchEvent& event ) {
-    if ( stopping() ) {
+    if( stopping() ) {
         return false;
     }
     m_version = std::max( m_version, event.object.version );
-    if ( event.type == EventType::bookmark ) {
+    if( event.type == EventType::bookmark ) {
         return true;
     }
     const auto found = m_objects.find( event.object.name );
-    if ( found != m_objects.end() && found->second.version > event.object.version ) {
+    if( found != m_objects.end() && found->second.version > event.object.version ) {
         return true;
     }
-    if ( event.type == EventType::removed ) {
+    if( event.type == EventType::removed ) {
         m_objects.erase( event.object.name );
     } else {
         m_objects[event.object.name] = event.object;
--- a/src/router/admission.cpp
+++ b/src/router/admission.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 Millis expectedWait( const QueueView& queue ) {
-    if ( queue.running < queue.capacity ) {
+    if( queue.running < queue.capacity ) {
         return Millis{ 0 };
     }
     const auto capacity = std::max<std::uint32_t>( queue.capacity, 1 );
@@ -20,14 +20,14 @@
 }
 
 Admission admit( const QueueView& queue, int priority, Millis deadline ) {
-    if ( queue.running < queue.capacity && queue.queued == 0 ) {
+    if( queue.running < queue.capacity && queue.queued == 0 ) {
         return { true, Millis{ 0 } };
     }
     const auto wait = expectedWait( queue );
     const auto rank = static_cast<std::uint32_t>( std::clamp( priority, 0, highestPriority ) );
     // Priority 0 may fill half of the queue, the highest all of it.
     const auto limit = queue.queueLimit / 2 + queue.queueLimit * rank / ( 2 * highestPriority );
-    if ( queue.queued < limit && wait < deadline ) {
+    if( queue.queued < limit && wait < deadline ) {
         return { true, Millis{ 0 } };
     }
     return { false, std::clamp( wait, leastRetryAfter, mostRetryAfter ) };
--- a/src/router/route.cpp
+++ b/src/router/route.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 double distanceCost( Distance distance, const RoutingRules& rules ) {
-    switch ( distance ) {
+    switch( distance ) {
     case Distance::sameHall:
         return 0.0;
     case Distance::sameRegion:
@@ -31,9 +31,9 @@
     const auto text = std::to_string( prefixHash );
     std::size_t best = warm.front();
     std::uint64_t bestHash = 0;
-    for ( const auto it : warm ) {
+    for( const auto it : warm ) {
         const auto h = hash64( candidates[it].vm, text );
-        if ( h >= bestHash ) {
+        if( h >= bestHash ) {
             bestHash = h;
             best = it;
         }
@@ -60,13 +60,13 @@
 std::size_t pickWarm( std::span<const std::size_t> warm, const Scorer& score,
                       const RoutingRules& rules, const Dice& dice ) {
     std::size_t best = warm.front();
-    if ( rules.twoChoices ) {
+    if( rules.twoChoices ) {
         const auto first = dice( warm.size() );
         const auto second =
             warm.size() > 1 ? ( first + 1 + dice( warm.size() - 1 ) ) % warm.size() : first;
         best = better( score, warm[first], warm[second] );
     } else {
-        for ( const auto it : warm ) {
+        for( const auto it : warm ) {
             best = better( score, best, it );
         }
     }
@@ -82,12 +82,12 @@
         const double discount = 1.0 + loadShare( it ) + distanceCost( it.distance, rules );
         return it.loading ? loadingRank - discount : room / discount - discount;
     };
-    for ( std::size_t n = 0; n < candidates.size(); ++n ) {
+    for( std::size_t n = 0; n < candidates.size(); ++n ) {
         const auto& it = candidates[n];
-        if ( !usable( it ) || !( it.loading || it.canLoad ) || loadShare( it ) >= rules.fullAt ) {
+        if( !usable( it ) || !( it.loading || it.canLoad ) || loadShare( it ) >= rules.fullAt ) {
             continue;
         }
-        if ( !best || rank( it ) > rank( candidates[*best] ) ) {
+        if( !best || rank( it ) > rank( candidates[*best] ) ) {
             best = n;
         }
     }
@@ -105,25 +105,25 @@
              const RoutingRules& rules, const Dice& dice ) {
     std::vector<std::size_t> warm;
     bool sawFull = false;
-    for ( std::size_t n = 0; n < candidates.size(); ++n ) {
+    for( std::size_t n = 0; n < candidates.size(); ++n ) {
         const auto& it = candidates[n];
-        if ( !usable( it ) || !it.resident ) {
+        if( !usable( it ) || !it.resident ) {
             continue;
         }
-        if ( loadShare( it ) >= rules.fullAt ) {
+        if( loadShare( it ) >= rules.fullAt ) {
             sawFull = true;
             continue;
         }
         warm.push_back( n );
     }
-    if ( !warm.empty() ) {
+    if( !warm.empty() ) {
         Scorer score{ candidates, rules, std::nullopt };
-        if ( rules.affinity && prefixHash != 0 ) {
+        if( rules.affinity && prefixHash != 0 ) {
             score.home = prefixHome( candidates, warm, prefixHash );
         }
         return { RouteKind::warm, pickWarm( warm, score, rules, dice ) };
     }
-    if ( sawFull ) {
+    if( sawFull ) {
         return { RouteKind::full, 0 };
     }
     const auto cold = pickCold( candidates, rules );
--- a/tests/standin/answer.hpp
+++ b/tests/standin/answer.hpp
@@ -14,7 +14,7 @@
 
 inline std::uint32_t fnv( std::string_view text ) {
     std::uint32_t hash = 2166136261U;
-    for ( const char c : text ) {
+    for( const char c : text ) {
         hash = ( hash ^ static_cast<unsigned char>( c ) ) * 16777619U;
     }
     return hash;
@@ -32,7 +32,7 @@
     std::vector<std::string> out;
     std::string all;
     const auto seed = fnv( std::string( model ) + "|" + std::string( prompt ) );
-    for ( std::uint32_t n = 0; n + 1 < count; ++n ) {
+    for( std::uint32_t n = 0; n + 1 < count; ++n ) {
         out.push_back( hex( fnv( std::to_string( seed ) + ":" + std::to_string( n ) ) ) + " " );
         all += out.back();
     }
@@ -43,7 +43,7 @@
 inline std::string answerText( std::string_view model, std::string_view prompt,
                                std::uint32_t count ) {
     std::string all;
-    for ( const auto& it : answerTokens( model, prompt, count ) ) {
+    for( const auto& it : answerTokens( model, prompt, count ) ) {
         all += it;
     }
     return all;
--- a/tests/standin/engine.cpp
+++ b/tests/standin/engine.cpp
@@ -9,7 +9,7 @@
 #include <set>
 #include <thread>
 
-// A model engine. Faults: lose_orders, lose_order_answers, late_orders + late_ms,
+// A model engine. Faults: lose_fences, lose_orders, lose_order_answers, late_orders + late_ms,
 // duplicate_orders + late_ms, cross_events, cut_streams + cut_after, freeze_streams + cut_after,
 // slow_ms (between tokens).
 
@@ -48,19 +48,19 @@
                       static_cast<std::uint64_t>( numberOption( options, "memory", 1 << 30 ) ) ) {}
 
     Response handle( const Request& request ) {
-        if ( request.path == "/status" ) {
+        if( request.path == "/status" ) {
             return status();
         }
-        if ( request.path == "/orders" ) {
+        if( request.path == "/orders" ) {
             return takeOrder( Json::parse( request.body, nullptr, false ) );
         }
-        if ( request.path == "/v1/cancel" ) {
+        if( request.path == "/v1/cancel" ) {
             const auto body = Json::parse( request.body, nullptr, false );
             const std::lock_guard lock( m_mutex );
             m_cancelled.insert( body.value( "request_id", "" ) );
             return reply( 200, Json::object() );
         }
-        if ( request.path == "/v1/chat/completions" || request.path == "/v1/completions" ) {
+        if( request.path == "/v1/chat/completions" || request.path == "/v1/completions" ) {
             return generate( request );
         }
         return reply( 404, Json::object() );
@@ -69,9 +69,9 @@
 private:
     std::uint64_t used( std::uint32_t accelerator ) const {
         std::uint64_t out = 0;
-        for ( const auto& it : m_items ) {
-            if ( std::find( it.accelerators.begin(), it.accelerators.end(), accelerator ) !=
-                 it.accelerators.end() ) {
+        for( const auto& it : m_items ) {
+            if( std::find( it.accelerators.begin(), it.accelerators.end(), accelerator ) !=
+                it.accelerators.end() ) {
                 out += it.bytes;
             }
         }
@@ -81,7 +81,7 @@
     Response status() {
         const std::lock_guard lock( m_mutex );
         Json items = Json::array();
-        for ( const auto& it : m_items ) {
+        for( const auto& it : m_items ) {
             items.push_back( { { "kind", it.kind },
                                { "name", it.name },
                                { "version", it.version },
@@ -102,7 +102,10 @@
     }
 
     Response takeOrder( Json order ) {
-        if ( m_faults->take( "lose_orders" ) ) {
+        if( order.value( "action", "" ) == "fence" ) {
+            return m_faults->take( "lose_fences" ) ? cut() : apply( order );
+        }
+        if( m_faults->take( "lose_orders" ) ) {
             return cut();
         }
         const auto later = [this, order] {
@@ -111,13 +114,13 @@
                 self->apply( order );
             } ).detach();
         };
-        if ( m_faults->take( "late_orders" ) ) {
+        if( m_faults->take( "late_orders" ) ) {
             later();
             return cut();
         }
         const bool duplicate = m_faults->take( "duplicate_orders" );
         auto answer = apply( order );
-        if ( duplicate ) {
+        if( duplicate ) {
             later();
         }
         return m_faults->take( "lose_order_answers" ) ? cut() : answer;
@@ -128,13 +131,13 @@
             const std::lock_guard lock( m_mutex );
             const Token token{ order["token"].value( "epoch", 0ULL ),
                                order["token"].value( "number", 0ULL ) };
-            if ( m_checks && token <= m_token ) {
+            if( m_checks && token <= m_token ) {
                 return reply( 409, { { "error", "older token" } } );
             }
             m_token = std::max( m_token, token );
         }
         const auto action = order.value( "action", "" );
-        if ( action == "load" ) {
+        if( action == "load" ) {
             return load( order );
         }
         return action == "unload" ? unload( order ) : reply( 200, Json::object() );
@@ -150,7 +153,7 @@
     Response load( const Json& order ) {
         {
             const std::lock_guard lock( m_mutex );
-            if ( find( order ) != m_items.end() ) {
+            if( find( order ) != m_items.end() ) {
                 return reply( 200, Json::object() );
             }
             Item item{ order.value( "kind", "" ),
@@ -159,8 +162,8 @@
                        order.value( "model", "" ),
                        order.value( "bytes", 0ULL ),
                        order["accelerators"].get<std::vector<std::uint32_t>>() };
-            for ( const auto it : item.accelerators ) {
-                if ( it >= m_capacity.size() || used( it ) + item.bytes > m_capacity[it] ) {
+            for( const auto it : item.accelerators ) {
+                if( it >= m_capacity.size() || used( it ) + item.bytes > m_capacity[it] ) {
                     ++m_breaches;
                     return reply( 507, { { "error", "out of memory" } } );
                 }
@@ -172,14 +175,14 @@
         std::this_thread::sleep_for( milliseconds( m_loadMs ) );
         const std::lock_guard lock( m_mutex );
         const auto it = find( order );
-        if ( it != m_items.end() ) {
+        if( it != m_items.end() ) {
             it->ready = true;
         }
         return reply( 200, Json::object() );
     }
 
     void fetchWeights( const std::string& name ) const {
-        if ( m_weights.empty() ) {
+        if( m_weights.empty() ) {
             return;
         }
         coursehead::http::Client client( m_weights,
@@ -192,7 +195,7 @@
     Response unload( const Json& order ) {
         const std::lock_guard lock( m_mutex );
         const auto it = find( order );
-        if ( it != m_items.end() ) {
+        if( it != m_items.end() ) {
             m_items.erase( it );
             ++m_unloads;
         }
@@ -214,10 +217,10 @@
     Response generate( const Request& request ) {
         const auto body = Json::parse( request.body, nullptr, false );
         const auto model = body.value( "model", "" );
-        if ( !resident( model, body.value( "version", "" ) ) ) {
+        if( !resident( model, body.value( "version", "" ) ) ) {
             return reply( 404, { { "error", "the model is not loaded" } } );
         }
-        if ( m_running.fetch_add( 1 ) >= m_batch ) {
+        if( m_running.fetch_add( 1 ) >= m_batch ) {
             m_running.fetch_sub( 1 );
             return reply( 503, { { "error", "the batch is full" } } );
         }
@@ -249,13 +252,13 @@
         const auto stopAfter = m_faults->number( "cut_after" );
         std::size_t offset = 0;
         std::int64_t sent = 0;
-        for ( const auto& token : tokens ) {
+        for( const auto& token : tokens ) {
             offset += token.size();
-            if ( offset <= skip ) {
+            if( offset <= skip ) {
                 continue;
             }
-            if ( ( cuts || freezes ) && sent >= stopAfter ) {
-                if ( freezes ) {
+            if( ( cuts || freezes ) && sent >= stopAfter ) {
+                if( freezes ) {
                     std::this_thread::sleep_for( milliseconds( m_faults->number( "freeze_ms" ) ) );
                 }
                 return false;
@@ -268,7 +271,7 @@
             const Json choice = chat ? Json{ { "index", 0 }, { "delta", { { "content", text } } } }
                                      : Json{ { "index", 0 }, { "text", text } };
             const auto owner = m_faults->take( "cross_events" ) ? "somebody-else" : id;
-            if ( isCancelled( id ) || !sink( event( owner, choice ) ) ) {
+            if( isCancelled( id ) || !sink( event( owner, choice ) ) ) {
                 return false;
             }
             ++sent;
--- a/tests/standin/faults.cpp
+++ b/tests/standin/faults.cpp
@@ -29,7 +29,7 @@
 bool Faults::take( const char* name ) {
     const std::lock_guard lock( m_mutex );
     const auto left = m_faults.value( name, std::int64_t{ 0 } );
-    if ( left <= 0 ) {
+    if( left <= 0 ) {
         return false;
     }
     m_faults[name] = left - 1;
@@ -39,12 +39,12 @@
 Handler withFaults( std::shared_ptr<Faults> faults, Handler handler ) {
     return
         [faults = std::move( faults ), handler = std::move( handler )]( const Request& request ) {
-            if ( request.path != "/faults" ) {
+            if( request.path != "/faults" ) {
                 return handler( request );
             }
-            if ( request.method == "PUT" ) {
+            if( request.method == "PUT" ) {
                 auto body = Json::parse( request.body, nullptr, false );
-                if ( !body.is_object() ) {
+                if( !body.is_object() ) {
                     return reply( 400, { { "error", "expected a JSON object" } } );
                 }
                 faults->set( std::move( body ) );
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -14,13 +14,13 @@
 
 bool makeHandler( const std::string& role, const standin::Options& options,
                   standin::Handler& out ) {
-    if ( role == "store" ) {
+    if( role == "store" ) {
         out = standin::makeStore( options );
-    } else if ( role == "engine" ) {
+    } else if( role == "engine" ) {
         out = standin::makeEngine( options );
-    } else if ( role == "service" ) {
+    } else if( role == "service" ) {
         out = standin::makeService( options );
-    } else if ( role == "weights" ) {
+    } else if( role == "weights" ) {
         out = standin::makeWeights( options );
     } else {
         return false;
@@ -30,10 +30,10 @@
 
 standin::Options readOptions( int argc, char** argv ) {
     standin::Options out;
-    for ( int n = 2; n < argc; ++n ) {
+    for( int n = 2; n < argc; ++n ) {
         const std::string text = argv[n];
         const auto equals = text.find( '=' );
-        if ( text.rfind( "--", 0 ) == 0 && equals != std::string::npos ) {
+        if( text.rfind( "--", 0 ) == 0 && equals != std::string::npos ) {
             out[text.substr( 2, equals - 2 )] = text.substr( equals + 1 );
         }
     }
@@ -45,7 +45,7 @@
 int main( int argc, char** argv ) {
     const auto options = readOptions( argc, argv );
     standin::Handler handler;
-    if ( argc < 2 || !makeHandler( argv[1], options, handler ) ) {
+    if( argc < 2 || !makeHandler( argv[1], options, handler ) ) {
         std::cerr << "usage: coursehead-standin store|engine|service|weights [--NAME=VALUE ...]\n";
         return 2;
     }
@@ -60,7 +60,7 @@
     const auto at =
         coursehead::settings::splitAddress( standin::option( options, "listen", "127.0.0.1:0" ) );
     const int port = server.start( at.host, at.port );
-    if ( port < 0 ) {
+    if( port < 0 ) {
         std::cerr << "can't listen\n";
         return 1;
     }
--- a/tests/standin/service.cpp
+++ b/tests/standin/service.cpp
@@ -20,11 +20,11 @@
     explicit PlainService( std::shared_ptr<Faults> faults ) : m_faults( std::move( faults ) ) {}
 
     Response handle( const Request& request ) {
-        if ( request.path == "/runs" ) {
+        if( request.path == "/runs" ) {
             const std::lock_guard lock( m_mutex );
             return reply( 200, m_runs );
         }
-        if ( m_faults->take( "die_before" ) ) {
+        if( m_faults->take( "die_before" ) ) {
             return cut();
         }
         const std::string key( request.header( "Idempotency-Key", "none" ) );
@@ -35,7 +35,7 @@
             m_runs[key] = runs;
         }
         std::this_thread::sleep_for( milliseconds( m_faults->number( "slow_ms" ) ) );
-        if ( m_faults->take( "die_after" ) ) {
+        if( m_faults->take( "die_after" ) ) {
             return cut();
         }
         return reply( 200, { { "ran", runs }, { "key", key }, { "path", request.path } } );
@@ -59,7 +59,7 @@
         std::chrono::steady_clock::time_point turn;
         {
             const std::lock_guard lock( m_mutex );
-            if ( m_waiting >= m_limit ) {
+            if( m_waiting >= m_limit ) {
                 return reply( 503, { { "error", "too many at once" } } );
             }
             ++m_waiting;
--- a/tests/standin/store.cpp
+++ b/tests/standin/store.cpp
@@ -40,27 +40,27 @@
     explicit Store( std::shared_ptr<Faults> faults ) : m_faults( std::move( faults ) ) {}
 
     Response handle( const Request& request ) {
-        if ( request.path == "/stats" ) {
+        if( request.path == "/stats" ) {
             const std::lock_guard lock( m_mutex );
             return reply(
                 200, { { "reads", m_reads }, { "writes", m_writes }, { "watches", m_watches } } );
         }
-        if ( !request.path.starts_with( base ) ) {
+        if( !request.path.starts_with( base ) ) {
             return reply( 404, Json::object() );
         }
-        if ( m_faults->on( "outage" ) ) {
+        if( m_faults->on( "outage" ) ) {
             return reply( 503, { { "error", "outage" } } );
         }
         std::this_thread::sleep_for( milliseconds( m_faults->number( "slow_ms" ) ) );
         const auto path = split( request.path );
-        if ( request.parameter( "watch" ) == "true" ) {
+        if( request.parameter( "watch" ) == "true" ) {
             return watch( request, path.kind );
         }
-        if ( request.method == "GET" ) {
+        if( request.method == "GET" ) {
             return path.name.empty() ? list( request, path.kind ) : get( path );
         }
         auto answer = write( request, path );
-        if ( answer.status < 300 && m_faults->take( "lose_write_answers" ) ) {
+        if( answer.status < 300 && m_faults->take( "lose_write_answers" ) ) {
             return cut();
         }
         return answer;
@@ -94,7 +94,7 @@
         const std::lock_guard lock( m_mutex );
         ++m_reads;
         const auto it = m_objects.find( path.kind + "/" + path.name );
-        if ( path.name == "head" && m_faults->take( "stale_reads" ) && !m_staleHead.is_null() ) {
+        if( path.name == "head" && m_faults->take( "stale_reads" ) && !m_staleHead.is_null() ) {
             return reply( 200, m_staleHead );
         }
         return it == m_objects.end() ? reply( 404, Json::object() ) : reply( 200, it->second );
@@ -107,15 +107,15 @@
         const auto lag = lagOf( kind, name );
         std::map<std::string, Json> items;
         std::uint64_t version = 0;
-        for ( const auto& it : m_events ) {
-            if ( !shown( it, lag ) ) {
+        for( const auto& it : m_events ) {
+            if( !shown( it, lag ) ) {
                 break;
             }
             version = it.version;
-            if ( it.kind != kind || ( !name.empty() && it.name != name ) ) {
+            if( it.kind != kind || ( !name.empty() && it.name != name ) ) {
                 continue;
             }
-            if ( it.type == "DELETED" ) {
+            if( it.type == "DELETED" ) {
                 items.erase( it.name );
             } else {
                 items[it.name] = it.object;
@@ -123,7 +123,7 @@
         }
         Json out{ { "metadata", { { "resourceVersion", std::to_string( version ) } } },
                   { "items", Json::array() } };
-        for ( auto& it : items ) {
+        for( auto& it : items ) {
             out["items"].push_back( std::move( it.second ) );
         }
         return reply( 200, out );
@@ -133,24 +133,23 @@
         auto body = Json::parse( request.body, nullptr, false );
         const std::lock_guard lock( m_mutex );
         ++m_writes;
-        if ( request.method == "DELETE" ) {
+        if( request.method == "DELETE" ) {
             return remove( path );
         }
-        if ( !body.is_object() || !body.contains( "metadata" ) ) {
+        if( !body.is_object() || !body.contains( "metadata" ) ) {
             return reply( 400, { { "error", "expected an object with metadata" } } );
         }
         const auto name = body["metadata"].value( "name", path.name );
         const auto found = m_objects.find( path.kind + "/" + name );
         const bool create = request.method == "POST";
-        if ( create && found != m_objects.end() ) {
+        if( create && found != m_objects.end() ) {
             return reply( 409, { { "error", "exists" } } );
         }
-        if ( !create && found == m_objects.end() ) {
+        if( !create && found == m_objects.end() ) {
             return reply( 404, Json::object() );
         }
         const auto wanted = body["metadata"].value( "resourceVersion", "" );
-        if ( !create && !wanted.empty() &&
-             found->second["metadata"]["resourceVersion"] != wanted ) {
+        if( !create && !wanted.empty() && found->second["metadata"]["resourceVersion"] != wanted ) {
             return reply( 409, { { "error", "conflict" } } );
         }
         return put( path.kind, name, std::move( body ), create );
@@ -159,7 +158,7 @@
     Response put( const std::string& kind, const std::string& name, Json body, bool create ) {
         body["metadata"]["resourceVersion"] = std::to_string( ++m_version );
         auto& slot = m_objects[kind + "/" + name];
-        if ( name == "head" ) {
+        if( name == "head" ) {
             m_staleHead = slot;
         }
         slot = body;
@@ -171,7 +170,7 @@
 
     Response remove( const Path& path ) {
         const auto found = m_objects.find( path.kind + "/" + path.name );
-        if ( found == m_objects.end() ) {
+        if( found == m_objects.end() ) {
             return reply( 404, Json::object() );
         }
         Json last = found->second;
@@ -188,7 +187,7 @@
             const std::lock_guard lock( m_mutex );
             ++m_watches;
         }
-        if ( m_faults->take( "expire_watches" ) ) {
+        if( m_faults->take( "expire_watches" ) ) {
             return reply( 410, Json::object() );
         }
         const auto name = selected( request );
@@ -207,26 +206,26 @@
         const auto limit = std::chrono::steady_clock::now() + wait;
         const auto lag = lagOf( kind, name );
         std::size_t at = 0;
-        while ( std::chrono::steady_clock::now() < limit ) {
+        while( std::chrono::steady_clock::now() < limit ) {
             std::string lines;
             {
                 std::unique_lock lock( m_mutex );
                 m_changed.wait_for( lock, milliseconds( 50 ), [&] {
                     return at < m_events.size() && shown( m_events[at], lag );
                 } );
-                for ( ; at < m_events.size() && shown( m_events[at], lag ); ++at ) {
+                for( ; at < m_events.size() && shown( m_events[at], lag ); ++at ) {
                     const auto& it = m_events[at];
-                    if ( it.version > version && it.kind == kind &&
-                         ( name.empty() || it.name == name ) ) {
+                    if( it.version > version && it.kind == kind &&
+                        ( name.empty() || it.name == name ) ) {
                         lines += Json{ { "type", it.type }, { "object", it.object } }.dump() + "\n";
                     }
                 }
             }
-            if ( m_faults->on( "outage" ) ) {
+            if( m_faults->on( "outage" ) ) {
                 return false;
             }
             // An empty line is no event; it finds out whether the watcher is still there.
-            if ( !sink( lines.empty() ? "\n" : lines ) ) {
+            if( !sink( lines.empty() ? "\n" : lines ) ) {
                 return false;
             }
         }
--- a/tests/unit/peer.tests.cpp
+++ b/tests/unit/peer.tests.cpp
@@ -11,13 +11,13 @@
     rc::prop( "whatever the pieces, the frames come out as they went in",
               []( const std::vector<std::string>& messages, std::uint8_t step ) {
                   std::string bytes;
-                  for ( const auto& it : messages ) {
+                  for( const auto& it : messages ) {
                       appendFrame( bytes, it );
                   }
                   FrameReader reader;
                   std::vector<std::string> out;
                   const std::size_t n = step % 7 + 1;
-                  for ( std::size_t at = 0; at < bytes.size(); at += n ) {
+                  for( std::size_t at = 0; at < bytes.size(); at += n ) {
                       RC_ASSERT( reader.feed( std::string_view( bytes ).substr( at, n ), out ) );
                   }
                   RC_ASSERT( out == messages );
