At most once: proofs under loss, lateness, kills, freezes and a store outage

Cause: the protocol of claims, bars and moves had no proof. Change: a property over requests racing under one key (lost, late and reordered messages, restarted owners and executors; judge: runs of the key, and not-run told to a request that ran), and process tests that kill or freeze each party while the service's own counter judges.

--- /dev/null
+++ b/tests/promise/at_most_once.tests.cpp
@@ -0,0 +1,482 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "coursehead/claims/attempts.hpp"
+#include "coursehead/claims/table.hpp"
+#include "support/fleet.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <csignal>
+#include <set>
+
+using namespace coursehead;
+using namespace coursehead::claims;
+using peer::AttemptState;
+using peer::ClaimStep;
+using peer::ClaimVerdict;
+
+namespace {
+
+constexpr std::size_t executorCount = 2;
+constexpr std::size_t requestCount = 4;
+
+struct Executor {
+    AttemptTable attempts;
+    int incarnation = 1;
+};
+
+//! A run message that may still arrive.
+struct InFlight {
+    std::size_t request = 0;
+    std::uint32_t attempt = 0;
+    std::size_t executor = 0;
+    int incarnation = 0;
+};
+
+enum class Stage { claim, dispatch, askBar, move, askHolder, told };
+enum class Told { nothing, notRun, unknown, ran };
+
+//! One request of a caller with the shared key, at an entry of its own.
+struct Request {
+    Stage stage = Stage::claim;
+    Told told = Told::nothing;
+    std::uint32_t attempt = 0;
+    std::size_t executor = 0;
+    int incarnation = 0;
+    peer::ClaimHolder holder; //!< of somebody else's attempt
+    bool held = false;
+    bool retried = false;
+};
+
+//! Several requests under one key, an owner and two executors, with every message lossy.
+class Race {
+public:
+    void step( std::uint32_t draw ) {
+        m_draw = draw;
+        m_now += 5;
+        if( take( 60 ) == 0 ) {
+            m_owner = ClaimTable{}; // a restarted owner remembers nothing
+            ownAll();
+        }
+        if( take( 60 ) == 0 ) {
+            auto& it = m_executors[take( executorCount )];
+            it = Executor{ {}, it.incarnation + 1 };
+        }
+        if( !m_inFlight.empty() && take( 4 ) == 0 ) {
+            deliver( m_inFlight.front() );
+            m_inFlight.erase( m_inFlight.begin() );
+        }
+        if( !m_lateQuestions.empty() && take( 5 ) == 0 ) {
+            const auto at = m_lateQuestions.begin() + take( 3 ) % m_lateQuestions.size();
+            answer( m_owner, *at, ClaimRules{}, m_now );
+            m_lateQuestions.erase( at );
+        }
+        advance( take( static_cast<std::uint32_t>( m_requests.size() ) ) );
+        judge();
+    }
+
+    Race() {
+        m_key = makeKey( m_now, m_random );
+        m_now += 10000;
+        m_owner.ownedSince[slotOf( m_key )] = 0;
+    }
+
+    std::size_t ran() const { return m_runs.size(); }
+
+private:
+    std::uint32_t take( std::uint32_t bound ) {
+        const auto out = m_draw % bound;
+        m_draw /= bound;
+        return out;
+    }
+
+    //! Loss of a message: 0 the question, 1 the answer, else none.
+    bool lostQuestion() { return ( m_loss = take( 8 ) ) == 0; }
+    bool lostAnswer() const { return m_loss == 1; }
+
+    void ownAll() { m_owner.ownedSince[slotOf( m_key )] = m_now; }
+
+    void run( std::size_t request ) { m_runs.push_back( request ); }
+
+    void deliver( const InFlight& it ) {
+        auto& executor = m_executors[it.executor];
+        if( executor.incarnation == it.incarnation &&
+            start( executor.attempts, { std::to_string( it.request ), it.attempt }, MonoTime{} ) ) {
+            run( it.request );
+            finish( executor.attempts, { std::to_string( it.request ), it.attempt }, MonoTime{} );
+        }
+    }
+
+    std::optional<peer::ClaimAnswer> askOwner( std::size_t n, ClaimStep step,
+                                               peer::ClaimOutcome outcome ) {
+        const auto& it = m_requests[n];
+        peer::ClaimRequest question;
+        question.step = step;
+        question.key = m_key;
+        question.fingerprint = "same";
+        question.holder = { std::to_string( n ), it.attempt, std::to_string( it.executor ),
+                            std::to_string( it.incarnation ) };
+        question.outcome = outcome;
+        if( lostQuestion() ) {
+            m_lateQuestions.push_back( question );
+            return std::nullopt;
+        }
+        const auto out = answer( m_owner, question, ClaimRules{}, m_now );
+        return lostAnswer() ? std::nullopt : std::optional( out );
+    }
+
+    AttemptState askBar( std::size_t executor, int incarnation, const std::string& request,
+                         std::uint32_t attempt ) {
+        auto& it = m_executors[executor];
+        if( lostQuestion() || it.incarnation != incarnation ) {
+            return AttemptState::unknown;
+        }
+        const auto out = bar( it.attempts, { request, attempt }, MonoTime{} );
+        return lostAnswer() ? AttemptState::unknown : out;
+    }
+
+    void tell( std::size_t n, Told what ) {
+        auto& it = m_requests[n];
+        if( it.held ) {
+            askOwner( n, ClaimStep::resolve,
+                      what == Told::notRun ? peer::ClaimOutcome::notRun
+                      : what == Told::ran  ? peer::ClaimOutcome::finished
+                                           : peer::ClaimOutcome::unknown );
+        }
+        it.told = what;
+        it.stage = Stage::told;
+    }
+
+    void pickExecutor( Request& it ) {
+        ++it.attempt;
+        it.executor = take( executorCount );
+        it.incarnation = m_executors[it.executor].incarnation;
+    }
+
+    void onVerdict( std::size_t n, const std::optional<peer::ClaimAnswer>& got ) {
+        auto& it = m_requests[n];
+        if( !got ) {
+            return tell( n, Told::notRun );
+        }
+        switch( got->verdict ) {
+        case ClaimVerdict::granted:
+            it.held = true;
+            it.stage = Stage::dispatch;
+            return;
+        case ClaimVerdict::busy:
+            it.holder = got->holder;
+            it.stage = Stage::askHolder;
+            return;
+        case ClaimVerdict::finished:
+            return tell( n, Told::ran );
+        case ClaimVerdict::notOwner:
+            return tell( n, Told::notRun );
+        default:
+            return tell( n, Told::unknown );
+        }
+    }
+
+    void advance( std::size_t n ) {
+        auto& it = m_requests[n];
+        switch( it.stage ) {
+        case Stage::claim:
+            pickExecutor( it );
+            return onVerdict( n, askOwner( n, ClaimStep::claim, {} ) );
+        case Stage::dispatch: {
+            m_inFlight.push_back( { n, it.attempt, it.executor, it.incarnation } );
+            if( take( 2 ) == 0 ) { // it arrives at once
+                deliver( m_inFlight.back() );
+                m_inFlight.pop_back();
+                if( take( 3 ) != 0 && m_executors[it.executor].incarnation == it.incarnation ) {
+                    return tell( n, Told::ran );
+                }
+            }
+            it.stage = Stage::askBar;
+            return;
+        }
+        case Stage::askBar:
+            switch( askBar( it.executor, it.incarnation, std::to_string( n ), it.attempt ) ) {
+            case AttemptState::barred:
+                it.stage = Stage::move;
+                return;
+            case AttemptState::unknown:
+                return tell( n, Told::unknown );
+            default:
+                return tell( n, Told::ran );
+            }
+        case Stage::move:
+            pickExecutor( it );
+            return onVerdict( n, askOwner( n, ClaimStep::move, {} ) );
+        case Stage::askHolder:
+            switch( askBar( std::stoul( it.holder.executor ), std::stoi( it.holder.incarnation ),
+                            it.holder.requestId, it.holder.attempt ) ) {
+            case AttemptState::barred: {
+                it.attempt = it.holder.attempt + 1;
+                const auto moved = askOwner( n, ClaimStep::move, {} );
+                if( moved && moved->verdict == ClaimVerdict::granted ) {
+                    it.held = true;
+                    it.stage = Stage::dispatch;
+                    return;
+                }
+                return tell( n, Told::unknown );
+            }
+            case AttemptState::unknown:
+                return tell( n, Told::unknown );
+            default:
+                return tell( n, Told::ran );
+            }
+        case Stage::told:
+            // The caller comes back with the same key, as a new request would.
+            if( it.told != Told::ran && m_requests.size() < 60 && !it.retried ) {
+                it.retried = true;
+                m_requests.emplace_back();
+            }
+            return;
+        }
+    }
+
+    void judge() {
+        RC_ASSERT( m_runs.size() <= 1U );
+        for( const auto it : m_runs ) {
+            RC_ASSERT( m_requests[it].told != Told::notRun );
+        }
+    }
+
+    std::string m_key;
+    RandomSource m_random{ 7 };
+    WallMillis m_now = 1'800'000'000'000;
+    ClaimTable m_owner;
+    std::vector<Executor> m_executors{ executorCount };
+    std::vector<Request> m_requests{ requestCount };
+    std::vector<InFlight> m_inFlight;
+    std::vector<peer::ClaimRequest> m_lateQuestions;
+    std::vector<std::size_t> m_runs; //!< by request
+    std::uint32_t m_draw = 0;
+    std::uint32_t m_loss = 0;
+};
+
+//! A store, two service agents behind two entries.
+struct CardDesk {
+    fleet::Fleet fleet;
+    fleet::Node* service1 = nullptr;
+    fleet::Node* service2 = nullptr;
+
+    CardDesk() {
+        service1 = &fleet.service( "s1" );
+        service2 = &fleet.service( "s2" );
+        fleet.agent( "a1", service1->url, {}, "service" );
+        fleet.agent( "a2", service2->url, {}, "service" );
+        fleet.entry( "e1" );
+        fleet.entry( "e2" );
+        fleet.waitForAgents( entry1(), 2 );
+        fleet.waitForAgents( entry2(), 2 );
+        fleet::Fleet::require( entry1(), fleet::usualConfig() );
+        fleet.waitForSlots( entry1() );
+        fleet.waitForSlots( entry2() );
+    }
+
+    fleet::Node& entry1() { return fleet.node( "e1" ); }
+    fleet::Node& entry2() { return fleet.node( "e2" ); }
+
+    http::Outcome activate( const fleet::Node& entry, const std::string& key,
+                            int deadlineMs = 8000 ) {
+        return fleet::call( entry.url, "POST", "/services/cards/activate", "{}",
+                            { { "Idempotency-Key", key },
+                              { "X-Coursehead-Deadline-Ms", std::to_string( deadlineMs ) } } );
+    }
+
+    //! Runs of the key over both services.
+    std::uint64_t runs( const std::string& key ) {
+        std::uint64_t out = 0;
+        for( auto* it : { service1, service2 } ) {
+            out += fleet::Fleet::get( it->url, "/runs" ).value( key, std::uint64_t{ 0 } );
+        }
+        return out;
+    }
+
+    //! The agent that owns the key.
+    std::string ownerOf( const std::string& key ) {
+        const auto got = fleet::Fleet::command( entry1(), "show slots where name = " +
+                                                              std::to_string( slotOf( key ) ) );
+        return got["tables"][0]["rows"][0][1];
+    }
+
+    std::string keyOwnedBy( const std::string& vm ) {
+        for( ;; ) {
+            auto key = fleet::Fleet::key();
+            if( ownerOf( key ) == vm ) {
+                return key;
+            }
+        }
+    }
+};
+
+std::string outcomeOf( const http::Outcome& got ) {
+    return std::string( got.response.headers.contains( "X-Coursehead-Outcome" )
+                            ? got.response.headers.at( "X-Coursehead-Outcome" )
+                            : "" );
+}
+
+} // namespace
+
+TEST_CASE( "Whatever is lost, late or restarted, a key runs at most once and not-run is true",
+           "[promise][once][property]" ) {
+    static std::uint64_t ran = 0;
+    rc::prop( "requests racing under one key", [] {
+        const auto draws = *rc::gen::container<std::vector<std::uint32_t>>(
+            400, rc::gen::inRange<std::uint32_t>( 0, 4'000'000'000U ) );
+        Race race;
+        for( const auto it : draws ) {
+            race.step( it );
+        }
+        ran += race.ran();
+    } );
+    CHECK( ran > 10 );
+}
+
+TEST_CASE( "The same key at two entries at once runs once and both get the answer",
+           "[promise][once][process]" ) {
+    CardDesk desk;
+    fleet::Fleet::setFaults( *desk.service1, { { "slow_ms", 150 } } );
+    fleet::Fleet::setFaults( *desk.service2, { { "slow_ms", 150 } } );
+    for( int n = 0; n < 5; ++n ) {
+        const auto key = fleet::Fleet::key();
+        http::Outcome one;
+        {
+            std::jthread other( [&] { one = desk.activate( desk.entry1(), key ); } );
+            const auto two = desk.activate( desk.entry2(), key );
+            CHECK( two.response.status == 200 );
+        }
+        CHECK( one.response.status == 200 );
+        CHECK( desk.runs( key ) == 1 );
+    }
+}
+
+TEST_CASE( "A service that dies leaves no second run and no false not-run",
+           "[promise][once][process]" ) {
+    CardDesk desk;
+    const std::string fault = GENERATE( "die_before", "die_after" );
+    for( auto* it : { desk.service1, desk.service2 } ) {
+        fleet::Fleet::setFaults( *it, { { fault, 1 } } );
+    }
+    const auto key = fleet::Fleet::key();
+    const auto first = desk.activate( desk.entry1(), key );
+    CHECK( outcomeOf( first ) == "unknown" );
+    for( int n = 0; n < 3; ++n ) {
+        const auto again = desk.activate( desk.entry2(), key );
+        CHECK( outcomeOf( again ) != "not-run" );
+    }
+    CHECK( desk.runs( key ) <= 1 );
+}
+
+TEST_CASE( "An agent killed with a request at its service leaves it run at most once",
+           "[promise][once][process]" ) {
+    CardDesk desk;
+    for( auto* it : { desk.service1, desk.service2 } ) {
+        fleet::Fleet::setFaults( *it, { { "slow_ms", 600 } } );
+    }
+    const auto key = fleet::Fleet::key();
+    http::Outcome first;
+    {
+        std::jthread caller( [&] { first = desk.activate( desk.entry1(), key ); } );
+        fleet::waitUntil( "the run", [&] { return desk.runs( key ) == 1; } );
+        for( const char* name : { "a1", "a2" } ) {
+            desk.fleet.node( name ).process->kill();
+        }
+    }
+    CHECK( outcomeOf( first ) == "unknown" );
+    for( const char* name : { "a1", "a2" } ) {
+        desk.fleet.agent( name, name[1] == '1' ? desk.service1->url : desk.service2->url, {},
+                          "service" );
+    }
+    desk.fleet.waitForAgents( desk.entry2(), 2 );
+    desk.fleet.waitForSlots( desk.entry2() );
+    const auto again = desk.activate( desk.entry2(), key );
+    CHECK( outcomeOf( again ) == "unknown" );
+    CHECK( desk.runs( key ) == 1 );
+    CHECK( desk.activate( desk.entry2(), fleet::Fleet::key() ).response.status == 200 );
+}
+
+TEST_CASE( "An entry killed with a request on its way leaves the answer to another entry",
+           "[promise][once][process]" ) {
+    CardDesk desk;
+    for( auto* it : { desk.service1, desk.service2 } ) {
+        fleet::Fleet::setFaults( *it, { { "slow_ms", 500 } } );
+    }
+    const auto key = fleet::Fleet::key();
+    {
+        std::jthread caller( [&] { desk.activate( desk.entry1(), key ); } );
+        fleet::waitUntil( "the run", [&] { return desk.runs( key ) == 1; } );
+        desk.entry1().process->kill();
+    }
+    const auto again = desk.activate( desk.entry2(), key );
+    CHECK( again.response.status == 200 );
+    CHECK( outcomeOf( again ) == "ran" );
+    CHECK( desk.runs( key ) == 1 );
+}
+
+TEST_CASE( "A frozen agent that wakes up does not run a request that went elsewhere",
+           "[promise][once][process]" ) {
+    CardDesk desk;
+    for( const char* name : { "a1", "a2" } ) {
+        desk.fleet.node( name ).process->signal( SIGSTOP );
+    }
+    const auto key = fleet::Fleet::key();
+    const auto first = desk.activate( desk.entry1(), key, 6000 );
+    CHECK( first.response.status >= 500 );
+    for( const char* name : { "a1", "a2" } ) {
+        desk.fleet.node( name ).process->signal( SIGCONT );
+    }
+    desk.fleet.waitForAgents( desk.entry2(), 2 );
+    const bool saidNotRun = outcomeOf( first ) == "not-run";
+    const auto runsBefore = desk.runs( key );
+    CHECK( ( !saidNotRun || runsBefore == 0 ) );
+    fleet::waitUntil( "an answer", [&] {
+        const auto again = desk.activate( desk.entry2(), key );
+        return again.response.status == 200 || outcomeOf( again ) == "unknown";
+    } );
+    CHECK( desk.runs( key ) <= 1 );
+}
+
+TEST_CASE( "A key whose owner is gone is refused as not run, until the list shows it gone",
+           "[promise][once][process]" ) {
+    CardDesk desk;
+    const auto key = desk.keyOwnedBy( "a1" );
+    desk.fleet.node( "a1" ).process->kill();
+    const auto first = desk.activate( desk.entry1(), key );
+    CHECK( outcomeOf( first ) == "not-run" );
+    CHECK( first.response.headers.contains( "Retry-After" ) );
+    CHECK( desk.runs( key ) == 0 );
+    desk.fleet.unlistVm( "a1" );
+    fleet::waitUntil( "a new owner", [&] { return desk.ownerOf( key ) == "a2"; } );
+    fleet::waitUntil( "the new owner's answer", [&] {
+        return desk.activate( desk.entry1(), fleet::Fleet::key() ).response.status == 200;
+    } );
+    // Made before the new owner began: it can't know.
+    CHECK( outcomeOf( desk.activate( desk.entry1(), key ) ) == "unknown" );
+    CHECK( desk.runs( key ) == 0 );
+}
+
+TEST_CASE( "An hour of store outage does not stop activations", "[promise][once][process]" ) {
+    CardDesk desk;
+    fleet::Fleet::setFaults( desk.fleet.store(), { { "outage", true } } );
+    for( int n = 0; n < 20; ++n ) {
+        const auto key = fleet::Fleet::key();
+        const auto got = desk.activate( n % 2 == 0 ? desk.entry1() : desk.entry2(), key );
+        CHECK( got.response.status == 200 );
+        CHECK( desk.runs( key ) == 1 );
+    }
+}
+
+TEST_CASE( "Only a list at least as new as the owner's assignment proves that it is gone",
+           "[promise][once]" ) {
+    config::State state;
+    state.slots.push_back( { 0, "a1", 50 } );
+    for( std::uint32_t n = 1; n < slotCount; ++n ) {
+        state.slots.push_back( { n, "a2", 50 } );
+    }
+    CHECK( reassign( state, { 49, { "a2" }, { "a2" } } ).empty() );
+    const auto moved = reassign( state, { 50, { "a2" }, { "a2" } } );
+    REQUIRE( moved.size() == 1 );
+    CHECK( moved[0].vm == "a2" );
+}
