--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -89,6 +89,13 @@
             self( user ).onData( id, view( data, n ) );
             return 0;
         } );
+    nghttp2_session_callbacks_set_on_frame_send_callback(
+        out, []( nghttp2_session*, const nghttp2_frame* frame, void* user ) {
+            if( frame->hd.type == NGHTTP2_GOAWAY ) {
+                self( user ).onGoawaySent( frame->goaway.error_code );
+            }
+            return 0;
+        } );
     nghttp2_session_callbacks_set_on_stream_close_callback(
         out, []( nghttp2_session*, std::int32_t id, std::uint32_t code, void* user ) {
             self( user ).onClose( id, code );
@@ -457,6 +464,12 @@
     }
 }
 
+void Connection::onGoawaySent( std::uint32_t code ) {
+    if( code != NGHTTP2_NO_ERROR ) {
+        ++m_host.stats->protocolErrors;
+    }
+}
+
 void Connection::onClose( std::int32_t id, std::uint32_t code ) {
     const auto state = find( id );
     if( state == nullptr ) {
--- a/src/peer/connection.hpp
+++ b/src/peer/connection.hpp
@@ -58,6 +58,7 @@
     void onBeginHeaders( std::int32_t id );
     void onFrame( const nghttp2_frame& frame );
     void onData( std::int32_t id, std::string_view bytes );
+    void onGoawaySent( std::uint32_t code );
     void onClose( std::int32_t id, std::uint32_t code );
 
 private:
--- a/tests/promise/at_most_once.tests.cpp
+++ b/tests/promise/at_most_once.tests.cpp
@@ -323,8 +323,7 @@
            "[promise][once][property]" ) {
     static std::uint64_t ran = 0;
     rc::prop( "requests racing under one key", [] {
-        const auto draws = *rc::gen::container<std::vector<std::uint32_t>>(
-            400, rc::gen::inRange<std::uint32_t>( 0, 4'000'000'000U ) );
+        const auto draws = fleet::draws( 400 );
         Race race;
         for( const auto it : draws ) {
             race.step( it );
--- a/tests/promise/memory.tests.cpp
+++ b/tests/promise/memory.tests.cpp
@@ -264,8 +264,7 @@
         rc::prop( checks ? "with an engine that checks tokens"
                          : "with an engine that does not check tokens",
                   [checks] {
-                      const auto draws = *rc::gen::container<std::vector<std::uint32_t>>(
-                          1300, rc::gen::arbitrary<std::uint32_t>() );
+                      const auto draws = fleet::draws( 1300 );
                       Duel duel( checks );
                       for( const auto it : draws ) {
                           duel.step( it );
--- /dev/null
+++ b/tests/promise/reach.tests.cpp
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "coursehead/planner/lease.hpp"
+#include "support/fleet.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <csignal>
+
+using namespace coursehead;
+using fleet::Fleet;
+
+namespace {
+
+constexpr int modelCount = 6;
+
+//! Two runners of 1 GiB and six models of 400 MiB: four fit at a time.
+struct Crowded {
+    Fleet fleet;
+
+    explicit Crowded( const fleet::Args& agentOptions = { "--min-residency-ms", "0" } ) {
+        for( const char* n : { "1", "2" } ) {
+            auto& engine = fleet.engine( std::string( "e" ) + n );
+            fleet.agent( std::string( "a" ) + n, engine.url, agentOptions );
+        }
+        fleet.entry( "entry1" );
+        fleet.entry( "entry2" );
+        for( auto* it : { &entry1(), &entry2() } ) {
+            fleet.waitForAgents( *it, 2 );
+        }
+        std::string text = "begin\ncreate upstream runner accelerators=1 memory=1GiB "
+                           "checks_orders=true\n";
+        for( int n = 0; n < modelCount; ++n ) {
+            text += "create model m" + std::to_string( n ) + " memory=400MiB\n";
+        }
+        Fleet::require( entry1(), text + "commit" );
+        for( auto* it : { &entry1(), &entry2() } ) {
+            Fleet::waitForOrders( *it, 2 );
+        }
+    }
+    fleet::Node& entry1() { return fleet.node( "entry1" ); }
+    fleet::Node& entry2() { return fleet.node( "entry2" ); }
+
+    fleet::Streamed ask( int n, int tokens = 6 ) {
+        return fleet::streamCall( entry1().url,
+                                  fleet::chatBody( "m" + std::to_string( n ), "q", tokens ) );
+    }
+    //! Every model answers, coming back when told to.
+    void checkAll() {
+        for( int n = 0; n < modelCount; ++n ) {
+            fleet::waitUntil( "the model's answer", [&] {
+                const auto got = ask( n );
+                CHECK( ( got.done || got.error["retry_after_ms"] > 0 ) );
+                return got.text == fleet::expectedText( "m" + std::to_string( n ), "q", 6 );
+            } );
+        }
+    }
+    void checkMemory() {
+        for( const char* it : { "e1", "e2" } ) {
+            CHECK( Fleet::get( fleet.node( it ).url, "/status" )["breaches"] == 0 );
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE( "Every created model answers, though not all fit at once",
+           "[promise][reach][process]" ) {
+    Crowded desk;
+    desk.checkAll();
+    desk.checkAll();
+    desk.checkMemory();
+}
+
+TEST_CASE( "Every model still answers after a runner has died", "[promise][reach][process]" ) {
+    Crowded desk;
+    desk.checkAll();
+    desk.fleet.node( "a1" ).process->kill();
+    desk.fleet.node( "e1" ).process->kill();
+    desk.checkAll();
+}
+
+TEST_CASE( "Every model answers while the store is down and no planner can be elected",
+           "[promise][reach][process]" ) {
+    Crowded desk;
+    Fleet::setFaults( desk.fleet.store(), { { "outage", true } } );
+    fleet::waitUntil( "the lease to lapse", [&] {
+        return Fleet::metric( desk.entry1().url, "coursehead_leading" ) == 0 &&
+               Fleet::metric( desk.entry2().url, "coursehead_leading" ) == 0;
+    } );
+    desk.checkAll();
+    desk.checkMemory();
+}
+
+TEST_CASE( "With memory full of busy models the caller is told at once when to come back",
+           "[promise][reach][process]" ) {
+    Crowded desk;
+    std::vector<std::jthread> busy;
+    for( int n = 0; n < 4; ++n ) {
+        busy.emplace_back( [&desk, n] { desk.ask( n, 1500 ); } );
+        fleet::waitUntil( "it runs", [&] {
+            const auto one = Fleet::get( desk.fleet.node( "e1" ).url, "/status" )["running"];
+            const auto two = Fleet::get( desk.fleet.node( "e2" ).url, "/status" )["running"];
+            return one.get<int>() + two.get<int>() == n + 1;
+        } );
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    const auto got = desk.ask( 5 );
+    // Far below the deadline of 120 s: it was not held back.
+    CHECK( std::chrono::steady_clock::now() - begin < std::chrono::seconds( 10 ) );
+    CHECK( got.status == 503 );
+    CHECK( got.error["outcome"] == "not-run" );
+    CHECK( got.error["retry_after_ms"] > 0 );
+    desk.checkMemory();
+    for( const char* it : { "e1", "e2" } ) {
+        desk.fleet.node( it ).process->kill();
+    }
+}
+
+TEST_CASE( "When the planner is paused past its lease another takes over, and one leads at a time",
+           "[promise][reach][process]" ) {
+    Crowded desk;
+    const auto leading = [&]( fleet::Node& it ) {
+        return Fleet::metric( it.url, "coursehead_leading" ) == 1;
+    };
+    fleet::waitUntil( "a planner",
+                      [&] { return leading( desk.entry1() ) || leading( desk.entry2() ); } );
+    auto& first = leading( desk.entry1() ) ? desk.entry1() : desk.entry2();
+    auto& second = &first == &desk.entry1() ? desk.entry2() : desk.entry1();
+    first.process->signal( SIGSTOP );
+    fleet::waitUntil( "the other to lead", [&] { return leading( second ); } );
+    first.process->signal( SIGCONT );
+    CHECK_FALSE( leading( first ) );
+    CHECK( leading( second ) );
+    desk.checkAll();
+}
+
+TEST_CASE( "Two holders of the lease never act at the same moment", "[promise][reach][property]" ) {
+    using namespace planner;
+    rc::prop( "pauses, slow and lost writes, at any moment", [] {
+        const auto draws = fleet::draws( 600 );
+        MonoTime now = MonoTime{} + std::chrono::hours( 1 );
+        std::vector<LeaseView> views( 3 );
+        std::vector<MonoTime> asleepUntil( 3 );
+        for( std::size_t n = 0; n < views.size(); ++n ) {
+            views[n].self = std::to_string( n );
+            views[n].length = Millis( 600 );
+        }
+        bool exists = false;
+        LeaseRecord stored;
+        std::uint64_t version = 0;
+        std::uint64_t acted = 0;
+        for( auto draw : draws ) {
+            const auto take = [&draw]( std::uint32_t bound ) {
+                const auto out = draw % bound;
+                draw /= bound;
+                return out;
+            };
+            now += Millis( take( 60 ) );
+            const auto n = take( 3 );
+            if( take( 30 ) == 0 ) {
+                asleepUntil[n] = now + Millis( take( 2000 ) );
+            }
+            if( now < asleepUntil[n] ) {
+                continue;
+            }
+            auto& view = views[n];
+            if( take( 4 ) != 0 ) {
+                observe( view, exists, stored, version, now );
+            }
+            const auto action = nextAction( view, now );
+            if( action != LeaseAction::wait ) {
+                const auto sentAt = now;
+                const auto record = nextRecord( view, action );
+                const bool current =
+                    action == LeaseAction::create ? !exists : exists && view.version == version;
+                const auto answerAfter = Millis( take( 300 ) );
+                if( current ) {
+                    exists = true;
+                    stored = record;
+                    ++version;
+                    if( take( 5 ) != 0 ) { // else the answer is lost
+                        wrote( view, record, version, sentAt );
+                        asleepUntil[n] = now + answerAfter;
+                    }
+                }
+            }
+            std::size_t acting = 0;
+            for( const auto& it : views ) {
+                acting += mayAct( it, now ) ? 1 : 0;
+            }
+            RC_ASSERT( acting <= 1U );
+            acted += acting;
+        }
+        RC_ASSERT( acted > 0U );
+    } );
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -6,6 +6,7 @@
 #include "standin/answer.hpp"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -299,6 +300,12 @@
     return coursehead::claims::makeKey( coursehead::systemClock().wall(), random );
 }
 
+std::vector<std::uint32_t> draws( std::size_t count ) {
+    return *rc::gen::resize( rc::kNominalSize,
+                             rc::gen::container<std::vector<std::uint32_t>>(
+                                 count, rc::gen::inRange<std::uint32_t>( 0, 4'000'000'000U ) ) );
+}
+
 Outcome call( const std::string& url, const std::string& method, const std::string& path,
               const std::string& body, const Headers& headers, int readSeconds ) {
     Client client( url, { Millis( 2000 ), Millis( readSeconds * 1000 ) } );
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -105,6 +105,9 @@
     std::map<std::string, Node> m_nodes;
 };
 
+//! Numbers drawn over their full range (RapidCheck's own start small), to steer a test's history.
+std::vector<std::uint32_t> draws( std::size_t count );
+
 //! One call with a whole answer.
 coursehead::http::Outcome call( const std::string& url, const std::string& method,
                                 const std::string& path, const std::string& body = {},
