--- a/include/coursehead/peer/messages.hpp
+++ b/include/coursehead/peer/messages.hpp
@@ -197,7 +197,8 @@
     bool mayOrder = false; //!< it has an epoch and gives orders
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
-    std::uint32_t capacity = 0; //!< requests run at once
+    std::uint32_t capacity = 0;  //!< requests run at once
+    std::uint32_t serviceMs = 0; //!< smoothed time that a request holds its place
     std::uint32_t accelerators = 0;
     std::uint64_t freeBytes = 0; //!< the largest free room on one accelerator
     std::vector<ResidentItem> items;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -328,6 +328,7 @@
     out.running = m_places.running();
     out.queued = m_places.queued();
     out.capacity = m_places.capacity();
+    out.serviceMs = static_cast<std::uint32_t>( m_places.serviceTime().count() );
     out.demand = m_runner->takeDemand();
     out.revision = m_replica.revision();
     if( m_residency ) {
--- a/src/agent/reporter.cpp
+++ b/src/agent/reporter.cpp
@@ -132,6 +132,7 @@
     shape.sequence = 0;
     shape.running = 0;
     shape.queued = 0;
+    shape.serviceMs = 0;
     shape.revision = 0;
     shape.demand.clear();
     auto shapeBytes = encode( std::move( shape ) );
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -25,7 +25,7 @@
 
 namespace {
 
-constexpr std::array<Spec, 8> ownSpecs{ {
+constexpr std::array<Spec, 9> ownSpecs{ {
     { "listen", Kind::address, "0.0.0.0:8080", "Where callers and operators connect to (IP:PORT)" },
     { "max-sessions", Kind::number, "512", "Requests in progress at once", 1, 20000 },
     { "max-body-bytes", Kind::number, "1048576", "Largest body of a request", 1, 67108864 },
@@ -33,6 +33,7 @@
       3600000 },
     { "retry-share", Kind::share, "0.1", "Retries as a share of requests" },
     { "lease-ms", Kind::number, "6000", "Length of the planner's lease", 200, 600000 },
+    { "plan-interval-ms", Kind::number, "5000", "Time between two plans", 100, 600000 },
     { "operator-token", Kind::optional, "", "Secret of operators; empty: none is asked for" },
     { "plan", Kind::flag, "true", "Whether this entry may hold the planner's lease" },
 } };
@@ -91,6 +92,7 @@
     out.leaseLength = Millis( settings.number( "lease-ms" ) );
     out.interval = std::min( out.interval, out.leaseLength / 6 );
     out.settling = out.leaseLength / 2;
+    out.planInterval = Millis( settings.number( "plan-interval-ms" ) );
     return out;
 }
 
@@ -273,8 +275,8 @@
     out.agents = [this] {
         return m_directory.agents();
     };
-    out.planReasons = []( const std::string& ) {
-        return std::vector<std::string>();
+    out.planReasons = [this]( const auto& model ) {
+        return m_leader.planReasons( model );
     };
     out.commit = [this]( const auto& set, auto base ) {
         return commit( set, base );
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -29,7 +29,8 @@
                 config::Replica& replica, RandomSource& random, const Clock& clock )
     : m_settings( std::move( settings ) ), m_store( store ), m_directory( directory ),
       m_replica( replica ), m_random( random ), m_clock( clock ),
-      m_leaseName( "planner-" + m_settings.place.region ) {
+      m_leaseName( "planner-" + m_settings.place.region ),
+      m_plans( m_settings.place, directory, replica, clock ), m_plannedAt( clock.now() ) {
     m_view.self = m_settings.place.vm + "." + random.hex( 8 );
     m_view.length = m_settings.leaseLength;
 }
@@ -69,6 +70,13 @@
         if( leading() && m_clock.now() - m_wonAt >= m_settings.settling ) {
             assignSlots();
         }
+        if( m_clock.now() - m_plannedAt >= m_settings.planInterval ) {
+            m_plannedAt = m_clock.now();
+            m_plans.observe();
+            if( leading() ) {
+                m_plans.round( epoch() );
+            }
+        }
         std::unique_lock lock( m_mutex );
         m_wakeup.wait_for( lock, m_settings.interval, [this] { return m_stopping; } );
         if( m_stopping ) {
--- a/src/entry/leader.hpp
+++ b/src/entry/leader.hpp
@@ -4,7 +4,7 @@
 
 #include "coursehead/config/committer.hpp"
 #include "coursehead/planner/lease.hpp"
-#include "entry/directory.hpp"
+#include "entry/plan_service.hpp"
 
 #include <condition_variable>
 #include <mutex>
@@ -18,7 +18,7 @@
     Millis leaseLength{ 6000 };
     Millis interval{ 1000 }; //!< between rounds
     Millis settling{ 3000 }; //!< after winning the lease, before slots are given out
-    bool plans = true;
+    Millis planInterval{ 5000 };
 };
 
 class Leader {
@@ -34,6 +34,9 @@
     //! True while this entry may act as the planner.
     bool leading() const;
     std::uint64_t epoch() const;
+    std::vector<std::string> planReasons( const std::string& model ) const {
+        return m_plans.reasonsFor( model );
+    }
 
 private:
     void run();
@@ -49,6 +52,8 @@
     RandomSource& m_random;
     const Clock& m_clock;
     std::string m_leaseName;
+    PlanService m_plans;
+    MonoTime m_plannedAt;
     mutable std::mutex m_mutex; //!< guards the view
     planner::LeaseView m_view;
     std::condition_variable m_wakeup;
--- /dev/null
+++ b/src/entry/plan_service.cpp
@@ -0,0 +1,154 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "entry/plan_service.hpp"
+
+#include "coursehead/kernel/log.hpp"
+
+#include <algorithm>
+
+namespace coursehead::entry {
+
+namespace {
+
+constexpr double defaultServiceSeconds = 2;
+constexpr double millisPerSecond = 1000;
+
+bool isPlanned( const AgentView& view, const Place& place ) {
+    return view.vm.role == platform::VmRole::runner && view.vm.region == place.region;
+}
+
+bool isUsable( const AgentView& view ) {
+    return view.up && view.reported && view.status.mayOrder && !view.status.draining &&
+           view.vm.state == platform::VmState::live;
+}
+
+//! The mean time that the agents' requests hold their places.
+double serviceSeconds( const std::vector<AgentView>& views ) {
+    double sum = 0;
+    double count = 0;
+    for( const auto& it : views ) {
+        if( it.reported && it.status.serviceMs > 0 ) {
+            sum += it.status.serviceMs / millisPerSecond;
+            ++count;
+        }
+    }
+    return count == 0 ? defaultServiceSeconds : sum / count;
+}
+
+} // namespace
+
+PlanService::PlanService( Place place, Directory& directory, config::Replica& replica,
+                          const Clock& clock )
+    : m_place( std::move( place ) ), m_directory( directory ), m_replica( replica ),
+      m_clock( clock ), m_observedAt( clock.now() ) {}
+
+void PlanService::observe() {
+    const auto now = m_clock.now();
+    const double seconds = std::chrono::duration<double>( now - m_observedAt ).count();
+    m_observedAt = now;
+    std::map<std::string, std::uint32_t> arrivals;
+    for( const auto& it : m_directory.takeDemand() ) {
+        arrivals[it.model] += it.arrivals;
+        m_rates.try_emplace( it.model );
+    }
+    for( auto& [model, rate] : m_rates ) {
+        planner::observe( rate, arrivals[model], seconds );
+    }
+}
+
+std::vector<planner::AgentInput>
+PlanService::agentInputs( const config::State& state, const std::vector<AgentView>& views ) const {
+    std::vector<planner::AgentInput> out;
+    for( const auto& it : views ) {
+        const auto* upstream = config::findByName( state.upstreams, it.status.upstream );
+        planner::AgentInput agent;
+        agent.vm = it.vm.name;
+        agent.hall = it.vm.hall;
+        agent.usable = upstream != nullptr && isUsable( it );
+        if( upstream != nullptr ) {
+            agent.accelerators = upstream->accelerators;
+            agent.memory = upstream->memory;
+        }
+        for( const auto& item : it.status.items ) {
+            const bool listed = std::find( agent.models.begin(), agent.models.end(), item.name ) !=
+                                agent.models.end();
+            if( item.kind == "model" && !listed ) {
+                agent.models.push_back( item.name );
+            }
+        }
+        out.push_back( std::move( agent ) );
+    }
+    return out;
+}
+
+std::vector<planner::ModelInput>
+PlanService::modelInputs( const config::State& state, const std::vector<AgentView>& views ) const {
+    const double service = serviceSeconds( views );
+    std::vector<planner::ModelInput> out;
+    for( const auto& it : state.models ) {
+        planner::ModelInput model;
+        model.name = it.name;
+        model.bytes = config::bytesPerAccelerator( it );
+        model.accelerators = it.accelerators;
+        model.replicas = it.replicas;
+        model.serviceSeconds = service;
+        const auto rate = m_rates.find( it.name );
+        model.rate = rate == m_rates.end() ? 0 : planner::estimate( rate->second );
+        const auto* requestClass = config::findByName( state.classes, it.requestClass );
+        model.priority = requestClass == nullptr ? 0 : requestClass->priority;
+        out.push_back( std::move( model ) );
+    }
+    return out;
+}
+
+void PlanService::round( std::uint64_t epoch ) {
+    const auto state = m_replica.state();
+    auto views = m_directory.agents();
+    std::erase_if( views, [this]( const auto& it ) { return !isPlanned( it, m_place ); } );
+    planner::PlanRules rules;
+    rules.weights = state->weights;
+    const auto agents = agentInputs( *state, views );
+    auto made = planner::plan( agents, modelInputs( *state, views ), rules );
+    for( std::size_t n = 0; n < views.size(); ++n ) {
+        if( agents[n].usable ) {
+            tell( views[n], made.agents[n], epoch );
+        }
+    }
+    if( made.moves > 0 ) {
+        log::info( "plan", { { "epoch", static_cast<std::int64_t>( epoch ) },
+                             { "moves", static_cast<std::int64_t>( made.moves ) } } );
+        const std::lock_guard lock( m_mutex );
+        m_reasons = std::move( made.reasons );
+    }
+}
+
+void PlanService::tell( const AgentView& view, const planner::AgentPlan& plan,
+                        std::uint64_t epoch ) {
+    auto& told = m_told[view.vm.name];
+    if( told.incarnation == view.status.incarnation && told.epoch == epoch &&
+        told.models == plan.models ) {
+        return;
+    }
+    peer::PlanTargets out;
+    out.epoch = epoch;
+    out.planner = m_place.vm;
+    out.sequence = ++m_sequence;
+    for( const auto& it : plan.models ) {
+        out.items.push_back( { "model", it, "", false } );
+    }
+    if( m_directory.tell( view.vm.name, out ) ) {
+        told = { view.status.incarnation, epoch, plan.models };
+    }
+}
+
+std::vector<std::string> PlanService::reasonsFor( const std::string& model ) const {
+    const std::lock_guard lock( m_mutex );
+    std::vector<std::string> out;
+    for( const auto& it : m_reasons ) {
+        if( it.model == model ) {
+            out.push_back( it.vm + ": " + it.text );
+        }
+    }
+    return out;
+}
+
+} // namespace coursehead::entry
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -29,8 +29,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ModelDemand, model, arrivals )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( LoadReport, sequence, running, queued, revision, demand )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( AgentStatus, vm, hall, region, upstream, incarnation, sequence,
-                                    draining, mayOrder, running, queued, capacity, accelerators,
-                                    freeBytes, items, demand, revision )
+                                    draining, mayOrder, running, queued, capacity, serviceMs,
+                                    accelerators, freeBytes, items, demand, revision )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ConfigAsk, revision )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ConfigNews, revision, head, snapshot )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( PlanTargets, epoch, planner, sequence, items )
--- a/tests/promise/reach.tests.cpp
+++ b/tests/promise/reach.tests.cpp
@@ -135,6 +135,21 @@
     desk.checkAll();
 }
 
+TEST_CASE( "The planner loads the copies that operators ask for", "[promise][reach][process]" ) {
+    Crowded desk;
+    const auto copies = [&]( const std::string& model ) {
+        const auto got = Fleet::command( desk.entry1(), "show models where name = " + model );
+        return got["tables"][0]["rows"][0].back().get<std::string>();
+    };
+    Fleet::require( desk.entry1(), "set model m0 replicas=2" );
+    fleet::waitUntil(
+        "two copies", [&] { return copies( "m0" ) == "2"; }, 30 );
+    const auto why = Fleet::command( desk.entry1(), "why model m0" );
+    CHECK( why["tables"][0]["rows"].size() >= 2 );
+    desk.checkAll();
+    desk.checkMemory();
+}
+
 TEST_CASE( "Two holders of the lease never act at the same moment", "[promise][reach][property]" ) {
     using namespace planner;
     rc::prop( "pauses, slow and lost writes, at any moment", [] {
