--- a/tests/standin/answer.hpp
+++ b/tests/standin/answer.hpp
@@ -40,6 +40,30 @@
     return out;
 }
 
+//! The tokens behind a text that another engine may have begun: the text itself, then the rest,
+//! with a checksum over all of it.
+inline std::vector<std::string> continueTokens( std::vector<std::string> tokens,
+                                                std::string_view before ) {
+    constexpr std::size_t tokenBytes = 9;
+    std::vector<std::string> out{ std::string( before ) };
+    std::string all( before );
+    for( auto n = before.size() / tokenBytes; n + 1 < tokens.size(); ++n ) {
+        out.push_back( tokens[n] );
+        all += tokens[n];
+    }
+    if( before.find( '#' ) == std::string_view::npos ) {
+        out.push_back( "#" + hex( fnv( all ) ) );
+    }
+    return out;
+}
+
+//! True when the text ends in the checksum of what stands before it.
+inline bool isWhole( std::string_view text ) {
+    const auto at = text.rfind( '#' );
+    return at != std::string_view::npos &&
+           text.substr( at + 1 ) == hex( fnv( text.substr( 0, at ) ) );
+}
+
 inline std::string answerText( std::string_view model, std::string_view prompt,
                                std::uint32_t count ) {
     std::string all;
