--- a/include/coursehead/ledger/steps.hpp
+++ b/include/coursehead/ledger/steps.hpp
@@ -11,6 +11,7 @@
 struct Wanted {
     Footprint footprint;
     bool waiting = false; //!< requests wait for it now
+    bool spare = false;   //!< there are other copies elsewhere
 };
 
 //! How a resident item is being used.
@@ -34,6 +35,14 @@
 std::optional<Order> nextStep( Ledger& ledger, std::span<const Wanted> wanted,
                                std::span<const Usage> usage, const StepRules& rules, MonoTime now );
 
+/**
+ * The busy items that should take no new requests, so that they become idle and can go: those that
+ * nobody wants here any more and, for a load that requests wait for, spare copies. Empty when
+ * nothing is missing, when idle items suffice, or when even that would not make room.
+ */
+std::vector<Item> retiring( const Ledger& ledger, std::span<const Wanted> wanted,
+                            std::span<const Usage> usage, const StepRules& rules, MonoTime now );
+
 } // namespace coursehead::ledger
 
 #endif // COURSEHEAD_LEDGER_STEPS_HPP_INCLUDED
--- a/include/coursehead/peer/messages.hpp
+++ b/include/coursehead/peer/messages.hpp
@@ -37,6 +37,7 @@
     int priority = 0;
     Target target;
     std::int64_t deadlineMs = 0; //!< time left, in milliseconds
+    std::int64_t patienceMs = 0; //!< the longest useful wait for a place, in milliseconds
     std::string method;          //!< services: the HTTP method
     std::string path; //!< services: the path behind the service's name; models: the API path
     std::string contentType;
@@ -224,6 +225,7 @@
     std::string planner;
     std::uint64_t sequence = 0;
     std::vector<ResidentItem> items;
+    std::vector<std::string> spares; //!< models of these that have copies elsewhere
 };
 
 using Message = std::variant<RunRequest, RunAccepted, RunRefused, RunChunk, RunDone, RunFailed,
--- a/include/coursehead/planner/plan.hpp
+++ b/include/coursehead/planner/plan.hpp
@@ -48,6 +48,7 @@
 struct AgentPlan {
     std::string vm;
     std::vector<std::string> models; //!< sorted
+    std::vector<std::string> spares; //!< of these, the ones with copies elsewhere
 };
 
 //! Why a model gets or loses a copy.
--- a/include/coursehead/router/admission.hpp
+++ b/include/coursehead/router/admission.hpp
@@ -27,11 +27,12 @@
 Millis expectedWait( const QueueView& queue );
 
 /**
- * Admits when a place is free, or when the queue has room and the expected wait leaves the request
- * time to be of use. Low priorities see a shorter queue, so that they are shed first.
- * `priority` runs from 0 (shed first) to 9.
+ * Admits when a place is free, or when the queue has room and the expected wait is within the
+ * request's patience: its deadline or its class's target for the first token, whichever is less. A
+ * request that would start too late only takes the place of one that would not.
+ * Low priorities see a shorter queue, so that they are shed first; `priority` runs from 0 to 9.
  */
-Admission admit( const QueueView& queue, int priority, Millis deadline );
+Admission admit( const QueueView& queue, int priority, Millis patience );
 
 //! Smooths the time that a request held its place.
 Millis smooth( Millis before, Millis sample );
--- a/include/coursehead/router/route.hpp
+++ b/include/coursehead/router/route.hpp
@@ -35,8 +35,10 @@
 struct RoutingRules {
     double hallCost = 0.05;    //!< load share that another hall is worth avoiding for
     double regionCost = 0.5;   //!< the same for another region
-    double affinityGain = 0.2; //!< load share that a likely prefix hit is worth
-    double fullAt = 2.0;       //!< load share past which a candidate counts as full
+    double affinityGain = 0.1; //!< load share that a likely prefix hit is worth
+    double affinityUpTo = 0.6; //!< load share past which a likely hit is worth nothing
+    double busyAt = 1.0;       //!< load share at which all warm agents are compared, not just two
+    double fullAt = 1.2;       //!< load share at which a candidate counts as full
     bool twoChoices = true;    //!< false: least loaded of all (for comparison)
     bool affinity = true;
 };
--- a/src/agent/places.cpp
+++ b/src/agent/places.cpp
@@ -10,11 +10,11 @@
 constexpr Millis lookInterval{ 200 };
 } // namespace
 
-router::Admission Places::admit( int priority, Millis deadline ) const {
+router::Admission Places::admit( int priority, Millis patience ) const {
     const std::lock_guard lock( m_mutex );
     const router::QueueView view{ m_running, static_cast<std::uint32_t>( m_line.size() ),
                                   m_capacity, m_queueLimit, m_serviceTime };
-    return router::admit( view, priority, deadline );
+    return router::admit( view, priority, patience );
 }
 
 bool Places::acquire( int priority, MonoTime deadline, const std::function<bool()>& abandoned ) {
--- a/src/agent/places.hpp
+++ b/src/agent/places.hpp
@@ -18,7 +18,7 @@
         : m_capacity( capacity ), m_queueLimit( queueLimit ) {}
 
     //! Whether a request may join now; does not take a place.
-    router::Admission admit( int priority, Millis deadline ) const;
+    router::Admission admit( int priority, Millis patience ) const;
     //! Waits in line for a place until the deadline, or until `abandoned` says so.
     bool acquire( int priority, MonoTime deadline, const std::function<bool()>& abandoned );
     //! Gives the place back after `held`.
--- a/src/agent/residency.cpp
+++ b/src/agent/residency.cpp
@@ -160,9 +160,10 @@
     ledger::StepRules rules;
     rules.minResidency = m_settings.minResidency;
     rules.deleted = deleted( *state );
-    auto out =
-        ledger::nextInstruction( m_protocol, wanted( *state ), usage(), rules, m_clock.now() );
+    const auto wantedNow = wanted( *state );
+    auto out = ledger::nextInstruction( m_protocol, wantedNow, usage(), rules, m_clock.now() );
     if( out.kind == ledger::InstructionKind::idle ) {
+        chooseRetiring( wantedNow, rules );
         markBlocked();
     }
     return out;
@@ -330,6 +331,11 @@
             addModel( it.name, false );
         }
     }
+    for( auto& it : out ) {
+        const auto& spares = m_plan.spares;
+        it.spare =
+            std::find( spares.begin(), spares.end(), it.footprint.item.name ) != spares.end();
+    }
     for( const auto& it : m_protocol.ledger.charges ) {
         // A resident model or adapter moves on to a new version by itself.
         const auto& item = it.footprint.item;
@@ -362,10 +368,24 @@
     return out;
 }
 
+//! Chooses busy items that have to go. Only a plan can say that an item is not wanted, or that it
+//! has copies elsewhere: without one nothing retires.
+void Residency::chooseRetiring( std::span<const ledger::Wanted> wanted,
+                                const ledger::StepRules& rules ) {
+    m_retiring.clear();
+    if( m_plan.epoch > 0 ) {
+        m_retiring = ledger::retiring( m_protocol.ledger, wanted, usage(), rules, m_clock.now() );
+    }
+}
+
+bool Residency::isRetiring( const Item& item ) const {
+    return std::find( m_retiring.begin(), m_retiring.end(), item ) != m_retiring.end();
+}
+
 //! Notes which waiting targets neither have room nor anything that could make room.
 void Residency::markBlocked() {
     for( auto& [target, waiting] : m_waiting ) {
-        if( !findPin( target ) && !waiting.blocked ) {
+        if( !findPin( target ) && !waiting.blocked && m_retiring.empty() ) {
             waiting.blocked = true;
             waiting.blockedSince = m_clock.now();
         }
@@ -378,7 +398,7 @@
 std::optional<Pin> Residency::findPin( const peer::Target& target ) const {
     const auto isResident = [this]( const Item& item ) {
         const auto* charge = ledger::find( m_protocol.ledger, item );
-        return charge != nullptr && charge->state == ChargeState::resident;
+        return charge != nullptr && charge->state == ChargeState::resident && !isRetiring( item );
     };
     const auto state = m_replica.state();
     const auto* model = config::findByName( state->models, target.name );
@@ -489,7 +509,8 @@
         const bool coming = it.state == ChargeState::loading || it.state == ChargeState::unknown;
         if( it.state == ChargeState::resident || coming ) {
             out.push_back( { item.kind == ItemKind::model ? "model" : "adapter", item.name,
-                             item.version, it.state == ChargeState::resident } );
+                             item.version,
+                             it.state == ChargeState::resident && !isRetiring( item ) } );
         }
     }
     return out;
--- a/src/agent/residency.hpp
+++ b/src/agent/residency.hpp
@@ -101,6 +101,8 @@
     std::vector<ledger::Usage> usage() const;
     std::vector<ledger::Item> deleted( const config::State& state ) const;
     void markBlocked();
+    void chooseRetiring( std::span<const ledger::Wanted> wanted, const ledger::StepRules& rules );
+    bool isRetiring( const ledger::Item& item ) const;
     std::optional<Pin> findPin( const peer::Target& target ) const;
     bool pause( Millis length );
     bool stopping() const;
@@ -123,6 +125,7 @@
     std::map<ledger::Item, Use, ItemLess> m_use;
     std::map<peer::Target, Waiting, TargetLess> m_waiting;
     peer::PlanTargets m_plan;
+    std::vector<ledger::Item> m_retiring; //!< busy items that take no new requests
     std::thread m_thread;
 };
 
--- a/src/agent/runner.cpp
+++ b/src/agent/runner.cpp
@@ -116,7 +116,7 @@
 void Runner::serve( Job& job ) {
     const auto now = m_context.clock.now();
     const auto admission =
-        m_context.places.admit( job.request.priority, remaining( now, job.deadline ) );
+        m_context.places.admit( job.request.priority, Millis( job.request.patienceMs ) );
     if( !admission.admitted ) {
         refuse( job, "full", admission.retryAfter );
         return;
--- a/src/caller/api.cpp
+++ b/src/caller/api.cpp
@@ -37,9 +37,12 @@
     return { Reason::badRequest, Outcome::notRun, std::move( message ), {}, 0 };
 }
 
-int priorityOf( const config::State& state, std::string_view requestClass ) {
-    const auto* found = config::findByName( state.classes, requestClass );
-    return found == nullptr ? 0 : static_cast<int>( found->priority );
+//! Takes the targets of the request's class.
+void applyClass( const config::State& state, CallRequest& call ) {
+    const auto* found = config::findByName( state.classes, call.requestClass );
+    const config::RequestClass targets = found == nullptr ? config::RequestClass{} : *found;
+    call.priority = static_cast<int>( targets.priority );
+    call.patience = Millis( targets.firstTokenMs );
 }
 
 //! Times the pieces of one answer.
@@ -199,7 +202,7 @@
     if( !parsed.request->user.empty() ) {
         call.caller = parsed.request->user.substr( 0, maxCallerName );
     }
-    call.priority = priorityOf( *state, call.requestClass );
+    applyClass( *state, call );
     auto running = std::make_shared<Call>( m_context, call );
     return answer( *parsed.request, std::move( running ), call, std::move( slot ) );
 }
@@ -323,7 +326,7 @@
     if( call.requestClass.empty() ) {
         call.requestClass = service->requestClass;
     }
-    call.priority = priorityOf( *state, call.requestClass );
+    applyClass( *state, call );
     const auto slot = takeSlot();
     if( !slot ) {
         return fail( { Reason::full, Outcome::notRun, "this entry has no room for another request",
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -182,6 +182,7 @@
     out.priority = m_request.priority;
     out.target = m_request.target;
     out.deadlineMs = remaining( m_sentAt, m_request.deadline ).count();
+    out.patienceMs = std::min( out.deadlineMs, m_request.patience.count() );
     out.method = m_request.method;
     out.path = m_request.path;
     out.contentType = m_request.contentType;
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -30,6 +30,7 @@
     std::string key; //!< idempotency key; a request with one runs at most once
     std::uint64_t prefixHash = 0;
     MonoTime deadline;
+    Millis patience{ 610 }; //!< its class's target for the first token
     bool repeatable = true; //!< false: it is never sent again once it may have run
 };
 
--- a/src/entry/plan_service.cpp
+++ b/src/entry/plan_service.cpp
@@ -125,18 +125,19 @@
                         std::uint64_t epoch ) {
     auto& told = m_told[view.vm.name];
     if( told.incarnation == view.status.incarnation && told.epoch == epoch &&
-        told.models == plan.models ) {
+        told.models == plan.models && told.spares == plan.spares ) {
         return;
     }
     peer::PlanTargets out;
     out.epoch = epoch;
     out.planner = m_place.vm;
     out.sequence = ++m_sequence;
+    out.spares = plan.spares;
     for( const auto& it : plan.models ) {
         out.items.push_back( { "model", it, "", false } );
     }
     if( m_directory.tell( view.vm.name, out ) ) {
-        told = { view.status.incarnation, epoch, plan.models };
+        told = { view.status.incarnation, epoch, plan.models, plan.spares };
     }
 }
 
--- a/src/entry/plan_service.hpp
+++ b/src/entry/plan_service.hpp
@@ -30,6 +30,7 @@
         std::string incarnation;
         std::uint64_t epoch = 0;
         std::vector<std::string> models;
+        std::vector<std::string> spares;
     };
 
     std::vector<planner::AgentInput> agentInputs( const config::State& state,
--- a/src/ledger/steps.cpp
+++ b/src/ledger/steps.cpp
@@ -76,9 +76,15 @@
            } );
 }
 
+bool isSpare( const Scene& scene, const Item& item ) {
+    return std::any_of( scene.wanted.begin(), scene.wanted.end(), [&item]( const Wanted& it ) {
+        return it.footprint.item == item && it.spare;
+    } );
+}
+
 //! Rank among victims: lower goes first.
 struct VictimRank {
-    bool wanted = false;
+    bool wanted = false; //!< and not spare
     MonoTime used;
     bool operator<( const VictimRank& other ) const {
         return wanted != other.wanted ? !wanted : used < other.used;
@@ -95,15 +101,17 @@
            ( target.waiting || !isWanted( scene, item ) );
 }
 
-//! True when dropping everything that may go would make room: no item goes in vain.
-bool canMakeRoom( const Scene& scene, const Wanted& target ) {
+//! True when dropping everything that may go, and `also`, would make room: no item goes in vain.
+bool canMakeRoom( const Scene& scene, const Wanted& target, std::span<const Item> also = {} ) {
     std::uint32_t enough = 0;
     for( std::uint32_t n = 0; n < scene.ledger.capacity.size(); ++n ) {
         std::uint64_t stays = 0;
         for( const auto& it : scene.ledger.charges ) {
             const bool here = std::find( it.accelerators.begin(), it.accelerators.end(), n ) !=
                               it.accelerators.end();
-            if( here && !mayGoFor( scene, it, target ) ) {
+            const bool goes =
+                std::find( also.begin(), also.end(), it.footprint.item ) != also.end();
+            if( here && !goes && !mayGoFor( scene, it, target ) ) {
                 stays += it.footprint.bytes;
             }
         }
@@ -124,7 +132,8 @@
     VictimRank bestRank;
     for( const auto& it : scene.ledger.charges ) {
         const auto& item = it.footprint.item;
-        const VictimRank rank{ isWanted( scene, item ), lastUsed( scene, item ) };
+        const VictimRank rank{ isWanted( scene, item ) && !isSpare( scene, item ),
+                               lastUsed( scene, item ) };
         if( mayGoFor( scene, it, target ) && !carriesAdapters( scene, item ) &&
             ( best == nullptr || rank < bestRank ) ) {
             best = &it;
@@ -197,4 +206,27 @@
     return dropFirst( ledger, scene, [&]( const Item& it ) { return !isWanted( scene, it ); } );
 }
 
+std::vector<Item> retiring( const Ledger& ledger, std::span<const Wanted> wanted,
+                            std::span<const Usage> usage, const StepRules& rules, MonoTime now ) {
+    const Scene scene{ ledger, wanted, usage, rules, now };
+    for( const auto* target : missing( scene ) ) {
+        if( canMakeRoom( scene, *target ) ) {
+            return {};
+        }
+        std::vector<Item> out;
+        for( const auto& it : ledger.charges ) {
+            const auto& item = it.footprint.item;
+            const bool mayRetire =
+                !isWanted( scene, item ) || ( target->waiting && isSpare( scene, item ) );
+            if( it.state == ChargeState::resident && inUse( scene, item ) && mayRetire ) {
+                out.push_back( item );
+            }
+            if( !out.empty() && canMakeRoom( scene, *target, out ) ) {
+                return out;
+            }
+        }
+    }
+    return {};
+}
+
 } // namespace coursehead::ledger
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -9,8 +9,8 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( Target, kind, name, adapter )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( RunRequest, requestId, attempt, incarnation, caller,
-                                    requestClass, priority, target, deadlineMs, method, path,
-                                    contentType, body, key, prefix, mayLoad, revision )
+                                    requestClass, priority, target, deadlineMs, patienceMs, method,
+                                    path, contentType, body, key, prefix, mayLoad, revision )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( RunAccepted, requestId, attempt )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( RunRefused, requestId, reason, retryAfterMs )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( RunChunk, requestId, offset, text )
@@ -33,7 +33,7 @@
                                     accelerators, freeBytes, items, demand, revision )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ConfigAsk, revision )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ConfigNews, revision, head, snapshot )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( PlanTargets, epoch, planner, sequence, items )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( PlanTargets, epoch, planner, sequence, items, spares )
 
 namespace {
 
--- a/src/planner/plan.cpp
+++ b/src/planner/plan.cpp
@@ -51,6 +51,8 @@
         : m_models( models ), m_rules( rules ), m_copies( models.size(), 0 ) {
         for( ModelIndex n = 0; n < models.size(); ++n ) {
             m_index.emplace( models[n].name, n );
+            m_largest = std::max( m_largest,
+                                  static_cast<double>( models[n].bytes ) * models[n].accelerators );
         }
         for( const auto& it : agents ) {
             m_sites.push_back( makeSite( it ) );
@@ -63,9 +65,12 @@
         out.moves = m_moves;
         out.reasons = std::move( m_reasons );
         for( const auto& it : m_sites ) {
-            AgentPlan agent{ it.input->vm, {} };
+            AgentPlan agent{ it.input->vm, {}, {} };
             for( const auto model : it.held ) {
                 agent.models.push_back( m_models[model].name );
+                if( m_copies[model] > 1 ) {
+                    agent.spares.push_back( m_models[model].name );
+                }
             }
             std::sort( agent.models.begin(), agent.models.end() );
             out.agents.push_back( std::move( agent ) );
@@ -162,7 +167,9 @@
         const double weight = 1 + priorityShare * it.priority;
         double out = gain * it.rate * m_rules.horizonSeconds * weight * m_rules.weights.attainment;
         if( copies == 1 ) {
-            out += firstCopyWorth;
+            // The largest first: small ones still fit into what is left.
+            out += firstCopyWorth *
+                   ( 1 + static_cast<double>( it.bytes ) * it.accelerators / m_largest );
         } else if( copies <= it.replicas ) {
             out += replicaWorth;
         }
@@ -217,6 +224,15 @@
         return addByEviction( model, gain );
     }
 
+    //! Room that stays on the accelerators a copy would take.
+    std::uint64_t leftOver( const Site& site, ModelIndex model ) const {
+        std::uint64_t out = 0;
+        for( const auto it : roomFor( site, model ) ) {
+            out += site.free[it] - m_models[model].bytes;
+        }
+        return out;
+    }
+
     Site* bestWithRoom( ModelIndex model ) {
         Site* best = nullptr;
         double bestRank = std::numeric_limits<double>::max();
@@ -230,7 +246,11 @@
                 hall->second = copiesIn( it.input->hall, model );
             }
             constexpr double hallWeight = 1e6;
-            const double rank = hallWeight * hall->second + it.load;
+            // A first copy goes where it leaves the least room over, a further one where it is
+            // calm.
+            const double rank = m_copies[model] == 0
+                                    ? static_cast<double>( leftOver( it, model ) ) / m_largest
+                                    : hallWeight * hall->second + it.load;
             if( rank < bestRank ) {
                 bestRank = rank;
                 best = &it;
@@ -323,6 +343,7 @@
     std::vector<std::uint32_t> m_copies;
     std::vector<PlanReason> m_reasons;
     std::uint32_t m_moves = 0;
+    double m_largest = 1; //!< bytes of the largest model on all its accelerators
 };
 
 } // namespace
--- a/src/router/admission.cpp
+++ b/src/router/admission.cpp
@@ -19,7 +19,7 @@
     return queue.serviceTime * ( queue.queued + 1 ) / capacity;
 }
 
-Admission admit( const QueueView& queue, int priority, Millis deadline ) {
+Admission admit( const QueueView& queue, int priority, Millis patience ) {
     if( queue.running < queue.capacity && queue.queued == 0 ) {
         return { true, Millis{ 0 } };
     }
@@ -27,7 +27,7 @@
     const auto rank = static_cast<std::uint32_t>( std::clamp( priority, 0, highestPriority ) );
     // Priority 0 may fill half of the queue, the highest all of it.
     const auto limit = queue.queueLimit / 2 + queue.queueLimit * rank / ( 2 * highestPriority );
-    if( queue.queued < limit && wait < deadline ) {
+    if( queue.queued < limit && wait < patience ) {
         return { true, Millis{ 0 } };
     }
     return { false, std::clamp( wait, leastRetryAfter, mostRetryAfter ) };
--- a/src/router/route.cpp
+++ b/src/router/route.cpp
@@ -65,12 +65,17 @@
         const auto second =
             warm.size() > 1 ? ( first + 1 + dice( warm.size() - 1 ) ) % warm.size() : first;
         best = better( score, warm[first], warm[second] );
-    } else {
+    }
+    if( score.home && loadShare( score.candidates[*score.home] ) < rules.affinityUpTo ) {
+        best = better( score, best, *score.home );
+    }
+    // Two choices spread well while there is room; when both are busy a third may have some left.
+    if( !rules.twoChoices || loadShare( score.candidates[best] ) >= rules.busyAt ) {
         for( const auto it : warm ) {
             best = better( score, best, it );
         }
     }
-    return score.home ? better( score, best, *score.home ) : best;
+    return best;
 }
 
 std::optional<std::size_t> pickCold( std::span<const Candidate> candidates,
