--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -63,7 +63,6 @@
     peer::AgentStatus status();
     void onOwnVm( const std::map<std::string, platform::Object>& objects );
     void beginDrain( std::string_view why );
-    void waitUntilIdle();
     void listenHttp();
     void listenPeers();
     void registerGauges();
@@ -196,24 +195,11 @@
 }
 
 void Agent::registerGauges() {
-    m_metrics.gauge( "config_revision",
-                     [this] { return static_cast<double>( m_replica.revision() ); } );
-    m_metrics.gauge( "config_older_dropped",
-                     [this] { return static_cast<double>( m_replica.stats().olderDropped ); } );
+    daemon::addCommonGauges( m_metrics, m_replica, m_storeStats, m_loop );
     m_metrics.gauge( "running", [this] { return m_places.running(); } );
     m_metrics.gauge( "queued", [this] { return m_places.queued(); } );
     m_metrics.gauge( "claim_records",
                      [this] { return static_cast<double>( m_claims.records() ); } );
-    m_metrics.gauge( "store_calls", [this] {
-        return static_cast<double>( m_storeStats.reads + m_storeStats.writes +
-                                    m_storeStats.watches );
-    } );
-    m_metrics.gauge( "peer_bytes", [this] {
-        const auto stats = m_loop.stats();
-        return static_cast<double>( stats.bytesIn + stats.bytesOut );
-    } );
-    m_metrics.gauge( "peer_connections",
-                     [this] { return static_cast<double>( m_loop.stats().connections ); } );
     m_metrics.gauge( "peer_unauthorized",
                      [this] { return static_cast<double>( m_loop.stats().unauthorized ); } );
     m_metrics.gauge( "peer_protocol_errors",
@@ -367,21 +353,12 @@
     }
 }
 
-void Agent::waitUntilIdle() {
-    const auto limit = m_clock.now() + Millis( m_settings.number( "drain-limit-ms" ) );
-    constexpr Millis step{ 20 };
-    while( m_runner->inFlight() > 0 && m_clock.now() < limit ) {
-        std::this_thread::sleep_for( step );
-    }
-    log::info( "drain_ends", { { "left", static_cast<std::int64_t>( m_runner->inFlight() ) } } );
-}
-
 int Agent::run() {
     m_kernel.start();
     log::info( "ready", { { "incarnation", m_incarnation } } );
     waitForStopSignal();
     beginDrain( "stop signal" );
-    waitUntilIdle();
+    daemon::waitUntilIdle( m_settings, m_clock, [this] { return m_runner->inFlight(); } );
     m_kernel.stop();
     return daemon::exitOk;
 }
--- a/src/agent/residency.cpp
+++ b/src/agent/residency.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "agent/residency.hpp"
 
+#include "agent/wanted.hpp"
 #include "coursehead/kernel/log.hpp"
 #include "coursehead/platform/attempt.hpp"
 
@@ -23,18 +24,6 @@
 constexpr Millis idlePause{ 200 };
 constexpr Millis lookInterval{ 200 };
 
-Item modelItem( const config::Model& model ) {
-    return { ItemKind::model, model.name, model.version, "" };
-}
-
-Item adapterItem( const config::Adapter& adapter, const config::Model& model ) {
-    return { ItemKind::adapter, adapter.name, model.version, model.name };
-}
-
-ledger::Footprint modelFootprint( const config::Model& model ) {
-    return { modelItem( model ), config::bytesPerAccelerator( model ), model.accelerators };
-}
-
 std::string_view outcomeWord( OrderOutcome outcome ) {
     switch( outcome ) {
     case OrderOutcome::done:
@@ -293,64 +282,11 @@
 }
 
 std::vector<ledger::Wanted> Residency::wanted( const config::State& state ) const {
-    std::vector<ledger::Wanted> out;
-    const auto add = [&out]( const ledger::Footprint& footprint, bool waiting ) {
-        for( auto& it : out ) {
-            if( it.footprint.item == footprint.item ) {
-                it.waiting = it.waiting || waiting;
-                return;
-            }
-        }
-        out.push_back( { footprint, waiting } );
-    };
-    const auto addModel = [&]( const std::string& name, bool waiting ) {
-        if( const auto* model = config::findByName( state.models, name ) ) {
-            add( modelFootprint( *model ), waiting );
-        }
-    };
-    const auto addAdapter = [&]( const std::string& name, bool waiting ) {
-        const auto* adapter = config::findByName( state.adapters, name );
-        const auto* model =
-            adapter == nullptr ? nullptr : config::findByName( state.models, adapter->model );
-        if( model != nullptr ) {
-            add( modelFootprint( *model ), waiting );
-            add( { adapterItem( *adapter, *model ), adapter->memory, 0 }, waiting );
-        }
-    };
-    for( const auto& [target, waiting] : m_waiting ) {
-        if( target.adapter.empty() ) {
-            addModel( target.name, true );
-        } else {
-            addAdapter( target.adapter, true );
-        }
-    }
-    for( const auto& it : m_plan.items ) {
-        if( it.kind == "adapter" ) {
-            addAdapter( it.name, false );
-        } else {
-            addModel( it.name, false );
-        }
-    }
-    for( auto& it : out ) {
-        const auto& spares = m_plan.spares;
-        it.spare =
-            std::find( spares.begin(), spares.end(), it.footprint.item.name ) != spares.end();
-    }
-    for( const auto& it : m_protocol.ledger.charges ) {
-        // A resident model or adapter moves on to a new version by itself.
-        const auto& item = it.footprint.item;
-        const auto& name = item.kind == ItemKind::model ? item.name : item.model;
-        const auto* model = config::findByName( state.models, name );
-        if( model == nullptr || model->version == item.version ) {
-            continue;
-        }
-        if( item.kind == ItemKind::model ) {
-            addModel( item.name, false );
-        } else {
-            addAdapter( item.name, false );
-        }
+    std::vector<peer::Target> waiting;
+    for( const auto& it : m_waiting ) {
+        waiting.push_back( it.first );
     }
-    return out;
+    return wantedItems( state, waiting, m_plan, m_protocol.ledger );
 }
 
 //! Charged items that no longer exist in the configuration.
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -55,7 +55,6 @@
     config::CommitResult commit( const config::ChangeSet& set, config::Revision base );
     bool waitForSpread( config::Revision revision, MonoTime deadline );
     bool spreadTo( config::Revision revision );
-    void waitUntilIdle();
     void listen();
     void registerServices();
     void registerGauges();
@@ -151,21 +150,10 @@
 }
 
 void Entry::registerGauges() {
-    m_metrics.gauge( "config_revision",
-                     [this] { return static_cast<double>( m_replica.revision() ); } );
-    m_metrics.gauge( "config_older_dropped",
-                     [this] { return static_cast<double>( m_replica.stats().olderDropped ); } );
+    daemon::addCommonGauges( m_metrics, m_replica, m_storeStats, m_loop );
     m_metrics.gauge( "in_flight", [this] { return static_cast<double>( m_callers.inFlight() ); } );
     m_metrics.gauge( "agents_up", [this] { return static_cast<double>( m_directory.upCount() ); } );
     m_metrics.gauge( "leading", [this] { return m_leader.leading() ? 1.0 : 0.0; } );
-    m_metrics.gauge( "store_calls", [this] {
-        return static_cast<double>( m_storeStats.reads + m_storeStats.writes +
-                                    m_storeStats.watches );
-    } );
-    m_metrics.gauge( "peer_bytes", [this] {
-        const auto stats = m_loop.stats();
-        return static_cast<double>( stats.bytesIn + stats.bytesOut );
-    } );
 }
 
 void Entry::registerServices() {
@@ -329,22 +317,13 @@
     return true;
 }
 
-void Entry::waitUntilIdle() {
-    const auto limit = m_clock.now() + Millis( m_settings.number( "drain-limit-ms" ) );
-    constexpr Millis step{ 20 };
-    while( m_callers.inFlight() > 0 && m_clock.now() < limit ) {
-        std::this_thread::sleep_for( step );
-    }
-    log::info( "drain_ends", { { "left", static_cast<std::int64_t>( m_callers.inFlight() ) } } );
-}
-
 int Entry::run() {
     m_kernel.start();
     log::info( "ready", {} );
     waitForStopSignal();
     m_callers.drain();
     log::info( "drain_begins", { { "reason", "stop signal" } } );
-    waitUntilIdle();
+    daemon::waitUntilIdle( m_settings, m_clock, [this] { return m_callers.inFlight(); } );
     m_kernel.stop();
     return daemon::exitOk;
 }
--- a/src/kernel/daemon.cpp
+++ b/src/kernel/daemon.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
 
 namespace coursehead::daemon {
 
@@ -94,4 +95,31 @@
     return out;
 }
 
+void waitUntilIdle( const settings::Settings& settings, const Clock& clock,
+                    const std::function<std::size_t()>& inFlight ) {
+    constexpr Millis step{ 20 };
+    const auto limit = clock.now() + Millis( settings.number( "drain-limit-ms" ) );
+    while( inFlight() > 0 && clock.now() < limit ) {
+        std::this_thread::sleep_for( step );
+    }
+    log::info( "drain_ends", { { "left", static_cast<std::int64_t>( inFlight() ) } } );
+}
+
+void addCommonGauges( metrics::Metrics& metrics, const config::Replica& replica,
+                      const platform::StoreStats& store, const peer::Loop& loop ) {
+    metrics.gauge( "config_revision",
+                   [&replica] { return static_cast<double>( replica.revision() ); } );
+    metrics.gauge( "config_older_dropped",
+                   [&replica] { return static_cast<double>( replica.stats().olderDropped ); } );
+    metrics.gauge( "store_calls", [&store] {
+        return static_cast<double>( store.reads + store.writes + store.watches );
+    } );
+    metrics.gauge( "peer_bytes", [&loop] {
+        const auto stats = loop.stats();
+        return static_cast<double>( stats.bytesIn + stats.bytesOut );
+    } );
+    metrics.gauge( "peer_connections",
+                   [&loop] { return static_cast<double>( loop.stats().connections ); } );
+}
+
 } // namespace coursehead::daemon
--- a/src/kernel/daemon.hpp
+++ b/src/kernel/daemon.hpp
@@ -2,7 +2,9 @@
 #ifndef COURSEHEAD_KERNEL_DAEMON_HPP_INCLUDED
 #define COURSEHEAD_KERNEL_DAEMON_HPP_INCLUDED
 
+#include "coursehead/config/replica.hpp"
 #include "coursehead/kernel/settings.hpp"
+#include "coursehead/metrics/metrics.hpp"
 #include "coursehead/peer/loop.hpp"
 #include "coursehead/platform/watcher.hpp"
 
@@ -32,6 +34,14 @@
 peer::LoopSettings loopSettings( const settings::Settings& settings );
 platform::WatchSettings watchSettings( const settings::Settings& settings );
 
+//! Waits until nothing is in flight, at most for the setting drain-limit-ms, and logs what is left.
+void waitUntilIdle( const settings::Settings& settings, const Clock& clock,
+                    const std::function<std::size_t()>& inFlight );
+
+//! Registers the gauges that every daemon has.
+void addCommonGauges( metrics::Metrics& metrics, const config::Replica& replica,
+                      const platform::StoreStats& store, const peer::Loop& loop );
+
 } // namespace coursehead::daemon
 
 #endif // COURSEHEAD_KERNEL_DAEMON_HPP_INCLUDED
--- a/src/planner/plan.cpp
+++ b/src/planner/plan.cpp
@@ -133,13 +133,7 @@
     }
 
     void take( Site& site, ModelIndex model ) {
-        const auto at = std::find( site.held.begin(), site.held.end(), model );
-        const auto n = static_cast<std::size_t>( at - site.held.begin() );
-        for( const auto it : site.places[n] ) {
-            site.free[it] += m_models[model].bytes;
-        }
-        site.held.erase( at );
-        site.places.erase( site.places.begin() + static_cast<std::ptrdiff_t>( n ) );
+        dropFrom( site, model );
         site.load -= loadPerCopy( model );
         --m_copies[model];
     }
--- a/tests/promise/leaving.tests.cpp
+++ b/tests/promise/leaving.tests.cpp
@@ -119,6 +119,9 @@
     } );
     desk.checkWhole();
     CHECK( desk.fleet.node( vm ).process->wait( 20 ) == 0 );
+    // It ended here, not by going on elsewhere.
+    CHECK( desk.fleet.node( vm ).process->output().find( "event=drain_ends left=0" ) !=
+           std::string::npos );
     CHECK( Fleet::get( desk.fleet.node( "e" + vm.substr( 1 ) ).url, "/status" )["generations"] ==
            1 );
 }
