Keys: a rival's attempt is looked at before it is barred

Ruled out: a double run (the services' counters stayed at 1) and the new load reports. Change: the state is asked up to ten times, 50 ms apart, while the attempt is unseen; then barred.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -116,6 +116,7 @@
     const auto begin = Clock::now();
     {
         std::vector<std::jthread> threads;
+        threads.reserve( static_cast<std::size_t>( streams ) );
         for( int n = 0; n < streams; ++n ) {
             threads.emplace_back( [&, n] {
                 for( int k = 0; k < rounds; ++k ) {
--- a/include/coursehead/claims/attempts.hpp
+++ b/include/coursehead/claims/attempts.hpp
@@ -36,6 +36,8 @@
 void finish( AttemptTable& table, const AttemptId& id, MonoTime now );
 //! Bars the attempt unless it was started; says what it found.
 peer::AttemptState bar( AttemptTable& table, const AttemptId& id, MonoTime now );
+//! What is known of the attempt; changes nothing.
+peer::AttemptState look( const AttemptTable& table, const AttemptId& id );
 //! Forgets records that have not changed for `keep`; a started one is kept.
 void forget( AttemptTable& table, MonoTime now, Millis keep );
 
--- a/include/coursehead/peer/messages.hpp
+++ b/include/coursehead/peer/messages.hpp
@@ -98,10 +98,12 @@
     std::string requestId;
     std::uint32_t attempt = 0;
     std::string incarnation;
+    bool askOnly = false; //!< say what is known, and bar nothing
 };
 
 enum class AttemptState {
     unknown, //!< this process can't tell
+    unseen,  //!< it has not arrived; only answered to askOnly
     barred,  //!< never started, and never will be
     started,
     finished,
--- a/src/agent/runner.cpp
+++ b/src/agent/runner.cpp
@@ -322,8 +322,9 @@
     peer::BarAnswer out{ request->requestId, peer::AttemptState::unknown };
     if( request->incarnation == m_settings.incarnation ) {
         const std::lock_guard lock( m_mutex );
-        out.state = claims::bar( m_attempts, { request->requestId, request->attempt },
-                                 m_context.clock.now() );
+        const AttemptId id{ request->requestId, request->attempt };
+        out.state = request->askOnly ? claims::look( m_attempts, id )
+                                     : claims::bar( m_attempts, id, m_context.clock.now() );
     }
     stream.send( encode( out ), m_context.clock.now() + writePatience );
     stream.finish();
--- a/src/claims/attempts.cpp
+++ b/src/claims/attempts.cpp
@@ -23,6 +23,11 @@
     return it->second.state;
 }
 
+AttemptState look( const AttemptTable& table, const AttemptId& id ) {
+    const auto it = table.records.find( id );
+    return it == table.records.end() ? AttemptState::unseen : it->second.state;
+}
+
 void forget( AttemptTable& table, MonoTime now, Millis keep ) {
     std::erase_if( table.records, [now, keep]( const auto& it ) {
         return it.second.state != AttemptState::started && now - it.second.changed > keep;
--- a/src/entry/call.cpp
+++ b/src/entry/call.cpp
@@ -5,6 +5,7 @@
 #include "coursehead/kernel/log.hpp"
 
 #include <algorithm>
+#include <thread>
 
 namespace coursehead::entry {
 
@@ -283,9 +284,22 @@
     return out;
 }
 
+//! What became of the attempt that holds our key. It may still be on its way to its agent: it is
+//! given a little time before it is barred, or two requests could bar each other for ever.
+AttemptState Call::stateOf( const peer::ClaimHolder& holder ) {
+    for( std::uint32_t n = 0; n < m_context.rules.looks; ++n ) {
+        const auto state = barAttempt( holder.executor, holder.incarnation, holder.requestId,
+                                       holder.attempt, true );
+        if( state != AttemptState::unseen ) {
+            return state;
+        }
+        std::this_thread::sleep_for( m_context.rules.lookPause );
+    }
+    return barAttempt( holder.executor, holder.incarnation, holder.requestId, holder.attempt );
+}
+
 Call::Problem Call::onBusy( const peer::ClaimHolder& holder, const Choice& choice ) {
-    const auto state =
-        barAttempt( holder.executor, holder.incarnation, holder.requestId, holder.attempt );
+    const auto state = stateOf( holder );
     if( state == AttemptState::started || state == AttemptState::finished ) {
         m_joined = true;
         m_answerId = holder.requestId;
@@ -293,7 +307,7 @@
         m_have = 0;
         return std::nullopt;
     }
-    if( state == AttemptState::unknown ) {
+    if( state != AttemptState::barred ) {
         return fail( Reason::keyBusy, Outcome::unknown,
                      "another request with this idempotency key is or was in progress",
                      comeBackSoon );
@@ -429,6 +443,7 @@
     case AttemptState::started:
     case AttemptState::finished:
         return join( m_vm );
+    case AttemptState::unseen:
     case AttemptState::unknown:
         break;
     }
@@ -479,9 +494,10 @@
 }
 
 AttemptState Call::barAttempt( std::string_view vm, std::string_view incarnation,
-                               const std::string& requestId, std::uint32_t attempt ) {
-    const auto answer = ask( vm, peer::barPath,
-                             peer::BarRequest{ requestId, attempt, std::string( incarnation ) } );
+                               const std::string& requestId, std::uint32_t attempt, bool askOnly ) {
+    const auto answer =
+        ask( vm, peer::barPath,
+             peer::BarRequest{ requestId, attempt, std::string( incarnation ), askOnly } );
     const auto* found = answer ? std::get_if<peer::BarAnswer>( &*answer ) : nullptr;
     return found != nullptr && found->requestId == requestId ? found->state : AttemptState::unknown;
 }
--- a/src/entry/call.hpp
+++ b/src/entry/call.hpp
@@ -48,6 +48,8 @@
 struct CallRules {
     Millis acceptPatience{ 1000 }; //!< an agent that does not acknowledge within this is given up
     Millis askPatience{ 1000 };    //!< waiting for an agent to answer a question
+    Millis lookPause{ 50 };        //!< between looks for another request's attempt
+    std::uint32_t looks = 10;      //!< before that attempt is barred
     std::uint32_t maxAttempts = 4;
 };
 
@@ -116,7 +118,9 @@
     Problem goElsewhere( std::string_view why );
 
     peer::AttemptState barAttempt( std::string_view vm, std::string_view incarnation,
-                                   const std::string& requestId, std::uint32_t attempt );
+                                   const std::string& requestId, std::uint32_t attempt,
+                                   bool askOnly = false );
+    peer::AttemptState stateOf( const peer::ClaimHolder& holder );
     std::optional<peer::Message> ask( std::string_view vm, std::string_view path,
                                       const peer::Message& question );
     CallEvent fail( caller::Reason reason, caller::Outcome outcome, std::string message,
--- a/src/kernel/settings.cpp
+++ b/src/kernel/settings.cpp
@@ -84,7 +84,9 @@
     std::vector<std::unique_ptr<ValueArg>> out;
     for( const auto& spec : specs ) {
         std::string help( spec.help );
-        help += " [" + environmentName( spec.name ) + "]";
+        help += " [";
+        help += environmentName( spec.name );
+        help += "]";
         out.push_back( std::make_unique<ValueArg>( "", std::string( spec.name ), help, false,
                                                    startValue( spec, environment ), "value",
                                                    line ) );
@@ -100,8 +102,15 @@
         const std::string& value = found[n]->getValue();
         const std::string why = complaint( spec, value );
         if( !why.empty() ) {
-            out.problems.push_back( "--" + std::string( spec.name ) + " (" +
-                                    environmentName( spec.name ) + ") = '" + value + "': " + why );
+            std::string problem = "--";
+            problem += spec.name;
+            problem += " (";
+            problem += environmentName( spec.name );
+            problem += ") = '";
+            problem += value;
+            problem += "': ";
+            problem += why;
+            out.problems.push_back( std::move( problem ) );
         }
         values.emplace( spec.name, value );
     }
--- a/src/peer/messages.cpp
+++ b/src/peer/messages.cpp
@@ -18,7 +18,7 @@
                                     completionTokens, status, contentType, body )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( RunFailed, requestId, reason, mayHaveRun )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( JoinRequest, requestId, offset )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( BarRequest, requestId, attempt, incarnation )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( BarRequest, requestId, attempt, incarnation, askOnly )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( BarAnswer, requestId, state )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ClaimHolder, requestId, attempt, executor, incarnation )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ClaimRequest, step, key, fingerprint, holder, outcome, status,
