Configuration: a stream of changes no longer starves the spread from peer to peer

Cause: the entry looked for lagging agents only after a second in which nothing had woken it; with a change every 0.4 s that second never came. Ruled out: the slower reports alone (they only uncovered it: each report used to trigger the push). Change: the look is due every second whatever wakes the thread; an agent is sent what it lacks once it has lagged at two looks.

--- a/src/entry/directory.cpp
+++ b/src/entry/directory.cpp
@@ -124,9 +124,10 @@
         openControls();
         readControls();
         std::unique_lock lock( m_mutex );
-        const bool woken =
-            m_changed.wait_for( lock, lookInterval, [this] { return m_work || m_stopping; } );
-        if( !woken ) {
+        m_changed.wait_for( lock, lookInterval, [this] { return m_work || m_stopping; } );
+        // Not only after a quiet interval: a stream of changes wakes us all the time.
+        if( m_clock.now() - m_lastSpread >= lookInterval ) {
+            m_lastSpread = m_clock.now();
             spreadConfig();
         }
         m_work = false;
@@ -155,12 +156,19 @@
     }
 }
 
-//! Passes our configuration to agents that still lag behind: their watch may be cut.
+//! Passes our configuration to agents that have lagged for a while: their watch may be cut. An
+//! agent that only has not reported yet is left alone.
 void Directory::spreadConfig() {
+    const auto revision = m_replica.revision();
     for( auto& [name, agent] : m_agents ) {
-        if( agent.control && agent.view.reported ) {
+        if( !agent.control || !agent.view.reported || agent.view.status.revision >= revision ) {
+            agent.lagging = false;
+            continue;
+        }
+        if( agent.lagging ) {
             exchangeConfig( agent, agent.view.status.revision );
         }
+        agent.lagging = true;
     }
 }
 
--- a/src/entry/directory.hpp
+++ b/src/entry/directory.hpp
@@ -87,6 +87,7 @@
         AgentView view;
         peer::LinkId link = 0;
         std::shared_ptr<peer::Stream> control;
+        bool lagging = false;               //!< was behind our revision at the last look
         std::uint32_t inFlight = 0;         //!< requests of this entry that are there
         std::uint32_t inFlightAtReport = 0; //!< the same when the agent last reported
     };
@@ -118,6 +119,7 @@
     std::map<std::string, Agent, std::less<>> m_agents;
     std::uint64_t m_listVersion = 0;
     std::map<std::string, std::uint32_t> m_demand;
+    MonoTime m_lastSpread;
     bool m_work = false;
     bool m_stopping = false;
     std::thread m_thread;
--- a/tests/promise/config.tests.cpp
+++ b/tests/promise/config.tests.cpp
@@ -237,3 +237,18 @@
     fleet::waitUntil( "the new entry",
                       [&] { return modelNames( hall.fleet.node( "e3" ) ).size() == 90; } );
 }
+
+TEST_CASE( "A steady stream of changes does not hold up their spread from peer to peer",
+           "[promise][config][process]" ) {
+    Hall hall;
+    Fleet::require( hall.e1(), create( "m" ) );
+    Fleet::setFaults( hall.fleet.store(), { { "hold_watches", true } } );
+    const auto before = *hall.revisions().rbegin();
+    bool spread = false;
+    for( int n = 0; n < 60 && !spread; ++n ) {
+        Fleet::command( hall.e1(), "set model m replicas=" + std::to_string( n + 2 ) );
+        std::this_thread::sleep_for( Millis( 200 ) );
+        spread = *hall.revisions().begin() > before;
+    }
+    CHECK( spread );
+}
