Peer connections: a silent peer is given up though pings go out all the time

Cause: found by reading: the client counted from its latest ping, and with streams open it pings each third of the silence, so the count never got there (at the default 3 s; the tests' 1.5 s got through by the jitter of the tick). A frozen agent was then noticed only at a request's deadline. Change: counted from the first ping without an answer. Proof: 'A peer that fell silent is given up' timed out before ('timed out waiting for: the link to be given up'), passes after.

--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -134,6 +135,16 @@
     return -1;
 }
 
+//! The product's figures for a deployment, made once.
+const Figures& figuresOf( const Deployment& deployment ) {
+    static std::map<std::string_view, Figures> made;
+    const auto found = made.find( deployment.name );
+    if( found != made.end() ) {
+        return found->second;
+    }
+    return made[deployment.name] = simulate( deployment, named( "coursehead" ), {}, seed );
+}
+
 int check( const std::string& path ) {
     std::ifstream file( path );
     int passed = 0;
@@ -149,7 +160,7 @@
             if( deployment.name != bound.deployment ) {
                 continue;
             }
-            const auto figures = simulate( deployment, named( "coursehead" ), {}, seed );
+            const auto& figures = figuresOf( deployment );
             const double got = figureOf( figures, bound.figure );
             const bool good = bound.side == "at-least" ? got >= bound.value : got <= bound.value;
             ( good ? passed : failed ) += 1;
--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -274,20 +274,27 @@
 
 void Connection::tick( MonoTime now ) {
     const auto* settings = m_host.settings;
-    const auto quiet = now - m_lastBytes;
-    // The accepting side only sweeps up: the connecting side pings and decides first.
-    const auto patience =
-        m_side == Side::client ? settings->silence : 2 * settings->silence + 2 * settings->idlePing;
+    if( m_side == Side::server || m_connecting ) {
+        // The accepting side only sweeps up: the connecting side pings, and decides first.
+        const auto patience =
+            m_connecting ? settings->silence : 2 * settings->silence + 2 * settings->idlePing;
+        if( now - m_lastBytes > patience ) {
+            fail( "silent for too long" );
+        }
+        return;
+    }
     const auto interval = m_streams.size() > 1 ? settings->silence / 3 : settings->idlePing;
-    const bool pinged = m_lastPing > m_lastBytes;
-    const bool overdue = m_side == Side::server || m_connecting || pinged;
-    if( quiet > patience && overdue &&
-        ( m_side == Side::server || m_connecting || now - m_lastPing > settings->silence / 2 ) ) {
+    // Counted from the first ping without an answer: later ones must not put the end off.
+    const bool unanswered = m_unansweredSince > m_lastBytes;
+    if( unanswered && now - m_unansweredSince > settings->silence * 2 / 3 ) {
         fail( "silent for too long" );
         return;
     }
-    if( m_side == Side::client && m_session != nullptr && now - m_lastPing >= interval ) {
+    if( now - m_lastPing >= interval ) {
         m_lastPing = now;
+        if( !unanswered ) {
+            m_unansweredSince = now;
+        }
         nghttp2_submit_ping( m_session, NGHTTP2_FLAG_NONE, nullptr );
         flush();
     }
--- a/src/peer/connection.hpp
+++ b/src/peer/connection.hpp
@@ -81,6 +81,7 @@
     bool m_dead = false;
     MonoTime m_lastBytes;
     MonoTime m_lastPing;
+    MonoTime m_unansweredSince; //!< the first ping since the last bytes came
     MonoTime m_resetWindow;
     std::size_t m_resets = 0;
 };
--- a/tests/unit/peer.tests.cpp
+++ b/tests/unit/peer.tests.cpp
@@ -1,10 +1,18 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "coursehead/peer/frame.hpp"
+#include "coursehead/peer/loop.hpp"
 #include "coursehead/peer/messages.hpp"
+#include "support/fleet.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+
 using namespace coursehead::peer;
 
 TEST_CASE( "Frames survive any cutting of the byte stream", "[peer][frame]" ) {
@@ -70,3 +78,38 @@
                   decode( valid );
               } );
 }
+
+TEST_CASE( "A peer that fell silent is given up though pings go out all the time",
+           "[peer][loop]" ) {
+    // A listener that never answers: the kernel accepts, nobody reads.
+    const int listener = ::socket( AF_INET, SOCK_STREAM, 0 );
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    ::inet_pton( AF_INET, "127.0.0.1", &address.sin_addr );
+    socklen_t size = sizeof( address );
+    auto* generic = reinterpret_cast<sockaddr*>( &address );
+    REQUIRE( ::bind( listener, generic, size ) == 0 );
+    REQUIRE( ::listen( listener, 8 ) == 0 );
+    ::getsockname( listener, generic, &size );
+
+    LoopSettings settings;
+    settings.token = "t";
+    settings.silence = coursehead::Millis( 2000 );
+    std::atomic<bool> up{ false };
+    std::atomic<bool> lost{ false };
+    Loop loop( settings, []( const auto&, const auto& ) {} );
+    loop.onLinkChange( [&]( LinkId, bool isUp ) {
+        lost = lost || ( up && !isUp );
+        up = isUp;
+    } );
+    loop.start();
+    const auto link = loop.connect( "127.0.0.1", ntohs( address.sin_port ) );
+    fleet::waitUntil( "the connection", [&] { return loop.isUp( link ); } );
+    const auto one = loop.open( link, runPath );
+    const auto two = loop.open( link, runPath );
+    fleet::waitUntil(
+        "the link to be given up", [&] { return lost.load(); }, 10 );
+    CHECK( one->receive( coursehead::MonoTime{} ).status == ReceiveStatus::broken );
+    loop.stop();
+    ::close( listener );
+}
