Leaving: an agent's own refusal proved against an entry that has not heard

Cause: the mutants run passed without the agent's refusal: the entry had already heard the agent's own word. The new test asks the agent directly, as an entry with the oldest possible view would.

--- a/tests/promise/leaving.tests.cpp
+++ b/tests/promise/leaving.tests.cpp
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
+#include "coursehead/peer/loop.hpp"
+#include "coursehead/peer/messages.hpp"
 #include "support/fleet.hpp"
 
 #include <catch2/catch.hpp>
@@ -151,3 +153,48 @@
     } );
     desk.checkWhole();
 }
+
+TEST_CASE( "A leaving agent refuses an entry that has not heard of it",
+           "[promise][leaving][process]" ) {
+    using namespace coursehead;
+    Tills tills;
+    const auto& agent = tills.fleet.node( "a1" );
+    const auto log = agent.process->output();
+    const std::string mark = "incarnation=";
+    const auto incarnation = log.substr( log.find( mark ) + mark.size(), 16 );
+    // An entry of our own, whose view of the agent is as old as can be.
+    peer::LoopSettings settings;
+    settings.token = "test-token";
+    peer::Loop loop( settings, []( const auto&, const auto& ) {} );
+    loop.start();
+    const auto link = loop.connect( "127.0.0.1", agent.port );
+    fleet::waitUntil( "the connection", [&] { return loop.isUp( link ); } );
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds( 10 );
+    const auto ask = [&]( const std::string& id ) {
+        peer::RunRequest request;
+        request.requestId = id;
+        request.attempt = 1;
+        request.incarnation = incarnation;
+        request.target = { peer::TargetKind::service, "balance", "" };
+        request.deadlineMs = 5000;
+        request.patienceMs = 500;
+        request.method = "GET";
+        request.path = "/1";
+        const auto stream = loop.open( link, peer::runPath );
+        REQUIRE( stream );
+        stream->send( encode( request ), limit );
+        stream->finish();
+        return peer::decode( stream->receive( limit ).frame ).message;
+    };
+    CHECK( std::holds_alternative<peer::RunAccepted>( ask( "before" ) ) );
+    tills.fleet.listVm( "a1", "service", agent.port, "leaving" );
+    fleet::waitUntil( "the drain", [&] {
+        return agent.process->output().find( "event=drain_begins" ) != std::string::npos;
+    } );
+    fleet::waitUntil( "the first one's run", [&] { return tills.runs( "s1" ) >= 1; } );
+    const auto runs = tills.runs( "s1" );
+    const auto answer = ask( "after" );
+    REQUIRE( std::holds_alternative<peer::RunRefused>( answer ) );
+    CHECK( std::get<peer::RunRefused>( answer ).reason == "draining" );
+    CHECK( tills.runs( "s1" ) == runs );
+}
