--- a/bench/costs.cpp
+++ b/bench/costs.cpp
@@ -70,10 +70,12 @@
 
 void routeOne( benchmark::State& state ) {
     std::vector<std::string> names;
+    names.reserve( static_cast<std::size_t>( state.range( 0 ) ) );
     for( int n = 0; n < state.range( 0 ); ++n ) {
         names.push_back( "r" + std::to_string( n ) );
     }
     std::vector<router::Candidate> candidates;
+    candidates.reserve( names.size() );
     for( const auto& it : names ) {
         router::Candidate candidate;
         candidate.vm = it;
