--- a/include/coursehead/kernel/log.hpp
+++ b/include/coursehead/kernel/log.hpp
@@ -24,6 +24,10 @@
 //! Sets the level (debug, info, warn, error) and the fields that open every line.
 void setUp( std::string_view level, std::string_view role, std::string_view vm );
 
+//! The same, to standard output through a bounded queue and a thread of its own: a reader that
+//! does not keep up loses the oldest lines, and never holds the process up.
+void setUpBounded( std::string_view level, std::string_view role, std::string_view vm );
+
 void debug( std::string_view event, std::initializer_list<Field> fields );
 void info( std::string_view event, std::initializer_list<Field> fields );
 void warn( std::string_view event, std::initializer_list<Field> fields );
--- /dev/null
+++ b/src/gateway/client_session.cpp
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/client_session.hpp"
+
+#include "coursehead/kernel/log.hpp"
+#include "gateway/http_text.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace coursehead::gateway {
+
+namespace {
+
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusTimeout = 408;
+constexpr unsigned statusTooLarge = 413;
+constexpr unsigned statusHeaderTooLarge = 431;
+
+//! Unacknowledged bytes to a client are given up after this.
+constexpr Millis clientSilence{ 10000 };
+//! Idle limit of a connection while no configuration is known.
+constexpr Millis startIdle{ 15000 };
+
+//! Marks the request's client as gone when its connection closes, and ends the send in progress.
+void watchClient( const std::shared_ptr<ClientEnd>& client ) {
+    client->socket.async_wait( net::Socket::wait_read, [client]( net::ErrorCode ec ) {
+        if( client->done || ec == net::asio::error::operation_aborted ) {
+            return;
+        }
+        char byte = 0;
+        const auto n =
+            ::recv( client->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT );
+        if( !ec && ( n > 0 || ( n < 0 && errno == EAGAIN ) ) ) {
+            return; // a pipelined request; it waits its turn
+        }
+        client->left = true;
+        if( const auto upstream = client->upstream.lock() ) {
+            upstream->socket.close( ec );
+        }
+    } );
+}
+
+unsigned statusOf( net::ErrorCode ec ) {
+    if( ec == http::error::header_limit ) {
+        return statusHeaderTooLarge;
+    }
+    return ec == http::error::body_limit ? statusTooLarge : statusBadRequest;
+}
+
+net::Task<> refuse( net::Socket& socket, unsigned status ) {
+    http::fields fields;
+    const std::string bytes =
+        answerHeadText( status, "", fields, "Content-Length: 0\r\n", false );
+    const auto buf = net::asio::buffer( bytes );
+    co_await net::asio::async_write( socket, buf, net::tupled );
+    net::ErrorCode ec;
+    socket.shutdown( net::Socket::shutdown_send, ec );
+    // Unread bytes would turn the close into a reset that may overtake the answer.
+    constexpr Millis drainTime{ 300 };
+    net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + drainTime );
+    std::string rest( 4096, '\0' );
+    for( ;; ) {
+        const auto space = net::asio::buffer( rest );
+        const auto [error, n] = co_await socket.async_read_some( space, net::tupled );
+        if( error ) {
+            co_return;
+        }
+    }
+}
+
+//! What reading a request ended with.
+struct ReadRequest {
+    bool closed = true;      //!< nothing more to serve
+    unsigned refusal = 0;    //!< status to refuse with
+    bool keepAlive = true;
+    ClientRequest request;
+};
+
+ClientLimits limitsOf( const Shared& shared ) {
+    if( shared.table ) {
+        return shared.table->configuration().limits;
+    }
+    ClientLimits out;
+    out.idleTime = startIdle;
+    return out;
+}
+
+net::Task<bool> waitForRequest( net::Socket& socket, const boost::beast::flat_buffer& buf,
+                                Millis idle ) {
+    if( buf.size() > 0 ) {
+        co_return true;
+    }
+    net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + idle );
+    const auto [ec] = co_await socket.async_wait( net::Socket::wait_read, net::tupled );
+    co_return !ec && !deadline.expired();
+}
+
+net::Task<ReadRequest> readRequest( net::Socket& socket, boost::beast::flat_buffer& buf,
+                                    const ClientLimits& limits ) {
+    ReadRequest out;
+    const auto arrived = std::chrono::steady_clock::now();
+    http::request_parser<http::string_body> parser;
+    parser.header_limit( limits.headerBytes );
+    parser.body_limit( limits.bodyBytes );
+    net::ErrorCode failure;
+    {
+        net::SocketDeadline deadline( socket, arrived + limits.headerTime );
+        auto [ec, n] = co_await http::async_read_header( socket, buf, parser, net::tupled );
+        failure = ec;
+        if( deadline.expired() ) {
+            co_return out;
+        }
+    }
+    const bool expects = !failure && parser.get().find( http::field::expect ) != parser.get().end();
+    if( expects && !parser.is_done() ) {
+        static constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+        const auto bytes = net::asio::buffer( goOn );
+        co_await net::asio::async_write( socket, bytes, net::tupled );
+    }
+    if( !failure && !parser.is_done() ) {
+        net::SocketDeadline deadline( socket, arrived + limits.headerTime + limits.idleTime );
+        auto [ec, n] = co_await http::async_read( socket, buf, parser, net::tupled );
+        failure = ec;
+    }
+    if( failure ) {
+        const bool malformed = failure.category() == http::make_error_code( http::error::bad_method ).category() &&
+                               failure != http::error::end_of_stream &&
+                               failure != http::error::partial_message;
+        out.refusal = malformed ? statusOf( failure ) : 0;
+        out.closed = !malformed;
+        co_return out;
+    }
+    out.closed = false;
+    out.keepAlive = parser.get().keep_alive();
+    auto& message = parser.get();
+    out.request.method = std::string( message.method_string() );
+    out.request.target = std::string( message.target() );
+    out.request.body = std::move( message.body() );
+    out.request.fields = std::move( message.base() );
+    out.request.head = platform::readRequestHead( out.request.fields );
+    out.request.arrived = arrived;
+    co_return out;
+}
+
+} // namespace
+
+net::Task<> serveClient( net::Socket socket, Shared& shared ) {
+    net::tune( socket, clientSilence );
+    boost::beast::flat_buffer buf;
+    for( ;; ) {
+        const auto limits = limitsOf( shared );
+        const bool more = co_await waitForRequest( socket, buf, limits.idleTime );
+        if( !more ) {
+            co_return;
+        }
+        auto got = co_await readRequest( socket, buf, limits );
+        if( got.refusal != 0 ) {
+            log::info( "request_refused",
+                       { { "status", static_cast<std::int64_t>( got.refusal ) } } );
+            shared.metrics.count( "own_answers", std::to_string( got.refusal ) );
+            co_await refuse( socket, got.refusal );
+            co_return;
+        }
+        if( got.closed ) {
+            co_return;
+        }
+        const auto client = std::make_shared<ClientEnd>( socket );
+        watchClient( client );
+        bool keepAlive = got.keepAlive && !shared.draining;
+        {
+            auto request = std::move( got.request );
+            Exchange exchange( shared, std::move( request ), client, keepAlive );
+            const auto result = co_await exchange.run();
+            keepAlive = keepAlive && result.keepAlive && !client->left && !client->broken;
+        }
+        client->done = true;
+        net::ErrorCode ec;
+        if( socket.is_open() ) {
+            socket.cancel( ec );
+        }
+        if( !keepAlive ) {
+            if( socket.is_open() ) {
+                socket.shutdown( net::Socket::shutdown_send, ec );
+            }
+            co_return;
+        }
+    }
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/connection_pool.hpp
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_CONNECTION_POOL_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_CONNECTION_POOL_HPP_INCLUDED
+
+#include "net/net.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace coursehead::gateway {
+
+//! A connection to an upstream; serves one request at a time.
+struct UpstreamConnection {
+    explicit UpstreamConnection( net::asio::io_context& context ) : socket( context ) {}
+
+    net::Socket socket;
+    boost::beast::flat_buffer buf;
+    bool reused = false; //!< it has served a request before
+    MonoTime goodUntil;  //!< not to be used again after this
+};
+using ConnectionPtr = std::shared_ptr<UpstreamConnection>;
+
+//! Idle connections to one upstream, the one used last first.
+class ConnectionPool {
+public:
+    //! A connection that is still open and has nothing to say; null when there is none.
+    ConnectionPtr take( MonoTime now );
+    void put( ConnectionPtr connection );
+    std::size_t idle() const noexcept { return m_idle.size(); }
+
+private:
+    std::vector<ConnectionPtr> m_idle;
+};
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_CONNECTION_POOL_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/exchange.hpp
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_HPP_INCLUDED
+
+#include "coursehead/kernel/random.hpp"
+#include "coursehead/metrics/metrics.hpp"
+#include "gateway/event_stream.hpp"
+#include "gateway/fleet.hpp"
+#include "gateway/retry_window.hpp"
+#include "platform/wire.hpp"
+
+#include <boost/beast/http/fields.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace coursehead::gateway {
+
+namespace http = boost::beast::http;
+
+//! What all requests of a gateway share.
+struct Shared {
+    net::asio::io_context& context;
+    Fleet& fleet;
+    RandomSource& random;
+    metrics::Metrics& metrics;
+    platform::Bounds bounds;
+    std::shared_ptr<const RouteTable> table; //!< null until a configuration is known
+    std::map<std::string, RetryWindow> retries; //!< by service
+    std::size_t inFlight = 0;
+    bool draining = false;
+};
+
+//! A request as it came from the client.
+struct ClientRequest {
+    std::string method;
+    std::string target;
+    http::fields fields;
+    std::string body;
+    platform::RequestHead head;
+    MonoTime arrived; //!< when its first bytes came
+};
+
+//! An answer that is sent in one go.
+struct WholeAnswer {
+    unsigned status = 0;
+    std::string reason;
+    http::fields fields;
+    std::string body;
+    bool own = false; //!< made here, not by an upstream
+};
+
+//! The client's side of a request in progress.
+struct ClientEnd {
+    explicit ClientEnd( net::Socket& clientSocket ) : socket( clientSocket ) {}
+
+    net::Socket& socket;
+    bool left = false;    //!< the client closed its connection
+    bool broken = false;  //!< a write to it failed
+    bool done = false;    //!< the request is over
+    std::weak_ptr<UpstreamConnection> upstream; //!< closed when the client leaves
+};
+
+//! How a request ended towards its client.
+struct ExchangeResult {
+    bool keepAlive = true; //!< the client's connection may serve another request
+};
+
+//! Serves one request: chooses upstreams, sends, retries, and answers the client.
+class Exchange {
+public:
+    Exchange( Shared& shared, ClientRequest request, std::shared_ptr<ClientEnd> client,
+              bool clientKeepsAlive );
+    ~Exchange();
+    Exchange( const Exchange& ) = delete;
+    Exchange& operator=( const Exchange& ) = delete;
+
+    net::Task<ExchangeResult> run();
+
+private:
+    //! How one send to an upstream ended.
+    enum class SendEnd {
+        answered,   //!< m_answer holds the whole answer
+        streamed,   //!< the client has the whole stream
+        notRun,     //!< it was not run, and never will be
+        lost,       //!< it may have run; no usable answer
+        streamCut,  //!< part of a stream was passed on, then it broke
+        stopped,    //!< the client left or the time is over
+    };
+    struct Sent {
+        SendEnd end = SendEnd::lost;
+        std::string why;
+        Millis retryAfter{ 0 };
+    };
+
+    net::Task<> forward();
+    net::Task<bool> prepare( const Choice& choice );
+    net::Task<Sent> sendTo( NodePtr node, const Choice& choice );
+    net::Task<ConnectionPtr> connectionTo( Node& node );
+    net::Task<Sent> receive( Node& node, ConnectionPtr connection, const Choice& choice );
+    net::Task<Sent> passStream( Node& node, ConnectionPtr connection, const Choice& choice );
+    net::Task<bool> writeClient( std::string bytes );
+    net::Task<> answerWhole( const WholeAnswer& answer );
+    net::Task<> answerOwn( unsigned status, std::string reason, Millis retryAfter );
+    net::Task<> finishFailed();
+    std::string requestBytes( const Node& node ) const;
+    int urgency() const;
+    bool mayTryAgain( const Sent& sent );
+    bool timeLeft( MonoTime now ) const { return now < m_deadline; }
+    void logSend( const Node& node, const Choice& choice, MonoTime now ) const;
+    void logEnd( std::string_view outcome ) const;
+
+    Shared& m_shared;
+    std::shared_ptr<const RouteTable> m_table; //!< in force when the request came
+    ClientRequest m_request;
+    std::shared_ptr<ClientEnd> m_client;
+    bool m_keepAlive;
+    const Route* m_route = nullptr;
+    std::string m_service;
+    Need m_need;
+    std::vector<std::uint64_t> m_prefix;
+    MonoTime m_deadline;
+    std::set<std::string> m_excluded; //!< upstreams that this request does not go to any more
+    int m_sends = 0;                  //!< that reached an upstream
+    int m_runs = 0;                   //!< of these, may have run
+    bool m_mayHaveRun = false;
+    std::string m_lastWhy;
+    Millis m_retryAfter{ 0 };
+    std::optional<WholeAnswer> m_answer; //!< an upstream's own failure, kept in case a retry fails
+    bool m_headSent = false;
+    bool m_answered = false;
+    unsigned m_status = 0;
+    std::optional<std::uint64_t> m_lastEvent; //!< last event passed on
+    MonoTime m_lastEventAt;
+};
+
+//! Whether an upstream's answer of this status is a failure that another upstream may mend.
+bool upstreamFailed( unsigned status );
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/fleet.cpp
@@ -0,0 +1,361 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/fleet.hpp"
+
+#include "coursehead/kernel/log.hpp"
+#include "kernel/hash.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace coursehead::gateway {
+
+namespace {
+
+//! Tokens an engine reads in a millisecond. The platform's sheets give 38; measured slowness
+//! corrects it for each upstream.
+constexpr double tokensPerMs = 38.0;
+//! Prompt reading of a request of which nothing more is known, in milliseconds.
+constexpr double usualPrefillMs = 80;
+//! Usual work of a plain service's request, in milliseconds, until slowness is measured.
+constexpr double usualWorkMs = 20;
+//! Loading an adapter that is not there: some milliseconds, and a round trip to the sidecar.
+constexpr double adapterLoadMs = 25;
+//! What leaving the hall counts for: a review's 18 KB cost about one part in a hundred of its
+//! worth, a tenth of that in time.
+constexpr double crossHallMs = 4;
+//! A load also makes another model give way; it is chosen only when it wins this much.
+constexpr double evictionMs = 150;
+//! Demand is smoothed over about two seconds, to follow shifts that take four to six.
+constexpr double demandSmoothing = 0.2;
+constexpr Millis demandInterval{ 400 };
+//! Expected wait at the best replica from which another one is started.
+constexpr double replicaWaitMs = 250;
+constexpr Millis replicaPause{ 1200 };
+//! Gateways assumed until a sidecar says how many there are.
+constexpr int assumedGateways = 8;
+
+bool contains( const std::vector<std::string>& names, std::string_view name ) {
+    return std::find( names.begin(), names.end(), name ) != names.end();
+}
+
+} // namespace
+
+Fleet::Fleet( net::asio::io_context& context, FleetSettings settings )
+    : m_context( context ), m_settings( std::move( settings ) ),
+      m_started( std::chrono::steady_clock::now() ), m_lastTick( m_started ),
+      m_gateways( assumedGateways ) {}
+
+Fleet::~Fleet() {
+    for( auto& it : m_nodes ) {
+        drop( *it.second );
+    }
+}
+
+void Fleet::drop( Node& node ) {
+    if( node.sidecar ) {
+        node.sidecar->stop();
+        node.sidecar.reset();
+    }
+}
+
+void Fleet::sync( const std::map<std::string, Member>& members, MonoTime now ) {
+    std::erase_if( m_nodes, [&]( const auto& it ) {
+        if( members.contains( it.first ) ) {
+            return false;
+        }
+        log::info( "upstream_gone",
+                   { { "upstream", it.first }, { "service", it.second->upstream.service } } );
+        drop( *it.second );
+        return true;
+    } );
+    for( const auto& [id, member] : members ) {
+        const auto it = m_nodes.find( id );
+        if( it == m_nodes.end() ) {
+            add( member.upstream, now );
+            continue;
+        }
+        Node& node = *it->second;
+        if( node.upstream.state != member.upstream.state ) {
+            log::info( "upstream_leaving", { { "upstream", id } } );
+        }
+        node.upstream = member.upstream;
+        if( node.upstream.remaining && !node.leavesAt ) {
+            node.leavesAt = now + *node.upstream.remaining;
+        }
+    }
+}
+
+void Fleet::add( const Upstream& upstream, MonoTime ) {
+    log::info( "upstream_added", { { "upstream", upstream.id },
+                                   { "service", upstream.service },
+                                   { "address", upstream.ip + ":" +
+                                                    std::to_string( upstream.port ) } } );
+    const auto node = std::make_shared<Node>( upstream );
+    m_nodes.emplace( upstream.id, node );
+    setEngine( *node );
+}
+
+void Fleet::setConfiguration( std::shared_ptr<const RouteTable> table, MonoTime ) {
+    m_table = std::move( table );
+    for( auto& it : m_nodes ) {
+        setEngine( *it.second );
+    }
+}
+
+void Fleet::setEngine( Node& node ) {
+    const auto* service = m_table ? m_table->service( node.upstream.service ) : nullptr;
+    node.engine = service != nullptr ? service->engine : nullptr;
+    if( !node.engine ) {
+        drop( node );
+        return;
+    }
+    node.prefixes.setCapacity( node.engine->cacheTokens );
+    if( !node.sidecar ) {
+        node.sidecar = std::make_shared<SidecarLink>( m_context, node.upstream.ip,
+                                                      m_settings.sidecarPort );
+        node.sidecar->start( [this, id = node.upstream.id]( const SidecarReport& report ) {
+            const auto it = m_nodes.find( id );
+            if( it != m_nodes.end() ) {
+                onReport( *it->second, report );
+            }
+        } );
+    }
+    EngineNews news;
+    news.gateway = m_settings.vm;
+    news.configVersion = m_table->configuration().version;
+    news.upstreamId = node.upstream.id;
+    news.engine = *node.engine;
+    node.sidecar->setNews( std::move( news ) );
+}
+
+void Fleet::onReport( Node& node, const SidecarReport& report ) {
+    if( report.reachable != node.engineReachable ) {
+        log::info( report.reachable ? "engine_regained" : "engine_lost",
+                   { { "upstream", node.upstream.id } } );
+    }
+    node.engineReachable = report.reachable;
+    node.reportAt = std::chrono::steady_clock::now();
+    node.report = report.engine;
+    m_gateways = std::max( report.gateways, 1 );
+}
+
+void Fleet::tick( MonoTime now ) {
+    if( now - m_lastTick < demandInterval ) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>( now - m_lastTick ).count();
+    m_lastTick = now;
+    DemandNews common;
+    for( auto& [model, demand] : m_demand ) {
+        demand.perS += demandSmoothing * ( demand.arrivals / seconds - demand.perS );
+        demand.arrivals = 0;
+    }
+    std::map<std::string, int> held;
+    for( const auto& it : m_nodes ) {
+        for( const auto& resident : it.second->residents( now ) ) {
+            ++held[resident.model];
+        }
+    }
+    for( auto& it : m_nodes ) {
+        Node& node = *it.second;
+        if( !node.sidecar ) {
+            continue;
+        }
+        DemandNews news;
+        for( const auto& resident : node.residents( now ) ) {
+            ModelDemand entry;
+            entry.model = resident.model;
+            const auto demand = m_demand.find( resident.model );
+            entry.perS = demand == m_demand.end() ? 0 : demand->second.perS;
+            entry.copies = held[resident.model];
+            for( const auto& adapter : resident.adapters ) {
+                if( node.adaptersUsed.contains( resident.model + "/" + adapter ) ) {
+                    entry.adaptersUsed.push_back( adapter );
+                }
+            }
+            news.models.push_back( std::move( entry ) );
+        }
+        node.adaptersUsed.clear();
+        node.sidecar->send( news );
+    }
+}
+
+double Fleet::loadMs( const Node& node, const Generation& generation, MonoTime now ) const {
+    if( !node.holdsModel( generation.model, now ) ) {
+        const auto* model = node.engine->find( generation.model );
+        if( model == nullptr ) {
+            return 0;
+        }
+        Millis load = model->storeLoad;
+        if( node.report && contains( node.report->inMemory, generation.model ) ) {
+            load = model->memoryLoad;
+        } else if( node.report && contains( node.report->onDisk, generation.model ) ) {
+            load = model->diskLoad;
+        }
+        const double busy = node.report && node.report->ordering ? evictionMs : 0;
+        return static_cast<double>( load.count() ) + evictionMs + busy;
+    }
+    if( generation.adapter.empty() ||
+        node.holdsAdapter( generation.model, generation.adapter, now ) ) {
+        return 0;
+    }
+    return adapterLoadMs;
+}
+
+Candidate Fleet::candidate( const Node& node, const Need& need, MonoTime now ) const {
+    Candidate out;
+    out.failures = recentFailures( node.health, now );
+    out.slowness = slownessNow( node.health, now );
+    out.otherHall = node.upstream.hall != m_settings.hall;
+    out.crossHallMs = crossHallMs;
+    out.avoided = node.health.avoidUntil > now || !node.engineReachable;
+    if( need.generation == nullptr || !node.engine ) {
+        out.workMs = usualWorkMs;
+        out.backlogMs = usualWorkMs * node.inFlight / std::max( node.upstream.slots, 1 ) +
+                        ( node.inFlight >= node.upstream.slots ? usualWorkMs : 0 );
+        out.affinity = hash64( node.upstream.id, std::to_string( now.time_since_epoch().count() ) );
+        return out;
+    }
+    const auto& generation = *need.generation;
+    const auto cached = node.prefixes.kept( need.prefix, generation );
+    const auto fresh = std::max<std::int64_t>( generation.promptTokens - cached, 0 );
+    out.workMs = static_cast<double>( fresh ) / tokensPerMs;
+    out.backlogMs = node.prefillMs;
+    if( node.reportFresh( now ) ) {
+        const auto waiting = static_cast<int>( node.report->queued + node.report->prefilling );
+        out.backlogMs += std::max( waiting - node.prefilling, 0 ) * usualPrefillMs;
+        const bool full = node.engine->slots > 0 &&
+                          node.report->running >= static_cast<unsigned>( node.engine->slots );
+        out.backlogMs += full ? usualPrefillMs * ( 1 + node.report->queued ) : 0;
+    }
+    out.loadMs = loadMs( node, generation, now );
+    const auto shared = need.prefix.size() > 1 ? need.prefix[need.prefix.size() - 2] : 0;
+    const auto key = shared != 0 ? std::to_string( shared )
+                                 : generation.model + "/" + generation.adapter;
+    out.affinity = hash64( node.upstream.id, key );
+    return out;
+}
+
+Choice Fleet::choose( const Need& need, const std::set<std::string>& excluded,
+                      MonoTime now ) const {
+    std::vector<Candidate> candidates;
+    std::vector<NodePtr> nodes;
+    for( const auto& [id, node] : m_nodes ) {
+        const bool usable = node->upstream.service == need.service &&
+                            node->upstream.state == UpstreamState::ready &&
+                            !excluded.contains( id );
+        if( !usable ) {
+            continue;
+        }
+        candidates.push_back( candidate( *node, need, now ) );
+        nodes.push_back( node );
+    }
+    Choice out;
+    out.candidates = candidates.size();
+    const auto best = gateway::choose( candidates );
+    if( !best ) {
+        return out;
+    }
+    const auto& it = candidates[*best];
+    out.node = nodes[*best];
+    out.bestCost = costOf( it );
+    out.workMs = it.workMs;
+    out.expectedMs = it.backlogMs + it.workMs + it.loadMs;
+    if( need.generation != nullptr && out.node->engine ) {
+        out.holdsModel = out.node->holdsModel( need.generation->model, now );
+        out.holdsAdapter = need.generation->adapter.empty() ||
+                           out.node->holdsAdapter( need.generation->model,
+                                                   need.generation->adapter, now );
+    }
+    return out;
+}
+
+int Fleet::copies( std::string_view service, std::string_view model, MonoTime now ) const {
+    return static_cast<int>( std::count_if( m_nodes.begin(), m_nodes.end(), [&]( const auto& it ) {
+        return it.second->upstream.service == service && it.second->holdsModel( model, now );
+    } ) );
+}
+
+bool Fleet::takeStoreLoad( const EngineSpec& engine, MonoTime now ) {
+    const auto window = m_settings.ceilingWindow;
+    while( !m_storeLoads.empty() && now - m_storeLoads.front() > window ) {
+        m_storeLoads.pop_front();
+    }
+    // A process that has just started does not know what was allowed before.
+    if( now - m_started < window ) {
+        return false;
+    }
+    const double seconds = std::chrono::duration<double>( window ).count();
+    const double share = engine.storeLoadsPerS * seconds / m_gateways;
+    const double allowed = std::max( std::floor( share ), 1.0 );
+    if( static_cast<double>( m_storeLoads.size() ) >= allowed ) {
+        return false;
+    }
+    m_storeLoads.push_back( now );
+    return true;
+}
+
+net::Task<EnsureOutcome> Fleet::ensure( NodePtr node, std::string model, std::string adapter,
+                                        Millis limit ) {
+    const auto link = node->sidecar;
+    if( !link ) {
+        co_return EnsureOutcome::failed;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    EnsureRequest request;
+    request.upstreamId = node->upstream.id;
+    request.model = std::move( model );
+    request.adapter = std::move( adapter );
+    const bool near = node->holdsModel( request.model, now ) ||
+                      ( node->report && ( contains( node->report->inMemory, request.model ) ||
+                                          contains( node->report->onDisk, request.model ) ) );
+    request.fromStore = !near && node->engine && takeStoreLoad( *node->engine, now );
+    co_return co_await link->ensure( std::move( request ), limit );
+}
+
+void Fleet::countDemand( const Need& need, const Choice& choice, MonoTime now ) {
+    if( need.generation == nullptr || !choice.node || !choice.node->engine ) {
+        return;
+    }
+    auto& demand = m_demand[need.generation->model];
+    demand.arrivals += 1;
+    const bool busy = choice.holdsModel && choice.bestCost - choice.workMs > replicaWaitMs;
+    if( !busy || now - demand.lastReplica < replicaPause ) {
+        return;
+    }
+    demand.lastReplica = now;
+    // Another replica where it costs least: near a copy of the weights, at an idle engine.
+    std::vector<Candidate> candidates;
+    std::vector<NodePtr> nodes;
+    for( const auto& [id, node] : m_nodes ) {
+        const bool fit = node->upstream.service == need.service && node->engine &&
+                         node->upstream.state == UpstreamState::ready &&
+                         !node->holdsModel( need.generation->model, now );
+        if( fit ) {
+            auto it = candidate( *node, need, now );
+            it.affinity = hash64( id, need.generation->model );
+            candidates.push_back( it );
+            nodes.push_back( node );
+        }
+    }
+    const auto best = gateway::choose( candidates );
+    if( !best || candidates[*best].avoided ) {
+        return;
+    }
+    const auto node = nodes[*best];
+    log::info( "replica_wanted", { { "model", need.generation->model },
+                                   { "upstream", node->upstream.id },
+                                   { "wait_ms", static_cast<std::int64_t>( choice.bestCost ) } } );
+    constexpr Millis limit{ 10000 };
+    auto task = [this, node, model = need.generation->model]() -> net::Task<> {
+        std::string name = model;
+        std::string none;
+        co_await ensure( node, std::move( name ), std::move( none ), limit );
+    };
+    net::asio::co_spawn( m_context, std::move( task ), net::asio::detached );
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/fleet.hpp
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
+
+#include "gateway/node.hpp"
+#include "gateway/registry.hpp"
+#include "gateway/route_table.hpp"
+#include "gateway/selection.hpp"
+#include "gateway/sidecar_link.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+
+namespace coursehead::gateway {
+
+//! What the fleet needs to know of its own process.
+struct FleetSettings {
+    std::string vm;
+    std::string hall;
+    int sidecarPort = 0;
+    Millis ceilingWindow{ 5000 };
+    double ceilingOver = 1.1;
+};
+
+//! What a request needs of an upstream.
+struct Need {
+    std::string service;
+    const Generation* generation = nullptr; //!< null for plain services
+    std::span<const std::uint64_t> prefix;  //!< keys of the prompt's parts
+    Millis goal{ 0 };
+    std::size_t requestBytes = 0;
+};
+
+//! An upstream chosen for a request, with what the choice rests on.
+struct Choice {
+    NodePtr node;        //!< null when no upstream of the service is left
+    double expectedMs = 0; //!< until the first event, or the answer
+    double workMs = 0;     //!< of that, reading the prompt
+    bool holdsModel = true;
+    bool holdsAdapter = true;
+    std::size_t candidates = 0;
+    double bestCost = 0;
+};
+
+//! The upstreams of all services, with what this gateway knows of each.
+class Fleet {
+public:
+    Fleet( net::asio::io_context& context, FleetSettings settings );
+    ~Fleet();
+    Fleet( const Fleet& ) = delete;
+    Fleet& operator=( const Fleet& ) = delete;
+
+    //! Brings the nodes in line with the registry.
+    void sync( const std::map<std::string, Member>& members, MonoTime now );
+    void setConfiguration( std::shared_ptr<const RouteTable> table, MonoTime now );
+    //! Regular work: demand to the sidecars.
+    void tick( MonoTime now );
+
+    //! Chooses among the upstreams of a service that are not in `excluded`.
+    Choice choose( const Need& need, const std::set<std::string>& excluded, MonoTime now ) const;
+    //! Makes model and adapter ready at a node.
+    net::Task<EnsureOutcome> ensure( NodePtr node, std::string model, std::string adapter,
+                                     Millis limit );
+    //! Counts a request for a model, and starts another replica when the present ones are busy.
+    void countDemand( const Need& need, const Choice& choice, MonoTime now );
+
+    //! Gateways that share budgets, this one included.
+    int gateways() const noexcept { return m_gateways; }
+    std::size_t size() const noexcept { return m_nodes.size(); }
+
+private:
+    struct Demand {
+        double perS = 0;
+        double arrivals = 0; //!< since the last tick
+        MonoTime lastReplica;
+    };
+
+    void add( const Upstream& upstream, MonoTime now );
+    void drop( Node& node );
+    void setEngine( Node& node );
+    void onReport( Node& node, const SidecarReport& report );
+    Candidate candidate( const Node& node, const Need& need, MonoTime now ) const;
+    double loadMs( const Node& node, const Generation& generation, MonoTime now ) const;
+    int copies( std::string_view service, std::string_view model, MonoTime now ) const;
+    bool takeStoreLoad( const EngineSpec& engine, MonoTime now );
+
+    net::asio::io_context& m_context;
+    FleetSettings m_settings;
+    std::shared_ptr<const RouteTable> m_table;
+    std::map<std::string, NodePtr> m_nodes;
+    std::map<std::string, Demand> m_demand; //!< by model
+    std::deque<MonoTime> m_storeLoads;      //!< allowed by this gateway within the window
+    MonoTime m_started;
+    MonoTime m_lastTick;
+    int m_gateways = 1;
+};
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,276 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/gateway.hpp"
+
+#include "coursehead/kernel/log.hpp"
+#include "gateway/client_session.hpp"
+#include "gateway/follower.hpp"
+#include "gateway/probe_server.hpp"
+#include "kernel/platform_role.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace coursehead::gateway {
+
+namespace {
+
+//! Entries that change (loads, heartbeats) come in batches: a watch call costs more than the wait.
+constexpr Millis upstreamBatch{ 250 };
+constexpr Millis tickInterval{ 100 };
+//! After SIGTERM clients are still sent here until readiness was asked for twice, a second apart.
+constexpr Millis leaveDelay{ 3000 };
+//! Kept back from the time until SIGKILL, to exit in order.
+constexpr Millis exitMargin{ 500 };
+//! How long a watch call waits, as a part of the time after which the platform judges again.
+constexpr double watchPart = 0.6;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusNotFound = 404;
+constexpr std::string_view metricsPath = "/metrics";
+
+//! The gateway's services on one event loop.
+class Gateway {
+public:
+    explicit Gateway( platform::NodeSettings settings )
+        : m_settings( std::move( settings ) ), m_random( systemSeed() ),
+          m_fleet( m_context, fleetSettings() ),
+          m_registry( Registry::Settings{} ),
+          m_shared{ m_context, m_fleet, m_random, m_metrics, m_settings.bounds, nullptr, {}, 0,
+                    false },
+          m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
+
+    int run() {
+        auto front = net::listen( m_context, m_settings.front.ip, m_settings.front.port );
+        auto ready = net::listen( m_context, m_settings.ready.ip, m_settings.ready.port );
+        auto metrics = net::listen( m_context, m_settings.ip, m_settings.lastPort );
+        net::start( m_context, acceptClients( std::move( front ) ), "accept" );
+        net::start( m_context,
+                    serveProbes( std::move( ready ),
+                                 [this]( std::string_view ) { return readiness(); } ),
+                    "readiness" );
+        net::start( m_context,
+                    serveProbes( std::move( metrics ),
+                                 [this]( std::string_view path ) { return scrape( path ); } ),
+                    "metrics" );
+        followConfiguration();
+        followUpstreams();
+        net::start( m_context, ticks(), "ticks" );
+        net::start( m_context, handleSignals(), "signals" );
+        log::info( "started", { { "front", m_settings.front.text() },
+                                { "hall", m_settings.hall },
+                                { "store", m_settings.store.text() } } );
+        m_context.run();
+        log::info( "stopped", { { "in_flight", static_cast<std::int64_t>( m_shared.inFlight ) } } );
+        return 0;
+    }
+
+private:
+    FleetSettings fleetSettings() const {
+        FleetSettings out;
+        out.vm = m_settings.vm;
+        out.hall = m_settings.hall;
+        out.sidecarPort = m_settings.firstPort;
+        out.ceilingWindow = m_settings.bounds.ceilingWindow;
+        out.ceilingOver = m_settings.bounds.ceilingOver;
+        return out;
+    }
+
+    bool isReady() const {
+        return m_shared.table && m_upstreamsListed && !m_shared.draining;
+    }
+
+    ProbeAnswer readiness() const {
+        const bool ready = isReady();
+        return { ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not ready\n" };
+    }
+
+    ProbeAnswer scrape( std::string_view path ) const {
+        if( path != metricsPath ) {
+            return { statusNotFound, "" };
+        }
+        return { statusOk, m_metrics.prometheus() };
+    }
+
+    net::Task<> acceptClients( net::Acceptor acceptor ) {
+        for( ;; ) {
+            auto [ec, socket] = co_await acceptor.async_accept( net::tupled );
+            if( ec ) {
+                log::warn( "accept_failed", { { "detail", ec.message() } } );
+                constexpr Millis delay{ 20 };
+                co_await net::pause( m_context, delay );
+                continue;
+            }
+            auto task = serveClient( net::Socket( std::move( socket ) ), m_shared );
+            net::start( m_context, std::move( task ), "client" );
+        }
+    }
+
+    FollowSettings followSettings( std::string_view kind ) const {
+        FollowSettings out;
+        out.kind = std::string( kind );
+        out.wait = Millis( static_cast<std::int64_t>(
+            static_cast<double>( m_settings.bounds.contact.count() ) * watchPart ) );
+        return out;
+    }
+
+    void followConfiguration() {
+        FollowHandlers handlers;
+        handlers.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
+            for( const auto& it : objects ) {
+                takeConfiguration( it );
+            }
+        };
+        handlers.event = [this]( const platform::StoreEvent& event ) {
+            if( !event.removed ) {
+                takeConfiguration( event.object );
+            }
+        };
+        handlers.reachable = []( bool ) {};
+        auto task = follow( m_context, m_settings.store,
+                            followSettings( platform::configurationKind ), m_random, handlers );
+        net::start( m_context, std::move( task ), "configuration" );
+    }
+
+    void takeConfiguration( const platform::StoreObject& object ) {
+        if( object.name != platform::configurationName ) {
+            return;
+        }
+        std::string problem;
+        auto read = platform::readConfiguration( object.spec, problem );
+        if( !read ) {
+            log::error( "configuration_unreadable",
+                        { { "revision", static_cast<std::int64_t>( object.revision ) },
+                          { "detail", problem } } );
+            return;
+        }
+        const auto held = m_shared.table ? m_shared.table->configuration().version : 0;
+        if( m_shared.table && read->version <= held ) {
+            return;
+        }
+        log::info( "configuration", { { "version", static_cast<std::int64_t>( read->version ) },
+                                      { "before", static_cast<std::int64_t>( held ) },
+                                      { "routes", static_cast<std::int64_t>( read->routes.size() ) } } );
+        m_shared.table = std::make_shared<RouteTable>( std::move( *read ) );
+        m_fleet.setConfiguration( m_shared.table, std::chrono::steady_clock::now() );
+    }
+
+    void followUpstreams() {
+        FollowHandlers handlers;
+        handlers.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
+            std::vector<Upstream> upstreams;
+            for( const auto& it : objects ) {
+                if( auto upstream = readUpstream( it ) ) {
+                    upstreams.push_back( std::move( *upstream ) );
+                }
+            }
+            m_upstreamsListed = true;
+            m_registry.list( std::move( upstreams ), std::chrono::steady_clock::now() );
+            syncFleet();
+        };
+        handlers.event = [this]( const platform::StoreEvent& event ) {
+            const auto now = std::chrono::steady_clock::now();
+            if( event.removed ) {
+                m_registry.remove( event.object.name, now );
+            } else if( auto upstream = readUpstream( event.object ) ) {
+                m_registry.put( std::move( *upstream ), now );
+            }
+            syncFleet();
+        };
+        handlers.reachable = [this]( bool reachable ) {
+            m_registry.storeReachable( reachable, std::chrono::steady_clock::now() );
+        };
+        auto settings = followSettings( platform::upstreamKind );
+        settings.pause = upstreamBatch;
+        auto task = follow( m_context, m_settings.store, settings, m_random, handlers );
+        net::start( m_context, std::move( task ), "upstreams" );
+    }
+
+    std::optional<Upstream> readUpstream( const platform::StoreObject& object ) {
+        std::string problem;
+        auto out = platform::readUpstream( object.name, object.spec, problem );
+        if( !out ) {
+            log::error( "upstream_unreadable",
+                        { { "upstream", object.name }, { "detail", problem } } );
+        }
+        return out;
+    }
+
+    void syncFleet() {
+        m_fleet.sync( m_registry.members(), std::chrono::steady_clock::now() );
+    }
+
+    net::Task<> ticks() {
+        for( ;; ) {
+            co_await net::pause( m_context, tickInterval );
+            const auto now = std::chrono::steady_clock::now();
+            const auto before = m_registry.members().size();
+            m_registry.expire( now );
+            if( m_registry.members().size() != before ) {
+                syncFleet();
+            }
+            m_fleet.tick( now );
+        }
+    }
+
+    net::Task<> handleSignals() {
+        for( ;; ) {
+            const auto [ec, number] = co_await m_signals.async_wait( net::tupled );
+            if( ec ) {
+                co_return;
+            }
+            if( number == SIGHUP ) {
+                reload();
+                continue;
+            }
+            break;
+        }
+        m_shared.draining = true;
+        log::info( "leaving", { { "in_flight", static_cast<std::int64_t>( m_shared.inFlight ) } } );
+        const auto start = std::chrono::steady_clock::now();
+        const auto limit = start + m_settings.bounds.grace - exitMargin;
+        co_await net::pause( m_context, leaveDelay );
+        while( m_shared.inFlight > 0 && std::chrono::steady_clock::now() < limit ) {
+            constexpr Millis step{ 20 };
+            co_await net::pause( m_context, step );
+        }
+        m_context.stop();
+    }
+
+    void reload() {
+        const auto path = platform::settingsPath();
+        const auto read = platform::readNodeSettings( path );
+        for( const auto& it : read.problems ) {
+            log::error( "settings_refused", { { "problem", it } } );
+        }
+        if( !read.problems.empty() ) {
+            return;
+        }
+        m_shared.bounds = read.settings.bounds;
+        log::info( "settings_reloaded", { { "path", path } } );
+    }
+
+    net::asio::io_context m_context{ 1 };
+    platform::NodeSettings m_settings;
+    RandomSource m_random;
+    metrics::Metrics m_metrics;
+    Fleet m_fleet;
+    Registry m_registry;
+    Shared m_shared;
+    net::asio::signal_set m_signals;
+    bool m_upstreamsListed = false;
+};
+
+} // namespace
+
+int runGateway( std::span<const std::string> arguments ) {
+    return daemon::runPlatformRole(
+        "gateway", arguments, []( const platform::NodeSettings& settings ) {
+            Gateway gateway( settings );
+            return gateway.run();
+        } );
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/messages.cpp
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/messages.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace coursehead::gateway {
+
+using Json = nlohmann::json;
+
+// clang-format off
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( Resident, model, adapters )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineReport, residents, coming, onDisk, inMemory, ordering, sequence, queued, running, prefilling, cacheUsed, cacheTotal )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureRequest, number, upstreamId, model, adapter, fromStore )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureAnswer, number, outcome )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ModelDemand, model, perS, copies, adaptersUsed )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( DemandNews, models )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, engine )
+// clang-format on
+
+void to_json( Json& out, const ModelSpec& in ) {
+    out = Json::array( { in.name, in.weightsMb, in.adapterMb, in.adapters, in.storeLoad.count(),
+                         in.diskLoad.count(), in.memoryLoad.count() } );
+}
+
+void from_json( const Json& in, ModelSpec& out ) {
+    out.name = in.at( 0 ).get<std::string>();
+    out.weightsMb = in.at( 1 ).get<double>();
+    out.adapterMb = in.at( 2 ).get<double>();
+    out.adapters = in.at( 3 ).get<int>();
+    out.storeLoad = Millis( in.at( 4 ).get<std::int64_t>() );
+    out.diskLoad = Millis( in.at( 5 ).get<std::int64_t>() );
+    out.memoryLoad = Millis( in.at( 6 ).get<std::int64_t>() );
+}
+
+// clang-format off
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineSpec, slots, cacheTokens, weightsMb, adapterSlots, storeLoadsPerS, models )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineNews, gateway, configVersion, upstreamId, engine )
+// clang-format on
+
+namespace {
+
+template <std::size_t Index = 0>
+std::optional<Message> decodeAs( std::size_t index, const Json& body ) {
+    if constexpr( Index < std::variant_size_v<Message> ) {
+        if( index == Index ) {
+            return body.get<std::variant_alternative_t<Index, Message>>();
+        }
+        return decodeAs<Index + 1>( index, body );
+    } else {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encode( const Message& message ) {
+    Json body;
+    std::visit( [&body]( const auto& it ) { body = it; }, message );
+    const auto bytes = Json::to_cbor( Json::array( { message.index(), std::move( body ) } ) );
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<Message> decode( std::string_view bytes ) {
+    try {
+        const auto in = Json::from_cbor( bytes.begin(), bytes.end() );
+        return decodeAs( in.at( 0 ).get<std::size_t>(), in.at( 1 ) );
+    } catch( const Json::exception& ) {
+        return std::nullopt;
+    }
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/messages.hpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
+
+#include "gateway/model.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+//! The messages between gateways and the sidecars beside engines, as CBOR.
+namespace coursehead::gateway {
+
+//! A gateway introduces itself, and says what the sidecar's engine is built like. Sent first, and
+//! again when any of it changes.
+struct EngineNews {
+    std::string gateway;
+    std::uint64_t configVersion = 0;
+    std::string upstreamId; //!< the engine's present start
+    EngineSpec engine;
+};
+
+//! Asks for a model or adapter to be made ready.
+struct EnsureRequest {
+    std::uint64_t number = 0; //!< of this gateway; the answer repeats it
+    std::string upstreamId;
+    std::string model;
+    std::string adapter;     //!< empty: the model alone
+    bool fromStore = false;  //!< the weight store may be used
+};
+
+enum class EnsureOutcome {
+    ready,
+    noRoom,    //!< everything that could make way is needed more
+    needStore, //!< only the weight store has it, and it may not be used now
+    failed,    //!< the engine did not take the order or cannot be reached
+};
+
+struct EnsureAnswer {
+    std::uint64_t number = 0;
+    EnsureOutcome outcome = EnsureOutcome::failed;
+};
+
+//! How much a model is asked for, as one gateway sees it.
+struct ModelDemand {
+    std::string model;
+    double perS = 0;             //!< requests a second, smoothed
+    int copies = 0;              //!< upstreams that hold it
+    std::vector<std::string> adaptersUsed; //!< sent to this sidecar's engine since the last message
+};
+
+//! Sent regularly; also tells the sidecar that the gateway lives.
+struct DemandNews {
+    std::vector<ModelDemand> models;
+};
+
+//! The engine's own report, passed on when it changes and regularly.
+struct SidecarReport {
+    std::uint64_t number = 0;
+    bool reachable = false; //!< the engine answered the sidecar
+    int gateways = 0;       //!< gateways connected to this sidecar
+    EngineReport engine;
+};
+
+using Message =
+    std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport>;
+
+std::string encode( const Message& message );
+//! Reads a message; nullopt when it is malformed.
+std::optional<Message> decode( std::string_view bytes );
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/model.hpp
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_MODEL_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_MODEL_HPP_INCLUDED
+
+#include "coursehead/kernel/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+//! What the forwarding front knows: configuration, upstreams and what upstreams report.
+namespace coursehead::gateway {
+
+//! A model that an engine service offers.
+struct ModelSpec {
+    std::string name;
+    double weightsMb = 0;
+    double adapterMb = 0;   //!< of each adapter
+    int adapters = 0;       //!< how many exist
+    Millis storeLoad{ 0 };  //!< load time from the weight store
+    Millis diskLoad{ 0 };   //!< load time from the upstream's disk
+    Millis memoryLoad{ 0 }; //!< load time from the upstream's host memory
+};
+
+//! What each engine of a service is built like.
+struct EngineSpec {
+    int slots = 0;                //!< requests run at once
+    std::int64_t cacheTokens = 0; //!< KV memory, in tokens
+    double weightsMb = 0;         //!< room for weights and adapters together
+    int adapterSlots = 0;
+    double storeLoadsPerS = 0; //!< loads a second that the weight store allows to all upstreams
+    std::vector<ModelSpec> models;
+
+    const ModelSpec* find( std::string_view model ) const;
+};
+
+//! A service that routes lead to.
+struct Service {
+    std::string name;
+    int connectionLimit = 0; //!< connections an upstream accepts from all callers together
+    std::shared_ptr<const EngineSpec> engine; //!< null for plain services
+};
+
+//! What may be done with a request of a route once it was sent.
+enum class RequestKind {
+    repeatable, //!< may run more than once
+    once,       //!< may run at most once
+    stream,     //!< a stream of events; at most once unless the route says resumable
+};
+
+struct Split {
+    std::string service;
+    int weight = 0;
+};
+
+struct Route {
+    std::string name;
+    std::string host;
+    std::string pathPrefix;
+    RequestKind kind = RequestKind::once;
+    Millis timeout{ 0 };   //!< the longest a request may be held
+    Millis goal{ 0 };      //!< an answer (or first event) within it has its full value
+    Millis gapTarget{ 0 }; //!< longest pause between events that still counts as in time
+    int priority = 0;      //!< 0 is the highest
+    int attempts = 1;      //!< upstreams that one request may go to
+    bool resumable = false;
+    std::vector<Split> splits;
+
+    //! True when a second run does no harm.
+    bool idempotent() const noexcept { return kind == RequestKind::repeatable || resumable; }
+};
+
+//! Bounds on what a client may send, and how long it may take.
+struct ClientLimits {
+    std::uint32_t headerBytes = 16384;
+    std::uint64_t bodyBytes = 4U << 20U;
+    Millis headerTime{ 3000 };
+    Millis idleTime{ 15000 };
+};
+
+struct Configuration {
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::map<std::string, Service, std::less<>> services;
+    ClientLimits limits;
+};
+
+enum class UpstreamState { ready, draining };
+
+//! A model that an upstream holds, with the adapters loaded for it.
+struct Resident {
+    std::string model;
+    std::vector<std::string> adapters;
+
+    bool operator==( const Resident& ) const = default;
+};
+
+//! An upstream as the platform lists it. `id` names one start of it and is never used again.
+struct Upstream {
+    std::string id;
+    std::string service;
+    std::string ip;
+    int port = 0;
+    std::string hall;
+    int slots = 1;
+    UpstreamState state = UpstreamState::ready;
+    std::optional<Millis> remaining; //!< given when it leaves at short notice
+    std::vector<Resident> residents;
+};
+
+//! What an engine tells about itself.
+struct EngineReport {
+    std::vector<Resident> residents;
+    std::vector<std::string> coming; //!< adapters on their way: MODEL/NAME
+    std::vector<std::string> onDisk;
+    std::vector<std::string> inMemory;
+    bool ordering = false;      //!< an order is under way
+    std::uint64_t sequence = 0; //!< orders taken
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::uint32_t prefilling = 0; //!< running requests without an event yet
+    std::int64_t cacheUsed = 0;
+    std::int64_t cacheTotal = 0;
+
+    bool operator==( const EngineReport& ) const = default;
+};
+
+//! One part of a prompt; equal ids mean equal tokens.
+struct PromptPart {
+    std::uint64_t id = 0;
+    std::int64_t tokens = 0;
+};
+
+//! What a request says of the generation it asks for.
+struct Generation {
+    std::string model;
+    std::string adapter; //!< empty: none
+    std::int64_t promptTokens = 0;
+    std::int64_t mostTokens = 0;
+    std::vector<PromptPart> parts;
+};
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_MODEL_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/node.hpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
+
+#include "gateway/connection_pool.hpp"
+#include "gateway/health.hpp"
+#include "gateway/model.hpp"
+#include "gateway/prefix_cache.hpp"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace coursehead::gateway {
+
+class SidecarLink;
+
+//! What a gateway knows of one upstream, and what it has in flight there.
+struct Node {
+    explicit Node( Upstream listed ) : upstream( std::move( listed ) ), prefixes( 0 ) {}
+
+    Upstream upstream;
+    std::shared_ptr<const EngineSpec> engine; //!< null for plain services
+    ConnectionPool pool;
+    Health health;
+    PrefixCache prefixes;
+    std::shared_ptr<SidecarLink> sidecar; //!< null for plain services
+    std::optional<EngineReport> report;   //!< the sidecar's last
+    MonoTime reportAt;
+    bool engineReachable = true; //!< as the sidecar says
+    std::optional<MonoTime> leavesAt; //!< it was announced to be gone by then
+    int inFlight = 0;
+    int prefilling = 0;      //!< of those, without a first event yet
+    double prefillMs = 0;    //!< their estimated prompt reading time
+    MonoTime lastHeard;      //!< bytes from any of its connections
+    std::set<std::string> adaptersUsed; //!< MODEL/NAME sent there since the last demand message
+
+    bool reportFresh( MonoTime now ) const;
+    //! What it holds: by the sidecar's report when fresh, else by its entry.
+    const std::vector<Resident>& residents( MonoTime now ) const;
+    bool holdsModel( std::string_view model, MonoTime now ) const;
+    bool holdsAdapter( std::string_view model, std::string_view adapter, MonoTime now ) const;
+};
+using NodePtr = std::shared_ptr<Node>;
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/probe_server.cpp
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/probe_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace coursehead::gateway {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+//! Probers keep their connections; one that is silent this long is closed.
+constexpr Millis idleLimit{ 10000 };
+
+using Answerer = std::function<ProbeAnswer( std::string_view path )>;
+
+net::Task<> serveOne( net::Socket socket, Answerer answer ) {
+    boost::beast::flat_buffer buf;
+    for( ;; ) {
+        net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + idleLimit );
+        http::request<http::empty_body> request;
+        auto [readError, got] = co_await http::async_read( socket, buf, request, net::tupled );
+        if( readError ) {
+            co_return;
+        }
+        auto made = answer( { request.target().data(), request.target().size() } );
+        http::response<http::string_body> response;
+        response.result( made.status );
+        response.keep_alive( request.keep_alive() );
+        response.body() = std::move( made.body );
+        response.prepare_payload();
+        auto [writeError, put] = co_await http::async_write( socket, response, net::tupled );
+        if( writeError || !request.keep_alive() ) {
+            co_return;
+        }
+    }
+}
+
+} // namespace
+
+net::Task<> serveProbes( net::Acceptor acceptor, Answerer answer ) {
+    for( ;; ) {
+        auto [ec, socket] = co_await acceptor.async_accept( net::tupled );
+        if( ec ) {
+            continue;
+        }
+        auto task = serveOne( net::Socket( std::move( socket ) ), answer );
+        net::asio::co_spawn( acceptor.get_executor(), std::move( task ), net::asio::detached );
+    }
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/registry.hpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_REGISTRY_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_REGISTRY_HPP_INCLUDED
+
+#include "gateway/model.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coursehead::gateway {
+
+//! An upstream that is or was listed.
+struct Member {
+    Upstream upstream;
+    bool missing = false; //!< no longer listed, and not yet taken for gone
+};
+
+/**
+ * Which upstreams exist. An entry that disappears is gone at once, unless the store had trouble
+ * shortly before: entries lapse while the store is away, so a missing one then stays in use for
+ * a while after the store's return.
+ */
+class Registry {
+public:
+    struct Settings {
+        Millis lapseHold{ 2000 }; //!< from the store's return: time for lapsed entries to come back
+    };
+    explicit Registry( Settings settings ) : m_settings( settings ) {}
+
+    //! All entries at this moment.
+    void list( std::vector<Upstream> upstreams, MonoTime now );
+    void put( Upstream upstream, MonoTime now );
+    void remove( const std::string& id, MonoTime now );
+    //! The store ceased to answer, or answers again.
+    void storeReachable( bool reachable, MonoTime now );
+    //! Drops missing entries whose time is over.
+    void expire( MonoTime now );
+
+    const std::map<std::string, Member>& members() const noexcept { return m_members; }
+
+private:
+    bool storeTrouble( MonoTime now ) const;
+
+    Settings m_settings;
+    std::map<std::string, Member> m_members;
+    bool m_reachable = false;
+    std::optional<MonoTime> m_troubleEnd; //!< when the store last came back
+};
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_REGISTRY_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/route_table.hpp
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_ROUTE_TABLE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_ROUTE_TABLE_HPP_INCLUDED
+
+#include "gateway/model.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coursehead::gateway {
+
+//! A configuration with its routes ready for look-up.
+class RouteTable {
+public:
+    explicit RouteTable( Configuration configuration );
+    RouteTable( const RouteTable& ) = delete;
+    RouteTable& operator=( const RouteTable& ) = delete;
+
+    const Configuration& configuration() const noexcept { return m_configuration; }
+    //! The route of a host with the longest prefix that begins the path; null when none fits.
+    //! `host` may carry a port; `target` may carry a query.
+    const Route* find( std::string_view host, std::string_view target ) const;
+    const Service* service( std::string_view name ) const;
+
+private:
+    Configuration m_configuration;
+    //! By host in lower case; longest prefix first.
+    std::map<std::string, std::vector<const Route*>, std::less<>> m_hosts;
+};
+
+//! Picks a service of a route by weight; `draw` in [0, 1). Null when all weights are zero.
+const Split* pickSplit( const Route& route, double draw );
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_ROUTE_TABLE_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/selection.cpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/selection.hpp"
+
+namespace coursehead::gateway {
+
+namespace {
+
+//! One recent failure counts like this much waiting: about a retry at another upstream.
+constexpr double failureMs = 150;
+//! Costs that differ by less are equal: estimates are no finer, and equal choices by all gateways
+//! keep prefixes and adapters together.
+constexpr double equalMs = 12;
+
+} // namespace
+
+double costOf( const Candidate& candidate ) {
+    return ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
+           candidate.failures * failureMs + ( candidate.otherHall ? candidate.crossHallMs : 0 );
+}
+
+std::optional<std::size_t> choose( std::span<const Candidate> candidates ) {
+    std::optional<std::size_t> best;
+    double bestCost = 0;
+    for( std::size_t n = 0; n < candidates.size(); ++n ) {
+        const auto& it = candidates[n];
+        const double cost = costOf( it );
+        bool better = !best;
+        if( best ) {
+            const auto& other = candidates[*best];
+            if( it.avoided != other.avoided ) {
+                better = other.avoided;
+            } else if( cost < bestCost - equalMs ) {
+                better = true;
+            } else if( cost <= bestCost + equalMs ) {
+                better = it.affinity > other.affinity;
+            }
+        }
+        if( better ) {
+            best = n;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/selection.hpp
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_SELECTION_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_SELECTION_HPP_INCLUDED
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace coursehead::gateway {
+
+//! An upstream that a request could go to; times in milliseconds.
+struct Candidate {
+    bool avoided = false;  //!< unreachable lately, or full: only when nothing else is left
+    double backlogMs = 0;  //!< work queued ahead of the request
+    double workMs = 0;     //!< reading what is not cached of the prompt, or the usual work
+    double loadMs = 0;     //!< until model and adapter are there
+    double slowness = 1;   //!< factor on backlog and work
+    double failures = 0;   //!< recent ones
+    bool otherHall = false;
+    double crossHallMs = 0; //!< what leaving the hall counts for
+    std::uint64_t affinity = 0; //!< rendezvous hash: the highest is preferred among equals
+};
+
+//! What sending there would take, with what speaks against it, in milliseconds.
+double costOf( const Candidate& candidate );
+//! The candidate of the lowest cost; avoided ones only when all are. Nullopt when there is none.
+std::optional<std::size_t> choose( std::span<const Candidate> candidates );
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_SELECTION_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/sidecar_link.cpp
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/sidecar_link.hpp"
+
+#include "coursehead/kernel/log.hpp"
+
+namespace coursehead::gateway {
+
+namespace {
+
+constexpr Millis connectLimit{ 500 };
+constexpr Millis retryPause{ 250 };
+constexpr Millis lastRetryPause{ 1000 };
+//! Sidecars speak every 500 ms; after three missed messages the connection is taken for dead.
+constexpr Millis silence{ 1500 };
+
+} // namespace
+
+SidecarLink::SidecarLink( net::asio::io_context& context, std::string ip, int port )
+    : m_context( context ), m_ip( std::move( ip ) ), m_port( port ) {}
+
+void SidecarLink::start( ReportHandler onReport ) {
+    m_onReport = std::move( onReport );
+    auto task = keepConnected();
+    net::start( m_context, std::move( task ), "sidecar link" );
+}
+
+void SidecarLink::stop() {
+    m_stopped = true;
+    m_onReport = nullptr;
+    if( m_channel ) {
+        m_channel->close();
+    }
+    failWaiters();
+}
+
+void SidecarLink::setNews( EngineNews news ) {
+    const Message message( std::move( news ) );
+    auto encoded = encode( message );
+    if( encoded == m_news ) {
+        return;
+    }
+    m_news = std::move( encoded );
+    if( m_channel ) {
+        m_channel->send( m_news );
+    }
+}
+
+void SidecarLink::send( const DemandNews& demand ) {
+    if( !m_channel ) {
+        return;
+    }
+    if( std::chrono::steady_clock::now() - m_channel->lastHeard() > silence ) {
+        log::info( "sidecar_silent", { { "ip", m_ip } } );
+        m_channel->close();
+        return;
+    }
+    const Message message( demand );
+    m_channel->send( encode( message ) );
+}
+
+net::Task<EnsureOutcome> SidecarLink::ensure( EnsureRequest request, Millis limit ) {
+    if( !m_channel ) {
+        co_return EnsureOutcome::failed;
+    }
+    const auto me = shared_from_this();
+    request.number = m_nextNumber++;
+    const auto waiter = std::make_shared<Waiter>( m_context );
+    m_waiters.emplace( request.number, waiter );
+    const auto number = request.number;
+    const Message message( std::move( request ) );
+    const auto encoded = encode( message );
+    m_channel->send( encoded );
+    waiter->timer.expires_after( limit );
+    co_await waiter->timer.async_wait( net::tupled );
+    m_waiters.erase( number );
+    co_return waiter->outcome;
+}
+
+void SidecarLink::failWaiters() {
+    for( auto& it : m_waiters ) {
+        it.second->timer.cancel();
+    }
+}
+
+void SidecarLink::onFrame( std::string_view frame ) {
+    const auto message = decode( frame );
+    if( !message ) {
+        log::warn( "sidecar_message_malformed", { { "ip", m_ip } } );
+        return;
+    }
+    if( const auto* report = std::get_if<SidecarReport>( &*message ) ) {
+        if( m_onReport ) {
+            m_onReport( *report );
+        }
+        return;
+    }
+    if( const auto* answer = std::get_if<EnsureAnswer>( &*message ) ) {
+        const auto it = m_waiters.find( answer->number );
+        if( it != m_waiters.end() ) {
+            it->second->outcome = answer->outcome;
+            it->second->timer.cancel();
+        }
+    }
+}
+
+net::Task<> SidecarLink::keepConnected() {
+    const auto me = shared_from_this();
+    Millis delay = retryPause;
+    while( !m_stopped ) {
+        net::Socket socket( m_context );
+        net::ErrorCode ec;
+        const auto to = net::endpointOf( m_ip, m_port, ec );
+        ec = co_await net::connect( socket, to, connectLimit );
+        if( !ec && !m_stopped ) {
+            delay = retryPause;
+            net::tune( socket, silence );
+            log::info( "sidecar_connected", { { "ip", m_ip } } );
+            m_channel = std::make_shared<net::FrameChannel>( std::move( socket ),
+                                                             net::ChannelSide::client );
+            if( !m_news.empty() ) {
+                m_channel->send( m_news );
+            }
+            net::FrameChannel::FrameHandler handler = [this]( std::string_view frame ) {
+                onFrame( frame );
+            };
+            co_await m_channel->run( std::move( handler ) );
+            m_channel.reset();
+            failWaiters();
+            log::info( "sidecar_lost", { { "ip", m_ip } } );
+        }
+        if( !m_stopped ) {
+            co_await net::pause( m_context, delay );
+            delay = std::min( delay * 2, lastRetryPause );
+        }
+    }
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/sidecar_link.hpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
+
+#include "gateway/messages.hpp"
+#include "net/frame_channel.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace coursehead::gateway {
+
+//! A gateway's connection to the sidecar beside an engine; kept up until stopped.
+class SidecarLink : public std::enable_shared_from_this<SidecarLink> {
+public:
+    using ReportHandler = std::function<void( const SidecarReport& report )>;
+
+    SidecarLink( net::asio::io_context& context, std::string ip, int port );
+
+    //! Begins to connect; `onReport` is called until stop().
+    void start( ReportHandler onReport );
+    void stop();
+    bool up() const { return m_channel != nullptr; }
+
+    //! Tells the sidecar what its engine is built like, now and after each reconnect.
+    void setNews( EngineNews news );
+    void send( const DemandNews& demand );
+    //! Asks for a model or adapter, and waits for the answer; `failed` after `limit`.
+    net::Task<EnsureOutcome> ensure( EnsureRequest request, Millis limit );
+
+private:
+    struct Waiter {
+        explicit Waiter( net::asio::io_context& context ) : timer( context ) {}
+        net::Timer timer;
+        EnsureOutcome outcome = EnsureOutcome::failed;
+    };
+
+    net::Task<> keepConnected();
+    void onFrame( std::string_view frame );
+    void failWaiters();
+
+    net::asio::io_context& m_context;
+    std::string m_ip;
+    int m_port;
+    ReportHandler m_onReport;
+    std::shared_ptr<net::FrameChannel> m_channel;
+    std::string m_news; //!< encoded
+    std::uint64_t m_nextNumber = 1;
+    std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
+    bool m_stopped = false;
+};
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "coursehead/kernel/log.hpp"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -38,10 +39,11 @@
     }
 }
 
-} // namespace
+//! Lines that wait for the writer at the most.
+constexpr std::size_t queuedLines = 4096;
 
-void setUp( std::string_view level, std::string_view role, std::string_view vm ) {
-    auto logger = spdlog::stderr_logger_mt( "coursehead" );
+void install( std::shared_ptr<spdlog::logger> logger, std::string_view level,
+              std::string_view role, std::string_view vm ) {
     logger->set_level( spdlog::level::from_str( std::string( level ) ) );
     logger->flush_on( spdlog::level::info );
     const std::string prefix = "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l role=" + std::string( role ) +
@@ -50,6 +52,21 @@
     spdlog::set_default_logger( std::move( logger ) );
 }
 
+} // namespace
+
+void setUp( std::string_view level, std::string_view role, std::string_view vm ) {
+    install( spdlog::stderr_logger_mt( "coursehead" ), level, role, vm );
+}
+
+void setUpBounded( std::string_view level, std::string_view role, std::string_view vm ) {
+    spdlog::init_thread_pool( queuedLines, 1 );
+    auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    auto logger = std::make_shared<spdlog::async_logger>(
+        "coursehead", std::move( sink ), spdlog::thread_pool(),
+        spdlog::async_overflow_policy::overrun_oldest );
+    install( std::move( logger ), level, role, vm );
+}
+
 std::string formatLine( std::string_view event, std::initializer_list<Field> fields ) {
     std::string line = "event=";
     line.append( event );
--- /dev/null
+++ b/src/kernel/platform_role.cpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "kernel/platform_role.hpp"
+
+#include "coursehead/kernel/log.hpp"
+#include "coursehead/kernel/settings.hpp"
+#include "kernel/daemon.hpp"
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+namespace coursehead::daemon {
+
+namespace {
+
+constexpr std::array<settings::Spec, 1> specs{ {
+    { "log-level", settings::Kind::logLevel, "info", "debug, info, warn or error" },
+} };
+
+} // namespace
+
+int runPlatformRole( std::string_view role, std::span<const std::string> arguments,
+                     const std::function<int( const platform::NodeSettings& )>& run ) {
+    const auto environment = []( const char* name ) -> const char* {
+        return std::getenv( name );
+    };
+    const auto own = settings::parse( role, specs, arguments, environment );
+    if( own.helpShown ) {
+        return exitOk;
+    }
+    auto problems = own.problems;
+    const auto read = platform::readNodeSettings( platform::settingsPath() );
+    problems.insert( problems.end(), read.problems.begin(), read.problems.end() );
+    for( const auto& it : problems ) {
+        std::cerr << "coursehead " << role << ": " << it << "\n";
+    }
+    if( !problems.empty() ) {
+        return exitUsage;
+    }
+    std::signal( SIGPIPE, SIG_IGN );
+    log::setUpBounded( own.settings.text( "log-level" ), role, read.settings.vm );
+    try {
+        return run( read.settings );
+    } catch( const std::exception& ex ) {
+        log::error( "start_failed", { { "detail", ex.what() } } );
+        return exitFailed;
+    }
+}
+
+} // namespace coursehead::daemon
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,8 @@
 #include "agent/agent.hpp"
 #include "ctl/ctl.hpp"
 #include "entry/entry.hpp"
+#include "gateway/gateway.hpp"
+#include "sidecar/sidecar.hpp"
 
 #include <iostream>
 #include <string>
@@ -12,9 +14,11 @@
 constexpr int exitUsage = 2;
 
 int usage() {
-    std::cerr << "usage: coursehead entry|agent|ctl [--help] [options]\n"
+    std::cerr << "usage: coursehead entry|agent|gateway|sidecar|ctl [--help] [options]\n"
                  "  entry   serves callers and operators\n"
                  "  agent   stands beside one upstream VM\n"
+                 "  gateway on the users' platform: takes clients' requests\n"
+                 "  sidecar on the users' platform: stands beside an engine\n"
                  "  ctl     the operators' command line\n";
     return exitUsage;
 }
@@ -33,6 +37,12 @@
     if( arguments[1] == "agent" ) {
         return coursehead::agent::runAgent( rest );
     }
+    if( arguments[1] == "gateway" ) {
+        return coursehead::gateway::runGateway( rest );
+    }
+    if( arguments[1] == "sidecar" ) {
+        return coursehead::sidecar::runSidecar( rest );
+    }
     if( arguments[1] == "ctl" ) {
         return coursehead::ctl::runCtl( rest );
     }
--- /dev/null
+++ b/src/net/frame_channel.cpp
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "net/frame_channel.hpp"
+
+#include "coursehead/kernel/log.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace coursehead::net {
+
+namespace {
+
+constexpr std::size_t readBytes = 16U << 10U;
+//! Bytes queued for a peer that does not read, before it is dropped.
+constexpr std::size_t outboxLimit = 4U << 20U;
+//! Both windows are opened wide: the outbox limit bounds what a slow peer costs.
+constexpr std::int32_t windowBytes = 8 << 20;
+
+nghttp2_nv header( std::string_view name, std::string_view value ) {
+    // nghttp2 copies names and values unless told otherwise; it never writes through them.
+    auto* nameBytes = reinterpret_cast<std::uint8_t*>( const_cast<char*>( name.data() ) );
+    auto* valueBytes = reinterpret_cast<std::uint8_t*>( const_cast<char*>( value.data() ) );
+    return { nameBytes, valueBytes, name.size(), value.size(), NGHTTP2_NV_FLAG_NONE };
+}
+
+FrameChannel& self( void* user ) {
+    return *static_cast<FrameChannel*>( user );
+}
+
+} // namespace
+
+FrameChannel::FrameChannel( Socket socket, ChannelSide side )
+    : m_socket( std::move( socket ) ), m_side( side ),
+      m_lastHeard( std::chrono::steady_clock::now() ) {}
+
+FrameChannel::~FrameChannel() {
+    nghttp2_session_del( m_session );
+}
+
+nghttp2_session_callbacks* FrameChannel::makeCallbacks() {
+    nghttp2_session_callbacks* out = nullptr;
+    nghttp2_session_callbacks_new( &out );
+    nghttp2_session_callbacks_set_on_frame_recv_callback(
+        out, []( nghttp2_session*, const nghttp2_frame* frame, void* user ) {
+            if( frame->hd.type == NGHTTP2_HEADERS &&
+                frame->headers.cat == NGHTTP2_HCAT_REQUEST ) {
+                self( user ).answer( frame->hd.stream_id );
+            }
+            return 0;
+        } );
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        out, []( nghttp2_session*, std::uint8_t, std::int32_t, const std::uint8_t* data,
+                 std::size_t n, void* user ) {
+            self( user ).onData( { reinterpret_cast<const char*>( data ), n } );
+            return 0;
+        } );
+    return out;
+}
+
+ssize_t FrameChannel::readOutbox( nghttp2_session*, std::int32_t, std::uint8_t* buf,
+                                  std::size_t n, std::uint32_t* flags,
+                                  nghttp2_data_source* source, void* ) {
+    return static_cast<FrameChannel*>( source->ptr )->takeOutbox( buf, n, flags );
+}
+
+ssize_t FrameChannel::takeOutbox( std::uint8_t* buf, std::size_t n, std::uint32_t* ) {
+    const auto taken = std::min( n, m_outbox.size() );
+    if( taken == 0 ) {
+        return NGHTTP2_ERR_DEFERRED;
+    }
+    std::copy_n( m_outbox.data(), taken, reinterpret_cast<char*>( buf ) );
+    m_outbox.erase( 0, taken );
+    return static_cast<ssize_t>( taken );
+}
+
+void FrameChannel::startSession() {
+    static nghttp2_session_callbacks* const callbacks = makeCallbacks();
+    const std::array<nghttp2_settings_entry, 1> entries{ {
+        { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, windowBytes },
+    } };
+    if( m_side == ChannelSide::client ) {
+        nghttp2_session_client_new( &m_session, callbacks, this );
+    } else {
+        nghttp2_session_server_new( &m_session, callbacks, this );
+    }
+    nghttp2_submit_settings( m_session, NGHTTP2_FLAG_NONE, entries.data(), entries.size() );
+    nghttp2_session_set_local_window_size( m_session, NGHTTP2_FLAG_NONE, 0, windowBytes );
+    if( m_side == ChannelSide::client ) {
+        const std::array<nghttp2_nv, 4> headers{ header( ":method", "POST" ),
+                                                 header( ":scheme", "http" ),
+                                                 header( ":authority", "coursehead" ),
+                                                 header( ":path", "/control" ) };
+        nghttp2_data_provider body{};
+        body.source.ptr = this;
+        body.read_callback = readOutbox;
+        m_stream = nghttp2_submit_request( m_session, nullptr, headers.data(), headers.size(),
+                                           &body, nullptr );
+    }
+    flush();
+}
+
+void FrameChannel::answer( std::int32_t stream ) {
+    if( m_stream != 0 ) {
+        return;
+    }
+    m_stream = stream;
+    const std::array<nghttp2_nv, 1> headers{ header( ":status", "200" ) };
+    nghttp2_data_provider body{};
+    body.source.ptr = this;
+    body.read_callback = readOutbox;
+    nghttp2_submit_response( m_session, stream, headers.data(), headers.size(), &body );
+}
+
+void FrameChannel::onData( std::string_view bytes ) {
+    std::vector<std::string> frames;
+    if( !m_reader.feed( bytes, frames ) ) {
+        log::warn( "peer_frame_too_large", {} );
+        close();
+        return;
+    }
+    for( const auto& it : frames ) {
+        m_handler( it );
+    }
+}
+
+void FrameChannel::send( std::string_view message ) {
+    if( !open() ) {
+        return;
+    }
+    if( m_outbox.size() > outboxLimit ) {
+        log::warn( "peer_too_slow",
+                   { { "queued_bytes", static_cast<std::int64_t>( m_outbox.size() ) } } );
+        close();
+        return;
+    }
+    peer::appendFrame( m_outbox, message );
+    if( m_session != nullptr && m_stream != 0 ) {
+        nghttp2_session_resume_data( m_session, m_stream );
+        flush();
+    }
+}
+
+void FrameChannel::flush() {
+    if( m_writing || m_receiving || m_session == nullptr || !open() ) {
+        return;
+    }
+    const std::uint8_t* data = nullptr;
+    m_sending.clear();
+    for( auto n = nghttp2_session_mem_send( m_session, &data ); n > 0;
+         n = nghttp2_session_mem_send( m_session, &data ) ) {
+        m_sending.append( reinterpret_cast<const char*>( data ), static_cast<std::size_t>( n ) );
+    }
+    if( m_sending.empty() ) {
+        return;
+    }
+    m_writing = true;
+    asio::async_write( m_socket, asio::buffer( m_sending ),
+                       [me = shared_from_this()]( ErrorCode ec, std::size_t ) {
+                           me->m_writing = false;
+                           if( ec ) {
+                               me->close();
+                               return;
+                           }
+                           me->flush();
+                       } );
+}
+
+void FrameChannel::close() {
+    ErrorCode ec;
+    m_socket.close( ec );
+}
+
+Task<> FrameChannel::run( FrameHandler handler ) {
+    const auto me = shared_from_this();
+    m_handler = std::move( handler );
+    startSession();
+    std::vector<std::uint8_t> buf( readBytes );
+    while( open() ) {
+        const auto space = asio::buffer( buf );
+        const auto [ec, n] = co_await m_socket.async_read_some( space, tupled );
+        if( ec ) {
+            break;
+        }
+        m_lastHeard = std::chrono::steady_clock::now();
+        m_receiving = true;
+        const auto taken = nghttp2_session_mem_recv( m_session, buf.data(), n );
+        m_receiving = false;
+        if( taken < 0 ) {
+            log::warn( "peer_protocol_error",
+                       { { "detail", nghttp2_strerror( static_cast<int>( taken ) ) } } );
+            break;
+        }
+        flush();
+    }
+    close();
+    m_handler = nullptr;
+}
+
+} // namespace coursehead::net
--- /dev/null
+++ b/src/net/json_client.cpp
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "net/json_client.hpp"
+
+#include <boost/beast/http.hpp>
+
+namespace coursehead::net {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+//! Bytes of an answer that are taken; a full configuration is well below a megabyte.
+constexpr std::uint64_t maxAnswerBytes = 16U << 20U;
+constexpr Millis connectLimit{ 1000 };
+
+http::request<http::string_body> makeRequest( const JsonCall& call, const std::string& host ) {
+    constexpr unsigned http11 = 11;
+    http::request<http::string_body> out( http::string_to_verb( call.method ), call.target,
+                                          http11 );
+    out.set( http::field::host, host );
+    for( const auto& [name, value] : call.headers ) {
+        out.set( name, value );
+    }
+    if( !call.body.empty() ) {
+        out.set( http::field::content_type, "application/json" );
+        out.body() = call.body;
+    }
+    out.prepare_payload();
+    return out;
+}
+
+} // namespace
+
+JsonClient::JsonClient( asio::io_context& context, std::string ip, int port )
+    : m_context( context ), m_ip( std::move( ip ) ), m_port( port ) {}
+
+void JsonClient::drop() {
+    m_socket.reset();
+    m_buf.clear();
+}
+
+Task<bool> JsonClient::ensureConnected( MonoTime deadline ) {
+    if( m_socket ) {
+        co_return true;
+    }
+    auto socket = std::make_unique<Socket>( m_context );
+    ErrorCode ec;
+    const auto to = endpointOf( m_ip, m_port, ec );
+    if( ec ) {
+        co_return false;
+    }
+    const auto left = remaining( std::chrono::steady_clock::now(), deadline );
+    ec = co_await connect( *socket, to, std::min( left, connectLimit ) );
+    if( ec ) {
+        co_return false;
+    }
+    tune( *socket, connectLimit );
+    m_socket = std::move( socket );
+    co_return true;
+}
+
+Task<JsonAnswer> JsonClient::callOnce( const JsonCall& call, MonoTime deadline ) {
+    JsonAnswer out;
+    const bool connected = co_await ensureConnected( deadline );
+    if( !connected ) {
+        co_return out;
+    }
+    out.end = CallEnd::unknown;
+    const auto request = makeRequest( call, m_ip );
+    http::response_parser<http::string_body> parser;
+    parser.body_limit( maxAnswerBytes );
+    bool whole = false;
+    {
+        SocketDeadline timer( *m_socket, deadline );
+        auto [writeError, written] = co_await http::async_write( *m_socket, request, tupled );
+        if( !writeError ) {
+            auto [readError, got] = co_await http::async_read( *m_socket, m_buf, parser, tupled );
+            whole = !readError;
+        }
+    }
+    if( !whole ) {
+        drop();
+        co_return out;
+    }
+    out.end = CallEnd::answered;
+    out.status = parser.get().result_int();
+    out.body = std::move( parser.get().body() );
+    if( !parser.keep_alive() || m_buf.size() > 0 || !m_socket->is_open() ) {
+        drop();
+    }
+    co_return out;
+}
+
+Task<JsonAnswer> JsonClient::call( const JsonCall& call ) {
+    const auto deadline = std::chrono::steady_clock::now() + call.limit;
+    const bool kept = m_socket != nullptr;
+    auto out = co_await callOnce( call, deadline );
+    const bool again = kept && out.end == CallEnd::unknown && call.method == "GET" &&
+                       std::chrono::steady_clock::now() < deadline;
+    if( again ) {
+        out = co_await callOnce( call, deadline );
+    }
+    co_return out;
+}
+
+} // namespace coursehead::net
--- /dev/null
+++ b/src/net/json_client.hpp
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_NET_JSON_CLIENT_HPP_INCLUDED
+#define COURSEHEAD_NET_JSON_CLIENT_HPP_INCLUDED
+
+#include "net/net.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace coursehead::net {
+
+//! One call with a JSON body, or none.
+struct JsonCall {
+    std::string method = "GET";
+    std::string target;
+    std::string body;
+    std::vector<std::pair<std::string, std::string>> headers;
+    Millis limit{ 1000 }; //!< for the whole call
+};
+
+enum class CallEnd {
+    answered, //!< `status` and `body` hold the answer
+    notSent,  //!< no connection: nothing happened
+    unknown,  //!< cut or timed out: it may have taken effect
+};
+
+struct JsonAnswer {
+    CallEnd end = CallEnd::notSent;
+    unsigned status = 0;
+    std::string body;
+};
+
+//! Calls to one HTTP server, one at a time, on a connection that is kept.
+class JsonClient {
+public:
+    JsonClient( asio::io_context& context, std::string ip, int port );
+
+    //! Makes a call. A call without effects is sent again once if a kept connection turns out dead.
+    Task<JsonAnswer> call( const JsonCall& call );
+
+private:
+    Task<JsonAnswer> callOnce( const JsonCall& call, MonoTime deadline );
+    Task<bool> ensureConnected( MonoTime deadline );
+    void drop();
+
+    asio::io_context& m_context;
+    std::string m_ip;
+    int m_port;
+    std::unique_ptr<Socket> m_socket;
+    boost::beast::flat_buffer m_buf;
+};
+
+} // namespace coursehead::net
+
+#endif // COURSEHEAD_NET_JSON_CLIENT_HPP_INCLUDED
--- /dev/null
+++ b/src/platform/node_settings.cpp
@@ -0,0 +1,188 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "platform/node_settings.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace coursehead::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int maxPort = 65535;
+constexpr double millisPerSecond = 1000.0;
+
+//! Reads fields of one table, and collects what is wrong with them.
+class Reader {
+public:
+    Reader( const Json& table, std::string path, std::vector<std::string>& problems )
+        : m_table( table ), m_path( std::move( path ) ), m_problems( problems ) {}
+
+    std::string text( const char* name ) const {
+        const auto* it = find( name );
+        if( it == nullptr || !it->is_string() || it->get_ref<const std::string&>().empty() ) {
+            complain( name, it, "expected a text" );
+            return {};
+        }
+        return it->get<std::string>();
+    }
+    double number( const char* name, double otherwise ) const {
+        const auto* it = find( name );
+        if( it == nullptr || it->is_null() ) {
+            return otherwise;
+        }
+        if( !it->is_number() || it->get<double>() < 0 ) {
+            complain( name, it, "expected a number, 0 or more" );
+            return otherwise;
+        }
+        return it->get<double>();
+    }
+    Millis millis( const char* name, Millis otherwise ) const {
+        return Millis( static_cast<std::int64_t>(
+            number( name, static_cast<double>( otherwise.count() ) ) ) );
+    }
+    Millis seconds( const char* name, Millis otherwise ) const {
+        const double given =
+            number( name, static_cast<double>( otherwise.count() ) / millisPerSecond );
+        return Millis( static_cast<std::int64_t>( given * millisPerSecond ) );
+    }
+    bool flag( const char* name, bool otherwise ) const {
+        const auto* it = find( name );
+        if( it == nullptr || it->is_null() ) {
+            return otherwise;
+        }
+        if( !it->is_boolean() ) {
+            complain( name, it, "expected true or false" );
+            return otherwise;
+        }
+        return it->get<bool>();
+    }
+    //! An optional IP:PORT.
+    Endpoint endpoint( const char* name ) const {
+        const auto* it = find( name );
+        if( it == nullptr || it->is_null() ) {
+            return {};
+        }
+        const Endpoint out = it->is_string() ? readEndpoint( it->get<std::string>() ) : Endpoint{};
+        if( !out.valid() ) {
+            complain( name, it, "expected IP:PORT" );
+        }
+        return out;
+    }
+    const Json& table( const char* name ) const {
+        static const Json empty = Json::object();
+        const auto* it = find( name );
+        return it != nullptr && it->is_object() ? *it : empty;
+    }
+    const Json* find( const char* name ) const {
+        const auto it = m_table.find( name );
+        return it == m_table.end() ? nullptr : &*it;
+    }
+    void complain( const char* name, const Json* value, std::string_view why ) const {
+        const std::string shown = value == nullptr ? "(missing)" : value->dump();
+        m_problems.push_back( m_path + name + " = " + shown + ": " + std::string( why ) );
+    }
+
+private:
+    const Json& m_table;
+    std::string m_path;
+    std::vector<std::string>& m_problems;
+};
+
+Bounds readBounds( const Reader& in ) {
+    Bounds out;
+    out.contact = in.millis( "contactMs", out.contact );
+    out.drain = in.millis( "drainMs", out.drain );
+    out.grace = in.seconds( "graceS", out.grace );
+    out.configuration = in.millis( "configurationMs", out.configuration );
+    out.retryRatio = in.number( "budgetRatio", out.retryRatio );
+    out.retryWindow = in.seconds( "budgetWindowS", out.retryWindow );
+    out.retrySlack = in.number( "budgetSlack", out.retrySlack );
+    out.ceilingWindow = in.seconds( "ceilingWindowS", out.ceilingWindow );
+    out.ceilingOver = in.number( "ceilingOver", out.ceilingOver );
+    out.fencingRequired = in.flag( "fencingRequired", out.fencingRequired );
+    return out;
+}
+
+void readPorts( const Reader& in, NodeSettings& out ) {
+    const auto* it = in.find( "internalPorts" );
+    const bool pair = it != nullptr && it->is_array() && it->size() == 2 &&
+                      ( *it )[0].is_number_integer() && ( *it )[1].is_number_integer();
+    if( pair ) {
+        out.firstPort = ( *it )[0].get<int>();
+        out.lastPort = ( *it )[1].get<int>();
+    }
+    if( !pair || out.firstPort <= 0 || out.lastPort < out.firstPort || out.lastPort > maxPort ) {
+        in.complain( "internalPorts", it, "expected [first, last] port" );
+    }
+}
+
+} // namespace
+
+Endpoint readEndpoint( std::string_view text ) {
+    const auto colon = text.rfind( ':' );
+    if( colon == std::string_view::npos || colon == 0 ) {
+        return {};
+    }
+    int port = 0;
+    const auto digits = text.substr( colon + 1 );
+    const auto [ptr, ec] = std::from_chars( digits.data(), digits.data() + digits.size(), port );
+    if( ec != std::errc() || ptr != digits.data() + digits.size() || port <= 0 || port > maxPort ) {
+        return {};
+    }
+    return { std::string( text.substr( 0, colon ) ), port };
+}
+
+std::string settingsPath() {
+    const char* path = std::getenv( "COURSEHEAD_NODE_FILE" );
+    return path != nullptr ? path : "";
+}
+
+ReadSettings parseNodeSettings( std::string_view json ) {
+    ReadSettings out;
+    const auto parsed = Json::parse( json, nullptr, false );
+    if( !parsed.is_object() ) {
+        out.problems.emplace_back( "the settings file is not a JSON object" );
+        return out;
+    }
+    const Reader top( parsed, "", out.problems );
+    auto& settings = out.settings;
+    settings.vm = top.text( "nodeName" );
+    settings.hall = top.text( "zone" );
+    settings.ip = top.text( "ip" );
+    readPorts( top, settings );
+    const Reader listen( top.table( "listen" ), "listen.", out.problems );
+    settings.front = listen.endpoint( "front" );
+    settings.ready = listen.endpoint( "ready" );
+    settings.engine = top.endpoint( "app" );
+    if( settings.engine.valid() ) {
+        settings.service = top.text( "service" );
+    }
+    settings.bounds = readBounds( Reader( top.table( "bounds" ), "bounds.", out.problems ) );
+    const Reader platform( top.table( "platform" ), "platform.", out.problems );
+    settings.store = platform.endpoint( "address" );
+    if( !settings.store.valid() ) {
+        platform.complain( "address", platform.find( "address" ), "expected IP:PORT" );
+    }
+    settings.storeReadsPerS = static_cast<std::uint64_t>( platform.number( "readsPerS", 0 ) );
+    return out;
+}
+
+ReadSettings readNodeSettings( const std::string& path ) {
+    std::ifstream in( path );
+    if( path.empty() || !in ) {
+        ReadSettings out;
+        out.problems.push_back( "COURSEHEAD_NODE_FILE = '" + path + "': cannot be read" );
+        return out;
+    }
+    std::stringstream buf;
+    buf << in.rdbuf();
+    return parseNodeSettings( buf.str() );
+}
+
+} // namespace coursehead::platform
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "platform/store_client.hpp"
+
+namespace coursehead::platform {
+
+namespace {
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusGone = 410;
+//! How much longer than asked a watch may take before its connection is taken for dead.
+constexpr Millis watchSlack{ 600 };
+
+StoreStatus statusOf( const net::JsonAnswer& answer ) {
+    if( answer.end != net::CallEnd::answered ) {
+        return StoreStatus::unreachable;
+    }
+    if( answer.status == statusGone ) {
+        return StoreStatus::expired;
+    }
+    return answer.status == statusOk ? StoreStatus::ok : StoreStatus::refused;
+}
+
+} // namespace
+
+StoreClient::StoreClient( net::asio::io_context& context, const Endpoint& store )
+    : m_http( context, store.ip, store.port ) {}
+
+net::Task<ListResult> StoreClient::list( std::string_view kind, Millis limit ) {
+    ListResult out;
+    std::string after;
+    for( bool first = true;; first = false ) {
+        net::JsonCall call;
+        call.target = listPath( kind, after );
+        call.limit = limit;
+        ++m_calls;
+        const auto answer = co_await m_http.call( call );
+        out.status = statusOf( answer );
+        if( out.status != StoreStatus::ok ) {
+            co_return out;
+        }
+        auto page = readPage( answer.body );
+        if( !page ) {
+            out.status = StoreStatus::malformed;
+            co_return out;
+        }
+        if( first ) {
+            out.listing.revision = page->revision;
+        }
+        for( auto& it : page->objects ) {
+            out.listing.objects.push_back( std::move( it ) );
+        }
+        if( !page->more || out.listing.objects.empty() ) {
+            co_return out;
+        }
+        after = out.listing.objects.back().name;
+    }
+}
+
+net::Task<WatchResult> StoreClient::watch( std::string_view kind, std::uint64_t revision,
+                                           Millis wait ) {
+    WatchResult out;
+    net::JsonCall call;
+    call.target = watchPath( kind, revision, wait );
+    call.limit = wait + watchSlack;
+    ++m_calls;
+    const auto answer = co_await m_http.call( call );
+    out.status = statusOf( answer );
+    if( out.status != StoreStatus::ok ) {
+        co_return out;
+    }
+    auto events = readEvents( answer.body );
+    if( !events ) {
+        out.status = StoreStatus::malformed;
+        co_return out;
+    }
+    out.events = std::move( *events );
+    co_return out;
+}
+
+} // namespace coursehead::platform
--- /dev/null
+++ b/src/platform/store_client.hpp
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_PLATFORM_STORE_CLIENT_HPP_INCLUDED
+#define COURSEHEAD_PLATFORM_STORE_CLIENT_HPP_INCLUDED
+
+#include "net/json_client.hpp"
+#include "platform/wire.hpp"
+
+#include <string_view>
+
+namespace coursehead::platform {
+
+enum class StoreStatus {
+    ok,
+    expired,     //!< the watch's revision lies behind the store's history: list again
+    refused,     //!< the store turned the call away, nothing was done
+    unreachable, //!< no answer
+    malformed,   //!< an answer that can't be read
+};
+
+struct ListResult {
+    StoreStatus status = StoreStatus::unreachable;
+    StorePage listing; //!< all pages together; the revision is the first page's
+};
+struct WatchResult {
+    StoreStatus status = StoreStatus::unreachable;
+    StoreEvents events;
+};
+
+//! Calls to the platform's store on one kept connection, one at a time.
+class StoreClient {
+public:
+    StoreClient( net::asio::io_context& context, const Endpoint& store );
+
+    //! Lists a kind, page by page.
+    net::Task<ListResult> list( std::string_view kind, Millis limit );
+    //! Waits up to `wait` for changes behind a revision.
+    net::Task<WatchResult> watch( std::string_view kind, std::uint64_t revision, Millis wait );
+
+    std::uint64_t calls() const noexcept { return m_calls; }
+
+private:
+    net::JsonClient m_http;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace coursehead::platform
+
+#endif // COURSEHEAD_PLATFORM_STORE_CLIENT_HPP_INCLUDED
--- /dev/null
+++ b/src/platform/wire.cpp
@@ -0,0 +1,428 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "platform/wire.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <cstdio>
+
+namespace coursehead::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+using gateway::Configuration;
+using gateway::EngineReport;
+using gateway::EngineSpec;
+using gateway::RequestKind;
+using gateway::Route;
+using gateway::Service;
+
+constexpr double millisPerSecond = 1000.0;
+constexpr unsigned statusMisdirected = 421;
+constexpr unsigned statusAccepted = 202;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusPrecondition = 412;
+
+constexpr std::string_view requestIdName = "X-Request-Id";
+constexpr std::string_view deadlineName = "X-Deadline-Ms";
+constexpr std::string_view lastEventName = "Last-Event-Id";
+constexpr std::string_view modelName = "X-Model";
+constexpr std::string_view tokensName = "X-Token-Counts";
+constexpr std::string_view partsName = "X-Prompt-Prefix";
+constexpr std::string_view instanceName = "X-Expect-Instance";
+constexpr std::string_view urgencyName = "X-Request-Urgency";
+constexpr std::string_view notRunName = "X-Not-Run";
+constexpr std::string_view sealName = "X-Response-Seal";
+
+std::string_view field( const http::fields& fields, std::string_view name ) {
+    const auto it = fields.find( name );
+    return it == fields.end() ? std::string_view{} : std::string_view( it->value() );
+}
+
+template <typename T>
+std::optional<T> readNumber( std::string_view text, int base = 10 ) {
+    T out{};
+    const auto* end = text.data() + text.size();
+    const auto [ptr, ec] = std::from_chars( text.data(), end, out, base );
+    if( ec != std::errc() || ptr != end || text.empty() ) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+Millis secondsOf( const Json& table, const char* name ) {
+    return Millis( static_cast<std::int64_t>( table.value( name, 0.0 ) * millisPerSecond ) );
+}
+
+RequestKind readKind( const std::string& word ) {
+    if( word == "safe" ) {
+        return RequestKind::repeatable;
+    }
+    return word == "streaming" ? RequestKind::stream : RequestKind::once;
+}
+
+Route readRoute( const Json& in ) {
+    Route out;
+    out.name = in.at( "name" ).get<std::string>();
+    out.host = in.at( "host" ).get<std::string>();
+    out.pathPrefix = in.at( "pathPrefix" ).get<std::string>();
+    out.kind = readKind( in.at( "kind" ).get<std::string>() );
+    out.timeout = Millis( static_cast<std::int64_t>( in.at( "timeoutMs" ).get<double>() ) );
+    out.goal = Millis( static_cast<std::int64_t>( in.value( "goalMs", 0.0 ) ) );
+    out.gapTarget = Millis( static_cast<std::int64_t>( in.value( "gapTargetMs", 0.0 ) ) );
+    out.priority = in.value( "priority", 0 );
+    out.attempts = in.value( "attempts", 1 );
+    out.resumable = in.value( "resumable", false );
+    if( in.contains( "split" ) && in["split"].is_array() ) {
+        for( const auto& it : in["split"] ) {
+            out.splits.push_back(
+                { it.at( "service" ).get<std::string>(), it.at( "weight" ).get<int>() } );
+        }
+    } else {
+        out.splits.push_back( { in.at( "service" ).get<std::string>(), 1 } );
+    }
+    return out;
+}
+
+std::shared_ptr<const EngineSpec> readEngine( const Json& in ) {
+    auto out = std::make_shared<EngineSpec>();
+    out->slots = in.value( "slots", 0 );
+    out->cacheTokens = in.value( "cacheTokens", std::int64_t{ 0 } );
+    out->weightsMb = in.value( "weightsMb", 0.0 );
+    out->adapterSlots = in.value( "adapterSlots", 0 );
+    out->storeLoadsPerS = in.value( "loadsPerS", 0.0 );
+    for( const auto& it : in.value( "models", Json::array() ) ) {
+        gateway::ModelSpec model;
+        model.name = it.at( "name" ).get<std::string>();
+        model.weightsMb = it.at( "weightsMb" ).get<double>();
+        model.adapterMb = it.value( "adapterMb", 0.0 );
+        model.adapters = it.value( "adapters", 0 );
+        model.storeLoad = secondsOf( it, "loadS" );
+        model.diskLoad = it.contains( "diskS" ) ? secondsOf( it, "diskS" ) : model.storeLoad;
+        model.memoryLoad = it.contains( "warmS" ) ? secondsOf( it, "warmS" ) : model.diskLoad;
+        out->models.push_back( std::move( model ) );
+    }
+    return out;
+}
+
+Service readService( const Json& in ) {
+    Service out;
+    out.name = in.at( "name" ).get<std::string>();
+    out.connectionLimit = in.value( "connectionLimit", 0 );
+    if( in.contains( "engine" ) && in["engine"].is_object() ) {
+        out.engine = readEngine( in["engine"] );
+    }
+    return out;
+}
+
+gateway::ClientLimits readLimits( const Json& in ) {
+    gateway::ClientLimits out;
+    out.headerBytes = in.value( "headerBytes", out.headerBytes );
+    out.bodyBytes = in.value( "bodyBytes", out.bodyBytes );
+    out.headerTime = Millis( in.value( "headerMs", out.headerTime.count() ) );
+    out.idleTime = Millis( in.value( "idleMs", out.idleTime.count() ) );
+    return out;
+}
+
+std::vector<gateway::Resident> readResidents( const Json& in ) {
+    std::vector<gateway::Resident> out;
+    if( !in.is_array() ) {
+        return out;
+    }
+    for( const auto& it : in ) {
+        gateway::Resident resident;
+        resident.model = it.at( "name" ).get<std::string>();
+        for( const auto& adapter : it.value( "adapters", Json::array() ) ) {
+            resident.adapters.push_back( adapter.is_object()
+                                             ? adapter.at( "name" ).get<std::string>()
+                                             : adapter.get<std::string>() );
+        }
+        out.push_back( std::move( resident ) );
+    }
+    return out;
+}
+
+std::vector<std::string> readNames( const Json& in ) {
+    std::vector<std::string> out;
+    if( !in.is_array() ) {
+        return out;
+    }
+    for( const auto& it : in ) {
+        out.push_back( it.is_object() ? it.at( "name" ).get<std::string>()
+                                      : it.get<std::string>() );
+    }
+    return out;
+}
+
+//! Adapters on their way read MODEL/NAME@VERSION; the version is dropped.
+std::vector<std::string> readComing( const Json& in ) {
+    auto out = readNames( in );
+    for( auto& it : out ) {
+        it.resize( std::min( it.size(), it.find( '@' ) ) );
+    }
+    return out;
+}
+
+std::uint32_t countPrefilling( const Json& runs ) {
+    constexpr std::size_t eventsIndex = 2; // [id, tokens in memory, events made, priority]
+    std::uint32_t out = 0;
+    if( !runs.is_array() ) {
+        return out;
+    }
+    for( const auto& it : runs ) {
+        if( it.is_array() && it.size() > eventsIndex && it[eventsIndex].is_number() &&
+            it[eventsIndex].get<std::int64_t>() == 0 ) {
+            ++out;
+        }
+    }
+    return out;
+}
+
+EngineReport reportOf( const Json& in ) {
+    EngineReport out;
+    out.residents = readResidents( in.value( "models", Json::array() ) );
+    out.coming = readComing( in.value( "coming", Json::array() ) );
+    const auto available = in.value( "available", Json::object() );
+    if( available.is_object() ) {
+        out.onDisk = readNames( available.value( "onDisk", Json::array() ) );
+        out.inMemory = readNames( available.value( "inMemory", Json::array() ) );
+    }
+    out.ordering = in.value( "busySlots", false ); // says that an order is under way
+    out.sequence = in.value( "sequence", std::uint64_t{ 0 } );
+    out.queued = in.value( "queuedRequests", std::uint32_t{ 0 } );
+    out.running = in.value( "activeRequests", std::uint32_t{ 0 } );
+    out.prefilling = countPrefilling( in.value( "runs", Json::array() ) );
+    out.cacheUsed = in.value( "cacheUsed", std::int64_t{ 0 } );
+    out.cacheTotal = in.value( "cacheTotal", std::int64_t{ 0 } );
+    return out;
+}
+
+StoreObject readObject( const Json& in ) {
+    StoreObject out;
+    const auto& metadata = in.at( "metadata" );
+    out.name = metadata.at( "name" ).get<std::string>();
+    out.revision = metadata.value( "revision", std::uint64_t{ 0 } );
+    out.spec = in.contains( "specification" ) ? in["specification"].dump() : "null";
+    return out;
+}
+
+gateway::Generation readGeneration( const http::fields& fields ) {
+    gateway::Generation out;
+    const auto model = field( fields, modelName );
+    const auto slash = model.find( '/' );
+    out.model = std::string( model.substr( 0, slash ) );
+    if( slash != std::string_view::npos ) {
+        out.adapter = std::string( model.substr( slash + 1 ) );
+    }
+    const auto tokens = field( fields, tokensName );
+    const auto comma = tokens.find( ',' );
+    out.promptTokens = readNumber<std::int64_t>( tokens.substr( 0, comma ) ).value_or( 0 );
+    if( comma != std::string_view::npos ) {
+        out.mostTokens = readNumber<std::int64_t>( tokens.substr( comma + 1 ) ).value_or( 0 );
+    }
+    constexpr int hex = 16;
+    auto rest = field( fields, partsName );
+    while( !rest.empty() ) {
+        const auto end = rest.find( ',' );
+        const auto part = rest.substr( 0, end );
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr( end + 1 );
+        const auto colon = part.find( ':' );
+        const auto id = readNumber<std::uint64_t>( part.substr( 0, colon ), hex );
+        if( !id || colon == std::string_view::npos ) {
+            break; // a part that cannot be read ends what can be shared
+        }
+        out.parts.push_back(
+            { *id, readNumber<std::int64_t>( part.substr( colon + 1 ) ).value_or( 0 ) } );
+    }
+    return out;
+}
+
+std::string numbered( std::int64_t n ) {
+    return std::to_string( n );
+}
+
+} // namespace
+
+std::optional<Configuration> readConfiguration( std::string_view json, std::string& problem ) {
+    try {
+        const auto in = Json::parse( json );
+        Configuration out;
+        out.version = in.at( "version" ).get<std::uint64_t>();
+        for( const auto& it : in.at( "routes" ) ) {
+            out.routes.push_back( readRoute( it ) );
+        }
+        for( const auto& it : in.at( "services" ) ) {
+            auto service = readService( it );
+            out.services.emplace( service.name, std::move( service ) );
+        }
+        out.limits = readLimits( in.value( "limits", Json::object() ) );
+        return out;
+    } catch( const Json::exception& ex ) {
+        problem = ex.what();
+        return std::nullopt;
+    }
+}
+
+std::optional<gateway::Upstream> readUpstream( std::string_view id, std::string_view json,
+                                               std::string& problem ) {
+    try {
+        const auto in = Json::parse( json );
+        gateway::Upstream out;
+        out.id = std::string( id );
+        out.service = in.at( "service" ).get<std::string>();
+        const auto endpoint = readEndpoint( in.at( "address" ).get<std::string>() );
+        if( !endpoint.valid() ) {
+            problem = "address is not IP:PORT";
+            return std::nullopt;
+        }
+        out.ip = endpoint.ip;
+        out.port = endpoint.port;
+        out.hall = in.value( "zone", "" );
+        out.slots = in.value( "slots", 1 );
+        out.state = in.value( "state", "ready" ) == "draining" ? gateway::UpstreamState::draining
+                                                                : gateway::UpstreamState::ready;
+        if( in.contains( "remainingMs" ) && in["remainingMs"].is_number() ) {
+            out.remaining = Millis( in["remainingMs"].get<std::int64_t>() );
+        }
+        out.residents = readResidents( in.value( "models", Json::array() ) );
+        return out;
+    } catch( const Json::exception& ex ) {
+        problem = ex.what();
+        return std::nullopt;
+    }
+}
+
+RequestHead readRequestHead( const http::fields& fields ) {
+    RequestHead out;
+    out.requestId = std::string( field( fields, requestIdName ) );
+    if( const auto n = readNumber<std::int64_t>( field( fields, deadlineName ) ); n && *n >= 0 ) {
+        out.deadline = Millis( *n );
+    }
+    out.lastEventId = readNumber<std::uint64_t>( field( fields, lastEventName ) );
+    if( fields.find( modelName ) != fields.end() ) {
+        out.generation = readGeneration( fields );
+    }
+    return out;
+}
+
+void writeSendHead( const SendHead& head, http::fields& fields ) {
+    fields.set( instanceName, head.upstreamId );
+    fields.set( deadlineName, numbered( head.deadline.count() ) );
+    if( head.urgency ) {
+        fields.set( urgencyName, numbered( *head.urgency ) );
+    }
+    if( head.lastEventId ) {
+        fields.set( lastEventName, std::to_string( *head.lastEventId ) );
+    }
+}
+
+AnswerHead readAnswerHead( unsigned status, const http::fields& fields ) {
+    AnswerHead out;
+    out.requestId = std::string( field( fields, requestIdName ) );
+    out.sealed = fields.find( sealName ) != fields.end();
+    if( status == statusMisdirected ) {
+        out.answerClass = AnswerClass::moved;
+    } else if( fields.find( notRunName ) != fields.end() ) {
+        out.answerClass = AnswerClass::notRun;
+    }
+    return out;
+}
+
+std::string retryAfterText( Millis delay ) {
+    char buf[32]; // NOLINT(*-avoid-c-arrays)
+    std::snprintf( buf, sizeof buf, "%.2f",
+                   static_cast<double>( delay.count() ) / millisPerSecond );
+    return buf;
+}
+
+std::optional<EngineReport> readEngineReport( std::string_view json ) {
+    try {
+        return reportOf( Json::parse( json ) );
+    } catch( const Json::exception& ) {
+        return std::nullopt;
+    }
+}
+
+std::string encodeOrder( const Order& order ) {
+    Json out{
+        { "operation", order.kind == OrderKind::load ? "load" : "unload" },
+        { "model", order.model },
+        { "expectedRevision", order.expectedSequence },
+        { "holder", order.holder },
+        { "fence", order.fence },
+    };
+    if( !order.adapter.empty() ) {
+        out["adapter"] = order.adapter;
+    }
+    return out.dump();
+}
+
+OrderVerdict orderVerdict( unsigned status ) {
+    switch( status ) {
+    case statusAccepted:
+        return OrderVerdict::underWay;
+    case statusOk:
+        return OrderVerdict::holds;
+    case statusConflict:
+        return OrderVerdict::conflict;
+    case statusPrecondition:
+        return OrderVerdict::fenced;
+    default:
+        return OrderVerdict::refused;
+    }
+}
+
+std::string_view expectedUpstreamHeader() {
+    return instanceName;
+}
+
+std::string listPath( std::string_view kind, std::string_view after ) {
+    std::string out = "/objects/";
+    out += kind;
+    if( !after.empty() ) {
+        out += "?after=";
+        out += after;
+    }
+    return out;
+}
+
+std::string watchPath( std::string_view kind, std::uint64_t revision, Millis wait ) {
+    std::string out = "/objects/";
+    out += kind;
+    out += "?watch=" + std::to_string( revision );
+    out += "&waitMs=" + std::to_string( wait.count() );
+    return out;
+}
+
+std::optional<StorePage> readPage( std::string_view json ) {
+    try {
+        const auto in = Json::parse( json );
+        StorePage out;
+        for( const auto& it : in.at( "items" ) ) {
+            out.objects.push_back( readObject( it ) );
+        }
+        out.more = in.value( "morePages", false );
+        out.revision = in.at( "timestamp" ).get<std::uint64_t>();
+        return out;
+    } catch( const Json::exception& ) {
+        return std::nullopt;
+    }
+}
+
+std::optional<StoreEvents> readEvents( std::string_view json ) {
+    try {
+        const auto in = Json::parse( json );
+        StoreEvents out;
+        for( const auto& it : in.at( "events" ) ) {
+            out.events.push_back( { readObject( it.at( "object" ) ), it.value( "isGone", false ) } );
+        }
+        out.revision = in.at( "timestamp" ).get<std::uint64_t>();
+        return out;
+    } catch( const Json::exception& ) {
+        return std::nullopt;
+    }
+}
+
+} // namespace coursehead::platform
--- /dev/null
+++ b/src/platform/wire.hpp
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_PLATFORM_WIRE_HPP_INCLUDED
+#define COURSEHEAD_PLATFORM_WIRE_HPP_INCLUDED
+
+#include "gateway/model.hpp"
+#include "platform/node_settings.hpp"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+//! The platform's messages: decoded into the product's types, and encoded from them.
+namespace coursehead::platform {
+
+namespace http = boost::beast::http;
+
+// Configuration and the list of upstreams.
+
+//! The objects that the operator and the upstreams write.
+inline constexpr std::string_view configurationKind = "config";
+inline constexpr std::string_view configurationName = "main";
+inline constexpr std::string_view upstreamKind = "servers";
+
+//! Reads a configuration; the reason why not in `problem`.
+std::optional<gateway::Configuration> readConfiguration( std::string_view json,
+                                                         std::string& problem );
+//! Reads an upstream's entry; the reason why not in `problem`.
+std::optional<gateway::Upstream> readUpstream( std::string_view id, std::string_view json,
+                                               std::string& problem );
+
+// Requests and answers.
+
+//! What a client's request says beside method, path and body.
+struct RequestHead {
+    std::string requestId;
+    std::optional<Millis> deadline;           //!< how long the client will wait
+    std::optional<std::uint64_t> lastEventId; //!< the client resumes behind this event
+    std::optional<gateway::Generation> generation;
+};
+RequestHead readRequestHead( const http::fields& fields );
+
+//! What one send to an upstream carries beside the client's own headers.
+struct SendHead {
+    std::string upstreamId;
+    Millis deadline{ 0 };
+    std::optional<int> urgency;               //!< 0 (first) to 9
+    std::optional<std::uint64_t> lastEventId; //!< go on behind this event
+};
+//! Sets the headers of a send; replaces what the client gave under the same names.
+void writeSendHead( const SendHead& head, http::fields& fields );
+
+//! How an upstream's answer is to be understood.
+enum class AnswerClass {
+    complete, //!< the upstream's own answer to a request that it ran (of any status)
+    notRun,   //!< the upstream has not run the request and never will
+    moved,    //!< not run: another upstream has the address, or lacks the model
+};
+struct AnswerHead {
+    std::string requestId;
+    AnswerClass answerClass = AnswerClass::complete;
+    bool sealed = false; //!< carries the upstream's signature
+};
+AnswerHead readAnswerHead( unsigned status, const http::fields& fields );
+
+//! Milliseconds for a header that counts seconds, fractions allowed.
+std::string retryAfterText( Millis delay );
+
+// Engines.
+
+//! Reads an engine's report of itself.
+std::optional<gateway::EngineReport> readEngineReport( std::string_view json );
+
+enum class OrderKind { load, unload };
+//! An order to an engine; for an adapter when `adapter` is not empty.
+struct Order {
+    OrderKind kind = OrderKind::load;
+    std::string model;
+    std::string adapter;
+    std::uint64_t expectedSequence = 0; //!< refused unless this many orders were taken before
+    std::string holder;
+    std::uint64_t fence = 0;
+};
+std::string encodeOrder( const Order& order );
+
+enum class OrderVerdict {
+    underWay,  //!< taken, being carried out
+    holds,     //!< done already
+    conflict,  //!< another order is under way, or the sequence differs
+    fenced,    //!< a higher fencing token was seen
+    refused,   //!< malformed, or meant for another upstream
+    unknown,   //!< no answer: it may be carried out, also later
+};
+OrderVerdict orderVerdict( unsigned status );
+
+inline constexpr std::string_view reportPath = "/report";
+inline constexpr std::string_view orderPath = "/order";
+inline constexpr std::string_view readyPath = "/ready";
+//! Header that makes any upstream but the named one refuse.
+std::string_view expectedUpstreamHeader();
+
+// The store.
+
+struct StoreObject {
+    std::string name;
+    std::uint64_t revision = 0;
+    std::string spec; //!< JSON text
+};
+struct StorePage {
+    std::vector<StoreObject> objects;
+    bool more = false;
+    std::uint64_t revision = 0; //!< of the store, at the time of the listing
+};
+struct StoreEvent {
+    StoreObject object;
+    bool removed = false;
+};
+struct StoreEvents {
+    std::vector<StoreEvent> events;
+    std::uint64_t revision = 0; //!< where the next watch goes on
+};
+std::string listPath( std::string_view kind, std::string_view after );
+std::string watchPath( std::string_view kind, std::uint64_t revision, Millis wait );
+std::optional<StorePage> readPage( std::string_view json );
+std::optional<StoreEvents> readEvents( std::string_view json );
+
+} // namespace coursehead::platform
+
+#endif // COURSEHEAD_PLATFORM_WIRE_HPP_INCLUDED
--- /dev/null
+++ b/src/sidecar/engine_client.cpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/engine_client.hpp"
+
+namespace coursehead::sidecar {
+
+namespace {
+
+//! The engine stands on the same VM: one that takes longer is stopped or gone.
+constexpr Millis reportLimit{ 300 };
+constexpr Millis orderLimit{ 400 };
+constexpr unsigned statusOk = 200;
+
+} // namespace
+
+net::Task<std::optional<gateway::EngineReport>> EngineClient::report() {
+    net::JsonCall call;
+    call.target = std::string( platform::reportPath );
+    call.limit = reportLimit;
+    const auto answer = co_await m_http.call( call );
+    if( answer.end != net::CallEnd::answered || answer.status != statusOk ) {
+        co_return std::nullopt;
+    }
+    co_return platform::readEngineReport( answer.body );
+}
+
+net::Task<platform::OrderVerdict> EngineClient::give( platform::Order order,
+                                                      std::string upstreamId ) {
+    net::JsonCall call;
+    call.method = "POST";
+    call.target = std::string( platform::orderPath );
+    call.body = platform::encodeOrder( order );
+    call.headers.emplace_back( std::string( platform::expectedUpstreamHeader() ), upstreamId );
+    call.limit = orderLimit;
+    const auto answer = co_await m_http.call( call );
+    switch( answer.end ) {
+    case net::CallEnd::answered:
+        co_return platform::orderVerdict( answer.status );
+    case net::CallEnd::notSent:
+        co_return platform::OrderVerdict::refused;
+    case net::CallEnd::unknown:
+        break;
+    }
+    co_return platform::OrderVerdict::unknown;
+}
+
+} // namespace coursehead::sidecar
--- /dev/null
+++ b/src/sidecar/residency.cpp
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/residency.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace coursehead::sidecar {
+
+namespace {
+
+using gateway::EngineReport;
+using gateway::EngineSpec;
+using gateway::Resident;
+
+//! A model stays at least this long after its load: two models must not push each other out.
+constexpr Millis modelStay{ 1500 };
+//! An adapter used this lately is taken to be in use.
+constexpr Millis adapterStay{ 300 };
+//! Adapters that may be on their way to an engine at once.
+constexpr std::size_t maxComing = 4;
+
+const Resident* findModel( const EngineReport& report, std::string_view model ) {
+    const auto it = std::find_if( report.residents.begin(), report.residents.end(),
+                                  [model]( const Resident& r ) { return r.model == model; } );
+    return it == report.residents.end() ? nullptr : &*it;
+}
+
+bool contains( const std::vector<std::string>& names, std::string_view name ) {
+    return std::find( names.begin(), names.end(), name ) != names.end();
+}
+
+double weightOf( const EngineSpec& engine, std::string_view model ) {
+    const auto* spec = engine.find( model );
+    if( spec != nullptr ) {
+        return spec->weightsMb;
+    }
+    // A model that the configuration no longer names: as large as the largest.
+    double out = 0;
+    for( const auto& it : engine.models ) {
+        out = std::max( out, it.weightsMb );
+    }
+    return out;
+}
+
+double adapterWeight( const EngineSpec& engine, std::string_view model ) {
+    const auto* spec = engine.find( model );
+    return spec != nullptr ? spec->adapterMb : 0;
+}
+
+std::size_t adapterCount( const EngineReport& report ) {
+    std::size_t out = report.coming.size();
+    for( const auto& it : report.residents ) {
+        out += it.adapters.size();
+    }
+    return out;
+}
+
+Use useOf( const std::map<std::string, Use, std::less<>>& uses, std::string_view key ) {
+    const auto it = uses.find( key );
+    return it == uses.end() ? Use{} : it->second;
+}
+
+//! What losing a model would cost: its requests a second here, less where others hold it too.
+double valueOf( const Use& use ) {
+    return use.perS / std::max( use.copies, 1 );
+}
+
+std::optional<std::string> modelToUnload( const Holdings& holdings, std::string_view wanted,
+                                          MonoTime now ) {
+    const Resident* best = nullptr;
+    Use bestUse;
+    for( const auto& it : holdings.report->residents ) {
+        const auto use = useOf( holdings.models, it.model );
+        const bool settled = now - use.loadedAt >= modelStay;
+        if( it.model == wanted || !settled ) {
+            continue;
+        }
+        const bool better = best == nullptr || valueOf( use ) < valueOf( bestUse ) ||
+                            ( valueOf( use ) == valueOf( bestUse ) && use.copies > bestUse.copies );
+        if( better ) {
+            best = &it;
+            bestUse = use;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional( best->model );
+}
+
+std::optional<Step> adapterToUnload( const Holdings& holdings, MonoTime now ) {
+    std::optional<Step> out;
+    MonoTime oldest;
+    for( const auto& it : holdings.report->residents ) {
+        for( const auto& adapter : it.adapters ) {
+            const auto use = useOf( holdings.adapters, adapterKey( it.model, adapter ) );
+            if( now - use.lastUsed < adapterStay ) {
+                continue;
+            }
+            if( !out || use.lastUsed < oldest ) {
+                out = Step{ StepKind::unload, it.model, adapter };
+                oldest = use.lastUsed;
+            }
+        }
+    }
+    return out;
+}
+
+Step stepToModel( const Holdings& holdings, const Want& want, MonoTime now ) {
+    const auto& report = *holdings.report;
+    const auto* spec = holdings.engine->find( want.model );
+    if( spec == nullptr ) {
+        return { StepKind::unknown, want.model, "" };
+    }
+    if( report.ordering ) {
+        return { StepKind::wait, want.model, "" };
+    }
+    const bool near =
+        contains( report.inMemory, want.model ) || contains( report.onDisk, want.model );
+    if( !near && !want.fromStore ) {
+        return { StepKind::needStore, want.model, "" };
+    }
+    if( usedMb( *holdings.engine, report ) + spec->weightsMb <= holdings.engine->weightsMb ) {
+        return { StepKind::load, want.model, "" };
+    }
+    const auto victim = modelToUnload( holdings, want.model, now );
+    if( !victim ) {
+        return { StepKind::noRoom, want.model, "" };
+    }
+    return { StepKind::unload, *victim, "" };
+}
+
+Step stepToAdapter( const Holdings& holdings, const Want& want, MonoTime now ) {
+    const auto& report = *holdings.report;
+    const auto key = adapterKey( want.model, want.adapter );
+    if( contains( report.coming, key ) ) {
+        return { StepKind::wait, want.model, want.adapter };
+    }
+    const bool slot =
+        adapterCount( report ) < static_cast<std::size_t>( holdings.engine->adapterSlots );
+    const bool room = usedMb( *holdings.engine, report ) +
+                          adapterWeight( *holdings.engine, want.model ) <=
+                      holdings.engine->weightsMb;
+    if( slot && room ) {
+        return report.coming.size() < maxComing ? Step{ StepKind::load, want.model, want.adapter }
+                                                : Step{ StepKind::wait, want.model, want.adapter };
+    }
+    if( const auto victim = adapterToUnload( holdings, now ) ) {
+        return *victim;
+    }
+    return { StepKind::noRoom, want.model, want.adapter };
+}
+
+} // namespace
+
+std::string adapterKey( std::string_view model, std::string_view adapter ) {
+    std::string out( model );
+    out += '/';
+    out += adapter;
+    return out;
+}
+
+double usedMb( const EngineSpec& engine, const EngineReport& report ) {
+    double out = 0;
+    for( const auto& it : report.residents ) {
+        out += weightOf( engine, it.model );
+        out += adapterWeight( engine, it.model ) * static_cast<double>( it.adapters.size() );
+    }
+    for( const auto& it : report.coming ) {
+        out += adapterWeight( engine, std::string_view( it ).substr( 0, it.find( '/' ) ) );
+    }
+    return out;
+}
+
+Step nextStep( const Holdings& holdings, const Want& want, MonoTime now ) {
+    const auto* resident = findModel( *holdings.report, want.model );
+    if( resident == nullptr ) {
+        return stepToModel( holdings, want, now );
+    }
+    if( want.adapter.empty() || contains( resident->adapters, want.adapter ) ) {
+        return { StepKind::ready, want.model, want.adapter };
+    }
+    return stepToAdapter( holdings, want, now );
+}
+
+} // namespace coursehead::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,391 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/sidecar.hpp"
+
+#include "coursehead/kernel/log.hpp"
+#include "gateway/messages.hpp"
+#include "kernel/platform_role.hpp"
+#include "net/frame_channel.hpp"
+#include "platform/store_client.hpp"
+#include "sidecar/engine_client.hpp"
+#include "sidecar/residency.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <list>
+#include <set>
+
+namespace coursehead::sidecar {
+
+namespace {
+
+using gateway::EnsureOutcome;
+
+//! Pause between reports while nothing is wanted.
+constexpr Millis idlePoll{ 100 };
+//! While a want waits: adapters load within some ten milliseconds, models within seconds.
+constexpr Millis wantPoll{ 12 };
+//! Reports are repeated at the latest after this, so that gateways know the sidecar lives.
+constexpr Millis reportEvery{ 450 };
+//! A want that can't be met within this is answered as failed; its request goes elsewhere.
+constexpr Millis wantLimit{ 9000 };
+//! A want without room is answered after this, so that the request can go elsewhere.
+constexpr Millis roomLimit{ 400 };
+//! Failed reports in a row after which the engine counts as unreachable.
+constexpr int failuresToLost = 2;
+constexpr Millis storeLimit{ 1000 };
+constexpr Millis storeRetry{ 300 };
+//! A kind of the project's own without objects: listing it reads the store's revision.
+constexpr std::string_view fenceKind = "fences";
+
+//! One connected gateway.
+struct Peer {
+    std::shared_ptr<net::FrameChannel> channel;
+    std::string gateway;
+    std::map<std::string, gateway::ModelDemand> demand; //!< by model
+};
+using PeerPtr = std::shared_ptr<Peer>;
+
+struct PendingWant {
+    Want want;
+    std::string upstreamId;
+    std::weak_ptr<Peer> peer;
+    std::uint64_t number = 0;
+    MonoTime since;
+};
+
+class Sidecar {
+public:
+    explicit Sidecar( platform::NodeSettings settings )
+        : m_settings( std::move( settings ) ), m_engine( m_context, m_settings.engine ),
+          m_wake( m_context ), m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
+
+    int run() {
+        auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
+        net::start( m_context, acceptPeers( std::move( acceptor ) ), "accept" );
+        net::start( m_context, obtainFence(), "fence" );
+        net::start( m_context, converge(), "converge" );
+        net::start( m_context, handleSignals(), "signals" );
+        log::info( "started", { { "engine", m_settings.engine.text() },
+                                { "hall", m_settings.hall } } );
+        m_context.run();
+        log::info( "stopped", {} );
+        return 0;
+    }
+
+private:
+    net::Task<> acceptPeers( net::Acceptor acceptor ) {
+        for( ;; ) {
+            auto [ec, socket] = co_await acceptor.async_accept( net::tupled );
+            if( ec ) {
+                log::warn( "accept_failed", { { "detail", ec.message() } } );
+                continue;
+            }
+            net::tune( socket, peerSilence );
+            auto task = servePeer( net::Socket( std::move( socket ) ) );
+            net::start( m_context, std::move( task ), "peer" );
+        }
+    }
+
+    net::Task<> servePeer( net::Socket socket ) {
+        const auto peer = std::make_shared<Peer>();
+        peer->channel =
+            std::make_shared<net::FrameChannel>( std::move( socket ), net::ChannelSide::server );
+        m_peers.insert( peer );
+        net::FrameChannel::FrameHandler handler = [this, peer]( std::string_view frame ) {
+            onFrame( peer, frame );
+        };
+        co_await peer->channel->run( std::move( handler ) );
+        m_peers.erase( peer );
+        log::info( "gateway_lost", { { "gateway", peer->gateway } } );
+    }
+
+    void onFrame( const PeerPtr& peer, std::string_view frame ) {
+        auto message = gateway::decode( frame );
+        if( !message ) {
+            log::warn( "gateway_message_malformed", { { "gateway", peer->gateway } } );
+            return;
+        }
+        if( auto* news = std::get_if<gateway::EngineNews>( &*message ) ) {
+            takeNews( *peer, std::move( *news ) );
+        } else if( const auto* ensure = std::get_if<gateway::EnsureRequest>( &*message ) ) {
+            takeEnsure( peer, *ensure );
+        } else if( const auto* demand = std::get_if<gateway::DemandNews>( &*message ) ) {
+            takeDemand( *peer, *demand );
+        }
+    }
+
+    void takeNews( Peer& peer, gateway::EngineNews news ) {
+        if( peer.gateway.empty() ) {
+            log::info( "gateway_connected", { { "gateway", news.gateway } } );
+        }
+        peer.gateway = news.gateway;
+        if( news.configVersion >= m_configVersion ) {
+            m_configVersion = news.configVersion;
+            m_spec = std::move( news.engine );
+        }
+        sendReport( peer );
+    }
+
+    void takeDemand( Peer& peer, const gateway::DemandNews& news ) {
+        const auto now = std::chrono::steady_clock::now();
+        peer.demand.clear();
+        for( const auto& it : news.models ) {
+            for( const auto& adapter : it.adaptersUsed ) {
+                m_adapterUses[adapterKey( it.model, adapter )].lastUsed = now;
+            }
+            peer.demand.emplace( it.model, it );
+        }
+    }
+
+    void takeEnsure( const PeerPtr& peer, const gateway::EnsureRequest& ensure ) {
+        PendingWant pending;
+        pending.want = { ensure.model, ensure.adapter, ensure.fromStore };
+        pending.upstreamId = ensure.upstreamId;
+        pending.peer = peer;
+        pending.number = ensure.number;
+        pending.since = std::chrono::steady_clock::now();
+        if( !ensure.adapter.empty() ) {
+            m_adapterUses[adapterKey( ensure.model, ensure.adapter )].lastUsed = pending.since;
+        }
+        m_wants.push_back( std::move( pending ) );
+        m_wake.cancel();
+    }
+
+    //! A number that only rises over this VM's lives, and that no other VM is given for an engine.
+    net::Task<> obtainFence() {
+        platform::StoreClient store( m_context, m_settings.store );
+        for( ;; ) {
+            const auto result = co_await store.list( fenceKind, storeLimit );
+            if( result.status == platform::StoreStatus::ok ) {
+                m_fence = result.listing.revision;
+                log::info( "fence", { { "fence", static_cast<std::int64_t>( m_fence ) } } );
+                co_return;
+            }
+            co_await net::pause( m_context, storeRetry );
+        }
+    }
+
+    net::Task<> converge() {
+        int failures = 0;
+        for( ;; ) {
+            auto report = co_await m_engine.report();
+            failures = report ? 0 : failures + 1;
+            if( report ) {
+                noteLoads( *report );
+                m_report = std::move( *report );
+            }
+            setReachable( report.has_value(), failures );
+            publish();
+            if( report && m_spec ) {
+                co_await serveWants();
+            } else {
+                dropOldWants();
+            }
+            m_wake.expires_after( m_wants.empty() ? idlePoll : wantPoll );
+            co_await m_wake.async_wait( net::tupled );
+        }
+    }
+
+    void setReachable( bool answered, int failures ) {
+        const bool now = answered || ( m_reachable && failures < failuresToLost );
+        if( now != m_reachable ) {
+            log::info( now ? "engine_regained" : "engine_lost", {} );
+            m_reachable = now;
+            m_changed = true;
+        }
+    }
+
+    void noteLoads( const gateway::EngineReport& report ) {
+        const auto now = std::chrono::steady_clock::now();
+        std::set<std::string> held;
+        for( const auto& it : report.residents ) {
+            held.insert( it.model );
+            if( !m_held.contains( it.model ) ) {
+                m_loadedAt[it.model] = m_held.empty() ? MonoTime{} : now;
+            }
+        }
+        m_held = std::move( held );
+    }
+
+    Holdings holdings() const {
+        Holdings out;
+        out.engine = &*m_spec;
+        out.report = &m_report;
+        for( const auto& it : m_report.residents ) {
+            Use use;
+            for( const auto& peer : m_peers ) {
+                const auto found = peer->demand.find( it.model );
+                if( found != peer->demand.end() ) {
+                    use.perS += found->second.perS;
+                    use.copies = std::max( use.copies, found->second.copies );
+                }
+            }
+            const auto loaded = m_loadedAt.find( it.model );
+            use.loadedAt = loaded == m_loadedAt.end() ? MonoTime{} : loaded->second;
+            out.models.emplace( it.model, use );
+        }
+        out.adapters = m_adapterUses;
+        return out;
+    }
+
+    void answer( const PendingWant& pending, EnsureOutcome outcome ) {
+        const auto peer = pending.peer.lock();
+        if( !peer ) {
+            return;
+        }
+        sendReport( *peer );
+        const gateway::Message message( gateway::EnsureAnswer{ pending.number, outcome } );
+        peer->channel->send( gateway::encode( message ) );
+    }
+
+    void dropOldWants() {
+        const auto now = std::chrono::steady_clock::now();
+        m_wants.remove_if( [&]( const PendingWant& it ) {
+            const bool old = now - it.since > roomLimit;
+            if( old ) {
+                answer( it, EnsureOutcome::failed );
+            }
+            return old;
+        } );
+    }
+
+    //! The answer that a want gets now, if it gets one.
+    static std::optional<EnsureOutcome> outcomeOf( StepKind step, Millis waited ) {
+        switch( step ) {
+        case StepKind::ready:
+            return EnsureOutcome::ready;
+        case StepKind::needStore:
+            return EnsureOutcome::needStore;
+        case StepKind::unknown:
+            return EnsureOutcome::failed;
+        case StepKind::noRoom:
+            return waited > roomLimit ? std::optional( EnsureOutcome::noRoom ) : std::nullopt;
+        case StepKind::wait:
+        case StepKind::load:
+        case StepKind::unload:
+            break;
+        }
+        return waited > wantLimit ? std::optional( EnsureOutcome::failed ) : std::nullopt;
+    }
+
+    net::Task<> serveWants() {
+        // An order moves the engine's state: one a round, then look again.
+        std::optional<Step> order;
+        std::string upstreamId;
+        const auto now = std::chrono::steady_clock::now();
+        const auto held = holdings();
+        for( auto it = m_wants.begin(); it != m_wants.end(); ) {
+            const auto step = nextStep( held, it->want, now );
+            const auto waited = remaining( it->since, now );
+            if( const auto outcome = outcomeOf( step.kind, waited ) ) {
+                answer( *it, *outcome );
+                it = m_wants.erase( it );
+                continue;
+            }
+            const bool orders = step.kind == StepKind::load || step.kind == StepKind::unload;
+            // Adapters first: they take milliseconds.
+            if( orders && ( !order || ( order->adapter.empty() && !step.adapter.empty() ) ) ) {
+                order = step;
+                upstreamId = it->upstreamId;
+            }
+            ++it;
+        }
+        if( order && m_fence != 0 ) {
+            const Step step = *order;
+            co_await give( step, upstreamId );
+        }
+    }
+
+    net::Task<> give( Step step, std::string upstreamId ) {
+        platform::Order order;
+        order.kind = step.kind == StepKind::load ? platform::OrderKind::load
+                                                 : platform::OrderKind::unload;
+        order.model = step.model;
+        order.adapter = step.adapter;
+        order.expectedSequence = m_report.sequence;
+        order.holder = m_settings.vm;
+        order.fence = m_fence;
+        const auto verdict = co_await m_engine.give( order, upstreamId );
+        log::info( "order", { { "kind", step.kind == StepKind::load ? "load" : "unload" },
+                              { "model", step.model },
+                              { "adapter", step.adapter },
+                              { "upstream", upstreamId },
+                              { "sequence", static_cast<std::int64_t>( m_report.sequence ) },
+                              { "verdict", static_cast<std::int64_t>( verdict ) } } );
+    }
+
+    void sendReport( Peer& peer ) {
+        gateway::SidecarReport out;
+        out.number = ++m_reportNumber;
+        out.reachable = m_reachable;
+        out.gateways = static_cast<int>( m_peers.size() );
+        out.engine = m_report;
+        const gateway::Message message( std::move( out ) );
+        peer.channel->send( gateway::encode( message ) );
+    }
+
+    void publish() {
+        const auto now = std::chrono::steady_clock::now();
+        const bool due = now - m_published >= reportEvery;
+        if( !due && !m_changed && m_report == m_lastPublished ) {
+            return;
+        }
+        if( !due && now - m_published < idlePoll ) {
+            return;
+        }
+        m_changed = false;
+        m_published = now;
+        m_lastPublished = m_report;
+        for( const auto& it : m_peers ) {
+            sendReport( *it );
+        }
+    }
+
+    net::Task<> handleSignals() {
+        for( ;; ) {
+            const auto [ec, number] = co_await m_signals.async_wait( net::tupled );
+            if( ec || number != SIGHUP ) {
+                break;
+            }
+            log::info( "settings_unchanged", {} );
+        }
+        log::info( "leaving", {} );
+        m_context.stop();
+    }
+
+    static constexpr Millis peerSilence{ 3000 };
+
+    net::asio::io_context m_context{ 1 };
+    platform::NodeSettings m_settings;
+    EngineClient m_engine;
+    net::Timer m_wake;
+    net::asio::signal_set m_signals;
+    std::set<PeerPtr> m_peers;
+    std::list<PendingWant> m_wants;
+    std::optional<gateway::EngineSpec> m_spec;
+    std::uint64_t m_configVersion = 0;
+    std::uint64_t m_fence = 0; //!< 0: none yet, no orders are given
+    gateway::EngineReport m_report;
+    gateway::EngineReport m_lastPublished;
+    bool m_reachable = false;
+    bool m_changed = false;
+    MonoTime m_published;
+    std::uint64_t m_reportNumber = 0;
+    std::set<std::string> m_held;
+    std::map<std::string, MonoTime> m_loadedAt;
+    std::map<std::string, Use, std::less<>> m_adapterUses;
+};
+
+} // namespace
+
+int runSidecar( std::span<const std::string> arguments ) {
+    return daemon::runPlatformRole(
+        "sidecar", arguments, []( const platform::NodeSettings& settings ) {
+            Sidecar sidecar( settings );
+            return sidecar.run();
+        } );
+}
+
+} // namespace coursehead::sidecar
