--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -153,7 +153,9 @@
     boost::beast::flat_buffer buf;
     for( ;; ) {
         const auto limits = limitsOf( shared );
+        shared.idleClients.insert( &socket );
         const bool more = co_await waitForRequest( socket, buf, limits.idleTime );
+        shared.idleClients.erase( &socket );
         if( !more ) {
             co_return;
         }
@@ -175,7 +177,8 @@
             auto request = std::move( got.request );
             Exchange exchange( shared, std::move( request ), client, keepAlive );
             const auto result = co_await exchange.run();
-            keepAlive = keepAlive && result.keepAlive && !client->left && !client->broken;
+            keepAlive = keepAlive && result.keepAlive && !client->left && !client->broken &&
+                        !shared.draining;
         }
         client->done = true;
         net::ErrorCode ec;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -450,7 +450,7 @@
                 std::string bytes;
                 if( !m_headSent ) {
                     bytes = answerHeadText( m_answer->status, m_answer->reason, m_answer->fields,
-                                            "Transfer-Encoding: chunked\r\n", m_keepAlive );
+                                            "Transfer-Encoding: chunked\r\n", keepsAlive() );
                     m_headSent = true;
                     m_status = m_answer->status;
                     m_answer.reset();
@@ -471,7 +471,7 @@
                 std::string bytes;
                 if( !m_headSent ) {
                     bytes = answerHeadText( m_answer->status, m_answer->reason, m_answer->fields,
-                                            "Transfer-Encoding: chunked\r\n", m_keepAlive );
+                                            "Transfer-Encoding: chunked\r\n", keepsAlive() );
                     m_headSent = true;
                     m_status = m_answer->status;
                     m_answer.reset();
@@ -537,6 +537,9 @@
         net::ErrorCode ec;
         connection->socket.close( ec );
     }
+    if( !head.actualUpstream.empty() && head.actualUpstream != node.upstream.id ) {
+        node.replaced = true;
+    }
     if( head.answerClass != AnswerClass::complete ) {
         out.end = SendEnd::notRun;
         out.why = "status " + std::to_string( whole.status );
@@ -580,7 +583,7 @@
     m_status = answer.status;
     std::string framing = "Content-Length: " + std::to_string( answer.body.size() ) + "\r\n";
     std::string bytes =
-        answerHeadText( answer.status, answer.reason, answer.fields, framing, m_keepAlive );
+        answerHeadText( answer.status, answer.reason, answer.fields, framing, keepsAlive() );
     bytes += answer.body;
     m_answered = co_await writeClient( std::move( bytes ) );
 }
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -32,6 +32,7 @@
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
     bool draining = false;
+    std::set<net::Socket*> idleClients; //!< kept connections without a request
 };
 
 //! A request as it came from the client.
@@ -107,6 +108,7 @@
     net::Task<> answerOwn( unsigned status, std::string reason, Millis retryAfter );
     net::Task<> finishFailed();
     std::string requestBytes( const Node& node ) const;
+    bool keepsAlive() const { return m_keepAlive && !m_shared.draining; }
     int urgency() const;
     bool mayTryAgain( const Sent& sent );
     bool timeLeft( MonoTime now ) const { return now < m_deadline; }
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -23,6 +23,8 @@
 constexpr double usualWorkMs = 20;
 //! Loading an adapter that is not there: some milliseconds, and a round trip to the sidecar.
 constexpr double adapterLoadMs = 25;
+//! Usual rest of a model's order that is under way.
+constexpr double orderWaitMs = 400;
 //! What leaving the hall counts for: a review's 18 KB cost about one part in a hundred of its
 //! worth, a tenth of that in time.
 constexpr double crossHallMs = 4;
@@ -139,6 +141,9 @@
     node.engineReachable = report.reachable;
     node.reportAt = std::chrono::steady_clock::now();
     node.report = report.engine;
+    if( contains( report.formerUpstreams, node.upstream.id ) ) {
+        node.replaced = true;
+    }
     m_gateways = std::max( report.gateways, 1 );
 }
 
@@ -195,14 +200,16 @@
         } else if( node.report && contains( node.report->onDisk, generation.model ) ) {
             load = model->diskLoad;
         }
-        const double busy = node.report && node.report->ordering ? evictionMs : 0;
+        const double busy = node.report && node.report->ordering ? orderWaitMs : 0;
         return static_cast<double>( load.count() ) + evictionMs + busy;
     }
     if( generation.adapter.empty() ||
         node.holdsAdapter( generation.model, generation.adapter, now ) ) {
         return 0;
     }
-    return adapterLoadMs;
+    // Adapters wait for a model's order that is under way.
+    const bool ordering = node.reportFresh( now ) && node.report->ordering;
+    return adapterLoadMs + ( ordering ? orderWaitMs : 0 );
 }
 
 Candidate Fleet::candidate( const Node& node, const Need& need, MonoTime now ) const {
@@ -245,7 +252,7 @@
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
         const bool usable = node->upstream.service == need.service &&
-                            node->upstream.state == UpstreamState::ready &&
+                            node->upstream.state == UpstreamState::ready && !node->replaced &&
                             !excluded.contains( id );
         if( !usable ) {
             continue;
@@ -332,7 +339,7 @@
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
         const bool fit = node->upstream.service == need.service && node->engine &&
-                         node->upstream.state == UpstreamState::ready &&
+                         node->upstream.state == UpstreamState::ready && !node->replaced &&
                          !node->holdsModel( need.generation->model, now );
         if( fit ) {
             auto it = candidate( *node, need, now );
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,7 +21,7 @@
 constexpr Millis upstreamBatch{ 250 };
 constexpr Millis tickInterval{ 100 };
 //! After SIGTERM clients are still sent here until readiness was asked for twice, a second apart.
-constexpr Millis leaveDelay{ 3000 };
+constexpr Millis leaveDelay{ 2600 };
 //! Kept back from the time until SIGKILL, to exit in order.
 constexpr Millis exitMargin{ 500 };
 //! How long a watch call waits, as a part of the time after which the platform judges again.
@@ -39,14 +39,15 @@
           m_fleet( m_context, fleetSettings() ),
           m_registry( Registry::Settings{} ),
           m_shared{ m_context, m_fleet, m_random, m_metrics, m_settings.bounds, nullptr, {}, 0,
-                    false },
+                    false, {} },
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
-        auto front = net::listen( m_context, m_settings.front.ip, m_settings.front.port );
+        m_front = std::make_unique<net::Acceptor>(
+            net::listen( m_context, m_settings.front.ip, m_settings.front.port ) );
         auto ready = net::listen( m_context, m_settings.ready.ip, m_settings.ready.port );
         auto metrics = net::listen( m_context, m_settings.ip, m_settings.lastPort );
-        net::start( m_context, acceptClients( std::move( front ) ), "accept" );
+        net::start( m_context, acceptClients(), "accept" );
         net::start( m_context,
                     serveProbes( std::move( ready ),
                                  [this]( std::string_view ) { return readiness(); } ),
@@ -94,9 +95,12 @@
         return { statusOk, m_metrics.prometheus() };
     }
 
-    net::Task<> acceptClients( net::Acceptor acceptor ) {
+    net::Task<> acceptClients() {
         for( ;; ) {
-            auto [ec, socket] = co_await acceptor.async_accept( net::tupled );
+            auto [ec, socket] = co_await m_front->async_accept( net::tupled );
+            if( !m_front->is_open() ) {
+                co_return;
+            }
             if( ec ) {
                 log::warn( "accept_failed", { { "detail", ec.message() } } );
                 constexpr Millis delay{ 20 };
@@ -231,7 +235,12 @@
         log::info( "leaving", { { "in_flight", static_cast<std::int64_t>( m_shared.inFlight ) } } );
         const auto start = std::chrono::steady_clock::now();
         const auto limit = start + m_settings.bounds.grace - exitMargin;
+        closeIdleClients();
         co_await net::pause( m_context, leaveDelay );
+        // No client is sent here any more; one that comes all the same is better off elsewhere.
+        net::ErrorCode ec;
+        m_front->close( ec );
+        closeIdleClients();
         while( m_shared.inFlight > 0 && std::chrono::steady_clock::now() < limit ) {
             constexpr Millis step{ 20 };
             co_await net::pause( m_context, step );
@@ -239,6 +248,14 @@
         m_context.stop();
     }
 
+    //! Clients with an open connection and no request would go on using it until the end.
+    void closeIdleClients() {
+        net::ErrorCode ec;
+        for( auto* it : m_shared.idleClients ) {
+            it->close( ec );
+        }
+    }
+
     void reload() {
         const auto path = platform::settingsPath();
         const auto read = platform::readNodeSettings( path );
@@ -260,6 +277,7 @@
     Registry m_registry;
     Shared m_shared;
     net::asio::signal_set m_signals;
+    std::unique_ptr<net::Acceptor> m_front;
     bool m_upstreamsListed = false;
 };
 
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -14,7 +14,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureAnswer, number, outcome )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ModelDemand, model, perS, copies, adaptersUsed )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( DemandNews, models )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, engine )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, formerUpstreams, engine )
 // clang-format on
 
 void to_json( Json& out, const ModelSpec& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -61,6 +61,7 @@
     std::uint64_t number = 0;
     bool reachable = false; //!< the engine answered the sidecar
     int gateways = 0;       //!< gateways connected to this sidecar
+    std::vector<std::string> formerUpstreams; //!< earlier starts of the engine, as refusals showed
     EngineReport engine;
 };
 
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -29,6 +29,7 @@
     std::optional<EngineReport> report;   //!< the sidecar's last
     MonoTime reportAt;
     bool engineReachable = true; //!< as the sidecar says
+    bool replaced = false;       //!< another start has the address; the entry is about to go
     std::optional<MonoTime> leavesAt; //!< it was announced to be gone by then
     int inFlight = 0;
     int prefilling = 0;      //!< of those, without a first event yet
--- a/src/net/json_client.cpp
+++ b/src/net/json_client.cpp
@@ -85,6 +85,9 @@
     out.end = CallEnd::answered;
     out.status = parser.get().result_int();
     out.body = std::move( parser.get().body() );
+    if( !call.wantedField.empty() ) {
+        out.wantedField = std::string( parser.get()[call.wantedField] );
+    }
     if( !parser.keep_alive() || m_buf.size() > 0 || !m_socket->is_open() ) {
         drop();
     }
--- a/src/net/json_client.hpp
+++ b/src/net/json_client.hpp
@@ -21,6 +21,7 @@
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
     Millis limit{ 1000 }; //!< for the whole call
+    std::string wantedField; //!< name of a field of the answer to hand over
 };
 
 enum class CallEnd {
@@ -33,6 +34,7 @@
     CallEnd end = CallEnd::notSent;
     unsigned status = 0;
     std::string body;
+    std::string wantedField; //!< value of the field that the call asked for
 };
 
 //! Calls to one HTTP server, one at a time, on a connection that is kept.
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -34,6 +34,7 @@
 constexpr std::string_view instanceName = "X-Expect-Instance";
 constexpr std::string_view urgencyName = "X-Request-Urgency";
 constexpr std::string_view notRunName = "X-Not-Run";
+constexpr std::string_view actualInstanceName = "X-Instance-Id";
 constexpr std::string_view sealName = "X-Response-Seal";
 
 std::string_view field( const http::fields& fields, std::string_view name ) {
@@ -324,6 +325,7 @@
     out.sealed = fields.find( sealName ) != fields.end();
     if( status == statusMisdirected ) {
         out.answerClass = AnswerClass::moved;
+        out.actualUpstream = std::string( field( fields, actualInstanceName ) );
     } else if( fields.find( notRunName ) != fields.end() ) {
         out.answerClass = AnswerClass::notRun;
     }
@@ -369,11 +371,17 @@
         return OrderVerdict::conflict;
     case statusPrecondition:
         return OrderVerdict::fenced;
+    case statusMisdirected:
+        return OrderVerdict::moved;
     default:
         return OrderVerdict::refused;
     }
 }
 
+std::string_view actualUpstreamHeader() {
+    return actualInstanceName;
+}
+
 std::string_view expectedUpstreamHeader() {
     return instanceName;
 }
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -63,6 +63,7 @@
     std::string requestId;
     AnswerClass answerClass = AnswerClass::complete;
     bool sealed = false; //!< carries the upstream's signature
+    std::string actualUpstream; //!< who has the address, when it is not the one that was meant
 };
 AnswerHead readAnswerHead( unsigned status, const http::fields& fields );
 
@@ -91,10 +92,13 @@
     holds,     //!< done already
     conflict,  //!< another order is under way, or the sequence differs
     fenced,    //!< a higher fencing token was seen
-    refused,   //!< malformed, or meant for another upstream
+    refused,   //!< malformed
+    moved,     //!< meant for another start of the engine
     unknown,   //!< no answer: it may be carried out, also later
 };
 OrderVerdict orderVerdict( unsigned status );
+//! Header in which a refusal names the upstream that has the address.
+std::string_view actualUpstreamHeader();
 
 inline constexpr std::string_view reportPath = "/report";
 inline constexpr std::string_view orderPath = "/order";
--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -23,24 +23,29 @@
     co_return platform::readEngineReport( answer.body );
 }
 
-net::Task<platform::OrderVerdict> EngineClient::give( platform::Order order,
-                                                      std::string upstreamId ) {
+net::Task<EngineClient::Given> EngineClient::give( platform::Order order,
+                                                   std::string upstreamId ) {
     net::JsonCall call;
     call.method = "POST";
     call.target = std::string( platform::orderPath );
     call.body = platform::encodeOrder( order );
     call.headers.emplace_back( std::string( platform::expectedUpstreamHeader() ), upstreamId );
     call.limit = orderLimit;
+    call.wantedField = std::string( platform::actualUpstreamHeader() );
     const auto answer = co_await m_http.call( call );
+    Given out;
     switch( answer.end ) {
     case net::CallEnd::answered:
-        co_return platform::orderVerdict( answer.status );
+        out.verdict = platform::orderVerdict( answer.status );
+        out.actualUpstream = answer.wantedField;
+        break;
     case net::CallEnd::notSent:
-        co_return platform::OrderVerdict::refused;
+        out.verdict = platform::OrderVerdict::refused;
+        break;
     case net::CallEnd::unknown:
         break;
     }
-    co_return platform::OrderVerdict::unknown;
+    co_return out;
 }
 
 } // namespace coursehead::sidecar
--- a/src/sidecar/engine_client.hpp
+++ b/src/sidecar/engine_client.hpp
@@ -18,8 +18,13 @@
 
     //! The engine's report of itself; nullopt when it does not answer.
     net::Task<std::optional<gateway::EngineReport>> report();
+    //! How an order was taken.
+    struct Given {
+        platform::OrderVerdict verdict = platform::OrderVerdict::unknown;
+        std::string actualUpstream; //!< with `moved`: the engine's present start, when it says so
+    };
     //! Gives an order that only the named start of the engine takes.
-    net::Task<platform::OrderVerdict> give( platform::Order order, std::string upstreamId );
+    net::Task<Given> give( platform::Order order, std::string upstreamId );
 
 private:
     net::JsonClient m_http;
--- a/src/sidecar/residency.cpp
+++ b/src/sidecar/residency.cpp
@@ -128,9 +128,10 @@
 }
 
 Step stepToAdapter( const Holdings& holdings, const Want& want, MonoTime now ) {
+    // While an order for a model is under way the engine takes none for adapters either.
     const auto& report = *holdings.report;
     const auto key = adapterKey( want.model, want.adapter );
-    if( contains( report.coming, key ) ) {
+    if( report.ordering || contains( report.coming, key ) ) {
         return { StepKind::wait, want.model, want.adapter };
     }
     const bool slot =
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -34,6 +34,8 @@
 constexpr Millis roomLimit{ 400 };
 //! Failed reports in a row after which the engine counts as unreachable.
 constexpr int failuresToLost = 2;
+//! Earlier starts of the engine that are remembered.
+constexpr std::size_t maxFormer = 4;
 constexpr Millis storeLimit{ 1000 };
 constexpr Millis storeRetry{ 300 };
 //! A kind of the project's own without objects: listing it reads the store's revision.
@@ -307,7 +309,11 @@
         order.expectedSequence = m_report.sequence;
         order.holder = m_settings.vm;
         order.fence = m_fence;
-        const auto verdict = co_await m_engine.give( order, upstreamId );
+        const auto given = co_await m_engine.give( order, upstreamId );
+        const auto verdict = given.verdict;
+        if( verdict == platform::OrderVerdict::moved ) {
+            noteMoved( upstreamId, given.actualUpstream );
+        }
         log::info( "order", { { "kind", step.kind == StepKind::load ? "load" : "unload" },
                               { "model", step.model },
                               { "adapter", step.adapter },
@@ -316,11 +322,29 @@
                               { "verdict", static_cast<std::int64_t>( verdict ) } } );
     }
 
+    //! The engine has restarted: what waits for its former start never comes.
+    void noteMoved( const std::string& meant, const std::string& actual ) {
+        log::info( "engine_restarted", { { "before", meant }, { "now", actual } } );
+        m_former.push_back( meant );
+        if( m_former.size() > maxFormer ) {
+            m_former.erase( m_former.begin() );
+        }
+        m_changed = true;
+        m_wants.remove_if( [&]( const PendingWant& it ) {
+            const bool stale = it.upstreamId == meant;
+            if( stale ) {
+                answer( it, EnsureOutcome::failed );
+            }
+            return stale;
+        } );
+    }
+
     void sendReport( Peer& peer ) {
         gateway::SidecarReport out;
         out.number = ++m_reportNumber;
         out.reachable = m_reachable;
         out.gateways = static_cast<int>( m_peers.size() );
+        out.formerUpstreams = m_former;
         out.engine = m_report;
         const gateway::Message message( std::move( out ) );
         peer.channel->send( gateway::encode( message ) );
@@ -369,6 +393,7 @@
     std::uint64_t m_fence = 0; //!< 0: none yet, no orders are given
     gateway::EngineReport m_report;
     gateway::EngineReport m_lastPublished;
+    std::vector<std::string> m_former; //!< earlier starts of the engine, oldest first
     bool m_reachable = false;
     bool m_changed = false;
     MonoTime m_published;
