Registry: of two entries at one address the later one holds; no send to an upstream that began to leave meanwhile

Ruled out: the weight store's rate (291 of 480 waits were for one model whose only copies stood on those runners).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -166,7 +166,7 @@
     bool counted = false;
     for( int round = 0; round < m_route->attempts + extraSends; ++round ) {
         auto now = std::chrono::steady_clock::now();
-        if( m_client->left || !timeLeft( now ) ) {
+        if( m_client->left || m_shared.sendsEnded || !timeLeft( now ) ) {
             break;
         }
         const auto choice = m_shared.fleet.choose( m_need, m_excluded, now );
@@ -188,9 +188,13 @@
             }
         }
         now = std::chrono::steady_clock::now();
-        if( m_client->left || !timeLeft( now ) ) {
+        if( m_client->left || m_shared.sendsEnded || !timeLeft( now ) ) {
             break;
         }
+        if( !choice.node->takesRequests() ) {
+            m_excluded.insert( choice.node->upstream.id );
+            continue;
+        }
         if( m_sends > 0 ) {
             const RetryShare share{ m_shared.bounds.retryRatio, m_shared.bounds.retrySlack,
                                     m_shared.bounds.retryWindow, m_shared.fleet.gateways() };
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -32,6 +32,7 @@
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
     bool draining = false;
+    bool sendsEnded = false; //!< too late for a send: the process is about to stop
     std::set<net::Socket*> idleClients; //!< kept connections without a request
 };
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -57,6 +57,11 @@
 }
 
 void Fleet::drop( Node& node ) {
+    node.gone = true;
+    stopSidecar( node );
+}
+
+void Fleet::stopSidecar( Node& node ) {
     if( node.sidecar ) {
         node.sidecar->stop();
         node.sidecar.reset();
@@ -111,7 +116,7 @@
     const auto* service = m_table ? m_table->service( node.upstream.service ) : nullptr;
     node.engine = service != nullptr ? service->engine : nullptr;
     if( !node.engine ) {
-        drop( node );
+        stopSidecar( node );
         return;
     }
     node.prefixes.setCapacity( node.engine->cacheTokens );
@@ -252,8 +257,7 @@
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
         const bool usable = node->upstream.service == need.service &&
-                            node->upstream.state == UpstreamState::ready && !node->replaced &&
-                            !excluded.contains( id );
+                            node->takesRequests() && !excluded.contains( id );
         if( !usable ) {
             continue;
         }
@@ -280,12 +284,15 @@
     return out;
 }
 
-int Fleet::copies( std::string_view service, std::string_view model, MonoTime now ) const {
-    return static_cast<int>( std::count_if( m_nodes.begin(), m_nodes.end(), [&]( const auto& it ) {
-        return it.second->upstream.service == service && it.second->holdsModel( model, now );
-    } ) );
+void Fleet::abandonWaits() {
+    for( auto& it : m_nodes ) {
+        if( it.second->sidecar ) {
+            it.second->sidecar->failWaiters();
+        }
+    }
 }
 
+
 bool Fleet::takeStoreLoad( const EngineSpec& engine, MonoTime now ) {
     const auto window = m_settings.ceilingWindow;
     while( !m_storeLoads.empty() && now - m_storeLoads.front() > window ) {
@@ -339,8 +346,7 @@
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
         const bool fit = node->upstream.service == need.service && node->engine &&
-                         node->upstream.state == UpstreamState::ready && !node->replaced &&
-                         !node->holdsModel( need.generation->model, now );
+                         node->takesRequests() && !node->holdsModel( need.generation->model, now );
         if( fit ) {
             auto it = candidate( *node, need, now );
             it.affinity = hash64( id, need.generation->model );
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -68,6 +68,9 @@
     //! Counts a request for a model, and starts another replica when the present ones are busy.
     void countDemand( const Need& need, const Choice& choice, MonoTime now );
 
+    //! Ends every wait for a model: the process is about to stop.
+    void abandonWaits();
+
     //! Gateways that share budgets, this one included.
     int gateways() const noexcept { return m_gateways; }
     std::size_t size() const noexcept { return m_nodes.size(); }
@@ -80,12 +83,12 @@
     };
 
     void add( const Upstream& upstream, MonoTime now );
-    void drop( Node& node );
+    static void drop( Node& node );
+    static void stopSidecar( Node& node );
     void setEngine( Node& node );
     void onReport( Node& node, const SidecarReport& report );
     Candidate candidate( const Node& node, const Need& need, MonoTime now ) const;
     double loadMs( const Node& node, const Generation& generation, MonoTime now ) const;
-    int copies( std::string_view service, std::string_view model, MonoTime now ) const;
     bool takeStoreLoad( const EngineSpec& engine, MonoTime now );
 
     net::asio::io_context& m_context;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,8 @@
 constexpr Millis leaveDelay{ 2600 };
 //! Kept back from the time until SIGKILL, to exit in order.
 constexpr Millis exitMargin{ 500 };
+//! A request that still waits for a model this long before the end is refused, not cut.
+constexpr Millis lastSendMargin{ 1000 };
 //! How long a watch call waits, as a part of the time after which the platform judges again.
 constexpr double watchPart = 0.6;
 constexpr unsigned statusOk = 200;
@@ -39,7 +41,7 @@
           m_fleet( m_context, fleetSettings() ),
           m_registry( Registry::Settings{} ),
           m_shared{ m_context, m_fleet, m_random, m_metrics, m_settings.bounds, nullptr, {}, 0,
-                    false, {} },
+                    false, false, {} },
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
@@ -199,6 +201,9 @@
             log::error( "upstream_unreadable",
                         { { "upstream", object.name }, { "detail", problem } } );
         }
+        if( out ) {
+            out->created = object.created;
+        }
         return out;
     }
 
@@ -243,6 +248,11 @@
         closeIdleClients();
         while( m_shared.inFlight > 0 && std::chrono::steady_clock::now() < limit ) {
             constexpr Millis step{ 20 };
+            if( !m_shared.sendsEnded &&
+                std::chrono::steady_clock::now() >= limit - lastSendMargin ) {
+                m_shared.sendsEnded = true;
+                m_fleet.abandonWaits();
+            }
             co_await net::pause( m_context, step );
         }
         m_context.stop();
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -101,6 +101,7 @@
 //! An upstream as the platform lists it. `id` names one start of it and is never used again.
 struct Upstream {
     std::string id;
+    std::uint64_t created = 0; //!< revision of the store at which it was first listed
     std::string service;
     std::string ip;
     int port = 0;
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -30,6 +30,7 @@
     MonoTime reportAt;
     bool engineReachable = true; //!< as the sidecar says
     bool replaced = false;       //!< another start has the address; the entry is about to go
+    bool gone = false;           //!< no longer in the fleet
     std::optional<MonoTime> leavesAt; //!< it was announced to be gone by then
     int inFlight = 0;
     int prefilling = 0;      //!< of those, without a first event yet
@@ -37,6 +38,10 @@
     MonoTime lastHeard;      //!< bytes from any of its connections
     std::set<std::string> adaptersUsed; //!< MODEL/NAME sent there since the last demand message
 
+    //! True while new requests may go there.
+    bool takesRequests() const {
+        return !gone && !replaced && upstream.state == UpstreamState::ready;
+    }
     bool reportFresh( MonoTime now ) const;
     //! What it holds: by the sidecar's report when fresh, else by its entry.
     const std::vector<Resident>& residents( MonoTime now ) const;
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -27,11 +27,18 @@
 }
 
 void Registry::put( Upstream upstream, MonoTime ) {
-    // A new start at an address ends whatever was there before.
-    std::erase_if( m_members, [&upstream]( const auto& it ) {
-        const auto& other = it.second.upstream;
+    // Entries of former starts live on for some heartbeats: of two at one address the one that was
+    // made later holds.
+    const auto sameAddress = [&upstream]( const Upstream& other ) {
         return other.id != upstream.id && other.ip == upstream.ip && other.port == upstream.port;
-    } );
+    };
+    for( const auto& it : m_members ) {
+        const auto& other = it.second.upstream;
+        if( sameAddress( other ) && other.created > upstream.created ) {
+            return;
+        }
+    }
+    std::erase_if( m_members, [&]( const auto& it ) { return sameAddress( it.second.upstream ); } );
     auto& member = m_members[upstream.id];
     member.upstream = std::move( upstream );
     member.missing = false;
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -29,6 +29,8 @@
     void send( const DemandNews& demand );
     //! Asks for a model or adapter, and waits for the answer; `failed` after `limit`.
     net::Task<EnsureOutcome> ensure( EnsureRequest request, Millis limit );
+    //! Ends every wait as failed.
+    void failWaiters();
 
 private:
     struct Waiter {
@@ -39,7 +41,6 @@
 
     net::Task<> keepConnected();
     void onFrame( std::string_view frame );
-    void failWaiters();
 
     net::asio::io_context& m_context;
     std::string m_ip;
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -205,6 +205,7 @@
     const auto& metadata = in.at( "metadata" );
     out.name = metadata.at( "name" ).get<std::string>();
     out.revision = metadata.value( "revision", std::uint64_t{ 0 } );
+    out.created = metadata.value( "created", std::uint64_t{ 0 } );
     out.spec = in.contains( "specification" ) ? in["specification"].dump() : "null";
     return out;
 }
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -110,8 +110,9 @@
 
 struct StoreObject {
     std::string name;
-    std::uint64_t revision = 0;
-    std::string spec; //!< JSON text
+    std::uint64_t revision = 0; //!< of the last change
+    std::uint64_t created = 0;  //!< revision at which it was made
+    std::string spec;           //!< JSON text
 };
 struct StorePage {
     std::vector<StoreObject> objects;
