--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -178,7 +178,7 @@
         if( !counted ) {
             counted = true;
             retries.countFirst( now );
-            m_shared.fleet.countDemand( m_need, choice, now );
+            m_shared.fleet.countDemand( m_need, choice );
         }
         if( !choice.holdsModel || !choice.holdsAdapter ) {
             const bool ready = co_await prepare( choice );
@@ -334,6 +334,7 @@
         co_return out;
     }
     ++m_sends;
+    m_expectedMs = choice.expectedMs;
     m_client->upstream = connection;
     logSend( *node, choice, now );
     if( generates ) {
@@ -461,6 +462,7 @@
                 }
                 bytes += chunkText( events );
                 m_lastEvent = cutter.last();
+                noteEvents( now );
                 const bool written = co_await writeClient( std::move( bytes ) );
                 if( !written ) {
                     out.end = SendEnd::stopped;
@@ -628,6 +630,16 @@
                         Millis{ 0 } );
 }
 
+void Exchange::noteEvents( MonoTime now ) {
+    if( !m_firstEvent ) {
+        m_firstEvent = std::chrono::duration_cast<Millis>( now - m_request.arrived );
+    } else {
+        const auto pause = std::chrono::duration_cast<Millis>( now - m_lastEventAt );
+        m_longestPause = std::max( m_longestPause, pause );
+    }
+    m_lastEventAt = now;
+}
+
 void Exchange::logEnd( std::string_view outcome ) const {
     const auto now = std::chrono::steady_clock::now();
     log::info( "request_end",
@@ -636,6 +648,9 @@
                  { "outcome", outcome },
                  { "status", static_cast<std::int64_t>( m_status ) },
                  { "sends", static_cast<std::int64_t>( m_sends ) },
+                 { "first_event_ms", m_firstEvent ? m_firstEvent->count() : -1 },
+                 { "expected_ms", static_cast<std::int64_t>( m_expectedMs ) },
+                 { "longest_pause_ms", m_longestPause.count() },
                  { "took_ms", millisBetween( m_request.arrived, now ) } } );
 }
 
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -114,6 +114,7 @@
     bool mayTryAgain( const Sent& sent );
     bool timeLeft( MonoTime now ) const { return now < m_deadline; }
     void logSend( const Node& node, const Choice& choice, MonoTime now ) const;
+    void noteEvents( MonoTime now );
     void logEnd( std::string_view outcome ) const;
 
     Shared& m_shared;
@@ -138,6 +139,9 @@
     unsigned m_status = 0;
     std::optional<std::uint64_t> m_lastEvent; //!< last event passed on
     MonoTime m_lastEventAt;
+    std::optional<Millis> m_firstEvent; //!< from arrival to the first event passed on
+    Millis m_longestPause{ 0 };         //!< between events passed on
+    double m_expectedMs = 0;            //!< what the last choice expected until then
 };
 
 //! Whether an upstream's answer of this status is a failure that another upstream may mend.
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -33,9 +33,14 @@
 //! Demand is smoothed over about two seconds, to follow shifts that take four to six.
 constexpr double demandSmoothing = 0.2;
 constexpr Millis demandInterval{ 400 };
-//! Expected wait at the best replica from which another one is started.
-constexpr double replicaWaitMs = 250;
-constexpr Millis replicaPause{ 1200 };
+//! Part of its time that each copy of a model spends on reading that model's prompts, from which
+//! another copy is started. An engine holds three models; above a third in all, prompts queue.
+constexpr double replicaLoad = 0.35;
+constexpr Millis replicaPause{ 1000 };
+//! Gateways that act on the same load in one round, on average.
+constexpr double replicaActors = 1.5;
+constexpr Millis replicaLimit{ 10000 };
+constexpr double millisPerSecond = 1000;
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
 
@@ -45,8 +50,8 @@
 
 } // namespace
 
-Fleet::Fleet( net::asio::io_context& context, FleetSettings settings )
-    : m_context( context ), m_settings( std::move( settings ) ),
+Fleet::Fleet( net::asio::io_context& context, RandomSource& random, FleetSettings settings )
+    : m_context( context ), m_random( random ), m_settings( std::move( settings ) ),
       m_started( std::chrono::steady_clock::now() ), m_lastTick( m_started ),
       m_gateways( assumedGateways ) {}
 
@@ -161,7 +166,9 @@
     DemandNews common;
     for( auto& [model, demand] : m_demand ) {
         demand.perS += demandSmoothing * ( demand.arrivals / seconds - demand.perS );
+        demand.workPerS += demandSmoothing * ( demand.arrivedWork / seconds - demand.workPerS );
         demand.arrivals = 0;
+        demand.arrivedWork = 0;
     }
     std::map<std::string, int> held;
     for( const auto& it : m_nodes ) {
@@ -191,6 +198,7 @@
         node.adaptersUsed.clear();
         node.sidecar->send( news );
     }
+    addReplicas( held, now );
 }
 
 double Fleet::loadMs( const Node& node, const Generation& generation, MonoTime now ) const {
@@ -243,6 +251,10 @@
                           node.report->running >= static_cast<unsigned>( node.engine->slots );
         out.backlogMs += full ? usualPrefillMs * ( 1 + node.report->queued ) : 0;
     }
+    if( node.reportFresh( now ) ) {
+        out.decoding = node.report->running - std::min( node.report->running,
+                                                        node.report->prefilling );
+    }
     out.loadMs = loadMs( node, generation, now );
     const auto shared = need.prefix.size() > 1 ? need.prefix[need.prefix.size() - 2] : 0;
     const auto key = shared != 0 ? std::to_string( shared )
@@ -330,26 +342,47 @@
     co_return co_await link->ensure( std::move( request ), limit );
 }
 
-void Fleet::countDemand( const Need& need, const Choice& choice, MonoTime now ) {
+void Fleet::countDemand( const Need& need, const Choice& choice ) {
     if( need.generation == nullptr || !choice.node || !choice.node->engine ) {
         return;
     }
     auto& demand = m_demand[need.generation->model];
+    demand.service = need.service;
     demand.arrivals += 1;
-    const bool busy = choice.holdsModel && choice.bestCost - choice.workMs > replicaWaitMs;
-    if( !busy || now - demand.lastReplica < replicaPause ) {
-        return;
+    demand.arrivedWork += choice.workMs;
+}
+
+void Fleet::addReplicas( const std::map<std::string, int>& held, MonoTime now ) {
+    for( auto& [model, demand] : m_demand ) {
+        const auto it = held.find( model );
+        const int copies = it == held.end() ? 0 : it->second;
+        if( copies == 0 || now - demand.lastReplica < replicaPause ) {
+            continue;
+        }
+        const double load = demand.workPerS * m_gateways / ( millisPerSecond * copies );
+        // All gateways see about the same load: each acts now and then, together often enough.
+        if( load > replicaLoad && m_random.unit() * m_gateways < replicaActors ) {
+            demand.lastReplica = now;
+            addReplica( demand.service, model, load, now );
+        }
     }
-    demand.lastReplica = now;
-    // Another replica where it costs least: near a copy of the weights, at an idle engine.
+}
+
+void Fleet::addReplica( const std::string& service, const std::string& model, double load,
+                        MonoTime now ) {
+    Generation generation;
+    generation.model = model;
+    Need need;
+    need.service = service;
+    need.generation = &generation;
     std::vector<Candidate> candidates;
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
-        const bool fit = node->upstream.service == need.service && node->engine &&
-                         node->takesRequests() && !node->holdsModel( need.generation->model, now );
+        const bool fit = node->upstream.service == service && node->engine &&
+                         node->takesRequests() && !node->holdsModel( model, now );
         if( fit ) {
             auto it = candidate( *node, need, now );
-            it.affinity = hash64( id, need.generation->model );
+            it.affinity = hash64( id, model );
             candidates.push_back( it );
             nodes.push_back( node );
         }
@@ -359,14 +392,14 @@
         return;
     }
     const auto node = nodes[*best];
-    log::info( "replica_wanted", { { "model", need.generation->model },
+    log::info( "replica_wanted", { { "model", model },
                                    { "upstream", node->upstream.id },
-                                   { "wait_ms", static_cast<std::int64_t>( choice.bestCost ) } } );
-    constexpr Millis limit{ 10000 };
-    auto task = [this, node, model = need.generation->model]() -> net::Task<> {
-        std::string name = model;
+                                   { "load_percent", static_cast<std::int64_t>( load * 100 ) } } );
+    auto task = [this, node, name = model]() -> net::Task<> {
+        std::string wanted = name;
         std::string none;
-        co_await ensure( node, std::move( name ), std::move( none ), limit );
+        NodePtr at = node;
+        co_await ensure( std::move( at ), std::move( wanted ), std::move( none ), replicaLimit );
     };
     net::asio::co_spawn( m_context, std::move( task ), net::asio::detached );
 }
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
 
+#include "coursehead/kernel/random.hpp"
 #include "gateway/node.hpp"
 #include "gateway/registry.hpp"
 #include "gateway/route_table.hpp"
@@ -49,7 +50,7 @@
 //! The upstreams of all services, with what this gateway knows of each.
 class Fleet {
 public:
-    Fleet( net::asio::io_context& context, FleetSettings settings );
+    Fleet( net::asio::io_context& context, RandomSource& random, FleetSettings settings );
     ~Fleet();
     Fleet( const Fleet& ) = delete;
     Fleet& operator=( const Fleet& ) = delete;
@@ -65,8 +66,8 @@
     //! Makes model and adapter ready at a node.
     net::Task<EnsureOutcome> ensure( NodePtr node, std::string model, std::string adapter,
                                      Millis limit );
-    //! Counts a request for a model, and starts another replica when the present ones are busy.
-    void countDemand( const Need& need, const Choice& choice, MonoTime now );
+    //! Counts a request for a model.
+    void countDemand( const Need& need, const Choice& choice );
 
     //! Ends every wait for a model: the process is about to stop.
     void abandonWaits();
@@ -77,11 +78,17 @@
 
 private:
     struct Demand {
+        std::string service;
         double perS = 0;
-        double arrivals = 0; //!< since the last tick
+        double workPerS = 0;    //!< prompt reading asked for, in milliseconds a second
+        double arrivals = 0;    //!< since the last tick
+        double arrivedWork = 0; //!< likewise
         MonoTime lastReplica;
     };
 
+    void addReplicas( const std::map<std::string, int>& held, MonoTime now );
+    void addReplica( const std::string& service, const std::string& model, double load,
+                     MonoTime now );
     void add( const Upstream& upstream, MonoTime now );
     static void drop( Node& node );
     static void stopSidecar( Node& node );
@@ -92,6 +99,7 @@
     bool takeStoreLoad( const EngineSpec& engine, MonoTime now );
 
     net::asio::io_context& m_context;
+    RandomSource& m_random;
     FleetSettings m_settings;
     std::shared_ptr<const RouteTable> m_table;
     std::map<std::string, NodePtr> m_nodes;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,7 +38,7 @@
 public:
     explicit Gateway( platform::NodeSettings settings )
         : m_settings( std::move( settings ) ), m_random( systemSeed() ),
-          m_fleet( m_context, fleetSettings() ),
+          m_fleet( m_context, m_random, fleetSettings() ),
           m_registry( Registry::Settings{} ),
           m_shared{ m_context, m_fleet, m_random, m_metrics, m_settings.bounds, nullptr, {}, 0,
                     false, false, {} },
--- a/src/gateway/selection.cpp
+++ b/src/gateway/selection.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "gateway/selection.hpp"
 
+#include <algorithm>
+
 namespace coursehead::gateway {
 
 namespace {
@@ -13,8 +15,25 @@
 
 } // namespace
 
+namespace {
+
+//! Prompt reading that delays running streams noticeably: an event of several tokens takes as many
+//! steps, each lengthened by a piece of a prompt.
+constexpr double calmReadingMs = 150;
+//! Waiting that a stream counts for, for each millisecond of reading beyond.
+constexpr double decodingWeight = 0.25;
+constexpr std::uint32_t mostDecoding = 6;
+
+double interference( const Candidate& candidate ) {
+    const double over = candidate.backlogMs + candidate.workMs - calmReadingMs;
+    const auto streams = static_cast<double>( std::min( candidate.decoding, mostDecoding ) );
+    return over > 0 ? over * streams * decodingWeight : 0;
+}
+
+} // namespace
+
 double costOf( const Candidate& candidate ) {
-    return ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
+    return interference( candidate ) + ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
            candidate.failures * failureMs + ( candidate.otherHall ? candidate.crossHallMs : 0 );
 }
 
--- a/src/sidecar/residency.cpp
+++ b/src/sidecar/residency.cpp
@@ -19,6 +19,9 @@
 //! Adapters that may be on their way to an engine at once.
 constexpr std::size_t maxComing = 4;
 
+//! What the last copy of a model counts for that nobody asks for now, in requests a second.
+constexpr double lastCopyPerS = 0.05;
+
 const Resident* findModel( const EngineReport& report, std::string_view model ) {
     const auto it = std::find_if( report.residents.begin(), report.residents.end(),
                                   [model]( const Resident& r ) { return r.model == model; } );
@@ -60,9 +63,13 @@
     return it == uses.end() ? Use{} : it->second;
 }
 
-//! What losing a model would cost: its requests a second here, less where others hold it too.
+//! What losing a copy of a model would cost, in requests a second that suffer: one of many copies
+//! leaves the others a little more to do; the last one makes every request wait for a load.
 double valueOf( const Use& use ) {
-    return use.perS / std::max( use.copies, 1 );
+    if( use.copies > 1 ) {
+        return use.perS / ( static_cast<double>( use.copies ) * ( use.copies - 1 ) );
+    }
+    return use.perS + lastCopyPerS;
 }
 
 std::optional<std::string> modelToUnload( const Holdings& holdings, std::string_view wanted,
