--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -32,8 +32,7 @@
             return;
         }
         char byte = 0;
-        const auto n =
-            ::recv( client->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT );
+        const auto n = ::recv( client->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT );
         if( !ec && ( n > 0 || ( n < 0 && errno == EAGAIN ) ) ) {
             return; // a pipelined request; it waits its turn
         }
@@ -53,8 +52,7 @@
 
 net::Task<> refuse( net::Socket& socket, unsigned status ) {
     http::fields fields;
-    const std::string bytes =
-        answerHeadText( status, "", fields, "Content-Length: 0\r\n", false );
+    const std::string bytes = answerHeadText( status, "", fields, "Content-Length: 0\r\n", false );
     const auto buf = net::asio::buffer( bytes );
     co_await net::asio::async_write( socket, buf, net::tupled );
     net::ErrorCode ec;
@@ -74,8 +72,8 @@
 
 //! What reading a request ended with.
 struct ReadRequest {
-    bool closed = true;      //!< nothing more to serve
-    unsigned refusal = 0;    //!< status to refuse with
+    bool closed = true;   //!< nothing more to serve
+    unsigned refusal = 0; //!< status to refuse with
     bool keepAlive = true;
     ClientRequest request;
 };
@@ -127,9 +125,9 @@
         failure = ec;
     }
     if( failure ) {
-        const bool malformed = failure.category() == http::make_error_code( http::error::bad_method ).category() &&
-                               failure != http::error::end_of_stream &&
-                               failure != http::error::partial_message;
+        const bool malformed =
+            failure.category() == http::make_error_code( http::error::bad_method ).category() &&
+            failure != http::error::end_of_stream && failure != http::error::partial_message;
         out.refusal = malformed ? statusOf( failure ) : 0;
         out.closed = !malformed;
         co_return out;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -38,6 +38,12 @@
 constexpr int extraSends = 3;
 //! When a refused client is to come back, unless the upstream said when.
 constexpr Millis usualRetryAfter{ 300 };
+//! The same where a model has to be loaded first, and where no configuration is known yet: about
+//! the time that a load, or an outage of the store, takes.
+constexpr Millis modelRetryAfter{ 1000 };
+constexpr Millis startRetryAfter{ 2000 };
+//! Pause until the weight store's rate is asked for again.
+constexpr Millis storePoll{ 150 };
 constexpr std::size_t readBytes = 16U << 10U;
 //! Answers of plain services are passed on whole; larger ones than this are refused.
 constexpr std::uint64_t maxWholeAnswer = 16U << 20U;
@@ -123,11 +129,12 @@
 net::Task<ExchangeResult> Exchange::run() {
     if( !m_table ) {
         std::string reason = "no configuration yet";
-        co_await answerOwn( statusUnavailable, std::move( reason ), usualRetryAfter );
+        co_await answerOwn( statusUnavailable, std::move( reason ), startRetryAfter );
         co_return ExchangeResult{ m_keepAlive };
     }
     const auto host = m_request.fields.find( http::field::host );
-    const auto hostText = host == m_request.fields.end() ? std::string_view{} : view( host->value() );
+    const auto hostText =
+        host == m_request.fields.end() ? std::string_view{} : view( host->value() );
     m_route = m_table->find( hostText, m_request.target );
     const auto* split =
         m_route == nullptr ? nullptr : pickSplit( *m_route, m_shared.random.unit() );
@@ -181,8 +188,15 @@
             m_shared.fleet.countDemand( m_need, choice );
         }
         if( !choice.holdsModel || !choice.holdsAdapter ) {
-            const bool ready = co_await prepare( choice );
-            if( !ready ) {
+            const auto outcome = co_await prepare( choice );
+            now = std::chrono::steady_clock::now();
+            if( outcome == EnsureOutcome::needStore && now < m_request.arrived + storeWait() ) {
+                // Nobody has the model nearer: the weight store's rate lets it in before long.
+                co_await net::pause( m_shared.context, storePoll );
+                --round;
+                continue;
+            }
+            if( outcome != EnsureOutcome::ready ) {
                 m_excluded.insert( choice.node->upstream.id );
                 continue;
             }
@@ -227,7 +241,7 @@
     return again && m_runs < m_route->attempts;
 }
 
-net::Task<bool> Exchange::prepare( const Choice& choice ) {
+net::Task<EnsureOutcome> Exchange::prepare( const Choice& choice ) {
     const auto& generation = *m_request.head.generation;
     const auto now = std::chrono::steady_clock::now();
     const auto left = remaining( now, m_deadline );
@@ -241,12 +255,20 @@
                            { "upstream", choice.node->upstream.id },
                            { "model", generation.model },
                            { "adapter", generation.adapter },
-                           { "outcome", static_cast<std::int64_t>( outcome ) },
+                           { "outcome", nameOf( outcome ) },
                            { "took_ms", took } } );
     if( outcome != EnsureOutcome::ready ) {
         m_lastWhy = "model not ready";
+        m_retryAfter = modelRetryAfter;
     }
-    co_return outcome == EnsureOutcome::ready;
+    co_return outcome;
+}
+
+Millis Exchange::storeWait() const {
+    // The load itself takes some seconds: a request with a short goal is refused while its client
+    // can still come back in time.
+    constexpr int goalParts = 2;
+    return m_route->goal / goalParts;
 }
 
 int Exchange::urgency() const {
@@ -270,11 +292,10 @@
     platform::writeSendHead( head, fields );
     std::string out = m_request.method + " " + m_request.target + " HTTP/1.1\r\n";
     appendForwarded( out, fields );
-    const bool hasBody = !m_request.body.empty() ||
-                         m_request.fields.find( http::field::content_length ) !=
-                             m_request.fields.end() ||
-                         m_request.fields.find( http::field::transfer_encoding ) !=
-                             m_request.fields.end();
+    const bool hasBody =
+        !m_request.body.empty() ||
+        m_request.fields.find( http::field::content_length ) != m_request.fields.end() ||
+        m_request.fields.find( http::field::transfer_encoding ) != m_request.fields.end();
     if( hasBody ) {
         out += "Content-Length: " + std::to_string( m_request.body.size() ) + "\r\n";
     }
@@ -329,8 +350,8 @@
         noteUnreachable( node->health, now );
         out.end = SendEnd::notRun;
         out.why = "connect failed";
-        log::info( "connect_failed", { { "id", m_request.head.requestId },
-                                       { "upstream", node->upstream.id } } );
+        log::info( "connect_failed",
+                   { { "id", m_request.head.requestId }, { "upstream", node->upstream.id } } );
         co_return out;
     }
     ++m_sends;
@@ -386,15 +407,14 @@
     };
     const auto write = std::make_shared<WriteState>();
     write->bytes = requestBytes( node );
-    net::asio::async_write( connection->socket, net::asio::buffer( write->bytes ),
-                            [write, connection]( net::ErrorCode ec, std::size_t ) {
-                                write->done = !ec;
-                            } );
+    net::asio::async_write(
+        connection->socket, net::asio::buffer( write->bytes ),
+        [write, connection]( net::ErrorCode ec, std::size_t ) { write->done = !ec; } );
     http::response_parser<http::buffer_body> parser;
     parser.body_limit( boost::none );
     parser.skip( m_request.method == "HEAD" );
-    auto [headError, headBytes] =
-        co_await http::async_read_header( connection->socket, connection->buf, parser, net::tupled );
+    auto [headError, headBytes] = co_await http::async_read_header(
+        connection->socket, connection->buf, parser, net::tupled );
     auto now = std::chrono::steady_clock::now();
     if( headError ) {
         out.end = deadline.expired() || m_client->left ? SendEnd::stopped : SendEnd::lost;
@@ -411,8 +431,7 @@
         connection->socket.close( headError );
         co_return out;
     }
-    const bool streams = m_route->kind == RequestKind::stream &&
-                         message.result_int() == statusOk &&
+    const bool streams = m_route->kind == RequestKind::stream && message.result_int() == statusOk &&
                          head.answerClass == AnswerClass::complete;
     if( streams && head.sealed ) {
         const bool chunkedOrSized = !parser.need_eof();
@@ -431,8 +450,12 @@
             parser.get().body().data = buf.data();
             parser.get().body().size = buf.size();
             parser.get().body().more = true;
-            auto [ec, n] = co_await http::async_read_some( connection->socket, connection->buf,
-                                                           parser, net::tupled );
+            net::ErrorCode ec;
+            if( !parser.is_done() ) {
+                const auto [error, n] = co_await http::async_read_some(
+                    connection->socket, connection->buf, parser, net::tupled );
+                ec = error;
+            }
             if( ec == http::error::need_buffer ) {
                 ec = {};
             }
@@ -446,8 +469,8 @@
                     first = false;
                     inFlight.prefillDone();
                     const auto took = static_cast<double>( millisBetween( sentAt, now ) );
-                    noteSuccess( node.health, took, choice.expectedMs + usualRetryAfter.count() / 4.0,
-                                 now );
+                    noteSuccess( node.health, took,
+                                 choice.expectedMs + usualRetryAfter.count() / 4.0, now );
                     m_shared.metrics.observe(
                         metrics::Series::firstToken, m_route->name, m_service,
                         static_cast<double>( millisBetween( m_request.arrived, now ) ) );
@@ -496,9 +519,10 @@
             }
             if( ec || !sound || ended ) {
                 const bool over = deadline.expired() || m_client->left;
-                out.end = over ? SendEnd::stopped
-                               : m_headSent ? SendEnd::streamCut : SendEnd::lost;
-                out.why = !sound ? "events out of order" : ec ? ec.message() : "cut inside an event";
+                out.end = over ? SendEnd::stopped : m_headSent ? SendEnd::streamCut : SendEnd::lost;
+                out.why = !sound ? "events out of order"
+                          : ec   ? ec.message()
+                                 : "cut inside an event";
                 if( !m_headSent ) {
                     m_answer.reset();
                 }
@@ -532,8 +556,8 @@
         complete = parser.is_done();
     }
     now = std::chrono::steady_clock::now();
-    const bool reusable = complete && parser.keep_alive() && !closes && write->done &&
-                          connection->buf.size() == 0;
+    const bool reusable =
+        complete && parser.keep_alive() && !closes && write->done && connection->buf.size() == 0;
     const bool late = deadline.expired();
     deadline.cancel();
     if( reusable ) {
@@ -642,16 +666,15 @@
 
 void Exchange::logEnd( std::string_view outcome ) const {
     const auto now = std::chrono::steady_clock::now();
-    log::info( "request_end",
-               { { "id", m_request.head.requestId },
-                 { "route", m_route != nullptr ? m_route->name : "" },
-                 { "outcome", outcome },
-                 { "status", static_cast<std::int64_t>( m_status ) },
-                 { "sends", static_cast<std::int64_t>( m_sends ) },
-                 { "first_event_ms", m_firstEvent ? m_firstEvent->count() : -1 },
-                 { "expected_ms", static_cast<std::int64_t>( m_expectedMs ) },
-                 { "longest_pause_ms", m_longestPause.count() },
-                 { "took_ms", millisBetween( m_request.arrived, now ) } } );
+    log::info( "request_end", { { "id", m_request.head.requestId },
+                                { "route", m_route != nullptr ? m_route->name : "" },
+                                { "outcome", outcome },
+                                { "status", static_cast<std::int64_t>( m_status ) },
+                                { "sends", static_cast<std::int64_t>( m_sends ) },
+                                { "first_event_ms", m_firstEvent ? m_firstEvent->count() : -1 },
+                                { "expected_ms", static_cast<std::int64_t>( m_expectedMs ) },
+                                { "longest_pause_ms", m_longestPause.count() },
+                                { "took_ms", millisBetween( m_request.arrived, now ) } } );
 }
 
 } // namespace coursehead::gateway
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -28,11 +28,11 @@
     RandomSource& random;
     metrics::Metrics& metrics;
     platform::Bounds bounds;
-    std::shared_ptr<const RouteTable> table; //!< null until a configuration is known
+    std::shared_ptr<const RouteTable> table;    //!< null until a configuration is known
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
     bool draining = false;
-    bool sendsEnded = false; //!< too late for a send: the process is about to stop
+    bool sendsEnded = false;            //!< too late for a send: the process is about to stop
     std::set<net::Socket*> idleClients; //!< kept connections without a request
 };
 
@@ -60,9 +60,9 @@
     explicit ClientEnd( net::Socket& clientSocket ) : socket( clientSocket ) {}
 
     net::Socket& socket;
-    bool left = false;    //!< the client closed its connection
-    bool broken = false;  //!< a write to it failed
-    bool done = false;    //!< the request is over
+    bool left = false;                          //!< the client closed its connection
+    bool broken = false;                        //!< a write to it failed
+    bool done = false;                          //!< the request is over
     std::weak_ptr<UpstreamConnection> upstream; //!< closed when the client leaves
 };
 
@@ -85,12 +85,12 @@
 private:
     //! How one send to an upstream ended.
     enum class SendEnd {
-        answered,   //!< m_answer holds the whole answer
-        streamed,   //!< the client has the whole stream
-        notRun,     //!< it was not run, and never will be
-        lost,       //!< it may have run; no usable answer
-        streamCut,  //!< part of a stream was passed on, then it broke
-        stopped,    //!< the client left or the time is over
+        answered,  //!< m_answer holds the whole answer
+        streamed,  //!< the client has the whole stream
+        notRun,    //!< it was not run, and never will be
+        lost,      //!< it may have run; no usable answer
+        streamCut, //!< part of a stream was passed on, then it broke
+        stopped,   //!< the client left or the time is over
     };
     struct Sent {
         SendEnd end = SendEnd::lost;
@@ -99,7 +99,7 @@
     };
 
     net::Task<> forward();
-    net::Task<bool> prepare( const Choice& choice );
+    net::Task<EnsureOutcome> prepare( const Choice& choice );
     net::Task<Sent> sendTo( NodePtr node, const Choice& choice );
     net::Task<ConnectionPtr> connectionTo( Node& node );
     net::Task<Sent> receive( Node& node, ConnectionPtr connection, const Choice& choice );
@@ -110,6 +110,7 @@
     net::Task<> finishFailed();
     std::string requestBytes( const Node& node ) const;
     bool keepsAlive() const { return m_keepAlive && !m_shared.draining; }
+    Millis storeWait() const;
     int urgency() const;
     bool mayTryAgain( const Sent& sent );
     bool timeLeft( MonoTime now ) const { return now < m_deadline; }
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -25,6 +25,8 @@
 constexpr double adapterLoadMs = 25;
 //! Usual rest of a model's order that is under way.
 constexpr double orderWaitMs = 400;
+//! Rest of a load that has taken longer than expected.
+constexpr Millis leastLoad{ 50 };
 //! What leaving the hall counts for: a review's 18 KB cost about one part in a hundred of its
 //! worth, a tenth of that in time.
 constexpr double crossHallMs = 4;
@@ -101,10 +103,10 @@
 }
 
 void Fleet::add( const Upstream& upstream, MonoTime ) {
-    log::info( "upstream_added", { { "upstream", upstream.id },
-                                   { "service", upstream.service },
-                                   { "address", upstream.ip + ":" +
-                                                    std::to_string( upstream.port ) } } );
+    log::info( "upstream_added",
+               { { "upstream", upstream.id },
+                 { "service", upstream.service },
+                 { "address", upstream.ip + ":" + std::to_string( upstream.port ) } } );
     const auto node = std::make_shared<Node>( upstream );
     m_nodes.emplace( upstream.id, node );
     setEngine( *node );
@@ -126,8 +128,8 @@
     }
     node.prefixes.setCapacity( node.engine->cacheTokens );
     if( !node.sidecar ) {
-        node.sidecar = std::make_shared<SidecarLink>( m_context, node.upstream.ip,
-                                                      m_settings.sidecarPort );
+        node.sidecar =
+            std::make_shared<SidecarLink>( m_context, node.upstream.ip, m_settings.sidecarPort );
         node.sidecar->start( [this, id = node.upstream.id]( const SidecarReport& report ) {
             const auto it = m_nodes.find( id );
             if( it != m_nodes.end() ) {
@@ -207,12 +209,18 @@
         if( model == nullptr ) {
             return 0;
         }
+        const auto under = node.loading.find( generation.model );
         Millis load = model->storeLoad;
         if( node.report && contains( node.report->inMemory, generation.model ) ) {
             load = model->memoryLoad;
         } else if( node.report && contains( node.report->onDisk, generation.model ) ) {
             load = model->diskLoad;
         }
+        if( under != node.loading.end() ) {
+            // Others wait for it there already: what is left of the load, and no further order.
+            const auto left = load - std::chrono::duration_cast<Millis>( now - under->second );
+            return static_cast<double>( std::max( left, leastLoad ).count() );
+        }
         const double busy = node.report && node.report->ordering ? orderWaitMs : 0;
         return static_cast<double>( load.count() ) + evictionMs + busy;
     }
@@ -252,13 +260,13 @@
         out.backlogMs += full ? usualPrefillMs * ( 1 + node.report->queued ) : 0;
     }
     if( node.reportFresh( now ) ) {
-        out.decoding = node.report->running - std::min( node.report->running,
-                                                        node.report->prefilling );
+        out.decoding =
+            node.report->running - std::min( node.report->running, node.report->prefilling );
     }
     out.loadMs = loadMs( node, generation, now );
     const auto shared = need.prefix.size() > 1 ? need.prefix[need.prefix.size() - 2] : 0;
-    const auto key = shared != 0 ? std::to_string( shared )
-                                 : generation.model + "/" + generation.adapter;
+    const auto key =
+        shared != 0 ? std::to_string( shared ) : generation.model + "/" + generation.adapter;
     out.affinity = hash64( node.upstream.id, key );
     return out;
 }
@@ -268,8 +276,8 @@
     std::vector<Candidate> candidates;
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
-        const bool usable = node->upstream.service == need.service &&
-                            node->takesRequests() && !excluded.contains( id );
+        const bool usable = node->upstream.service == need.service && node->takesRequests() &&
+                            !excluded.contains( id );
         if( !usable ) {
             continue;
         }
@@ -289,9 +297,9 @@
     out.expectedMs = it.backlogMs + it.workMs + it.loadMs;
     if( need.generation != nullptr && out.node->engine ) {
         out.holdsModel = out.node->holdsModel( need.generation->model, now );
-        out.holdsAdapter = need.generation->adapter.empty() ||
-                           out.node->holdsAdapter( need.generation->model,
-                                                   need.generation->adapter, now );
+        out.holdsAdapter =
+            need.generation->adapter.empty() ||
+            out.node->holdsAdapter( need.generation->model, need.generation->adapter, now );
     }
     return out;
 }
@@ -304,23 +312,28 @@
     }
 }
 
-
-bool Fleet::takeStoreLoad( const EngineSpec& engine, MonoTime now ) {
+bool Fleet::takeStoreLoad( const Node& node, const std::string& model, MonoTime now ) {
     const auto window = m_settings.ceilingWindow;
-    while( !m_storeLoads.empty() && now - m_storeLoads.front() > window ) {
+    while( !m_storeLoads.empty() && now - m_storeLoads.front().at > window ) {
         m_storeLoads.pop_front();
     }
+    // Requests that wait for the same load share it.
+    for( const auto& it : m_storeLoads ) {
+        if( it.upstreamId == node.upstream.id && it.model == model ) {
+            return true;
+        }
+    }
     // A process that has just started does not know what was allowed before.
     if( now - m_started < window ) {
         return false;
     }
     const double seconds = std::chrono::duration<double>( window ).count();
-    const double share = engine.storeLoadsPerS * seconds / m_gateways;
+    const double share = node.engine->storeLoadsPerS * seconds / m_gateways;
     const double allowed = std::max( std::floor( share ), 1.0 );
     if( static_cast<double>( m_storeLoads.size() ) >= allowed ) {
         return false;
     }
-    m_storeLoads.push_back( now );
+    m_storeLoads.push_back( { now, node.upstream.id, model } );
     return true;
 }
 
@@ -338,8 +351,15 @@
     const bool near = node->holdsModel( request.model, now ) ||
                       ( node->report && ( contains( node->report->inMemory, request.model ) ||
                                           contains( node->report->onDisk, request.model ) ) );
-    request.fromStore = !near && node->engine && takeStoreLoad( *node->engine, now );
-    co_return co_await link->ensure( std::move( request ), limit );
+    request.fromStore = !near && node->engine && takeStoreLoad( *node, request.model, now );
+    const bool loads = !node->holdsModel( request.model, now ) && ( near || request.fromStore );
+    const std::string name = request.model;
+    const bool first = loads && node->loading.emplace( name, now ).second;
+    const auto outcome = co_await link->ensure( std::move( request ), limit );
+    if( first ) {
+        node->loading.erase( name );
+    }
+    co_return outcome;
 }
 
 void Fleet::countDemand( const Need& need, const Choice& choice ) {
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -38,7 +38,7 @@
 
 //! An upstream chosen for a request, with what the choice rests on.
 struct Choice {
-    NodePtr node;        //!< null when no upstream of the service is left
+    NodePtr node;          //!< null when no upstream of the service is left
     double expectedMs = 0; //!< until the first event, or the answer
     double workMs = 0;     //!< of that, reading the prompt
     bool holdsModel = true;
@@ -96,7 +96,7 @@
     void onReport( Node& node, const SidecarReport& report );
     Candidate candidate( const Node& node, const Need& need, MonoTime now ) const;
     double loadMs( const Node& node, const Generation& generation, MonoTime now ) const;
-    bool takeStoreLoad( const EngineSpec& engine, MonoTime now );
+    bool takeStoreLoad( const Node& node, const std::string& model, MonoTime now );
 
     net::asio::io_context& m_context;
     RandomSource& m_random;
@@ -104,7 +104,13 @@
     std::shared_ptr<const RouteTable> m_table;
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, Demand> m_demand; //!< by model
-    std::deque<MonoTime> m_storeLoads;      //!< allowed by this gateway within the window
+    //! A load from the weight store that this gateway allowed.
+    struct StoreLoad {
+        MonoTime at;
+        std::string upstreamId;
+        std::string model;
+    };
+    std::deque<StoreLoad> m_storeLoads; //!< within the window
     MonoTime m_started;
     MonoTime m_lastTick;
     int m_gateways = 1;
--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -13,6 +13,9 @@
 //! every process retries then.
 constexpr Millis firstRetry{ 60 };
 constexpr Millis lastRetry{ 400 };
+//! After the store's return changes are taken one by one: upstreams come back then.
+constexpr Millis eagerTime{ 4000 };
+constexpr Millis eagerPause{ 150 };
 
 std::string_view nameOf( StoreStatus status ) {
     switch( status ) {
@@ -36,6 +39,7 @@
     bool reachable = false;
     std::uint64_t revision = 0;
     Millis retry{ firstRetry };
+    MonoTime eagerUntil;
 };
 
 void noteStatus( const std::string& kind, StoreStatus status, Progress& progress,
@@ -43,6 +47,7 @@
     const bool up = status == StoreStatus::ok || status == StoreStatus::expired;
     if( up != progress.reachable ) {
         progress.reachable = up;
+        progress.eagerUntil = std::chrono::steady_clock::now() + eagerTime;
         log::info( up ? "store_regained" : "store_lost",
                    { { "kind", kind },
                      { "status", nameOf( status ) },
@@ -89,8 +94,10 @@
             }
         }
         if( status == StoreStatus::ok ) {
-            if( settings.pause.count() > 0 ) {
-                co_await net::pause( context, settings.pause );
+            const bool eager = std::chrono::steady_clock::now() < progress.eagerUntil;
+            const auto pause = eager ? std::min( settings.pause, eagerPause ) : settings.pause;
+            if( pause.count() > 0 ) {
+                co_await net::pause( context, pause );
             }
             continue;
         }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-//! Entries that change (loads, heartbeats) come in batches: a watch call costs more than the wait.
-constexpr Millis upstreamBatch{ 250 };
+//! Upstreams' entries change all the time; changes are taken in batches, since each watch call is
+//! paid for. The wait is this part of the time there is to stop sending to one that leaves.
+constexpr double batchPart = 0.4;
 constexpr Millis tickInterval{ 100 };
 //! After SIGTERM clients are still sent here until readiness was asked for twice, a second apart.
 constexpr Millis leaveDelay{ 2600 };
@@ -26,8 +27,9 @@
 constexpr Millis exitMargin{ 500 };
 //! A request that still waits for a model this long before the end is refused, not cut.
 constexpr Millis lastSendMargin{ 1000 };
-//! How long a watch call waits, as a part of the time after which the platform judges again.
-constexpr double watchPart = 0.6;
+//! How long a watch call waits, as a part of the time after which the platform judges again: a call
+//! that hangs since an outage must have ended, and another begun, soon after that time.
+constexpr double watchPart = 1.1;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusNotFound = 404;
@@ -38,10 +40,9 @@
 public:
     explicit Gateway( platform::NodeSettings settings )
         : m_settings( std::move( settings ) ), m_random( systemSeed() ),
-          m_fleet( m_context, m_random, fleetSettings() ),
-          m_registry( Registry::Settings{} ),
-          m_shared{ m_context, m_fleet, m_random, m_metrics, m_settings.bounds, nullptr, {}, 0,
-                    false, false, {} },
+          m_fleet( m_context, m_random, fleetSettings() ), m_registry( Registry::Settings{} ),
+          m_shared{ m_context, m_fleet, m_random, m_metrics, m_settings.bounds, nullptr, {},
+                    0,         false,   false,    {} },
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
@@ -50,10 +51,10 @@
         auto ready = net::listen( m_context, m_settings.ready.ip, m_settings.ready.port );
         auto metrics = net::listen( m_context, m_settings.ip, m_settings.lastPort );
         net::start( m_context, acceptClients(), "accept" );
-        net::start( m_context,
-                    serveProbes( std::move( ready ),
-                                 [this]( std::string_view ) { return readiness(); } ),
-                    "readiness" );
+        net::start(
+            m_context,
+            serveProbes( std::move( ready ), [this]( std::string_view ) { return readiness(); } ),
+            "readiness" );
         net::start( m_context,
                     serveProbes( std::move( metrics ),
                                  [this]( std::string_view path ) { return scrape( path ); } ),
@@ -81,9 +82,7 @@
         return out;
     }
 
-    bool isReady() const {
-        return m_shared.table && m_upstreamsListed && !m_shared.draining;
-    }
+    bool isReady() const { return m_shared.table && m_upstreamsListed && !m_shared.draining; }
 
     ProbeAnswer readiness() const {
         const bool ready = isReady();
@@ -134,7 +133,8 @@
                 takeConfiguration( event.object );
             }
         };
-        handlers.reachable = []( bool ) {};
+        handlers.reachable = []( bool ) {
+        };
         auto task = follow( m_context, m_settings.store,
                             followSettings( platform::configurationKind ), m_random, handlers );
         net::start( m_context, std::move( task ), "configuration" );
@@ -156,9 +156,10 @@
         if( m_shared.table && read->version <= held ) {
             return;
         }
-        log::info( "configuration", { { "version", static_cast<std::int64_t>( read->version ) },
-                                      { "before", static_cast<std::int64_t>( held ) },
-                                      { "routes", static_cast<std::int64_t>( read->routes.size() ) } } );
+        log::info( "configuration",
+                   { { "version", static_cast<std::int64_t>( read->version ) },
+                     { "before", static_cast<std::int64_t>( held ) },
+                     { "routes", static_cast<std::int64_t>( read->routes.size() ) } } );
         m_shared.table = std::make_shared<RouteTable>( std::move( *read ) );
         m_fleet.setConfiguration( m_shared.table, std::chrono::steady_clock::now() );
     }
@@ -189,7 +190,8 @@
             m_registry.storeReachable( reachable, std::chrono::steady_clock::now() );
         };
         auto settings = followSettings( platform::upstreamKind );
-        settings.pause = upstreamBatch;
+        settings.pause = Millis( static_cast<std::int64_t>(
+            static_cast<double>( m_settings.bounds.drain.count() ) * batchPart ) );
         auto task = follow( m_context, m_settings.store, settings, m_random, handlers );
         net::start( m_context, std::move( task ), "upstreams" );
     }
@@ -207,9 +209,7 @@
         return out;
     }
 
-    void syncFleet() {
-        m_fleet.sync( m_registry.members(), std::chrono::steady_clock::now() );
-    }
+    void syncFleet() { m_fleet.sync( m_registry.members(), std::chrono::steady_clock::now() ); }
 
     net::Task<> ticks() {
         for( ;; ) {
@@ -294,11 +294,11 @@
 } // namespace
 
 int runGateway( std::span<const std::string> arguments ) {
-    return daemon::runPlatformRole(
-        "gateway", arguments, []( const platform::NodeSettings& settings ) {
-            Gateway gateway( settings );
-            return gateway.run();
-        } );
+    return daemon::runPlatformRole( "gateway", arguments,
+                                    []( const platform::NodeSettings& settings ) {
+                                        Gateway gateway( settings );
+                                        return gateway.run();
+                                    } );
 }
 
 } // namespace coursehead::gateway
--- a/src/gateway/health.cpp
+++ b/src/gateway/health.cpp
@@ -42,8 +42,7 @@
 }
 
 double slownessNow( const Health& health, MonoTime now ) {
-    const double part =
-        std::exp2( -secondsBetween( health.slownessAt, now ) / slownessHalfLifeS );
+    const double part = std::exp2( -secondsBetween( health.slownessAt, now ) / slownessHalfLifeS );
     return 1.0 + ( health.slowness - 1.0 ) * part;
 }
 
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -53,6 +53,20 @@
 
 } // namespace
 
+std::string_view nameOf( EnsureOutcome outcome ) {
+    switch( outcome ) {
+    case EnsureOutcome::ready:
+        return "ready";
+    case EnsureOutcome::noRoom:
+        return "no_room";
+    case EnsureOutcome::needStore:
+        return "weight_store_rate";
+    case EnsureOutcome::failed:
+        return "failed";
+    }
+    return "unknown";
+}
+
 std::string encode( const Message& message ) {
     Json body;
     std::visit( [&body]( const auto& it ) { body = it; }, message );
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -27,8 +27,8 @@
     std::uint64_t number = 0; //!< of this gateway; the answer repeats it
     std::string upstreamId;
     std::string model;
-    std::string adapter;     //!< empty: the model alone
-    bool fromStore = false;  //!< the weight store may be used
+    std::string adapter;    //!< empty: the model alone
+    bool fromStore = false; //!< the weight store may be used
 };
 
 enum class EnsureOutcome {
@@ -38,6 +38,9 @@
     failed,    //!< the engine did not take the order or cannot be reached
 };
 
+//! The outcome's name in logs.
+std::string_view nameOf( EnsureOutcome outcome );
+
 struct EnsureAnswer {
     std::uint64_t number = 0;
     EnsureOutcome outcome = EnsureOutcome::failed;
@@ -46,8 +49,8 @@
 //! How much a model is asked for, as one gateway sees it.
 struct ModelDemand {
     std::string model;
-    double perS = 0;             //!< requests a second, smoothed
-    int copies = 0;              //!< upstreams that hold it
+    double perS = 0;                       //!< requests a second, smoothed
+    int copies = 0;                        //!< upstreams that hold it
     std::vector<std::string> adaptersUsed; //!< sent to this sidecar's engine since the last message
 };
 
@@ -59,14 +62,13 @@
 //! The engine's own report, passed on when it changes and regularly.
 struct SidecarReport {
     std::uint64_t number = 0;
-    bool reachable = false; //!< the engine answered the sidecar
-    int gateways = 0;       //!< gateways connected to this sidecar
+    bool reachable = false;                   //!< the engine answered the sidecar
+    int gateways = 0;                         //!< gateways connected to this sidecar
     std::vector<std::string> formerUpstreams; //!< earlier starts of the engine, as refusals showed
     EngineReport engine;
 };
 
-using Message =
-    std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport>;
+using Message = std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport>;
 
 std::string encode( const Message& message );
 //! Reads a message; nullopt when it is malformed.
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -7,6 +7,7 @@
 #include "gateway/model.hpp"
 #include "gateway/prefix_cache.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -28,14 +29,16 @@
     std::shared_ptr<SidecarLink> sidecar; //!< null for plain services
     std::optional<EngineReport> report;   //!< the sidecar's last
     MonoTime reportAt;
-    bool engineReachable = true; //!< as the sidecar says
-    bool replaced = false;       //!< another start has the address; the entry is about to go
-    bool gone = false;           //!< no longer in the fleet
+    bool engineReachable = true;      //!< as the sidecar says
+    bool replaced = false;            //!< another start has the address; the entry is about to go
+    bool gone = false;                //!< no longer in the fleet
     std::optional<MonoTime> leavesAt; //!< it was announced to be gone by then
     int inFlight = 0;
-    int prefilling = 0;      //!< of those, without a first event yet
-    double prefillMs = 0;    //!< their estimated prompt reading time
-    MonoTime lastHeard;      //!< bytes from any of its connections
+    int prefilling = 0;   //!< of those, without a first event yet
+    double prefillMs = 0; //!< their estimated prompt reading time
+    MonoTime lastHeard;   //!< bytes from any of its connections
+    std::map<std::string, MonoTime>
+        loading;                        //!< models that this gateway waits for there, since when
     std::set<std::string> adaptersUsed; //!< MODEL/NAME sent there since the last demand message
 
     //! True while new requests may go there.
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -36,8 +36,9 @@
     }
     const auto path = target.substr( 0, target.find( '?' ) );
     const auto it =
-        std::find_if( routes->second.begin(), routes->second.end(),
-                      [path]( const Route* route ) { return path.starts_with( route->pathPrefix ); } );
+        std::find_if( routes->second.begin(), routes->second.end(), [path]( const Route* route ) {
+            return path.starts_with( route->pathPrefix );
+        } );
     return it == routes->second.end() ? nullptr : *it;
 }
 
--- a/src/gateway/selection.cpp
+++ b/src/gateway/selection.cpp
@@ -33,7 +33,8 @@
 } // namespace
 
 double costOf( const Candidate& candidate ) {
-    return interference( candidate ) + ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
+    return interference( candidate ) +
+           ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
            candidate.failures * failureMs + ( candidate.otherHall ? candidate.crossHallMs : 0 );
 }
 
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -42,8 +42,8 @@
 //! Lines that wait for the writer at the most.
 constexpr std::size_t queuedLines = 4096;
 
-void install( std::shared_ptr<spdlog::logger> logger, std::string_view level,
-              std::string_view role, std::string_view vm ) {
+void install( std::shared_ptr<spdlog::logger> logger, std::string_view level, std::string_view role,
+              std::string_view vm ) {
     logger->set_level( spdlog::level::from_str( std::string( level ) ) );
     logger->flush_on( spdlog::level::info );
     const std::string prefix = "time=%Y-%m-%dT%H:%M:%S.%eZ level=%l role=" + std::string( role ) +
--- a/src/net/frame_channel.cpp
+++ b/src/net/frame_channel.cpp
@@ -45,8 +45,7 @@
     nghttp2_session_callbacks_new( &out );
     nghttp2_session_callbacks_set_on_frame_recv_callback(
         out, []( nghttp2_session*, const nghttp2_frame* frame, void* user ) {
-            if( frame->hd.type == NGHTTP2_HEADERS &&
-                frame->headers.cat == NGHTTP2_HCAT_REQUEST ) {
+            if( frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST ) {
                 self( user ).answer( frame->hd.stream_id );
             }
             return 0;
@@ -60,9 +59,8 @@
     return out;
 }
 
-ssize_t FrameChannel::readOutbox( nghttp2_session*, std::int32_t, std::uint8_t* buf,
-                                  std::size_t n, std::uint32_t* flags,
-                                  nghttp2_data_source* source, void* ) {
+ssize_t FrameChannel::readOutbox( nghttp2_session*, std::int32_t, std::uint8_t* buf, std::size_t n,
+                                  std::uint32_t* flags, nghttp2_data_source* source, void* ) {
     return static_cast<FrameChannel*>( source->ptr )->takeOutbox( buf, n, flags );
 }
 
@@ -89,10 +87,9 @@
     nghttp2_submit_settings( m_session, NGHTTP2_FLAG_NONE, entries.data(), entries.size() );
     nghttp2_session_set_local_window_size( m_session, NGHTTP2_FLAG_NONE, 0, windowBytes );
     if( m_side == ChannelSide::client ) {
-        const std::array<nghttp2_nv, 4> headers{ header( ":method", "POST" ),
-                                                 header( ":scheme", "http" ),
-                                                 header( ":authority", "coursehead" ),
-                                                 header( ":path", "/control" ) };
+        const std::array<nghttp2_nv, 4> headers{
+            header( ":method", "POST" ), header( ":scheme", "http" ),
+            header( ":authority", "coursehead" ), header( ":path", "/control" ) };
         nghttp2_data_provider body{};
         body.source.ptr = this;
         body.read_callback = readOutbox;
--- a/src/net/json_client.hpp
+++ b/src/net/json_client.hpp
@@ -20,7 +20,7 @@
     std::string target;
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
-    Millis limit{ 1000 }; //!< for the whole call
+    Millis limit{ 1000 };    //!< for the whole call
     std::string wantedField; //!< name of a field of the answer to hand over
 };
 
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -43,8 +43,8 @@
         return it->get<double>();
     }
     Millis millis( const char* name, Millis otherwise ) const {
-        return Millis( static_cast<std::int64_t>(
-            number( name, static_cast<double>( otherwise.count() ) ) ) );
+        return Millis(
+            static_cast<std::int64_t>( number( name, static_cast<double>( otherwise.count() ) ) ) );
     }
     Millis seconds( const char* name, Millis otherwise ) const {
         const double given =
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -32,19 +32,19 @@
     Millis configuration{ 2000 }; //!< time to put a configuration in force
     double retryRatio = 0.2;      //!< retries allowed per request
     Millis retryWindow{ 10000 };
-    double retrySlack = 50;          //!< retries allowed per window on top, by all processes
-    Millis ceilingWindow{ 5000 };    //!< window of the weight store's rate
-    double ceilingOver = 1.1;        //!< tolerated factor over the weight store's rate
-    bool fencingRequired = false;    //!< upstreams check fencing tokens
+    double retrySlack = 50;       //!< retries allowed per window on top, by all processes
+    Millis ceilingWindow{ 5000 }; //!< window of the weight store's rate
+    double ceilingOver = 1.1;     //!< tolerated factor over the weight store's rate
+    bool fencingRequired = false; //!< upstreams check fencing tokens
 };
 
 //! The settings that the platform lays down for a process.
 struct NodeSettings {
     std::string vm;
     std::string hall;
-    Endpoint front;   //!< where clients are accepted; invalid on VMs beside an engine
-    Endpoint ready;   //!< where readiness is asked for
-    std::string ip;   //!< of this VM
+    Endpoint front;    //!< where clients are accepted; invalid on VMs beside an engine
+    Endpoint ready;    //!< where readiness is asked for
+    std::string ip;    //!< of this VM
     int firstPort = 0; //!< first of the ports free for the project's own traffic
     int lastPort = 0;
     Endpoint engine;     //!< the engine on this VM; invalid on fronts
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -284,7 +284,7 @@
         out.hall = in.value( "zone", "" );
         out.slots = in.value( "slots", 1 );
         out.state = in.value( "state", "ready" ) == "draining" ? gateway::UpstreamState::draining
-                                                                : gateway::UpstreamState::ready;
+                                                               : gateway::UpstreamState::ready;
         if( in.contains( "remainingMs" ) && in["remainingMs"].is_number() ) {
             out.remaining = Millis( in["remainingMs"].get<std::int64_t>() );
         }
@@ -379,6 +379,26 @@
     }
 }
 
+std::string_view nameOf( OrderVerdict verdict ) {
+    switch( verdict ) {
+    case OrderVerdict::underWay:
+        return "under_way";
+    case OrderVerdict::holds:
+        return "holds";
+    case OrderVerdict::conflict:
+        return "conflict";
+    case OrderVerdict::fenced:
+        return "fenced";
+    case OrderVerdict::refused:
+        return "refused";
+    case OrderVerdict::moved:
+        return "moved";
+    case OrderVerdict::unknown:
+        return "no_answer";
+    }
+    return "unknown";
+}
+
 std::string_view actualUpstreamHeader() {
     return actualInstanceName;
 }
@@ -425,7 +445,8 @@
         const auto in = Json::parse( json );
         StoreEvents out;
         for( const auto& it : in.at( "events" ) ) {
-            out.events.push_back( { readObject( it.at( "object" ) ), it.value( "isGone", false ) } );
+            out.events.push_back(
+                { readObject( it.at( "object" ) ), it.value( "isGone", false ) } );
         }
         out.revision = in.at( "timestamp" ).get<std::uint64_t>();
         return out;
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -62,7 +62,7 @@
 struct AnswerHead {
     std::string requestId;
     AnswerClass answerClass = AnswerClass::complete;
-    bool sealed = false; //!< carries the upstream's signature
+    bool sealed = false;        //!< carries the upstream's signature
     std::string actualUpstream; //!< who has the address, when it is not the one that was meant
 };
 AnswerHead readAnswerHead( unsigned status, const http::fields& fields );
@@ -88,15 +88,17 @@
 std::string encodeOrder( const Order& order );
 
 enum class OrderVerdict {
-    underWay,  //!< taken, being carried out
-    holds,     //!< done already
-    conflict,  //!< another order is under way, or the sequence differs
-    fenced,    //!< a higher fencing token was seen
-    refused,   //!< malformed
-    moved,     //!< meant for another start of the engine
-    unknown,   //!< no answer: it may be carried out, also later
+    underWay, //!< taken, being carried out
+    holds,    //!< done already
+    conflict, //!< another order is under way, or the sequence differs
+    fenced,   //!< a higher fencing token was seen
+    refused,  //!< malformed
+    moved,    //!< meant for another start of the engine
+    unknown,  //!< no answer: it may be carried out, also later
 };
 OrderVerdict orderVerdict( unsigned status );
+//! The verdict's name in logs.
+std::string_view nameOf( OrderVerdict verdict );
 //! Header in which a refusal names the upstream that has the address.
 std::string_view actualUpstreamHeader();
 
--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -23,8 +23,7 @@
     co_return platform::readEngineReport( answer.body );
 }
 
-net::Task<EngineClient::Given> EngineClient::give( platform::Order order,
-                                                   std::string upstreamId ) {
+net::Task<EngineClient::Given> EngineClient::give( platform::Order order, std::string upstreamId ) {
     net::JsonCall call;
     call.method = "POST";
     call.target = std::string( platform::orderPath );
--- a/src/sidecar/residency.cpp
+++ b/src/sidecar/residency.cpp
@@ -143,9 +143,9 @@
     }
     const bool slot =
         adapterCount( report ) < static_cast<std::size_t>( holdings.engine->adapterSlots );
-    const bool room = usedMb( *holdings.engine, report ) +
-                          adapterWeight( *holdings.engine, want.model ) <=
-                      holdings.engine->weightsMb;
+    const bool room =
+        usedMb( *holdings.engine, report ) + adapterWeight( *holdings.engine, want.model ) <=
+        holdings.engine->weightsMb;
     if( slot && room ) {
         return report.coming.size() < maxComing ? Step{ StepKind::load, want.model, want.adapter }
                                                 : Step{ StepKind::wait, want.model, want.adapter };
--- a/src/sidecar/residency.hpp
+++ b/src/sidecar/residency.hpp
@@ -13,8 +13,8 @@
 
 //! How much a model or adapter is used, as far as the sidecar knows.
 struct Use {
-    double perS = 0;  //!< requests a second, all gateways together
-    int copies = 1;   //!< upstreams that hold it
+    double perS = 0; //!< requests a second, all gateways together
+    int copies = 1;  //!< upstreams that hold it
     MonoTime lastUsed;
     MonoTime loadedAt;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -23,7 +23,7 @@
 using gateway::EnsureOutcome;
 
 //! Pause between reports while nothing is wanted.
-constexpr Millis idlePoll{ 100 };
+constexpr Millis idlePoll{ 150 };
 //! While a want waits: adapters load within some ten milliseconds, models within seconds.
 constexpr Millis wantPoll{ 12 };
 //! Reports are repeated at the latest after this, so that gateways know the sidecar lives.
@@ -41,6 +41,24 @@
 //! A kind of the project's own without objects: listing it reads the store's revision.
 constexpr std::string_view fenceKind = "fences";
 
+//! Gateways for which the pause between reports grows by another poll.
+constexpr int gatewaysPerPause = 8;
+//! Changes of the load that are worth a report of their own.
+constexpr std::uint32_t runningStep = 4;
+constexpr std::uint32_t prefillingStep = 2;
+
+bool apart( std::uint32_t a, std::uint32_t b, std::uint32_t step ) {
+    return ( a > b ? a - b : b - a ) >= step;
+}
+
+//! True when a gateway would decide differently by one report than by the other.
+bool differs( const gateway::EngineReport& a, const gateway::EngineReport& b ) {
+    return a.residents != b.residents || a.coming != b.coming || a.ordering != b.ordering ||
+           a.onDisk != b.onDisk || a.inMemory != b.inMemory || a.queued != b.queued ||
+           apart( a.running, b.running, runningStep ) ||
+           apart( a.prefilling, b.prefilling, prefillingStep );
+}
+
 //! One connected gateway.
 struct Peer {
     std::shared_ptr<net::FrameChannel> channel;
@@ -69,8 +87,8 @@
         net::start( m_context, obtainFence(), "fence" );
         net::start( m_context, converge(), "converge" );
         net::start( m_context, handleSignals(), "signals" );
-        log::info( "started", { { "engine", m_settings.engine.text() },
-                                { "hall", m_settings.hall } } );
+        log::info( "started",
+                   { { "engine", m_settings.engine.text() }, { "hall", m_settings.hall } } );
         m_context.run();
         log::info( "stopped", {} );
         return 0;
@@ -302,8 +320,8 @@
 
     net::Task<> give( Step step, std::string upstreamId ) {
         platform::Order order;
-        order.kind = step.kind == StepKind::load ? platform::OrderKind::load
-                                                 : platform::OrderKind::unload;
+        order.kind =
+            step.kind == StepKind::load ? platform::OrderKind::load : platform::OrderKind::unload;
         order.model = step.model;
         order.adapter = step.adapter;
         order.expectedSequence = m_report.sequence;
@@ -319,7 +337,7 @@
                               { "adapter", step.adapter },
                               { "upstream", upstreamId },
                               { "sequence", static_cast<std::int64_t>( m_report.sequence ) },
-                              { "verdict", static_cast<std::int64_t>( verdict ) } } );
+                              { "verdict", platform::nameOf( verdict ) } } );
     }
 
     //! The engine has restarted: what waits for its former start never comes.
@@ -339,6 +357,12 @@
         } );
     }
 
+    //! Between reports: what all gateways together take stays the same as their number grows.
+    Millis publishPause() const {
+        const auto rounds = 1 + static_cast<int>( m_peers.size() ) / gatewaysPerPause;
+        return std::min( idlePoll * rounds, reportEvery );
+    }
+
     void sendReport( Peer& peer ) {
         gateway::SidecarReport out;
         out.number = ++m_reportNumber;
@@ -353,10 +377,9 @@
     void publish() {
         const auto now = std::chrono::steady_clock::now();
         const bool due = now - m_published >= reportEvery;
-        if( !due && !m_changed && m_report == m_lastPublished ) {
-            return;
-        }
-        if( !due && now - m_published < idlePoll ) {
+        const bool soon = now - m_published >= publishPause();
+        const bool news = m_changed || differs( m_report, m_lastPublished );
+        if( !due && !( soon && news ) ) {
             return;
         }
         m_changed = false;
@@ -406,11 +429,11 @@
 } // namespace
 
 int runSidecar( std::span<const std::string> arguments ) {
-    return daemon::runPlatformRole(
-        "sidecar", arguments, []( const platform::NodeSettings& settings ) {
-            Sidecar sidecar( settings );
-            return sidecar.run();
-        } );
+    return daemon::runPlatformRole( "sidecar", arguments,
+                                    []( const platform::NodeSettings& settings ) {
+                                        Sidecar sidecar( settings );
+                                        return sidecar.run();
+                                    } );
 }
 
 } // namespace coursehead::sidecar
--- /dev/null
+++ b/tests/unit/gateway.tests.cpp
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/event_stream.hpp"
+#include "gateway/health.hpp"
+#include "gateway/http_text.hpp"
+#include "gateway/messages.hpp"
+#include "gateway/prefix_cache.hpp"
+#include "gateway/registry.hpp"
+#include "gateway/retry_window.hpp"
+#include "gateway/route_table.hpp"
+#include "gateway/selection.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace coursehead;
+using namespace coursehead::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const MonoTime start{ 1000s };
+
+Route route( std::string name, std::string prefix ) {
+    Route out;
+    out.name = std::move( name );
+    out.host = "A.example";
+    out.pathPrefix = std::move( prefix );
+    out.splits = { { "s", 1 } };
+    return out;
+}
+
+Upstream upstream( std::string id, int port, std::uint64_t created ) {
+    Upstream out;
+    out.id = std::move( id );
+    out.ip = "127.0.0.1";
+    out.port = port;
+    out.created = created;
+    return out;
+}
+
+Generation prompt( std::vector<PromptPart> parts ) {
+    Generation out;
+    out.model = "m";
+    out.parts = std::move( parts );
+    return out;
+}
+
+} // namespace
+
+TEST_CASE( "The longest prefix that begins the path wins", "[gateway][routes]" ) {
+    Configuration configuration;
+    configuration.routes = { route( "short", "/a/" ), route( "long", "/a/b/" ) };
+    const RouteTable table( std::move( configuration ) );
+    CHECK( table.find( "a.example:80", "/a/b/c?q=/x/" )->name == "long" );
+    CHECK( table.find( "A.EXAMPLE", "/a/bc" )->name == "short" );
+    CHECK( table.find( "a.example", "/b/?p=/a/" ) == nullptr );
+    CHECK( table.find( "b.example", "/a/" ) == nullptr );
+}
+
+TEST_CASE( "A split is drawn by weight, and nothing by weights of zero", "[gateway][routes]" ) {
+    Route split = route( "r", "/" );
+    split.splits = { { "s1", 90 }, { "s2", 10 } };
+    CHECK( pickSplit( split, 0.0 )->service == "s1" );
+    CHECK( pickSplit( split, 0.899 )->service == "s1" );
+    CHECK( pickSplit( split, 0.901 )->service == "s2" );
+    split.splits = { { "s1", 0 } };
+    CHECK( pickSplit( split, 0.5 ) == nullptr );
+}
+
+TEST_CASE( "Of two entries at one address the one made later holds, whatever their order",
+           "[gateway][registry]" ) {
+    for( const bool newFirst : { true, false } ) {
+        Registry registry( Registry::Settings{} );
+        registry.storeReachable( true, start );
+        const auto now = start + 10s;
+        std::vector<Upstream> listed{ upstream( "old", 80, 5 ), upstream( "new", 80, 9 ) };
+        if( newFirst ) {
+            std::swap( listed[0], listed[1] );
+        }
+        registry.list( listed, now );
+        REQUIRE( registry.members().size() == 1 );
+        CHECK( registry.members().contains( "new" ) );
+    }
+}
+
+TEST_CASE( "An entry that disappears while the store is well is gone at once",
+           "[gateway][registry]" ) {
+    Registry registry( Registry::Settings{} );
+    registry.storeReachable( true, start );
+    registry.put( upstream( "u", 80, 1 ), start );
+    registry.remove( "u", start + 10s );
+    CHECK( registry.members().empty() );
+}
+
+TEST_CASE( "Entries that lapse with the store stay in use until two seconds after its return",
+           "[gateway][registry]" ) {
+    Registry registry( Registry::Settings{} );
+    registry.storeReachable( true, start );
+    registry.put( upstream( "back", 80, 1 ), start );
+    registry.put( upstream( "lost", 81, 1 ), start );
+    registry.storeReachable( false, start + 10s );
+    registry.storeReachable( true, start + 20s );
+    registry.list( {}, start + 20s );
+    registry.expire( start + 21s );
+    CHECK( registry.members().size() == 2 );
+    registry.put( upstream( "back", 80, 1 ), start + 21s );
+    registry.expire( start + 22100ms );
+    REQUIRE( registry.members().size() == 1 );
+    CHECK( registry.members().contains( "back" ) );
+}
+
+TEST_CASE( "A leaving upstream whose entry goes is gone, also after an outage",
+           "[gateway][registry]" ) {
+    Registry registry( Registry::Settings{} );
+    auto leaving = upstream( "u", 80, 1 );
+    leaving.state = UpstreamState::draining;
+    registry.storeReachable( true, start );
+    registry.put( leaving, start );
+    registry.remove( "u", start + 100ms );
+    CHECK( registry.members().empty() );
+}
+
+TEST_CASE( "Retries never pass this gateway's share of the budget in any window",
+           "[gateway][retries]" ) {
+    rc::check( [] {
+        const RetryShare share{ 0.2, 54, 10s, *rc::gen::inRange( 1, 10 ) };
+        RetryWindow window;
+        MonoTime now = start;
+        std::vector<MonoTime> firsts;
+        std::vector<MonoTime> taken;
+        const auto steps = *rc::gen::container<std::vector<int>>( rc::gen::inRange( 0, 400 ) );
+        for( const int step : steps ) {
+            now += Millis( step );
+            window.countFirst( now );
+            firsts.push_back( now );
+            if( window.take( share, now ) ) {
+                taken.push_back( now );
+            }
+            const auto recent = [now]( const std::vector<MonoTime>& times ) {
+                return static_cast<double>(
+                    std::count_if( times.begin(), times.end(),
+                                   [now]( MonoTime it ) { return now - it <= Millis( 10s ); } ) );
+            };
+            RC_ASSERT( recent( taken ) <= 0.2 * recent( firsts ) + 54.0 / share.gateways );
+        }
+    } );
+}
+
+TEST_CASE( "Whole events are passed on, the rest waits", "[gateway][stream]" ) {
+    EventCutter cutter( std::nullopt );
+    std::string out;
+    REQUIRE( cutter.feed( "id: 0\ndata: a\n\nid: 1\nda", out ) );
+    CHECK( out == "id: 0\ndata: a\n\n" );
+    CHECK( cutter.last() == 0 );
+    CHECK_FALSE( cutter.atBoundary() );
+    REQUIRE( cutter.feed( "ta: b\n\n", out ) );
+    CHECK( cutter.last() == 1 );
+    CHECK( cutter.atBoundary() );
+}
+
+TEST_CASE( "A stream that repeats or skips an event is not trusted", "[gateway][stream]" ) {
+    std::string out;
+    EventCutter repeated( 4 );
+    CHECK_FALSE( repeated.feed( "id: 4\ndata: a\n\n", out ) );
+    EventCutter skipped( 4 );
+    CHECK_FALSE( skipped.feed( "id: 6\ndata: a\n\n", out ) );
+    EventCutter next( 4 );
+    CHECK( next.feed( "id: 5\ndata: a\n\n", out ) );
+}
+
+TEST_CASE( "Cut anywhere, a stream gives the same events", "[gateway][stream]" ) {
+    rc::check( [] {
+        std::string stream;
+        for( int n = 0; n < 5; ++n ) {
+            stream += "id: " + std::to_string( n ) + "\ndata: x\n\n";
+        }
+        EventCutter cutter( std::nullopt );
+        std::string out;
+        std::size_t at = 0;
+        while( at < stream.size() ) {
+            const auto n = *rc::gen::inRange<std::size_t>( 1, 9 );
+            RC_ASSERT( cutter.feed( std::string_view( stream ).substr( at, n ), out ) );
+            at += n;
+        }
+        RC_ASSERT( out == stream );
+        RC_ASSERT( cutter.atBoundary() );
+    } );
+}
+
+TEST_CASE( "A prompt's parts count as kept only behind kept parts", "[gateway][prefix]" ) {
+    PrefixCache cache( 1000 );
+    const auto first = prompt( { { 1, 100 }, { 2, 200 }, { 3, 50 } } );
+    cache.insert( prefixKeys( first ), first );
+    CHECK( cache.kept( prefixKeys( first ), first ) == 350 );
+    const auto sibling = prompt( { { 1, 100 }, { 2, 200 }, { 9, 70 } } );
+    CHECK( cache.kept( prefixKeys( sibling ), sibling ) == 300 );
+    const auto other = prompt( { { 9, 100 }, { 2, 200 } } );
+    CHECK( cache.kept( prefixKeys( other ), other ) == 0 );
+    auto adapted = first;
+    adapted.adapter = "a1";
+    CHECK( cache.kept( prefixKeys( adapted ), adapted ) == 0 );
+}
+
+TEST_CASE( "The part unused longest gives way first, and a prompt's tail before its head",
+           "[gateway][prefix]" ) {
+    PrefixCache cache( 300 );
+    const auto first = prompt( { { 1, 100 }, { 2, 100 } } );
+    const auto second = prompt( { { 1, 100 }, { 3, 150 } } );
+    cache.insert( prefixKeys( first ), first );
+    cache.insert( prefixKeys( second ), second );
+    CHECK( cache.kept( prefixKeys( second ), second ) == 250 );
+    CHECK( cache.kept( prefixKeys( first ), first ) == 100 );
+}
+
+TEST_CASE( "The lowest cost is chosen; an avoided upstream only when nothing else is left",
+           "[gateway][selection]" ) {
+    std::vector<Candidate> candidates( 3 );
+    candidates[0].backlogMs = 100;
+    candidates[1].backlogMs = 20;
+    candidates[2].avoided = true;
+    CHECK( choose( candidates ) == 1 );
+    candidates[0].avoided = true;
+    candidates[1].avoided = true;
+    CHECK( choose( candidates ) == 2 );
+    CHECK_FALSE( choose( {} ) );
+}
+
+TEST_CASE( "Among equals the upstream that all gateways prefer is chosen",
+           "[gateway][selection]" ) {
+    std::vector<Candidate> candidates( 2 );
+    candidates[0].affinity = 3;
+    candidates[1].affinity = 7;
+    candidates[1].workMs = 5;
+    CHECK( choose( candidates ) == 1 );
+    candidates[1].workMs = 50;
+    CHECK( choose( candidates ) == 0 );
+}
+
+TEST_CASE( "Long prompts keep away from running streams", "[gateway][selection]" ) {
+    std::vector<Candidate> candidates( 2 );
+    candidates[0].workMs = 400;
+    candidates[0].decoding = 5;
+    candidates[1].workMs = 500;
+    CHECK( choose( candidates ) == 1 );
+}
+
+TEST_CASE(
+    "Failures and slowness fade, and an unreachable upstream is avoided for longer each time",
+    "[gateway][health]" ) {
+    Health health;
+    noteFailure( health, 1.0, start );
+    CHECK( recentFailures( health, start + 2s ) == Approx( 0.5 ) );
+    noteSuccess( health, 800, 100, start );
+    CHECK( slownessNow( health, start ) > 2.0 );
+    CHECK( slownessNow( health, start + 30s ) == Approx( 1.0 ).margin( 0.01 ) );
+    noteUnreachable( health, start );
+    const auto firstPause = health.avoidUntil - start;
+    noteUnreachable( health, start );
+    CHECK( health.avoidUntil - start == 2 * firstPause );
+    noteSuccess( health, 100, 100, start );
+    CHECK( health.avoidUntil < start );
+}
+
+TEST_CASE( "Fields of one connection stay there, also those that Connection names",
+           "[gateway][http]" ) {
+    http::fields fields;
+    fields.set( http::field::connection, "keep-alive, X-Hop" );
+    fields.set( http::field::keep_alive, "timeout=5" );
+    fields.set( "X-Hop", "1" );
+    fields.set( "X-Request-Id", "r1" );
+    fields.set( http::field::transfer_encoding, "chunked" );
+    std::string out;
+    appendForwarded( out, fields );
+    CHECK( out == "X-Request-Id: r1\r\n" );
+}
+
+TEST_CASE( "Messages between gateways and sidecars survive the wire", "[gateway][messages]" ) {
+    EngineNews news;
+    news.gateway = "vm-1";
+    news.configVersion = 4;
+    news.engine.weightsMb = 220000;
+    news.engine.models.push_back( { "m1", 65100, 12, 3, 3800ms, 760ms, 380ms } );
+    const auto decoded = decode( encode( Message( news ) ) );
+    REQUIRE( decoded );
+    const auto& got = std::get<EngineNews>( *decoded );
+    CHECK( got.engine.models[0].diskLoad == 760ms );
+    CHECK( got.engine.weightsMb == 220000 );
+    SidecarReport report;
+    report.formerUpstreams = { "i-1" };
+    report.engine.residents = { { "m1", { "a1" } } };
+    const auto second = decode( encode( Message( report ) ) );
+    REQUIRE( second );
+    CHECK( std::get<SidecarReport>( *second ).engine == report.engine );
+}
+
+TEST_CASE( "Bytes that are no message are refused", "[gateway][messages]" ) {
+    CHECK_FALSE( decode( "" ) );
+    CHECK_FALSE( decode( "nonsense" ) );
+    rc::check( []( const std::string& bytes ) { static_cast<void>( decode( bytes ) ); } );
+}
--- /dev/null
+++ b/tests/unit/platform.tests.cpp
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "platform/node_settings.hpp"
+#include "platform/wire.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace coursehead;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* goodSettings = R"({
+  "nodeName": "front-1", "zone": "hall-a", "ip": "127.0.0.1",
+  "listen": {"front": "127.0.0.1:8149", "ready": "127.0.0.1:8141"},
+  "internalPorts": [7380, 7395], "unknownField": [1, 2],
+  "bounds": {"graceS": 8, "drainMs": 2500, "budgetRatio": 0.2, "ceilingWindowS": 5},
+  "platform": {"address": "127.0.0.1:8142", "readsPerS": 2000}
+})";
+
+constexpr const char* configuration = R"({"version": 7,
+  "routes": [
+    {"name": "r1", "host": "A.example", "pathPrefix": "/x/", "kind": "streaming", "timeoutMs": 5000,
+     "goalMs": 800, "priority": 1, "attempts": 2, "resumable": true, "gapTargetMs": 400,
+     "split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}]},
+    {"name": "r2", "host": "a.example", "pathPrefix": "/x/y/", "kind": "unsafe", "timeoutMs": 1000,
+     "service": "s2"}],
+  "services": [
+    {"name": "s1", "connectionLimit": 360, "engine": {"slots": 64, "cacheTokens": 1000,
+     "weightsMb": 220000, "adapterSlots": 8, "loadsPerS": 2.1,
+     "models": [{"name": "m1", "weightsMb": 65100, "loadS": 3.8, "diskS": 0.76, "warmS": 0.38,
+                 "adapters": 3, "adapterMb": 12}]}},
+    {"name": "s2", "connectionLimit": 100}],
+  "limits": {"headerBytes": 16384, "bodyBytes": 4194304, "headerMs": 3000, "idleMs": 15000}})";
+
+platform::http::fields withField( std::string_view name, std::string_view value ) {
+    platform::http::fields out;
+    out.set( name, value );
+    return out;
+}
+
+} // namespace
+
+TEST_CASE( "A settings file is read, and fields it does not know are passed over",
+           "[platform][settings]" ) {
+    const auto read = platform::parseNodeSettings( goodSettings );
+    REQUIRE( read.problems.empty() );
+    CHECK( read.settings.vm == "front-1" );
+    CHECK( read.settings.front.port == 8149 );
+    CHECK( read.settings.lastPort == 7395 );
+    CHECK( read.settings.bounds.grace == 8000ms );
+    CHECK( read.settings.bounds.drain == 2500ms );
+    CHECK_FALSE( read.settings.engine.valid() );
+}
+
+TEST_CASE( "Every bad setting is named with its value", "[platform][settings]" ) {
+    auto json = nlohmann::json::parse( goodSettings );
+    json["internalPorts"] = { 9, 3 };
+    json["listen"]["front"] = "127.0.0.1";
+    json["platform"].erase( "address" );
+    json["bounds"]["graceS"] = "long";
+    const auto read = platform::parseNodeSettings( json.dump() );
+    REQUIRE( read.problems.size() == 4 );
+    std::string all;
+    for( const auto& it : read.problems ) {
+        all += it + "\n";
+    }
+    CHECK( all.find( "internalPorts = [9,3]" ) != std::string::npos );
+    CHECK( all.find( "listen.front = \"127.0.0.1\"" ) != std::string::npos );
+    CHECK( all.find( "platform.address = (missing)" ) != std::string::npos );
+    CHECK( all.find( "bounds.graceS = \"long\"" ) != std::string::npos );
+}
+
+TEST_CASE( "A settings file that is no JSON object is a problem, not a crash",
+           "[platform][settings]" ) {
+    CHECK( platform::parseNodeSettings( "[1" ).problems.size() == 1 );
+    CHECK( platform::readNodeSettings( "/nonexistent/file" ).problems.size() == 1 );
+}
+
+TEST_CASE( "A configuration is decoded into routes, services and limits", "[platform][wire]" ) {
+    std::string problem;
+    const auto read = platform::readConfiguration( configuration, problem );
+    REQUIRE( read );
+    CHECK( read->version == 7 );
+    REQUIRE( read->routes.size() == 2 );
+    CHECK( read->routes[0].kind == gateway::RequestKind::stream );
+    CHECK( read->routes[0].idempotent() );
+    CHECK( read->routes[0].splits.size() == 2 );
+    CHECK( read->routes[1].kind == gateway::RequestKind::once );
+    CHECK_FALSE( read->routes[1].idempotent() );
+    REQUIRE( read->services.at( "s1" ).engine );
+    CHECK( read->services.at( "s1" ).engine->find( "m1" )->diskLoad == 760ms );
+    CHECK_FALSE( read->services.at( "s2" ).engine );
+    CHECK( read->limits.idleTime == 15000ms );
+}
+
+TEST_CASE( "A configuration that lacks a field is refused with the reason", "[platform][wire]" ) {
+    std::string problem;
+    CHECK_FALSE( platform::readConfiguration( R"({"version": 1})", problem ) );
+    CHECK( problem.find( "routes" ) != std::string::npos );
+}
+
+TEST_CASE( "An upstream's entry tells its state and how long it still lives", "[platform][wire]" ) {
+    std::string problem;
+    const auto read = platform::readUpstream(
+        "i-1",
+        R"({"service":"s1","address":"127.0.0.1:80","zone":"z","slots":64,"state":"draining",
+            "remainingMs":1700,"models":[{"name":"m1","version":1,"adapters":["a1"]}]})",
+        problem );
+    REQUIRE( read );
+    CHECK( read->state == gateway::UpstreamState::draining );
+    CHECK( read->remaining == 1700ms );
+    CHECK( read->residents[0].adapters == std::vector<std::string>{ "a1" } );
+    CHECK_FALSE(
+        platform::readUpstream( "i-2", R"({"service":"s","address":"nowhere"})", problem ) );
+}
+
+TEST_CASE( "A request's prompt parts, model and adapter are read from its head",
+           "[platform][wire]" ) {
+    platform::http::fields fields;
+    fields.set( "X-Request-Id", "r1" );
+    fields.set( "X-Deadline-Ms", "5000" );
+    fields.set( "X-Model", "m1/a3" );
+    fields.set( "X-Token-Counts", "1460,80" );
+    fields.set( "X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410" );
+    const auto head = platform::readRequestHead( fields );
+    CHECK( head.requestId == "r1" );
+    CHECK( head.deadline == 5000ms );
+    REQUIRE( head.generation );
+    CHECK( head.generation->model == "m1" );
+    CHECK( head.generation->adapter == "a3" );
+    CHECK( head.generation->mostTokens == 80 );
+    REQUIRE( head.generation->parts.size() == 2 );
+    CHECK( head.generation->parts[0].id == 0x5c1e07a2 );
+    CHECK( head.generation->parts[1].tokens == 410 );
+}
+
+TEST_CASE( "Malformed numbers in a request's head count as absent", "[platform][wire]" ) {
+    CHECK_FALSE( platform::readRequestHead( withField( "X-Deadline-Ms", "soon" ) ).deadline );
+    CHECK_FALSE( platform::readRequestHead( withField( "X-Deadline-Ms", "-4" ) ).deadline );
+    CHECK_FALSE( platform::readRequestHead( withField( "Last-Event-Id", "x" ) ).lastEventId );
+}
+
+TEST_CASE( "Only answers that say so were not run", "[platform][wire]" ) {
+    using platform::AnswerClass;
+    CHECK( platform::readAnswerHead( 503, {} ).answerClass == AnswerClass::complete );
+    CHECK( platform::readAnswerHead( 503, withField( "X-Not-Run", "1" ) ).answerClass ==
+           AnswerClass::notRun );
+    const auto moved = platform::readAnswerHead( 421, withField( "X-Instance-Id", "i-2" ) );
+    CHECK( moved.answerClass == AnswerClass::moved );
+    CHECK( moved.actualUpstream == "i-2" );
+}
+
+TEST_CASE( "An engine's report counts the requests that still read their prompt",
+           "[platform][wire]" ) {
+    const auto report = platform::readEngineReport(
+        R"({"models":[{"name":"m1","version":1,"adapters":[{"name":"a1"}]}],"busySlots":true,
+            "sequence":3,"queuedRequests":2,"activeRequests":5,
+            "runs":[["r1",800,0,1],["r2",900,4,1]],"coming":["m1/a2@1"],
+            "available":{"inMemory":["m1"],"onDisk":[{"name":"m2"}]}})" );
+    REQUIRE( report );
+    CHECK( report->ordering );
+    CHECK( report->sequence == 3 );
+    CHECK( report->prefilling == 1 );
+    CHECK( report->coming == std::vector<std::string>{ "m1/a2" } );
+    CHECK( report->onDisk == std::vector<std::string>{ "m2" } );
+    CHECK_FALSE( platform::readEngineReport( "no json" ) );
+}
+
+TEST_CASE( "An order carries the sequence that it expects, its holder and its fence",
+           "[platform][wire]" ) {
+    platform::Order order;
+    order.model = "m1";
+    order.adapter = "a1";
+    order.expectedSequence = 4;
+    order.holder = "vm-1";
+    order.fence = 77;
+    const auto json = nlohmann::json::parse( platform::encodeOrder( order ) );
+    CHECK( json["operation"] == "load" );
+    CHECK( json["expectedRevision"] == 4 );
+    CHECK( json["fence"] == 77 );
+    CHECK( json["holder"] == "vm-1" );
+    CHECK( platform::orderVerdict( 409 ) == platform::OrderVerdict::conflict );
+    CHECK( platform::orderVerdict( 421 ) == platform::OrderVerdict::moved );
+}
+
+TEST_CASE( "Pages and events of the store are read with their revisions", "[platform][wire]" ) {
+    const auto page = platform::readPage(
+        R"({"items":[{"metadata":{"name":"i-1","revision":9,"created":4},"specification":{"a":1}}],
+            "morePages":true,"timestamp":530})" );
+    REQUIRE( page );
+    CHECK( page->more );
+    CHECK( page->revision == 530 );
+    CHECK( page->objects[0].created == 4 );
+    const auto events = platform::readEvents(
+        R"({"events":[{"object":{"metadata":{"name":"i-1"}},"isGone":true}],"timestamp":533})" );
+    REQUIRE( events );
+    CHECK( events->events[0].removed );
+    CHECK_FALSE( platform::readPage( "{}" ) );
+    CHECK_FALSE( platform::readEvents( "" ) );
+}
+
+TEST_CASE( "Retry-After is told in seconds with fractions", "[platform][wire]" ) {
+    CHECK( platform::retryAfterText( 300ms ) == "0.30" );
+    CHECK( platform::retryAfterText( 2000ms ) == "2.00" );
+}
--- /dev/null
+++ b/tests/unit/sidecar.tests.cpp
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/residency.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace coursehead;
+using namespace coursehead::sidecar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const MonoTime now{ 1000s };
+
+gateway::EngineSpec engine() {
+    gateway::EngineSpec out;
+    out.weightsMb = 220000;
+    out.adapterSlots = 2;
+    for( int n = 0; n < 5; ++n ) {
+        out.models.push_back( { "m" + std::to_string( n ), 72700, 66, 4, 4200ms, 840ms, 400ms } );
+    }
+    return out;
+}
+
+struct Fixture {
+    gateway::EngineSpec spec = engine();
+    gateway::EngineReport report;
+    Holdings holdings;
+
+    Fixture() {
+        report.residents = { { "m0", {} }, { "m1", {} }, { "m2", {} } };
+        report.onDisk = { "m0", "m1", "m2", "m3" };
+        holdings.engine = &spec;
+        holdings.report = &report;
+    }
+    void use( const std::string& model, double perS, int copies ) {
+        Use out;
+        out.perS = perS;
+        out.copies = copies;
+        holdings.models[model] = out;
+    }
+};
+
+} // namespace
+
+TEST_CASE( "A model that is there needs no order", "[sidecar][residency]" ) {
+    Fixture f;
+    CHECK( nextStep( f.holdings, { "m1", "", false }, now ).kind == StepKind::ready );
+}
+
+TEST_CASE( "The copy that is missed least makes way: one of many before a last one",
+           "[sidecar][residency]" ) {
+    Fixture f;
+    f.use( "m0", 26, 18 );
+    f.use( "m1", 0.16, 1 );
+    f.use( "m2", 5, 2 );
+    const auto step = nextStep( f.holdings, { "m3", "", false }, now );
+    CHECK( step.kind == StepKind::unload );
+    CHECK( step.model == "m0" );
+}
+
+TEST_CASE( "A model loaded just now does not make way", "[sidecar][residency]" ) {
+    Fixture f;
+    for( const auto* it : { "m0", "m1", "m2" } ) {
+        f.holdings.models[it].loadedAt = now - 100ms;
+    }
+    CHECK( nextStep( f.holdings, { "m3", "", false }, now ).kind == StepKind::noRoom );
+}
+
+TEST_CASE( "A model that only the weight store has waits for leave to use it",
+           "[sidecar][residency]" ) {
+    Fixture f;
+    f.report.residents.pop_back();
+    CHECK( nextStep( f.holdings, { "m4", "", false }, now ).kind == StepKind::needStore );
+    CHECK( nextStep( f.holdings, { "m4", "", true }, now ).kind == StepKind::load );
+}
+
+TEST_CASE( "While a model's order is under way no other order is given", "[sidecar][residency]" ) {
+    Fixture f;
+    f.report.ordering = true;
+    CHECK( nextStep( f.holdings, { "m3", "", false }, now ).kind == StepKind::wait );
+    CHECK( nextStep( f.holdings, { "m1", "a1", false }, now ).kind == StepKind::wait );
+}
+
+TEST_CASE( "An adapter takes a free slot, or that of the one unused longest",
+           "[sidecar][residency]" ) {
+    Fixture f;
+    CHECK( nextStep( f.holdings, { "m1", "a1", false }, now ).kind == StepKind::load );
+    f.report.residents[0].adapters = { "a1" };
+    f.report.residents[2].adapters = { "a2" };
+    f.holdings.adapters["m0/a1"].lastUsed = now - 2s;
+    f.holdings.adapters["m2/a2"].lastUsed = now - 5s;
+    const auto step = nextStep( f.holdings, { "m1", "a1", false }, now );
+    CHECK( step.kind == StepKind::unload );
+    CHECK( step.model == "m2" );
+    CHECK( step.adapter == "a2" );
+}
+
+TEST_CASE( "Adapters in use keep their slots, and those on their way count",
+           "[sidecar][residency]" ) {
+    Fixture f;
+    f.report.residents[0].adapters = { "a1" };
+    f.report.coming = { "m1/a4" };
+    f.holdings.adapters["m0/a1"].lastUsed = now - 10ms;
+    CHECK( nextStep( f.holdings, { "m1", "a1", false }, now ).kind == StepKind::noRoom );
+    CHECK( nextStep( f.holdings, { "m1", "a4", false }, now ).kind == StepKind::wait );
+}
+
+TEST_CASE( "An engine never holds more than its room, whatever is wanted in whatever order",
+           "[sidecar][residency]" ) {
+    rc::check( [] {
+        Fixture f;
+        f.report.residents.clear();
+        MonoTime at = now;
+        const auto wants = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair( rc::gen::inRange( 0, 5 ), rc::gen::inRange( 0, 4 ) ) );
+        for( const auto& [model, adapter] : wants ) {
+            Want want{ "m" + std::to_string( model ), "", true };
+            if( adapter > 0 ) {
+                want.adapter = "a" + std::to_string( adapter );
+            }
+            for( int round = 0; round < 10; ++round ) {
+                at += 2s;
+                const auto step = nextStep( f.holdings, want, at );
+                if( step.kind != StepKind::load && step.kind != StepKind::unload ) {
+                    break;
+                }
+                auto& residents = f.report.residents;
+                const auto it =
+                    std::find_if( residents.begin(), residents.end(),
+                                  [&]( const auto& r ) { return r.model == step.model; } );
+                if( step.adapter.empty() && step.kind == StepKind::load ) {
+                    RC_ASSERT( it == residents.end() );
+                    residents.push_back( { step.model, {} } );
+                } else if( step.adapter.empty() ) {
+                    residents.erase( it );
+                } else if( step.kind == StepKind::load ) {
+                    it->adapters.push_back( step.adapter );
+                } else {
+                    std::erase( it->adapters, step.adapter );
+                }
+                std::size_t adapters = 0;
+                for( const auto& r : residents ) {
+                    adapters += r.adapters.size();
+                }
+                RC_ASSERT( usedMb( f.spec, f.report ) <= f.spec.weightsMb );
+                RC_ASSERT( adapters <= 2U );
+            }
+            RC_ASSERT( nextStep( f.holdings, want, at ).kind == StepKind::ready );
+        }
+    } );
+}
