Drain: clients that come late get what fits the time left; 408 for a head that does not arrive

Ruled out: a leak (the one request in flight at each stop is the longest stream, sent 5 to 6 s before). Now a request whose deadline lies before the stop is served, others are refused with when to come back.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -106,10 +106,11 @@
     parser.body_limit( limits.bodyBytes );
     net::ErrorCode failure;
     {
-        net::SocketDeadline deadline( socket, arrived + limits.headerTime );
+        net::SocketDeadline deadline( socket, arrived + limits.headerTime, net::WhenDue::cancel );
         auto [ec, n] = co_await http::async_read_header( socket, buf, parser, net::tupled );
         failure = ec;
         if( deadline.expired() ) {
+            out.refusal = statusTimeout;
             co_return out;
         }
     }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -149,6 +149,12 @@
     if( m_request.head.deadline ) {
         m_deadline = std::min( m_deadline, m_request.arrived + *m_request.head.deadline );
     }
+    if( m_shared.pastHandover && m_deadline > m_shared.stopAt ) {
+        std::string reason = "leaving";
+        co_await answerOwn( statusUnavailable, std::move( reason ), modelRetryAfter );
+        logEnd( "refused" );
+        co_return ExchangeResult{ m_keepAlive };
+    }
     if( m_request.head.generation ) {
         m_prefix = prefixKeys( *m_request.head.generation );
         m_need.generation = &*m_request.head.generation;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -32,8 +32,10 @@
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
     bool draining = false;
-    bool sendsEnded = false;            //!< too late for a send: the process is about to stop
-    std::set<net::Socket*> idleClients; //!< kept connections without a request
+    MonoTime stopAt{};                    //!< when draining: nothing may be in flight any more
+    bool pastHandover = false;            //!< when draining: clients had time to go elsewhere
+    bool sendsEnded = false;              //!< too late for a send: the process is about to stop
+    std::set<net::Socket*> idleClients{}; //!< kept connections without a request
 };
 
 //! A request as it came from the client.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,9 +40,10 @@
 public:
     explicit Gateway( platform::NodeSettings settings )
         : m_settings( std::move( settings ) ), m_random( systemSeed() ),
-          m_fleet( m_context, m_random, fleetSettings() ), m_registry( Registry::Settings{} ),
-          m_shared{ m_context, m_fleet, m_random, m_metrics, m_settings.bounds, nullptr, {},
-                    0,         false,   false,    {} },
+          m_fleet( m_context, m_random, fleetSettings() ),
+          m_registry( Registry::Settings{} ), m_shared{ m_context, m_fleet,           m_random,
+                                                        m_metrics, m_settings.bounds, nullptr,
+                                                        {} },
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
@@ -99,9 +100,6 @@
     net::Task<> acceptClients() {
         for( ;; ) {
             auto [ec, socket] = co_await m_front->async_accept( net::tupled );
-            if( !m_front->is_open() ) {
-                co_return;
-            }
             if( ec ) {
                 log::warn( "accept_failed", { { "detail", ec.message() } } );
                 constexpr Millis delay{ 20 };
@@ -240,11 +238,11 @@
         log::info( "leaving", { { "in_flight", static_cast<std::int64_t>( m_shared.inFlight ) } } );
         const auto start = std::chrono::steady_clock::now();
         const auto limit = start + m_settings.bounds.grace - exitMargin;
+        m_shared.stopAt = limit;
         closeIdleClients();
         co_await net::pause( m_context, leaveDelay );
-        // No client is sent here any more; one that comes all the same is better off elsewhere.
-        net::ErrorCode ec;
-        m_front->close( ec );
+        // Clients that come all the same, where every gateway leaves, get what fits the time left.
+        m_shared.pastHandover = true;
         closeIdleClients();
         while( m_shared.inFlight > 0 && std::chrono::steady_clock::now() < limit ) {
             constexpr Millis step{ 20 };
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -33,13 +33,18 @@
     return { address, static_cast<unsigned short>( port ) };
 }
 
-SocketDeadline::SocketDeadline( Socket& socket, MonoTime at )
+SocketDeadline::SocketDeadline( Socket& socket, MonoTime at, WhenDue action )
     : m_timer( socket.get_executor() ), m_state( std::make_shared<State>( State::waiting ) ) {
     m_timer.expires_at( at );
-    m_timer.async_wait( [&socket, state = m_state]( ErrorCode ec ) {
-        if( !ec && *state == State::waiting ) {
-            *state = State::expired;
+    m_timer.async_wait( [&socket, action, state = m_state]( ErrorCode ec ) {
+        if( ec || *state != State::waiting ) {
+            return;
+        }
+        *state = State::expired;
+        if( action == WhenDue::close ) {
             socket.close( ec );
+        } else {
+            socket.cancel( ec );
         }
     } );
 }
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -42,11 +42,17 @@
 //! An endpoint of an IP number; the error in `ec`.
 tcp::endpoint endpointOf( const std::string& ip, int port, ErrorCode& ec );
 
-//! Closes a socket when time is up, unless it is destroyed or cancelled before. The socket must
-//! outlive it.
+//! What a deadline does to its socket.
+enum class WhenDue {
+    close,  //!< nothing more goes either way
+    cancel, //!< only what waits is ended
+};
+
+//! Ends what waits on a socket when time is up, unless it is destroyed or cancelled before. The
+//! socket must outlive it.
 class SocketDeadline {
 public:
-    SocketDeadline( Socket& socket, MonoTime at );
+    SocketDeadline( Socket& socket, MonoTime at, WhenDue action = WhenDue::close );
     ~SocketDeadline() { cancel(); }
     SocketDeadline( const SocketDeadline& ) = delete;
     SocketDeadline& operator=( const SocketDeadline& ) = delete;
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -68,7 +68,7 @@
         if( it == nullptr || it->is_null() ) {
             return {};
         }
-        const Endpoint out = it->is_string() ? readEndpoint( it->get<std::string>() ) : Endpoint{};
+        Endpoint out = it->is_string() ? readEndpoint( it->get<std::string>() ) : Endpoint{};
         if( !out.valid() ) {
             complain( name, it, "expected IP:PORT" );
         }
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -54,6 +54,7 @@
     out.services.emplace( "s", service );
     out.limits.bodyBytes = 1000;
     out.limits.headerBytes = 2000;
+    out.limits.headerTime = 150ms;
     return out;
 }
 
@@ -63,7 +64,7 @@
     RandomSource random{ 1 };
     metrics::Metrics metrics;
     Fleet fleet{ context, random, FleetSettings{ "vm", "hall", 1, 5000ms, 1.1 } };
-    Shared shared{ context, fleet, random, metrics, {}, nullptr, {}, 0, false, false, {} };
+    Shared shared{ context, fleet, random, metrics, {}, nullptr, {} };
     ScriptedUpstream first{ context };
     ScriptedUpstream second{ context };
     net::Acceptor front = net::listen( context, "127.0.0.1", 0 );
@@ -293,6 +294,7 @@
         startsWith( Path().ask( "GET", "/safe/a", "X-Long: " + std::string( 3000, 'x' ) + "\r\n" ),
                     "HTTP/1.1 431" ) );
     CHECK( startsWith( Path().send( "not http at all\r\n\r\n" ), "HTTP/1.1 400" ) );
+    CHECK( startsWith( Path().send( "GET /safe/a HTTP/1.1\r\nHost:" ), "HTTP/1.1 408" ) );
 }
 
 TEST_CASE( "Without a configuration a request is refused, not judged", "[gateway][exchange]" ) {
@@ -312,6 +314,21 @@
     CHECK( got.substr( got.size() - 4 ) == "done" );
 }
 
+TEST_CASE( "Late in a drain only what ends in time is taken, the rest is sent elsewhere",
+           "[gateway][exchange]" ) {
+    Path path;
+    path.shared.draining = true;
+    path.shared.pastHandover = true;
+    path.shared.stopAt = std::chrono::steady_clock::now() + 1000ms;
+    const auto late = path.ask( "GET", "/safe/a" );
+    CHECK( startsWith( late, "HTTP/1.1 503" ) );
+    CHECK( late.find( "Retry-After" ) != std::string::npos );
+    path.first.then( { wholeAnswer( 200, sealed, "done" ) } );
+    const auto got = path.send( "GET /safe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                                "X-Deadline-Ms: 300\r\n\r\n" );
+    CHECK( startsWith( got, "HTTP/1.1 200" ) );
+}
+
 TEST_CASE( "When an upstream stays silent the request ends at its limit", "[gateway][exchange]" ) {
     Path path;
     path.first.then( { "", false, true } );
