--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -68,6 +68,12 @@
     std::weak_ptr<UpstreamConnection> upstream; //!< closed when the client leaves
 };
 
+//! One send of a request; see transfer.hpp.
+struct Transfer;
+
+//! Time kept back for the last answer: a request that reaches its limit gets it in time.
+inline constexpr Millis answerMargin{ 30 };
+
 //! How a request ended towards its client.
 struct ExchangeResult {
     bool keepAlive = true; //!< the client's connection may serve another request
@@ -105,19 +111,25 @@
     net::Task<Sent> sendTo( NodePtr node, const Choice& choice );
     net::Task<ConnectionPtr> connectionTo( Node& node );
     net::Task<Sent> receive( Node& node, ConnectionPtr connection, const Choice& choice );
-    net::Task<Sent> passStream( Node& node, ConnectionPtr connection, const Choice& choice );
+    net::Task<Sent> passStream( Transfer& transfer );
+    net::Task<Sent> takeWhole( Transfer& transfer );
+    SendEnd judge( Transfer& transfer, unsigned status );
+    bool ended( const Transfer& transfer ) const;
+    std::string streamText( std::string_view events, bool finished );
     net::Task<bool> writeClient( std::string bytes );
     net::Task<> answerWhole( const WholeAnswer& answer );
     net::Task<> answerOwn( unsigned status, std::string reason, Millis retryAfter );
     net::Task<> finishFailed();
     std::string requestBytes( const Node& node ) const;
     bool keepsAlive() const { return m_keepAlive && !m_shared.draining; }
+    //! Until when the request may wait for a model before it is sent.
+    MonoTime waitLimit() const;
     Millis storeWait() const;
     int urgency() const;
     bool mayTryAgain( const Sent& sent );
     bool timeLeft( MonoTime now ) const { return now < m_deadline; }
     void logSend( const Node& node, const Choice& choice, MonoTime now ) const;
-    void noteEvents( MonoTime now );
+    void noteEvents( Transfer& transfer );
     void logEnd( std::string_view outcome ) const;
 
     Shared& m_shared;
@@ -147,9 +159,6 @@
     double m_expectedMs = 0;            //!< what the last choice expected until then
 };
 
-//! Whether an upstream's answer of this status is a failure that another upstream may mend.
-bool upstreamFailed( unsigned status );
-
 } // namespace coursehead::gateway
 
 #endif // COURSEHEAD_GATEWAY_EXCHANGE_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/send.cpp
@@ -0,0 +1,338 @@
+// SPDX-License-Identifier: BSL-1.0
+// One send of a request to an upstream, and the passing on of its answer.
+#include "coursehead/kernel/log.hpp"
+#include "gateway/exchange.hpp"
+#include "gateway/http_text.hpp"
+#include "gateway/transfer.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+
+namespace coursehead::gateway {
+
+namespace {
+
+using platform::AnswerClass;
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned firstError = 300;
+constexpr unsigned firstServerError = 500;
+
+//! A connection within the deployment comes up within some milliseconds, or the upstream is gone.
+constexpr Millis connectLimit{ 400 };
+//! Unacknowledged bytes are given up after this: a partitioned upstream shows no other sign.
+constexpr Millis upstreamSilence{ 2000 };
+//! Usual time of an answer beside the work that was estimated: round trips and a first step.
+constexpr double overheadMs = 75;
+//! A refusal weighs less than a failure: the upstream is full, not broken.
+constexpr double refusalWeight = 0.5;
+//! Answers of plain services are passed on whole; larger ones than this are refused.
+constexpr std::uint64_t maxWholeAnswer = 16U << 20U;
+constexpr std::string_view chunkedFraming = "Transfer-Encoding: chunked\r\n";
+
+std::int64_t millisBetween( MonoTime from, MonoTime to ) {
+    return std::chrono::duration_cast<Millis>( to - from ).count();
+}
+
+bool upstreamFailed( unsigned status ) {
+    return status >= firstServerError;
+}
+
+} // namespace
+
+int Exchange::urgency() const {
+    // Rank first, then the time there is: a request with a long goal can wait for a short one.
+    constexpr std::int64_t longGoalMs = 2000;
+    constexpr int step = 2;
+    constexpr int last = 9;
+    const int base = 1 + step * m_route->priority;
+    return std::min( base + ( m_route->goal.count() > longGoalMs ? step : 0 ), last );
+}
+
+std::string Exchange::requestBytes( const Node& node ) const {
+    http::fields fields = m_request.fields;
+    platform::SendHead head;
+    head.upstreamId = node.upstream.id;
+    head.deadline = remaining( std::chrono::steady_clock::now(), m_deadline );
+    if( m_need.generation != nullptr ) {
+        head.urgency = urgency();
+    }
+    head.lastEventId = m_lastEvent;
+    platform::writeSendHead( head, fields );
+    std::string out = m_request.method + " " + m_request.target + " HTTP/1.1\r\n";
+    appendForwarded( out, fields );
+    const bool hasBody =
+        !m_request.body.empty() ||
+        m_request.fields.find( http::field::content_length ) != m_request.fields.end() ||
+        m_request.fields.find( http::field::transfer_encoding ) != m_request.fields.end();
+    if( hasBody ) {
+        out += "Content-Length: " + std::to_string( m_request.body.size() ) + "\r\n";
+    }
+    out += "\r\n";
+    out += m_request.body;
+    return out;
+}
+
+net::Task<ConnectionPtr> Exchange::connectionTo( Node& node ) {
+    const auto now = std::chrono::steady_clock::now();
+    auto kept = node.pool.take( now );
+    if( kept ) {
+        co_return kept;
+    }
+    auto out = std::make_shared<UpstreamConnection>( m_shared.context );
+    m_client->upstream = out;
+    net::ErrorCode ec;
+    const auto to = net::endpointOf( node.upstream.ip, node.upstream.port, ec );
+    const auto limit = std::min( connectLimit, remaining( now, m_deadline ) );
+    ec = co_await net::connect( out->socket, to, limit );
+    if( ec ) {
+        co_return nullptr;
+    }
+    net::tune( out->socket, upstreamSilence );
+    co_return out;
+}
+
+void Exchange::logSend( const Node& node, const Choice& choice, MonoTime now ) const {
+    log::info( "send",
+               { { "id", m_request.head.requestId },
+                 { "route", m_route->name },
+                 { "config", static_cast<std::int64_t>( m_table->configuration().version ) },
+                 { "upstream", node.upstream.id },
+                 { "send", static_cast<std::int64_t>( m_sends ) },
+                 { "candidates", static_cast<std::int64_t>( choice.candidates ) },
+                 { "cost_ms", static_cast<std::int64_t>( choice.bestCost ) },
+                 { "work_ms", static_cast<std::int64_t>( choice.workMs ) },
+                 { "report_age_ms", node.report ? millisBetween( node.reportAt, now ) : -1 },
+                 { "left_ms", millisBetween( now, m_deadline ) } } );
+}
+
+net::Task<Exchange::Sent> Exchange::sendTo( NodePtr node, const Choice& choice ) {
+    Sent out;
+    const bool generates = m_need.generation != nullptr && node->engine != nullptr;
+    auto connection = co_await connectionTo( *node );
+    auto now = std::chrono::steady_clock::now();
+    if( m_client->left || !timeLeft( now ) ) {
+        out.end = SendEnd::stopped;
+        co_return out;
+    }
+    if( !connection ) {
+        noteUnreachable( node->health, now );
+        out.end = SendEnd::notRun;
+        out.why = "connect failed";
+        log::info( "connect_failed",
+                   { { "id", m_request.head.requestId }, { "upstream", node->upstream.id } } );
+        co_return out;
+    }
+    ++m_sends;
+    m_expectedMs = choice.expectedMs;
+    m_client->upstream = connection;
+    logSend( *node, choice, now );
+    if( generates ) {
+        node->prefixes.insert( m_prefix, *m_need.generation );
+        if( !m_need.generation->adapter.empty() ) {
+            node->adaptersUsed.insert( m_need.generation->model + "/" +
+                                       m_need.generation->adapter );
+        }
+    }
+    out = co_await receive( *node, connection, choice );
+    now = std::chrono::steady_clock::now();
+    m_client->upstream.reset();
+    if( out.end != SendEnd::notRun ) {
+        ++m_runs;
+    }
+    if( out.end == SendEnd::stopped || m_client->left ) {
+        out.end = SendEnd::stopped;
+        m_mayHaveRun = true;
+        co_return out;
+    }
+    if( out.end == SendEnd::lost || out.end == SendEnd::streamCut ) {
+        noteFailure( node->health, 1.0, now );
+        log::info( "send_failed", { { "id", m_request.head.requestId },
+                                    { "upstream", node->upstream.id },
+                                    { "why", out.why },
+                                    { "cut_stream", out.end == SendEnd::streamCut ? "yes" : "no" },
+                                    { "after_ms", millisBetween( m_request.arrived, now ) } } );
+    }
+    if( out.end == SendEnd::notRun ) {
+        noteFailure( node->health, refusalWeight, now );
+        log::info( "send_refused", { { "id", m_request.head.requestId },
+                                     { "upstream", node->upstream.id },
+                                     { "why", out.why } } );
+    }
+    co_return out;
+}
+
+net::Task<Exchange::Sent> Exchange::receive( Node& node, ConnectionPtr connection,
+                                             const Choice& choice ) {
+    Sent out;
+    const double prefillMs = m_need.generation != nullptr ? choice.workMs : 0;
+    Transfer transfer( node, std::move( connection ), choice, prefillMs,
+                       m_deadline - answerMargin );
+    auto& parser = transfer.parser;
+    parser.body_limit( boost::none );
+    parser.skip( m_request.method == "HEAD" );
+    transfer.startWrite( requestBytes( node ) );
+    const auto [error, n] = co_await http::async_read_header(
+        transfer.connection->socket, transfer.connection->buf, parser, net::tupled );
+    if( error ) {
+        out.end = ended( transfer ) ? SendEnd::stopped : SendEnd::lost;
+        out.why = error.message();
+        transfer.close();
+        co_return out;
+    }
+    node.lastHeard = std::chrono::steady_clock::now();
+    const auto status = parser.get().result_int();
+    transfer.head = platform::readAnswerHead( status, parser.get() );
+    const bool ran = transfer.head.answerClass == AnswerClass::complete;
+    if( ran && transfer.head.requestId != m_request.head.requestId ) {
+        // An answer to an earlier request: what follows on this connection can't be trusted.
+        out.why = "answer to another request";
+        transfer.close();
+        co_return out;
+    }
+    const bool streams =
+        ran && transfer.head.sealed && status == statusOk && m_route->kind == RequestKind::stream;
+    if( streams ) {
+        co_return co_await passStream( transfer );
+    }
+    co_return co_await takeWhole( transfer );
+}
+
+bool Exchange::ended( const Transfer& transfer ) const {
+    return transfer.deadline.expired() || m_client->left;
+}
+
+net::Task<Exchange::Sent> Exchange::passStream( Transfer& transfer ) {
+    Sent out;
+    EventCutter cutter( m_lastEvent );
+    if( !m_headSent ) {
+        m_answer = transfer.answerHead();
+    }
+    for( ;; ) {
+        const auto [bytes, ec] = co_await transfer.readBody();
+        std::string events;
+        const bool sound = cutter.feed( bytes, events );
+        const bool finished = !ec && sound && transfer.parser.is_done() && cutter.atBoundary();
+        if( sound && !events.empty() ) {
+            noteEvents( transfer );
+            m_lastEvent = cutter.last();
+        }
+        if( sound && ( !events.empty() || finished ) ) {
+            auto text = streamText( events, finished );
+            const bool written = co_await writeClient( std::move( text ) );
+            if( !written ) {
+                out.end = SendEnd::stopped;
+                transfer.close();
+                co_return out;
+            }
+        }
+        if( finished ) {
+            out.end = SendEnd::streamed;
+            m_answered = true;
+            transfer.release( true );
+            co_return out;
+        }
+        if( ec || !sound || transfer.parser.is_done() ) {
+            const auto broken = m_headSent ? SendEnd::streamCut : SendEnd::lost;
+            out.end = ended( transfer ) ? SendEnd::stopped : broken;
+            out.why = !sound ? "events out of order" : ec ? ec.message() : "cut inside an event";
+            if( !m_headSent ) {
+                m_answer.reset();
+            }
+            transfer.close();
+            co_return out;
+        }
+    }
+}
+
+std::string Exchange::streamText( std::string_view events, bool finished ) {
+    std::string out;
+    if( !m_headSent ) {
+        m_headSent = true;
+        m_status = m_answer->status;
+        out = answerHeadText( m_answer->status, m_answer->reason, m_answer->fields, chunkedFraming,
+                              keepsAlive() );
+        m_answer.reset();
+    }
+    if( !events.empty() ) {
+        out += chunkText( events );
+    }
+    if( finished ) {
+        out += lastChunk;
+    }
+    return out;
+}
+
+net::Task<Exchange::Sent> Exchange::takeWhole( Transfer& transfer ) {
+    Sent out;
+    auto whole = transfer.answerHead();
+    bool complete = transfer.parser.is_done();
+    while( !complete ) {
+        const auto [bytes, ec] = co_await transfer.readBody();
+        whole.body.append( bytes );
+        if( ec || whole.body.size() > maxWholeAnswer ) {
+            out.why = ec ? ec.message() : "answer too large";
+            break;
+        }
+        complete = transfer.parser.is_done();
+    }
+    const bool late = ended( transfer );
+    transfer.release( complete );
+    const auto& head = transfer.head;
+    if( !head.actualUpstream.empty() && head.actualUpstream != transfer.node.upstream.id ) {
+        transfer.node.replaced = true;
+    }
+    if( head.answerClass != AnswerClass::complete ) {
+        out.end = SendEnd::notRun;
+        out.why = "status " + std::to_string( whole.status );
+        co_return out;
+    }
+    if( !complete ) {
+        out.end = late ? SendEnd::stopped : SendEnd::lost;
+        co_return out;
+    }
+    if( !head.sealed && whole.status < firstError ) {
+        out.why = "unsigned answer";
+        co_return out;
+    }
+    out.end = judge( transfer, whole.status );
+    out.why = "status " + std::to_string( whole.status );
+    m_answer = std::move( whole );
+    co_return out;
+}
+
+Exchange::SendEnd Exchange::judge( Transfer& transfer, unsigned status ) {
+    if( upstreamFailed( status ) ) {
+        const bool again = m_route->idempotent() && m_runs + 1 < m_route->attempts;
+        return again ? SendEnd::lost : SendEnd::answered;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    noteSuccess( transfer.node.health, static_cast<double>( millisBetween( transfer.sentAt, now ) ),
+                 transfer.choice.expectedMs + overheadMs, now );
+    return SendEnd::answered;
+}
+
+void Exchange::noteEvents( Transfer& transfer ) {
+    const auto now = std::chrono::steady_clock::now();
+    transfer.node.lastHeard = now;
+    if( !transfer.heardEvents ) {
+        transfer.heardEvents = true;
+        transfer.inFlight.prefillDone();
+        noteSuccess( transfer.node.health,
+                     static_cast<double>( millisBetween( transfer.sentAt, now ) ),
+                     transfer.choice.expectedMs + overheadMs, now );
+    }
+    if( m_firstEvent ) {
+        const auto pause = std::chrono::duration_cast<Millis>( now - m_lastEventAt );
+        m_longestPause = std::max( m_longestPause, pause );
+    } else {
+        m_firstEvent = std::chrono::duration_cast<Millis>( now - m_request.arrived );
+        m_shared.metrics.observe( metrics::Series::firstToken, m_route->name, m_service,
+                                  static_cast<double>( m_firstEvent->count() ) );
+    }
+    m_lastEventAt = now;
+}
+
+} // namespace coursehead::gateway
