--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -212,7 +212,7 @@
     CHECK( cache.kept( prefixKeys( first ), first ) == 100 );
 }
 
-TEST_CASE( "The lowest cost is chosen; an avoided upstream only when nothing else is left",
+TEST_CASE( "The lowest cost is chosen, an avoided upstream only when nothing else is left",
            "[gateway][selection]" ) {
     std::vector<Candidate> candidates( 3 );
     candidates[0].backlogMs = 100;
