Sidecar: adapters in use keep their slots, busy models retire before their unload

The sidecar judged an adapter free 300 ms after it was last asked for, while streams run for seconds: one engine stood without orders from 9.97 to 13.86 s and from 14.82 to 21.04 s behind such unloads, another for 9.3 s behind the unload of a model with running streams. 63 chats waited 6.7 s for an adapter there and went elsewhere late: all 114 late first events of that class had such a wait.

Now gateways say with their demand which models and adapters their requests in flight use; an adapter in use is never dropped; a busy model first disappears from the report that gateways see (they send elsewhere) and is unloaded when its runs have ended, or after 3 s. Gateways wait 500 ms for an adapter, then ask another engine; the sidecar drops wants whose gateway waits no longer. Reports tell whether an adapter could be taken in at once.

Ruled out: lost orders (they are given again within 15 to 400 ms), sequence conflicts (38 of 798).

Tests: "An adapter that requests run with keeps its slot, however long ago it was asked for", "A model with running requests retires before it is unloaded" (both fail on the code before: it unloads).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -25,6 +25,8 @@
 //! the time that a load, or an outage of the store, takes.
 constexpr Millis modelRetryAfter{ 1000 };
 constexpr Millis startRetryAfter{ 2000 };
+//! An adapter loads within some ten milliseconds; where it takes longer another upstream is asked.
+constexpr Millis adapterPatience{ 500 };
 //! Pause until the weight store's rate is asked for again.
 constexpr Millis storePoll{ 150 };
 
@@ -178,7 +180,10 @@
 net::Task<EnsureOutcome> Exchange::prepare( const Choice& choice ) {
     const auto& generation = *m_request.head.generation;
     const auto now = std::chrono::steady_clock::now();
-    const auto left = remaining( now, std::min( m_deadline, waitLimit() ) );
+    auto left = remaining( now, std::min( m_deadline, waitLimit() ) );
+    if( choice.holdsModel ) {
+        left = std::min( left, adapterPatience );
+    }
     std::string model = generation.model;
     std::string adapter = generation.adapter;
     NodePtr node = choice.node;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -23,6 +23,8 @@
 constexpr double usualWorkMs = 20;
 //! Loading an adapter that is not there: some milliseconds, and a round trip to the sidecar.
 constexpr double adapterLoadMs = 25;
+//! Waiting where every adapter slot is taken by running requests: streams last about a second.
+constexpr double adapterFullMs = 800;
 //! Usual rest of a model's order that is under way.
 constexpr double orderWaitMs = 400;
 //! Rest of a load that has taken longer than expected.
@@ -155,6 +157,7 @@
     node.engineReachable = report.reachable;
     node.reportAt = std::chrono::steady_clock::now();
     node.report = report.engine;
+    node.adapterRoom = report.adapterRoom;
     if( contains( report.formerUpstreams, node.upstream.id ) ) {
         node.replaced = true;
     }
@@ -186,17 +189,14 @@
             continue;
         }
         DemandNews news;
-        for( const auto& resident : node.residents( now ) ) {
+        for( const auto& model : node.modelsOfInterest( now ) ) {
             ModelDemand entry;
-            entry.model = resident.model;
-            const auto demand = m_demand.find( resident.model );
+            entry.model = model;
+            const auto demand = m_demand.find( model );
             entry.perS = demand == m_demand.end() ? 0 : demand->second.perS;
-            entry.copies = held[resident.model];
-            for( const auto& adapter : resident.adapters ) {
-                if( node.adaptersUsed.contains( resident.model + "/" + adapter ) ) {
-                    entry.adaptersUsed.push_back( adapter );
-                }
-            }
+            entry.copies = held[model];
+            entry.running = node.runningOf( model );
+            entry.adaptersUsed = node.adaptersInUse( model );
             news.models.push_back( std::move( entry ) );
         }
         node.adaptersUsed.clear();
@@ -232,7 +232,8 @@
     }
     // Adapters wait for a model's order that is under way.
     const bool ordering = node.reportFresh( now ) && node.report->ordering;
-    return adapterLoadMs + ( ordering ? orderWaitMs : 0 );
+    const bool full = node.reportFresh( now ) && !node.adapterRoom;
+    return adapterLoadMs + ( ordering ? orderWaitMs : 0 ) + ( full ? adapterFullMs : 0 );
 }
 
 Candidate Fleet::candidate( const Node& node, const Need& need, MonoTime now ) const {
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -10,11 +10,11 @@
 // clang-format off
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( Resident, model, adapters )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineReport, residents, coming, onDisk, inMemory, ordering, sequence, queued, running, prefilling, cacheUsed, cacheTotal )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureRequest, number, upstreamId, model, adapter, fromStore )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureRequest, number, upstreamId, model, adapter, fromStore, limitMs )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureAnswer, number, outcome )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ModelDemand, model, perS, copies, adaptersUsed )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ModelDemand, model, perS, copies, running, adaptersUsed )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( DemandNews, models )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, formerUpstreams, engine )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, formerUpstreams, adapterRoom, engine )
 // clang-format on
 
 void to_json( Json& out, const ModelSpec& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -27,8 +27,9 @@
     std::uint64_t number = 0; //!< of this gateway; the answer repeats it
     std::string upstreamId;
     std::string model;
-    std::string adapter;    //!< empty: the model alone
-    bool fromStore = false; //!< the weight store may be used
+    std::string adapter;      //!< empty: the model alone
+    bool fromStore = false;   //!< the weight store may be used
+    std::int64_t limitMs = 0; //!< the gateway waits no longer for the answer
 };
 
 enum class EnsureOutcome {
@@ -51,7 +52,8 @@
     std::string model;
     double perS = 0;                       //!< requests a second, smoothed
     int copies = 0;                        //!< upstreams that hold it
-    std::vector<std::string> adaptersUsed; //!< sent to this sidecar's engine since the last message
+    int running = 0;                       //!< this gateway's requests for it in flight there
+    std::vector<std::string> adaptersUsed; //!< sent there since the last message, or in flight
 };
 
 //! Sent regularly; also tells the sidecar that the gateway lives.
@@ -65,6 +67,8 @@
     bool reachable = false;                   //!< the engine answered the sidecar
     int gateways = 0;                         //!< gateways connected to this sidecar
     std::vector<std::string> formerUpstreams; //!< earlier starts of the engine, as refusals showed
+    bool adapterRoom =
+        true; //!< another adapter could be loaded without waiting for requests to end
     EngineReport engine;
 };
 
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -37,4 +37,35 @@
                                              adapter ) != resident->adapters.end();
 }
 
+std::set<std::string> Node::modelsOfInterest( MonoTime now ) const {
+    std::set<std::string> out;
+    for( const auto& it : residents( now ) ) {
+        out.insert( it.model );
+    }
+    for( const auto& it : running ) {
+        out.insert( it.first.substr( 0, it.first.find( '/' ) ) );
+    }
+    return out;
+}
+
+int Node::runningOf( std::string_view key ) const {
+    const auto it = running.find( key );
+    return it == running.end() ? 0 : it->second;
+}
+
+std::vector<std::string> Node::adaptersInUse( const std::string& model ) const {
+    const auto prefix = model + "/";
+    std::set<std::string> out;
+    const auto add = [&]( const std::string& key ) {
+        if( key.starts_with( prefix ) ) {
+            out.insert( key.substr( prefix.size() ) );
+        }
+    };
+    std::for_each( adaptersUsed.begin(), adaptersUsed.end(), add );
+    for( const auto& it : running ) {
+        add( it.first );
+    }
+    return { out.begin(), out.end() };
+}
+
 } // namespace coursehead::gateway
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -40,6 +40,8 @@
     std::map<std::string, MonoTime>
         loading;                        //!< models that this gateway waits for there, since when
     std::set<std::string> adaptersUsed; //!< MODEL/NAME sent there since the last demand message
+    std::map<std::string, int, std::less<>> running; //!< in flight, by MODEL and by MODEL/NAME
+    bool adapterRoom = true; //!< as the sidecar says: an adapter could be loaded at once
 
     //! True while new requests may go there.
     bool takesRequests() const {
@@ -50,6 +52,12 @@
     const std::vector<Resident>& residents( MonoTime now ) const;
     bool holdsModel( std::string_view model, MonoTime now ) const;
     bool holdsAdapter( std::string_view model, std::string_view adapter, MonoTime now ) const;
+    //! Models that it holds, and those that requests are in flight for.
+    std::set<std::string> modelsOfInterest( MonoTime now ) const;
+    //! Requests of this gateway in flight there for a model, or for MODEL/NAME.
+    int runningOf( std::string_view key ) const;
+    //! Adapters of a model that were sent there since the last demand message or are in flight.
+    std::vector<std::string> adaptersInUse( const std::string& model ) const;
 };
 using NodePtr = std::shared_ptr<Node>;
 
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -167,8 +167,7 @@
 net::Task<Exchange::Sent> Exchange::receive( Node& node, ConnectionPtr connection,
                                              const Choice& choice ) {
     Sent out;
-    const double prefillMs = m_need.generation != nullptr ? choice.workMs : 0;
-    Transfer transfer( node, std::move( connection ), choice, prefillMs,
+    Transfer transfer( node, std::move( connection ), choice, m_need.generation,
                        m_deadline - answerMargin );
     auto& parser = transfer.parser;
     parser.body_limit( boost::none );
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -64,6 +64,7 @@
     }
     const auto me = shared_from_this();
     request.number = m_nextNumber++;
+    request.limitMs = limit.count();
     const auto waiter = std::make_shared<Waiter>( m_context );
     m_waiters.emplace( request.number, waiter );
     const auto number = request.number;
--- a/src/gateway/transfer.cpp
+++ b/src/gateway/transfer.cpp
@@ -46,10 +46,11 @@
 
 } // namespace
 
-Transfer::Transfer( Node& to, ConnectionPtr over, const Choice& by, double prefillMs,
+Transfer::Transfer( Node& to, ConnectionPtr over, const Choice& by, const Generation* generation,
                     MonoTime until )
     : node( to ), connection( std::move( over ) ), choice( by ),
-      sentAt( std::chrono::steady_clock::now() ), inFlight( to, prefillMs ),
+      sentAt( std::chrono::steady_clock::now() ),
+      inFlight( to, generation != nullptr ? by.workMs : 0, generation ),
       deadline( connection->socket, until ), buf( readBytes, '\0' ) {}
 
 void Transfer::close() {
--- a/src/gateway/transfer.hpp
+++ b/src/gateway/transfer.hpp
@@ -10,14 +10,23 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace coursehead::gateway {
 
 //! Undoes the counting of a request at a node, on every way out.
 class InFlight {
 public:
-    InFlight( Node& node, double prefillMs ) : m_node( node ), m_prefillMs( prefillMs ) {
+    //! `generation` is null for plain services.
+    InFlight( Node& node, double prefillMs, const Generation* generation )
+        : m_node( node ), m_prefillMs( prefillMs ) {
         ++m_node.inFlight;
+        if( generation != nullptr ) {
+            count( generation->model );
+            if( !generation->adapter.empty() ) {
+                count( generation->model + "/" + generation->adapter );
+            }
+        }
         if( m_prefillMs > 0 ) {
             ++m_node.prefilling;
             m_node.prefillMs += m_prefillMs;
@@ -26,6 +35,12 @@
     ~InFlight() {
         --m_node.inFlight;
         prefillDone();
+        for( const auto& it : m_keys ) {
+            const auto found = m_node.running.find( it );
+            if( --found->second == 0 ) {
+                m_node.running.erase( found );
+            }
+        }
     }
     InFlight( const InFlight& ) = delete;
     InFlight& operator=( const InFlight& ) = delete;
@@ -39,8 +54,14 @@
     }
 
 private:
+    void count( std::string key ) {
+        ++m_node.running[key];
+        m_keys.push_back( std::move( key ) );
+    }
+
     Node& m_node;
     double m_prefillMs;
+    std::vector<std::string> m_keys; //!< under which it is counted in Node::running
 };
 
 //! The request's bytes while they are written; shared with the write's handler.
@@ -51,7 +72,9 @@
 
 //! A request on its way to one upstream, with the answer as far as it has come.
 struct Transfer {
-    Transfer( Node& to, ConnectionPtr over, const Choice& by, double prefillMs, MonoTime until );
+    //! `generation` is null for plain services.
+    Transfer( Node& to, ConnectionPtr over, const Choice& by, const Generation* generation,
+              MonoTime until );
 
     Node& node;
     ConnectionPtr connection;
--- a/src/sidecar/residency.cpp
+++ b/src/sidecar/residency.cpp
@@ -22,6 +22,13 @@
 //! What the last copy of a model counts for that nobody asks for now, in requests a second.
 constexpr double lastCopyPerS = 0.05;
 
+//! What each running request counts for in the choice of a model to drop, which has to wait for it.
+//! Small beside a last copy, so that it decides between copies of about the same worth.
+constexpr double runPerS = 0.01;
+constexpr int mostRuns = 10;
+//! A retiring model is unloaded after this even when requests still run: most streams end sooner.
+constexpr Millis retireLimit{ 3000 };
+
 const Resident* findModel( const EngineReport& report, std::string_view model ) {
     const auto it = std::find_if( report.residents.begin(), report.residents.end(),
                                   [model]( const Resident& r ) { return r.model == model; } );
@@ -66,14 +73,19 @@
 //! What losing a copy of a model would cost, in requests a second that suffer: one of many copies
 //! leaves the others a little more to do; the last one makes every request wait for a load.
 double valueOf( const Use& use ) {
+    const double runs = runPerS * std::min( use.running, mostRuns );
     if( use.copies > 1 ) {
-        return use.perS / ( static_cast<double>( use.copies ) * ( use.copies - 1 ) );
+        return runs + use.perS / ( static_cast<double>( use.copies ) * ( use.copies - 1 ) );
     }
-    return use.perS + lastCopyPerS;
+    return runs + use.perS + lastCopyPerS;
 }
 
 std::optional<std::string> modelToUnload( const Holdings& holdings, std::string_view wanted,
                                           MonoTime now ) {
+    if( !holdings.retiring.empty() && holdings.retiring != wanted &&
+        findModel( *holdings.report, holdings.retiring ) != nullptr ) {
+        return holdings.retiring;
+    }
     const Resident* best = nullptr;
     Use bestUse;
     for( const auto& it : holdings.report->residents ) {
@@ -98,7 +110,9 @@
     for( const auto& it : holdings.report->residents ) {
         for( const auto& adapter : it.adapters ) {
             const auto use = useOf( holdings.adapters, adapterKey( it.model, adapter ) );
-            if( now - use.lastUsed < adapterStay ) {
+            // The engine carries an unload out when the last run has ended, and until then takes no
+            // other order.
+            if( use.running > 0 || now - use.lastUsed < adapterStay ) {
                 continue;
             }
             if( !out || use.lastUsed < oldest ) {
@@ -110,6 +124,14 @@
     return out;
 }
 
+//! An unload waits for the model's runs, and the engine takes no other order meanwhile: new
+//! requests are kept away first.
+Step stepToDrop( const Holdings& holdings, const std::string& model, MonoTime now ) {
+    const bool busy = useOf( holdings.models, model ).running > 0;
+    const bool waited = holdings.retiring == model && now - holdings.retiringSince >= retireLimit;
+    return { busy && !waited ? StepKind::retire : StepKind::unload, model, "" };
+}
+
 Step stepToModel( const Holdings& holdings, const Want& want, MonoTime now ) {
     const auto& report = *holdings.report;
     const auto* spec = holdings.engine->find( want.model );
@@ -131,7 +153,7 @@
     if( !victim ) {
         return { StepKind::noRoom, want.model, "" };
     }
-    return { StepKind::unload, *victim, "" };
+    return stepToDrop( holdings, *victim, now );
 }
 
 Step stepToAdapter( const Holdings& holdings, const Want& want, MonoTime now ) {
@@ -158,6 +180,11 @@
 
 } // namespace
 
+bool adapterRoom( const Holdings& holdings, MonoTime now ) {
+    const auto slots = static_cast<std::size_t>( holdings.engine->adapterSlots );
+    return adapterCount( *holdings.report ) < slots || adapterToUnload( holdings, now ).has_value();
+}
+
 std::string adapterKey( std::string_view model, std::string_view adapter ) {
     std::string out( model );
     out += '/';
--- a/src/sidecar/residency.hpp
+++ b/src/sidecar/residency.hpp
@@ -15,6 +15,7 @@
 struct Use {
     double perS = 0; //!< requests a second, all gateways together
     int copies = 1;  //!< upstreams that hold it
+    int running = 0; //!< requests in flight for it here, as gateways say
     MonoTime lastUsed;
     MonoTime loadedAt;
 };
@@ -25,6 +26,8 @@
     const gateway::EngineReport* report = nullptr;
     std::map<std::string, Use, std::less<>> models;
     std::map<std::string, Use, std::less<>> adapters; //!< by MODEL/NAME
+    std::string retiring;                             //!< model that gets no new requests; or empty
+    MonoTime retiringSince;
 };
 
 //! A model, or an adapter of it, that a request waits for.
@@ -41,6 +44,7 @@
     wait,      //!< an order under way has to end first
     load,      //!< order to load `model` or `adapter`
     unload,    //!< order to unload `model` or `adapter`, to make room
+    retire,    //!< send no more requests for `model`: it makes way when those running have ended
     noRoom,    //!< nothing may make way now
     needStore, //!< only the weight store has it, and that may not be used
     unknown,   //!< the engine does not offer it
@@ -57,6 +61,9 @@
 //! Weights and adapters that the engine holds or is taking in, in megabytes.
 double usedMb( const gateway::EngineSpec& engine, const gateway::EngineReport& report );
 
+//! True when another adapter could be loaded without waiting for running requests to end.
+bool adapterRoom( const Holdings& holdings, MonoTime now );
+
 std::string adapterKey( std::string_view model, std::string_view adapter );
 
 } // namespace coursehead::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -73,6 +73,7 @@
     std::weak_ptr<Peer> peer;
     std::uint64_t number = 0;
     MonoTime since;
+    Millis limit{ 0 }; //!< the gateway waits no longer
 };
 
 class Sidecar {
@@ -166,6 +167,7 @@
         pending.peer = peer;
         pending.number = ensure.number;
         pending.since = std::chrono::steady_clock::now();
+        pending.limit = std::min( Millis( ensure.limitMs ), wantLimit );
         if( !ensure.adapter.empty() ) {
             m_adapterUses[adapterKey( ensure.model, ensure.adapter )].lastUsed = pending.since;
         }
@@ -240,13 +242,23 @@
                 if( found != peer->demand.end() ) {
                     use.perS += found->second.perS;
                     use.copies = std::max( use.copies, found->second.copies );
+                    use.running += found->second.running;
                 }
             }
             const auto loaded = m_loadedAt.find( it.model );
             use.loadedAt = loaded == m_loadedAt.end() ? MonoTime{} : loaded->second;
             out.models.emplace( it.model, use );
         }
+        out.retiring = m_retiring;
+        out.retiringSince = m_retiringSince;
         out.adapters = m_adapterUses;
+        for( const auto& peer : m_peers ) {
+            for( const auto& [model, demand] : peer->demand ) {
+                for( const auto& adapter : demand.adaptersUsed ) {
+                    ++out.adapters[adapterKey( model, adapter )].running;
+                }
+            }
+        }
         return out;
     }
 
@@ -272,7 +284,7 @@
     }
 
     //! The answer that a want gets now, if it gets one.
-    static std::optional<EnsureOutcome> outcomeOf( StepKind step, Millis waited ) {
+    static std::optional<EnsureOutcome> outcomeOf( StepKind step, Millis waited, Millis limit ) {
         switch( step ) {
         case StepKind::ready:
             return EnsureOutcome::ready;
@@ -285,25 +297,30 @@
         case StepKind::wait:
         case StepKind::load:
         case StepKind::unload:
+        case StepKind::retire:
             break;
         }
-        return waited > wantLimit ? std::optional( EnsureOutcome::failed ) : std::nullopt;
+        return waited > limit ? std::optional( EnsureOutcome::failed ) : std::nullopt;
     }
 
     net::Task<> serveWants() {
         // An order moves the engine's state: one a round, then look again.
         std::optional<Step> order;
         std::string upstreamId;
+        std::string retire;
         const auto now = std::chrono::steady_clock::now();
         const auto held = holdings();
         for( auto it = m_wants.begin(); it != m_wants.end(); ) {
             const auto step = nextStep( held, it->want, now );
             const auto waited = remaining( it->since, now );
-            if( const auto outcome = outcomeOf( step.kind, waited ) ) {
+            if( const auto outcome = outcomeOf( step.kind, waited, it->limit ) ) {
                 answer( *it, *outcome );
                 it = m_wants.erase( it );
                 continue;
             }
+            if( step.kind == StepKind::retire ) {
+                retire = step.model;
+            }
             const bool orders = step.kind == StepKind::load || step.kind == StepKind::unload;
             // Adapters first: they take milliseconds.
             if( orders && ( !order || ( order->adapter.empty() && !step.adapter.empty() ) ) ) {
@@ -312,12 +329,24 @@
             }
             ++it;
         }
+        setRetiring( retire, now );
         if( order && m_fence != 0 ) {
             const Step step = *order;
             co_await give( step, upstreamId );
         }
     }
 
+    //! The model that gateways are told is no longer here; empty: none.
+    void setRetiring( const std::string& model, MonoTime now ) {
+        if( model == m_retiring ) {
+            return;
+        }
+        log::info( "retiring", { { "model", model }, { "before", m_retiring } } );
+        m_retiring = model;
+        m_retiringSince = now;
+        m_changed = true;
+    }
+
     net::Task<> give( Step step, std::string upstreamId ) {
         platform::Order order;
         order.kind =
@@ -369,7 +398,10 @@
         out.reachable = m_reachable;
         out.gateways = static_cast<int>( m_peers.size() );
         out.formerUpstreams = m_former;
+        out.adapterRoom = !m_spec || adapterRoom( holdings(), std::chrono::steady_clock::now() );
         out.engine = m_report;
+        std::erase_if( out.engine.residents,
+                       [this]( const auto& it ) { return it.model == m_retiring; } );
         const gateway::Message message( std::move( out ) );
         peer.channel->send( gateway::encode( message ) );
     }
@@ -417,6 +449,8 @@
     gateway::EngineReport m_report;
     gateway::EngineReport m_lastPublished;
     std::vector<std::string> m_former; //!< earlier starts of the engine, oldest first
+    std::string m_retiring;            //!< model that is about to make way, or empty
+    MonoTime m_retiringSince;
     bool m_reachable = false;
     bool m_changed = false;
     MonoTime m_published;
--- a/tests/unit/sidecar.tests.cpp
+++ b/tests/unit/sidecar.tests.cpp
@@ -106,6 +106,49 @@
     CHECK( nextStep( f.holdings, { "m1", "a4", false }, now ).kind == StepKind::wait );
 }
 
+TEST_CASE( "An adapter that requests run with keeps its slot, however long ago it was asked for",
+           "[sidecar][residency]" ) {
+    Fixture f;
+    f.report.residents[0].adapters = { "a1" };
+    f.report.residents[2].adapters = { "a2" };
+    f.holdings.adapters["m0/a1"] = { 0, 1, 1, now - 9s, {} };
+    f.holdings.adapters["m2/a2"] = { 0, 1, 0, now - 2s, {} };
+    const auto step = nextStep( f.holdings, { "m1", "a1", false }, now );
+    CHECK( step.kind == StepKind::unload );
+    CHECK( step.adapter == "a2" );
+    CHECK( adapterRoom( f.holdings, now ) );
+    f.holdings.adapters["m2/a2"].running = 3;
+    CHECK( nextStep( f.holdings, { "m1", "a1", false }, now ).kind == StepKind::noRoom );
+    CHECK_FALSE( adapterRoom( f.holdings, now ) );
+}
+
+TEST_CASE( "A model with running requests retires before it is unloaded", "[sidecar][residency]" ) {
+    Fixture f;
+    f.use( "m0", 26, 18 );
+    f.use( "m1", 40, 3 );
+    f.use( "m2", 50, 3 );
+    f.holdings.models["m0"].running = 4;
+    const Want want{ "m3", "", false };
+    const auto first = nextStep( f.holdings, want, now );
+    CHECK( first.kind == StepKind::retire );
+    CHECK( first.model == "m0" );
+    f.holdings.retiring = "m0";
+    f.holdings.retiringSince = now;
+    SECTION( "while they run nothing is unloaded, and the choice stays" ) {
+        f.use( "m1", 0, 3 );
+        const auto step = nextStep( f.holdings, want, now + 1s );
+        CHECK( step.kind == StepKind::retire );
+        CHECK( step.model == "m0" );
+    }
+    SECTION( "when they have ended it is unloaded" ) {
+        f.holdings.models["m0"].running = 0;
+        CHECK( nextStep( f.holdings, want, now + 1s ).kind == StepKind::unload );
+    }
+    SECTION( "it does not wait for the longest for ever" ) {
+        CHECK( nextStep( f.holdings, want, now + 5s ).kind == StepKind::unload );
+    }
+}
+
 TEST_CASE( "An engine never holds more than its room, whatever is wanted in whatever order",
            "[sidecar][residency]" ) {
     rc::check( [] {
