Gateway: reading times of prompts are learnt by model

Cause (site sheets, and streams' first events in the gateways' logs): larger models run slower, up to four times, and no configuration says so; one figure for all of them overrated the work of the busiest model fourfold, gave it copies that others lacked, and underrated the queues of slow ones.

Requests that met an engine without a queue now teach each gateway the time a token takes, by model; shorter measurements are believed sooner, since other prompts only ever lengthen one.

Test: "Reading times follow what a model showed, sooner downwards than upwards".

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-//! Tokens an engine reads in a millisecond. The platform's sheets give 38; measured slowness
-//! corrects it for each upstream.
-constexpr double tokensPerMs = 38.0;
 //! Prompt reading of a request of which nothing more is known, in milliseconds.
 constexpr double usualPrefillMs = 80;
 //! Usual work of a plain service's request, in milliseconds, until slowness is measured.
@@ -254,7 +251,8 @@
     const auto& generation = *need.generation;
     const auto cached = node.prefixes.kept( need.prefix, generation );
     const auto fresh = std::max<std::int64_t>( generation.promptTokens - cached, 0 );
-    out.workMs = static_cast<double>( fresh ) / tokensPerMs;
+    out.freshTokens = fresh;
+    out.workMs = m_pace.readingMs( generation.model, static_cast<double>( fresh ) );
     out.backlogMs = node.prefillMs;
     if( node.reportFresh( now ) ) {
         const auto waiting = static_cast<int>( node.report->queued + node.report->prefilling );
@@ -298,6 +296,8 @@
     out.node = nodes[*best];
     out.bestCost = costOf( it );
     out.workMs = it.workMs;
+    out.freshTokens = it.freshTokens;
+    out.unqueued = it.backlogMs <= 0 && it.loadMs <= 0;
     out.expectedMs = it.backlogMs + it.workMs + it.loadMs;
     if( need.generation != nullptr && out.node->engine ) {
         out.holdsModel = out.node->holdsModel( need.generation->model, now );
@@ -366,6 +366,13 @@
     co_return outcome;
 }
 
+void Fleet::noteFirstEvent( const Generation& generation, const Choice& choice,
+                            double measuredMs ) {
+    if( choice.unqueued ) {
+        m_pace.note( generation.model, static_cast<double>( choice.freshTokens ), measuredMs );
+    }
+}
+
 void Fleet::countDemand( const Need& need, const Choice& choice ) {
     if( need.generation == nullptr || !choice.node || !choice.node->engine ) {
         return;
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -4,6 +4,7 @@
 
 #include "coursehead/kernel/random.hpp"
 #include "gateway/node.hpp"
+#include "gateway/pace.hpp"
 #include "gateway/registry.hpp"
 #include "gateway/route_table.hpp"
 #include "gateway/selection.hpp"
@@ -38,9 +39,11 @@
 
 //! An upstream chosen for a request, with what the choice rests on.
 struct Choice {
-    NodePtr node;          //!< null when no upstream of the service is left
-    double expectedMs = 0; //!< until the first event, or the answer
-    double workMs = 0;     //!< of that, reading the prompt
+    NodePtr node;                 //!< null when no upstream of the service is left
+    double expectedMs = 0;        //!< until the first event, or the answer
+    double workMs = 0;            //!< of that, reading the prompt
+    std::int64_t freshTokens = 0; //!< of the prompt, to be read
+    bool unqueued = false;        //!< nothing was ahead of it, as far as known
     bool holdsModel = true;
     bool holdsAdapter = true;
     std::size_t candidates = 0;
@@ -66,6 +69,8 @@
     //! Makes model and adapter ready at a node.
     net::Task<EnsureOutcome> ensure( NodePtr node, std::string model, std::string adapter,
                                      Millis limit );
+    //! A stream's first event came, `measuredMs` after it was sent.
+    void noteFirstEvent( const Generation& generation, const Choice& choice, double measuredMs );
     //! Counts a request for a model.
     void countDemand( const Need& need, const Choice& choice );
 
@@ -104,6 +109,7 @@
     std::shared_ptr<const RouteTable> m_table;
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, Demand> m_demand; //!< by model
+    ModelPace m_pace;
     //! A load from the weight store that this gateway allowed.
     struct StoreLoad {
         MonoTime at;
--- a/src/gateway/selection.hpp
+++ b/src/gateway/selection.hpp
@@ -11,13 +11,14 @@
 
 //! An upstream that a request could go to; times in milliseconds.
 struct Candidate {
-    bool avoided = false;       //!< unreachable lately, or full: only when nothing else is left
-    double backlogMs = 0;       //!< work queued ahead of the request
-    double workMs = 0;          //!< reading what is not cached of the prompt, or the usual work
-    double loadMs = 0;          //!< until model and adapter are there
-    double slowness = 1;        //!< factor on backlog and work
-    double failures = 0;        //!< recent ones
-    std::uint32_t decoding = 0; //!< requests whose events pause while prompts are read there
+    bool avoided = false;         //!< unreachable lately, or full: only when nothing else is left
+    double backlogMs = 0;         //!< work queued ahead of the request
+    std::int64_t freshTokens = 0; //!< of the prompt, to be read
+    double workMs = 0;            //!< reading what is not cached of the prompt, or the usual work
+    double loadMs = 0;            //!< until model and adapter are there
+    double slowness = 1;          //!< factor on backlog and work
+    double failures = 0;          //!< recent ones
+    std::uint32_t decoding = 0;   //!< requests whose events pause while prompts are read there
     bool otherHall = false;
     double crossHallMs = 0;     //!< what leaving the hall counts for
     std::uint64_t affinity = 0; //!< rendezvous hash: the highest is preferred among equals
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -319,9 +319,11 @@
     if( !transfer.heardEvents ) {
         transfer.heardEvents = true;
         transfer.inFlight.prefillDone();
-        noteSuccess( transfer.node.health,
-                     static_cast<double>( millisBetween( transfer.sentAt, now ) ),
-                     transfer.choice.expectedMs + overheadMs, now );
+        const auto measured = static_cast<double>( millisBetween( transfer.sentAt, now ) );
+        if( m_need.generation != nullptr ) {
+            m_shared.fleet.noteFirstEvent( *m_need.generation, transfer.choice, measured );
+        }
+        noteSuccess( transfer.node.health, measured, transfer.choice.expectedMs + overheadMs, now );
     }
     if( m_firstEvent ) {
         const auto pause = std::chrono::duration_cast<Millis>( now - m_lastEventAt );
--- /dev/null
+++ b/tests/support/object_store.cpp
@@ -0,0 +1,285 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "support/object_store.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace coursehead::support {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::size_t pageSize = 50;
+constexpr std::size_t keptEvents = 2000;
+constexpr unsigned statusCreated = 201;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusGone = 410;
+constexpr unsigned statusBusy = 503;
+
+std::string queryValue( std::string_view query, std::string_view name ) {
+    while( !query.empty() ) {
+        const auto pair = query.substr( 0, query.find( '&' ) );
+        query.remove_prefix( std::min( query.size(), pair.size() + 1 ) );
+        const auto equals = pair.find( '=' );
+        if( pair.substr( 0, equals ) == name && equals != std::string_view::npos ) {
+            return std::string( pair.substr( equals + 1 ) );
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+//! A call's target, taken apart.
+struct ObjectStore::Call {
+    std::string method;
+    std::string kind;
+    std::string name;
+    bool status = false;
+    std::string query;
+
+    explicit Call( const Request& request ) : method( request.method_string() ) {
+        const std::string target( request.target() );
+        const auto mark = target.find( '?' );
+        query = mark == std::string::npos ? "" : target.substr( mark + 1 );
+        std::string rest = target.substr( 0, mark );
+        const std::string prefix = "/objects/";
+        rest = rest.starts_with( prefix ) ? rest.substr( prefix.size() ) : "";
+        const auto slash = rest.find( '/' );
+        kind = rest.substr( 0, slash );
+        name = slash == std::string::npos ? "" : rest.substr( slash + 1 );
+        const std::string suffix = "/status";
+        if( name.ends_with( suffix ) ) {
+            name.resize( name.size() - suffix.size() );
+            status = true;
+        }
+    }
+};
+
+ObjectStore::ObjectStore( net::asio::io_context& context, int port )
+    : m_context( context ), m_acceptor( net::listen( context, "127.0.0.1", port ) ),
+      m_port( m_acceptor.local_endpoint().port() ), m_changed( context ) {
+    m_changed.expires_at( MonoTime::max() );
+    auto task = accept();
+    net::asio::co_spawn( context, std::move( task ), net::asio::detached );
+}
+
+void ObjectStore::note( const std::string& kind, Json object, bool gone ) {
+    m_events.push_back( { m_revision, kind, std::move( object ), gone } );
+    if( m_events.size() > keptEvents ) {
+        m_oldest = m_events.front().revision;
+        m_events.pop_front();
+    }
+    m_changed.cancel();
+}
+
+void ObjectStore::store( const std::string& kind, const std::string& name, Json object ) {
+    ++m_revision;
+    auto& metadata = object["metadata"];
+    metadata["name"] = name;
+    metadata["revision"] = m_revision;
+    if( !metadata.contains( "created" ) ) {
+        metadata["created"] = m_revision;
+    }
+    m_objects[kind][name] = object;
+    note( kind, std::move( object ), false );
+}
+
+void ObjectStore::put( const std::string& kind, const std::string& name, Json specification ) {
+    const auto it = m_objects[kind].find( name );
+    Json object = it == m_objects[kind].end() ? Json::object() : it->second;
+    if( object.value( "specification", Json() ) == specification ) {
+        return;
+    }
+    object["specification"] = std::move( specification );
+    store( kind, name, std::move( object ) );
+}
+
+void ObjectStore::remove( const std::string& kind, const std::string& name ) {
+    const auto it = m_objects[kind].find( name );
+    if( it == m_objects[kind].end() ) {
+        return;
+    }
+    ++m_revision;
+    auto object = std::move( it->second );
+    m_objects[kind].erase( it );
+    note( kind, std::move( object ), true );
+}
+
+void ObjectStore::setMode( StoreMode mode ) {
+    m_mode = mode;
+    m_changed.cancel();
+}
+
+net::Task<> ObjectStore::accept() {
+    for( ;; ) {
+        auto [ec, socket] = co_await m_acceptor.async_accept( net::tupled );
+        if( ec ) {
+            co_return;
+        }
+        auto task = serve( net::Socket( std::move( socket ) ) );
+        net::asio::co_spawn( m_context, std::move( task ), net::asio::detached );
+    }
+}
+
+net::Task<> ObjectStore::serve( net::Socket socket ) {
+    boost::beast::flat_buffer buf;
+    for( ;; ) {
+        Request request;
+        const auto [ec, n] = co_await http::async_read( socket, buf, request, net::tupled );
+        if( ec ) {
+            co_return;
+        }
+        ++m_calls;
+        if( m_delay.count() > 0 ) {
+            co_await net::pause( m_context, m_delay );
+        }
+        const bool keepAlive = request.keep_alive();
+        auto moved = std::move( request );
+        auto got = co_await answer( std::move( moved ) );
+        if( m_mode == StoreMode::reset ) {
+            co_return;
+        }
+        if( m_mode == StoreMode::silent ) {
+            // Says nothing more on this connection until the caller ends it.
+            co_await http::async_read( socket, buf, request, net::tupled );
+            co_return;
+        }
+        if( m_mode == StoreMode::busy ) {
+            got = { statusBusy, Json::object() };
+        }
+        http::response<http::string_body> response;
+        response.result( got.status );
+        response.set( http::field::content_type, "application/json" );
+        response.keep_alive( keepAlive );
+        response.body() = got.body.dump();
+        response.prepare_payload();
+        const auto [failed, sent] = co_await http::async_write( socket, response, net::tupled );
+        if( failed || !keepAlive ) {
+            co_return;
+        }
+    }
+}
+
+net::Task<ObjectStore::Answer> ObjectStore::answer( Request request ) {
+    const Call call( request );
+    if( call.method != "GET" ) {
+        co_return write( call, request.body() );
+    }
+    if( !call.name.empty() ) {
+        const auto& objects = m_objects[call.kind];
+        const auto it = objects.find( call.name );
+        co_return it == objects.end() ? Answer{ statusNotFound, Json::object() }
+                                      : Answer{ 200, it->second };
+    }
+    const auto from = queryValue( call.query, "watch" );
+    if( from.empty() ) {
+        co_return list( call.kind, queryValue( call.query, "after" ) );
+    }
+    const auto wait = queryValue( call.query, "waitMs" );
+    std::string kind = call.kind;
+    const auto revision = static_cast<std::uint64_t>( std::stoull( from ) );
+    const Millis limit( wait.empty() ? 0 : std::stoll( wait ) );
+    co_return co_await watch( std::move( kind ), revision, limit );
+}
+
+net::Task<ObjectStore::Answer> ObjectStore::watch( std::string kind, std::uint64_t from,
+                                                   Millis wait ) {
+    const auto until = std::chrono::steady_clock::now() + wait;
+    for( ;; ) {
+        if( from < m_oldest ) {
+            co_return Answer{ statusGone, Json::object() };
+        }
+        auto got = events( kind, from );
+        const bool over = std::chrono::steady_clock::now() >= until || m_mode != StoreMode::up;
+        if( !got.body["events"].empty() || over ) {
+            co_return got;
+        }
+        net::Timer timer( m_context );
+        timer.expires_at( until );
+        // Whichever comes first: a change cancels the one, time ends the other.
+        m_changed.async_wait( [&timer]( net::ErrorCode ) { timer.cancel(); } );
+        co_await timer.async_wait( net::tupled );
+        m_changed.cancel();
+    }
+}
+
+ObjectStore::Answer ObjectStore::events( const std::string& kind, std::uint64_t from ) const {
+    Json out = Json::array();
+    for( const auto& it : m_events ) {
+        if( it.revision > from && it.kind == kind ) {
+            out.push_back( { { "object", it.object }, { "isGone", it.gone } } );
+        }
+    }
+    return { 200, { { "events", std::move( out ) }, { "timestamp", m_revision } } };
+}
+
+ObjectStore::Answer ObjectStore::list( const std::string& kind, const std::string& after ) const {
+    Json items = Json::array();
+    bool more = false;
+    const auto objects = m_objects.find( kind );
+    if( objects != m_objects.end() ) {
+        for( auto it = objects->second.upper_bound( after ); it != objects->second.end(); ++it ) {
+            if( items.size() == pageSize ) {
+                more = true;
+                break;
+            }
+            items.push_back( it->second );
+        }
+    }
+    return {
+        200,
+        { { "items", std::move( items ) }, { "morePages", more }, { "timestamp", m_revision } } };
+}
+
+ObjectStore::Answer ObjectStore::write( const Call& call, const std::string& body ) {
+    const auto given = Json::parse( body.empty() ? "{}" : body, nullptr, false );
+    if( !given.is_object() ) {
+        return { 400, { { "error", "the body is not a JSON object" } } };
+    }
+    const auto name = call.method == "POST"
+                          ? given.value( "metadata", Json::object() ).value( "name", "" )
+                          : call.name;
+    auto& objects = m_objects[call.kind];
+    const auto it = objects.find( name );
+    if( call.method == "POST" ) {
+        if( it != objects.end() ) {
+            return { statusConflict, it->second };
+        }
+        store( call.kind, name,
+               { { "specification", given.value( "specification", Json() ) },
+                 { "status", given.value( "status", Json() ) } } );
+        return { statusCreated, objects[name] };
+    }
+    if( it == objects.end() ) {
+        return { statusNotFound, Json::object() };
+    }
+    return change( call, given, it->second );
+}
+
+ObjectStore::Answer ObjectStore::change( const Call& call, const Json& given, Json object ) {
+    const auto wanted = given.value( "metadata", Json::object() ).value( "revision", Json() );
+    const auto query = queryValue( call.query, "revision" );
+    const auto held = object["metadata"]["revision"].get<std::uint64_t>();
+    const bool differs = ( wanted.is_number() && wanted.get<std::uint64_t>() != held ) ||
+                         ( !query.empty() && query != std::to_string( held ) );
+    if( differs ) {
+        return { statusConflict, object };
+    }
+    if( call.method == "DELETE" ) {
+        remove( call.kind, call.name );
+        return { 200, object };
+    }
+    const char* part = call.status ? "status" : "specification";
+    if( object.value( part, Json() ) != given.value( part, Json() ) ) {
+        object[part] = given.value( part, Json() );
+        store( call.kind, call.name, object );
+    }
+    return { 200, m_objects[call.kind][call.name] };
+}
+
+} // namespace coursehead::support
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -3,6 +3,7 @@
 #include "gateway/health.hpp"
 #include "gateway/http_text.hpp"
 #include "gateway/messages.hpp"
+#include "gateway/pace.hpp"
 #include "gateway/prefix_cache.hpp"
 #include "gateway/registry.hpp"
 #include "gateway/retry_window.hpp"
@@ -298,3 +299,22 @@
     CHECK_FALSE( decode( "nonsense" ) );
     rc::check( []( const std::string& bytes ) { static_cast<void>( decode( bytes ) ); } );
 }
+
+TEST_CASE( "Reading times follow what a model showed, sooner downwards than upwards",
+           "[gateway][pace]" ) {
+    ModelPace pace;
+    const double before = pace.readingMs( "m", 3800 );
+    CHECK( before == Approx( 100 ) );
+    for( int n = 0; n < 10; ++n ) {
+        pace.note( "m", 3800, 35 );
+    }
+    CHECK( pace.readingMs( "m", 3800 ) < 30 );
+    CHECK( pace.readingMs( "other", 3800 ) == before );
+    pace.note( "m", 3800, 900 );
+    CHECK( pace.readingMs( "m", 3800 ) < 50 );
+    SECTION( "short prompts say nothing" ) {
+        const double held = pace.readingMs( "m", 3800 );
+        pace.note( "m", 100, 500 );
+        CHECK( pace.readingMs( "m", 3800 ) == held );
+    }
+}
--- /dev/null
+++ b/tests/unit/relay.tests.cpp
@@ -0,0 +1,233 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/relay.hpp"
+#include "gateway/relay_choice.hpp"
+#include "gateway/relay_times.hpp"
+#include "gateway/store_feed.hpp"
+#include "support/object_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace coursehead;
+using namespace coursehead::gateway;
+using namespace std::chrono_literals;
+using support::ObjectStore;
+using support::StoreMode;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Millis patience{ 10000 };
+
+//! Runs the loop until a condition holds; false when it does not within some seconds.
+bool runUntil( net::asio::io_context& context, const std::function<bool()>& condition ) {
+    const auto limit = std::chrono::steady_clock::now() + patience;
+    while( !condition() ) {
+        if( std::chrono::steady_clock::now() > limit ) {
+            return false;
+        }
+        context.run_one_for( 10ms );
+    }
+    return true;
+}
+
+Json entry( const std::string& state ) {
+    return { { "service", "s" },
+             { "address", "127.0.0.9:9" },
+             { "zone", "hall" },
+             { "version", "1" },
+             { "slots", 4 },
+             { "state", state },
+             { "coldMs", 0 },
+             { "sequence", 1 },
+             { "models", Json::array() } };
+}
+
+platform::NodeSettings settingsFor( const ObjectStore& store ) {
+    platform::NodeSettings out;
+    out.vm = "vm";
+    out.store.ip = "127.0.0.1";
+    out.store.port = store.port();
+    out.bounds.drain = 600ms;
+    out.bounds.contact = 600ms;
+    return out;
+}
+
+//! A relay with one subscriber, against a store on the same loop.
+struct Relayed {
+    net::asio::io_context context{ 1 };
+    ObjectStore store{ context };
+    platform::NodeSettings settings = settingsFor( store );
+    RandomSource random{ 1 };
+    sidecar::Relay relay{ context, settings, random };
+    std::vector<StoreNews> news;
+
+    void subscribe() {
+        relay.subscribe( this, [this]( std::string_view message ) {
+            const auto decoded = decode( message );
+            REQUIRE( decoded );
+            news.push_back( std::get<StoreNews>( *decoded ) );
+        } );
+    }
+    const StoreNews* find( const std::function<bool( const StoreNews& )>& fits ) const {
+        for( const auto& it : news ) {
+            if( fits( it ) ) {
+                return &it;
+            }
+        }
+        return nullptr;
+    }
+    bool comes( const std::function<bool( const StoreNews& )>& fits ) {
+        return runUntil( context, [&] { return find( fits ) != nullptr; } );
+    }
+};
+
+RelayCandidate candidate( std::string_view id, bool connected = true, bool avoided = false ) {
+    return { id, connected, avoided };
+}
+
+} // namespace
+
+TEST_CASE( "All gateways choose the same relay, and the next one when it fails",
+           "[gateway][relay]" ) {
+    std::vector<RelayCandidate> candidates{ candidate( "a" ), candidate( "b" ), candidate( "c" ) };
+    const auto first = chooseRelay( candidates, "gateway-1", 30 );
+    REQUIRE( first );
+    CHECK( chooseRelay( candidates, "gateway-2", 30 ) == first );
+    candidates[*first].avoided = true;
+    const auto second = chooseRelay( candidates, "gateway-1", 30 );
+    REQUIRE( second );
+    CHECK( *second != *first );
+    CHECK( chooseRelay( candidates, "gateway-2", 30 ) == second );
+    for( auto& it : candidates ) {
+        it.connected = false;
+    }
+    CHECK_FALSE( chooseRelay( candidates, "gateway-1", 30 ) );
+}
+
+TEST_CASE( "Many gateways spread over several relays", "[gateway][relay]" ) {
+    std::vector<std::string> names;
+    for( int n = 0; n < 600; ++n ) {
+        names.push_back( "engine-" + std::to_string( n ) );
+    }
+    std::vector<RelayCandidate> candidates;
+    for( const auto& it : names ) {
+        candidates.push_back( candidate( it ) );
+    }
+    std::map<std::size_t, int> served;
+    for( int n = 0; n < 400; ++n ) {
+        ++served[*chooseRelay( candidates, "gateway-" + std::to_string( n ), 400 )];
+    }
+    CHECK( served.size() <= 13U );
+    for( const auto& [relay, count] : served ) {
+        CHECK( count < 64 );
+    }
+}
+
+TEST_CASE( "A relay gives all that exists first, then what changes", "[sidecar][relay]" ) {
+    Relayed f;
+    f.store.put( "servers", "u1", entry( "ready" ) );
+    f.store.put( "servers", "u2", entry( "ready" ) );
+    f.store.put( "config", "main", { { "version", 1 } } );
+    f.subscribe();
+    REQUIRE( f.comes( []( const auto& it ) { return it.whole && it.upstreams.size() == 2U; } ) );
+    REQUIRE( f.comes( []( const auto& it ) {
+        return it.part == StorePart::configuration && it.configuration == R"({"version":1})";
+    } ) );
+    f.news.clear();
+    f.store.put( "servers", "u1", entry( "draining" ) );
+    f.store.remove( "servers", "u2" );
+    REQUIRE( f.comes( []( const auto& it ) {
+        return it.upstreams.size() == 1U && it.upstreams[0].state == UpstreamState::draining;
+    } ) );
+    REQUIRE(
+        f.comes( []( const auto& it ) { return it.gone == std::vector<std::string>{ "u2" }; } ) );
+    CHECK( f.find( []( const auto& it ) { return it.whole; } ) == nullptr );
+}
+
+TEST_CASE( "What an engine holds is no news for a relay", "[sidecar][relay]" ) {
+    Relayed f;
+    f.store.put( "servers", "u1", entry( "ready" ) );
+    f.subscribe();
+    REQUIRE( f.comes( []( const auto& it ) { return it.whole; } ) );
+    f.news.clear();
+    auto moved = entry( "ready" );
+    moved["models"] = { { { "name", "m" }, { "version", 1 }, { "adapters", Json::array() } } };
+    f.store.put( "servers", "u1", moved );
+    const auto revision = f.store.revision();
+    REQUIRE( f.comes( [&]( const auto& it ) {
+        return it.part == StorePart::upstreams && it.revision >= revision;
+    } ) );
+    CHECK( f.find( []( const auto& it ) { return !it.upstreams.empty(); } ) == nullptr );
+}
+
+TEST_CASE( "A relay without the store says so, and goes on when it is back", "[sidecar][relay]" ) {
+    Relayed f;
+    f.store.put( "servers", "u1", entry( "ready" ) );
+    f.subscribe();
+    REQUIRE( f.comes( []( const auto& it ) { return it.whole; } ) );
+    f.store.setMode( StoreMode::busy );
+    REQUIRE( f.comes( []( const auto& it ) { return !it.reachable; } ) );
+    f.store.remove( "servers", "u1" );
+    f.store.forgetHistory();
+    f.news.clear();
+    f.store.setMode( StoreMode::up );
+    REQUIRE( f.comes( []( const auto& it ) {
+        return it.reachable && it.gone == std::vector<std::string>{ "u1" };
+    } ) );
+}
+
+TEST_CASE( "A relay calls the store only while somebody asks", "[sidecar][relay]" ) {
+    Relayed f;
+    f.subscribe();
+    REQUIRE( f.comes( []( const auto& it ) { return it.whole; } ) );
+    f.relay.unsubscribe( &f );
+    // What is under way may still end; then there is silence.
+    const auto settled = std::chrono::steady_clock::now() + 2 * relaySilence( f.settings.bounds );
+    runUntil( f.context, [&] { return std::chrono::steady_clock::now() > settled; } );
+    const auto calls = f.store.calls();
+    const auto later = std::chrono::steady_clock::now() + 2 * relaySilence( f.settings.bounds );
+    runUntil( f.context, [&] { return std::chrono::steady_clock::now() > later; } );
+    CHECK( f.store.calls() == calls );
+}
+
+TEST_CASE( "A follower makes no calls while a relay speaks, and goes on by itself when it stops",
+           "[gateway][relay]" ) {
+    net::asio::io_context context{ 1 };
+    ObjectStore store{ context };
+    RandomSource random{ 1 };
+    std::vector<std::string> seen;
+    FollowHandlers handlers;
+    handlers.listing = [&]( const auto& objects ) {
+        for( const auto& it : objects ) {
+            seen.push_back( it.name );
+        }
+    };
+    handlers.event = [&]( const auto& event ) {
+        seen.push_back( event.object.name );
+    };
+    handlers.reachable = []( bool ) {
+    };
+    FollowSettings settings;
+    settings.kind = "servers";
+    settings.wait = 100ms;
+    platform::Endpoint endpoint;
+    endpoint.ip = "127.0.0.1";
+    endpoint.port = store.port();
+    Follower follower( context, endpoint, settings, random, handlers );
+    store.put( "servers", "u1", entry( "ready" ) );
+    REQUIRE( follower.relayed( store.revision(), MonoTime::max() ) );
+    auto task = follower.run();
+    net::start( context, std::move( task ), "follower" );
+    const auto quiet = std::chrono::steady_clock::now() + 300ms;
+    runUntil( context, [&] { return std::chrono::steady_clock::now() > quiet; } );
+    CHECK( store.calls() == 0U );
+    store.put( "servers", "u2", entry( "ready" ) );
+    follower.relayLost();
+    REQUIRE( runUntil( context, [&] { return !seen.empty(); } ) );
+    CHECK( seen == std::vector<std::string>{ "u2" } );
+    // A relay that lags behind what the follower has seen by itself is not believed.
+    CHECK_FALSE( follower.relayed( store.revision() - 1, MonoTime::max() ) );
+    follower.stop();
+}
