Store: gateways hear of its changes through a sidecar that watches for all of them

All gateways choose the same connected sidecar by rendezvous hash (one for each 32 gateways), which watches the store for them: first all that exists, then what changes, by revision. It says so when it has lost the store; a gateway whose relay is silent for 0.65 of the time to stop sending to a leaving upstream, or without the store, watches by itself from the revision it has, and asks the next sidecar. What a relay says is dropped while the gateway knows more; what an own call brings is dropped when the relay was faster. Answers that took longer than asked for (a frozen relay) confirm nothing.

Ruled out: longer batches (the wait is bounded by the time to stop sending); stale reads (seconds old).

The configuration's and the upstreams' following move from gateway.cpp to store_feed.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -131,12 +131,18 @@
     if( !node.sidecar ) {
         node.sidecar =
             std::make_shared<SidecarLink>( m_context, node.upstream.ip, m_settings.sidecarPort );
-        node.sidecar->start( [this, id = node.upstream.id]( const SidecarReport& report ) {
+        const auto onReport = [this, id = node.upstream.id]( const SidecarReport& report ) {
             const auto it = m_nodes.find( id );
             if( it != m_nodes.end() ) {
-                onReport( *it->second, report );
+                takeReport( *it->second, report );
             }
-        } );
+        };
+        const auto onNews = [this, id = node.upstream.id]( const StoreNews& news ) {
+            if( m_onStoreNews ) {
+                m_onStoreNews( id, news );
+            }
+        };
+        node.sidecar->start( onReport, onNews );
     }
     EngineNews news;
     news.gateway = m_settings.vm;
@@ -146,7 +152,7 @@
     node.sidecar->setNews( std::move( news ) );
 }
 
-void Fleet::onReport( Node& node, const SidecarReport& report ) {
+void Fleet::takeReport( Node& node, const SidecarReport& report ) {
     if( report.reachable != node.engineReachable ) {
         log::info( report.reachable ? "engine_regained" : "engine_lost",
                    { { "upstream", node.upstream.id } } );
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -11,6 +11,7 @@
 #include "gateway/sidecar_link.hpp"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -74,6 +75,12 @@
     //! Counts a request for a model.
     void countDemand( const Need& need, const Choice& choice );
 
+    //! Called with what the sidecar of an upstream passes on from the store.
+    using StoreNewsHandler =
+        std::function<void( const std::string& upstreamId, const StoreNews& news )>;
+    void onStoreNews( StoreNewsHandler handler ) { m_onStoreNews = std::move( handler ); }
+    const std::map<std::string, NodePtr>& nodes() const noexcept { return m_nodes; }
+
     //! Ends every wait for a model: the process is about to stop.
     void abandonWaits();
 
@@ -98,7 +105,7 @@
     static void drop( Node& node );
     static void stopSidecar( Node& node );
     void setEngine( Node& node );
-    void onReport( Node& node, const SidecarReport& report );
+    void takeReport( Node& node, const SidecarReport& report );
     Candidate candidate( const Node& node, const Need& need, MonoTime now ) const;
     double loadMs( const Node& node, const Generation& generation, MonoTime now ) const;
     bool takeStoreLoad( const Node& node, const std::string& model, MonoTime now );
@@ -117,6 +124,7 @@
         std::string model;
     };
     std::deque<StoreLoad> m_storeLoads; //!< within the window
+    StoreNewsHandler m_onStoreNews;
     MonoTime m_started;
     MonoTime m_lastTick;
     int m_gateways = 1;
--- a/src/gateway/follower.hpp
+++ b/src/gateway/follower.hpp
@@ -18,6 +18,8 @@
     std::function<void( const platform::StoreEvent& event )> event;
     //! The store answers again, or ceased to.
     std::function<void( bool reachable )> reachable;
+    //! All up to `revision` was handed on; called after each answer of the store. May be empty.
+    std::function<void( std::uint64_t revision )> synced;
 };
 
 struct FollowSettings {
@@ -27,10 +29,47 @@
     Millis callLimit{ 1000 }; //!< for a list
 };
 
-//! Keeps up with a kind of object in the store: lists, then watches, and lists again when the
-//! watch's history is gone. Never returns.
-net::Task<> follow( net::asio::io_context& context, platform::Endpoint store,
-                    FollowSettings settings, RandomSource& random, FollowHandlers handlers );
+/**
+ * Keeps up with a kind of object in the store: lists, then watches, and lists again when the
+ * watch's history is gone. While somebody else passes the store's changes on, it makes no calls.
+ */
+class Follower {
+public:
+    Follower( net::asio::io_context& context, const platform::Endpoint& store,
+              FollowSettings settings, RandomSource& random, FollowHandlers handlers );
+
+    //! Ends after stop().
+    net::Task<> run();
+    void stop() { m_stopped = true; }
+
+    //! A relay has passed on everything up to a revision; until `until` no call is needed. Returns
+    //! false when this follower is ahead of it, and what it passed on is to be dropped.
+    bool relayed( std::uint64_t revision, MonoTime until );
+    //! The relay is lost, or has lost the store.
+    void relayLost();
+
+    std::uint64_t revision() const noexcept { return m_revision; }
+
+private:
+    net::Task<platform::StoreStatus> callStore();
+    net::Task<platform::StoreStatus> list();
+    net::Task<platform::StoreStatus> watch();
+    void setReachable( bool reachable, std::string_view status );
+    Millis retryDelay();
+
+    net::asio::io_context& m_context;
+    FollowSettings m_settings;
+    RandomSource& m_random;
+    FollowHandlers m_handlers;
+    platform::StoreClient m_client;
+    bool m_stopped = false;
+    bool m_listed = false;
+    bool m_reachable = false;
+    std::uint64_t m_revision = 0;
+    Millis m_retry;
+    MonoTime m_eagerUntil;
+    MonoTime m_relayedUntil;
+};
 
 } // namespace coursehead::gateway
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,8 +3,8 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "gateway/client_session.hpp"
-#include "gateway/follower.hpp"
 #include "gateway/probe_server.hpp"
+#include "gateway/store_feed.hpp"
 #include "kernel/platform_role.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,9 +17,6 @@
 
 namespace {
 
-//! Upstreams' entries change all the time; changes are taken in batches, since each watch call is
-//! paid for. The wait is this part of the time there is to stop sending to one that leaves.
-constexpr double batchPart = 0.4;
 constexpr Millis tickInterval{ 100 };
 //! After SIGTERM clients are still sent here until readiness was asked for twice, a second apart.
 constexpr Millis leaveDelay{ 2600 };
@@ -27,9 +24,6 @@
 constexpr Millis exitMargin{ 500 };
 //! A request that still waits for a model this long before the end is refused, not cut.
 constexpr Millis lastSendMargin{ 1000 };
-//! How long a watch call waits, as a part of the time after which the platform judges again: a call
-//! that hangs since an outage must have ended, and another begun, soon after that time.
-constexpr double watchPart = 1.1;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusNotFound = 404;
@@ -44,6 +38,7 @@
           m_registry( Registry::Settings{} ), m_shared{ m_context, m_fleet,           m_random,
                                                         m_metrics, m_settings.bounds, nullptr,
                                                         {} },
+          m_feed( m_context, m_settings, m_random, m_fleet, m_registry, feedHandlers() ),
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
@@ -60,8 +55,7 @@
                     serveProbes( std::move( metrics ),
                                  [this]( std::string_view path ) { return scrape( path ); } ),
                     "metrics" );
-        followConfiguration();
-        followUpstreams();
+        m_feed.start();
         net::start( m_context, ticks(), "ticks" );
         net::start( m_context, handleSignals(), "signals" );
         log::info( "started", { { "front", m_settings.front.text() },
@@ -83,7 +77,9 @@
         return out;
     }
 
-    bool isReady() const { return m_shared.table && m_upstreamsListed && !m_shared.draining; }
+    bool isReady() const {
+        return m_shared.table && m_feed.upstreamsListed() && !m_shared.draining;
+    }
 
     ProbeAnswer readiness() const {
         const bool ready = isReady();
@@ -111,43 +107,22 @@
         }
     }
 
-    FollowSettings followSettings( std::string_view kind ) const {
-        FollowSettings out;
-        out.kind = std::string( kind );
-        out.wait = Millis( static_cast<std::int64_t>(
-            static_cast<double>( m_settings.bounds.contact.count() ) * watchPart ) );
-        return out;
-    }
-
-    void followConfiguration() {
-        FollowHandlers handlers;
-        handlers.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
-            for( const auto& it : objects ) {
-                takeConfiguration( it );
-            }
-        };
-        handlers.event = [this]( const platform::StoreEvent& event ) {
-            if( !event.removed ) {
-                takeConfiguration( event.object );
-            }
+    FeedHandlers feedHandlers() {
+        FeedHandlers out;
+        out.configuration = [this]( std::string_view json ) {
+            takeConfiguration( json );
         };
-        handlers.reachable = []( bool ) {
+        out.upstreams = [this] {
+            syncFleet();
         };
-        auto task = follow( m_context, m_settings.store,
-                            followSettings( platform::configurationKind ), m_random, handlers );
-        net::start( m_context, std::move( task ), "configuration" );
+        return out;
     }
 
-    void takeConfiguration( const platform::StoreObject& object ) {
-        if( object.name != platform::configurationName ) {
-            return;
-        }
+    void takeConfiguration( std::string_view json ) {
         std::string problem;
-        auto read = platform::readConfiguration( object.spec, problem );
+        auto read = platform::readConfiguration( json, problem );
         if( !read ) {
-            log::error( "configuration_unreadable",
-                        { { "revision", static_cast<std::int64_t>( object.revision ) },
-                          { "detail", problem } } );
+            log::error( "configuration_unreadable", { { "detail", problem } } );
             return;
         }
         const auto held = m_shared.table ? m_shared.table->configuration().version : 0;
@@ -162,51 +137,6 @@
         m_fleet.setConfiguration( m_shared.table, std::chrono::steady_clock::now() );
     }
 
-    void followUpstreams() {
-        FollowHandlers handlers;
-        handlers.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
-            std::vector<Upstream> upstreams;
-            for( const auto& it : objects ) {
-                if( auto upstream = readUpstream( it ) ) {
-                    upstreams.push_back( std::move( *upstream ) );
-                }
-            }
-            m_upstreamsListed = true;
-            m_registry.list( std::move( upstreams ), std::chrono::steady_clock::now() );
-            syncFleet();
-        };
-        handlers.event = [this]( const platform::StoreEvent& event ) {
-            const auto now = std::chrono::steady_clock::now();
-            if( event.removed ) {
-                m_registry.remove( event.object.name, now );
-            } else if( auto upstream = readUpstream( event.object ) ) {
-                m_registry.put( std::move( *upstream ), now );
-            }
-            syncFleet();
-        };
-        handlers.reachable = [this]( bool reachable ) {
-            m_registry.storeReachable( reachable, std::chrono::steady_clock::now() );
-        };
-        auto settings = followSettings( platform::upstreamKind );
-        settings.pause = Millis( static_cast<std::int64_t>(
-            static_cast<double>( m_settings.bounds.drain.count() ) * batchPart ) );
-        auto task = follow( m_context, m_settings.store, settings, m_random, handlers );
-        net::start( m_context, std::move( task ), "upstreams" );
-    }
-
-    std::optional<Upstream> readUpstream( const platform::StoreObject& object ) {
-        std::string problem;
-        auto out = platform::readUpstream( object.name, object.spec, problem );
-        if( !out ) {
-            log::error( "upstream_unreadable",
-                        { { "upstream", object.name }, { "detail", problem } } );
-        }
-        if( out ) {
-            out->created = object.created;
-        }
-        return out;
-    }
-
     void syncFleet() { m_fleet.sync( m_registry.members(), std::chrono::steady_clock::now() ); }
 
     net::Task<> ticks() {
@@ -219,6 +149,7 @@
                 syncFleet();
             }
             m_fleet.tick( now );
+            m_feed.tick( now );
         }
     }
 
@@ -284,9 +215,9 @@
     Fleet m_fleet;
     Registry m_registry;
     Shared m_shared;
+    StoreFeed m_feed;
     net::asio::signal_set m_signals;
     std::unique_ptr<net::Acceptor> m_front;
-    bool m_upstreamsListed = false;
 };
 
 } // namespace
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -37,6 +37,33 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineNews, gateway, configVersion, upstreamId, engine )
 // clang-format on
 
+void to_json( Json& out, const Upstream& in ) {
+    const auto left = in.remaining ? in.remaining->count() : std::int64_t{ -1 };
+    out = Json::array( { in.id, in.created, in.service, in.ip, in.port, in.hall, in.slots,
+                         in.state == UpstreamState::draining, left, in.residents } );
+}
+
+void from_json( const Json& in, Upstream& out ) {
+    out.id = in.at( 0 ).get<std::string>();
+    out.created = in.at( 1 ).get<std::uint64_t>();
+    out.service = in.at( 2 ).get<std::string>();
+    out.ip = in.at( 3 ).get<std::string>();
+    out.port = in.at( 4 ).get<int>();
+    out.hall = in.at( 5 ).get<std::string>();
+    out.slots = in.at( 6 ).get<int>();
+    out.state = in.at( 7 ).get<bool>() ? UpstreamState::draining : UpstreamState::ready;
+    const auto left = in.at( 8 ).get<std::int64_t>();
+    if( left >= 0 ) {
+        out.remaining = Millis( left );
+    }
+    out.residents = in.at( 9 ).get<std::vector<Resident>>();
+}
+
+// clang-format off
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( RelayAsk, wanted )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( StoreNews, part, revision, reachable, whole, upstreams, gone, configuration )
+// clang-format on
+
 namespace {
 
 template <std::size_t Index = 0>
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -72,7 +72,30 @@
     EngineReport engine;
 };
 
-using Message = std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport>;
+//! Asks a sidecar to pass on what changes in the store, or to cease to.
+struct RelayAsk {
+    bool wanted = false;
+};
+
+//! Which part of the store a message is about.
+enum class StorePart {
+    upstreams,
+    configuration,
+};
+
+//! What has changed in the store up to a revision; sent after every answer of the store.
+struct StoreNews {
+    StorePart part = StorePart::upstreams;
+    std::uint64_t revision = 0;
+    bool reachable = true;           //!< the store answered; otherwise nothing else is set
+    bool whole = false;              //!< all that exists, not only the changes
+    std::vector<Upstream> upstreams; //!< added or changed in more than what they hold
+    std::vector<std::string> gone;   //!< ids of upstreams
+    std::string configuration;       //!< as the operator wrote it; empty: unchanged
+};
+
+using Message = std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport,
+                             RelayAsk, StoreNews>;
 
 std::string encode( const Message& message );
 //! Reads a message; nullopt when it is malformed.
--- /dev/null
+++ b/src/gateway/relay_choice.cpp
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/relay_choice.hpp"
+
+#include "kernel/hash.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace coursehead::gateway {
+
+namespace {
+
+//! A relay sends each change once to each gateway: thirty-two cost it well below a hundredth of a
+//! core, and at 400 gateways 13 relays call the store.
+constexpr int gatewaysPerRelay = 32;
+
+} // namespace
+
+std::optional<std::size_t> chooseRelay( std::span<const RelayCandidate> candidates,
+                                        std::string_view gateway, int gateways ) {
+    std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+    for( std::size_t n = 0; n < candidates.size(); ++n ) {
+        if( candidates[n].connected && !candidates[n].avoided ) {
+            ranked.emplace_back( hash64( candidates[n].upstreamId, "relay" ), n );
+        }
+    }
+    if( ranked.empty() ) {
+        return std::nullopt;
+    }
+    std::sort( ranked.begin(), ranked.end() );
+    const auto groups = static_cast<std::uint64_t>( 1 + ( gateways - 1 ) / gatewaysPerRelay );
+    const auto group = hash64( gateway, "relay" ) % groups;
+    return ranked[group % ranked.size()].second;
+}
+
+} // namespace coursehead::gateway
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -18,8 +18,9 @@
 SidecarLink::SidecarLink( net::asio::io_context& context, std::string ip, int port )
     : m_context( context ), m_ip( std::move( ip ) ), m_port( port ) {}
 
-void SidecarLink::start( ReportHandler onReport ) {
+void SidecarLink::start( ReportHandler onReport, NewsHandler onNews ) {
     m_onReport = std::move( onReport );
+    m_onNews = std::move( onNews );
     auto task = keepConnected();
     net::start( m_context, std::move( task ), "sidecar link" );
 }
@@ -27,6 +28,7 @@
 void SidecarLink::stop() {
     m_stopped = true;
     m_onReport = nullptr;
+    m_onNews = nullptr;
     if( m_channel ) {
         m_channel->close();
     }
@@ -58,6 +60,13 @@
     m_channel->send( encode( message ) );
 }
 
+void SidecarLink::askRelay( bool wanted ) {
+    if( m_channel ) {
+        const Message message( RelayAsk{ wanted } );
+        m_channel->send( encode( message ) );
+    }
+}
+
 net::Task<EnsureOutcome> SidecarLink::ensure( EnsureRequest request, Millis limit ) {
     if( !m_channel ) {
         co_return EnsureOutcome::failed;
@@ -95,6 +104,12 @@
         }
         return;
     }
+    if( const auto* news = std::get_if<StoreNews>( &*message ) ) {
+        if( m_onNews ) {
+            m_onNews( *news );
+        }
+        return;
+    }
     if( const auto* answer = std::get_if<EnsureAnswer>( &*message ) ) {
         const auto it = m_waiters.find( answer->number );
         if( it != m_waiters.end() ) {
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -16,17 +16,20 @@
 class SidecarLink : public std::enable_shared_from_this<SidecarLink> {
 public:
     using ReportHandler = std::function<void( const SidecarReport& report )>;
+    using NewsHandler = std::function<void( const StoreNews& news )>;
 
     SidecarLink( net::asio::io_context& context, std::string ip, int port );
 
-    //! Begins to connect; `onReport` is called until stop().
-    void start( ReportHandler onReport );
+    //! Begins to connect; the handlers are called until stop().
+    void start( ReportHandler onReport, NewsHandler onNews );
     void stop();
     bool up() const { return m_channel != nullptr; }
 
     //! Tells the sidecar what its engine is built like, now and after each reconnect.
     void setNews( EngineNews news );
     void send( const DemandNews& demand );
+    //! Asks the sidecar to pass the store's changes on, or to cease to; lost with the connection.
+    void askRelay( bool wanted );
     //! Asks for a model or adapter, and waits for the answer; `failed` after `limit`.
     net::Task<EnsureOutcome> ensure( EnsureRequest request, Millis limit );
     //! Ends every wait as failed.
@@ -46,6 +49,7 @@
     std::string m_ip;
     int m_port;
     ReportHandler m_onReport;
+    NewsHandler m_onNews;
     std::shared_ptr<net::FrameChannel> m_channel;
     std::string m_news; //!< encoded
     std::uint64_t m_nextNumber = 1;
--- /dev/null
+++ b/src/gateway/store_feed.cpp
@@ -0,0 +1,218 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/store_feed.hpp"
+
+#include "coursehead/kernel/log.hpp"
+#include "gateway/relay_choice.hpp"
+#include "gateway/relay_times.hpp"
+#include "gateway/store_objects.hpp"
+
+namespace coursehead::gateway {
+
+namespace {
+
+//! Upstreams' entries change all the time; changes are taken in batches, since each watch call is
+//! paid for. The wait is this part of the time there is to stop sending to one that leaves.
+constexpr double batchPart = 0.4;
+//! How long a watch call waits, as a part of the time after which the platform judges again: a call
+//! that hangs since an outage must have ended, and another begun, soon after that time.
+constexpr double watchPart = 1.1;
+//! A relay that failed is not asked again for this long.
+constexpr Millis relayAvoided{ 3000 };
+//! How often a gateway looks whether the relay that all should use is another one.
+constexpr Millis relayRecheck{ 3000 };
+
+FollowSettings followSettings( const platform::NodeSettings& settings, std::string_view kind ) {
+    FollowSettings out;
+    out.kind = std::string( kind );
+    out.wait = partOf( settings.bounds.contact, watchPart );
+    return out;
+}
+
+FollowSettings upstreamSettings( const platform::NodeSettings& settings ) {
+    auto out = followSettings( settings, platform::upstreamKind );
+    out.pause = partOf( settings.bounds.drain, batchPart );
+    return out;
+}
+
+} // namespace
+
+StoreFeed::StoreFeed( net::asio::io_context& context, const platform::NodeSettings& settings,
+                      RandomSource& random, Fleet& fleet, Registry& registry,
+                      FeedHandlers handlers )
+    : m_context( context ), m_settings( settings ), m_fleet( fleet ), m_registry( registry ),
+      m_handlers( std::move( handlers ) ),
+      m_configuration( context, settings.store,
+                       followSettings( settings, platform::configurationKind ), random,
+                       configurationHandlers() ),
+      m_upstreams( context, settings.store, upstreamSettings( settings ), random,
+                   upstreamHandlers() ) {}
+
+void StoreFeed::start() {
+    m_fleet.onStoreNews( [this]( const std::string& upstreamId, const StoreNews& news ) {
+        takeNews( upstreamId, news );
+    } );
+    net::start( m_context, m_configuration.run(), "configuration" );
+    net::start( m_context, m_upstreams.run(), "upstreams" );
+}
+
+FollowHandlers StoreFeed::configurationHandlers() {
+    FollowHandlers out;
+    out.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
+        for( const auto& it : objects ) {
+            takeObject( it );
+        }
+    };
+    out.event = [this]( const platform::StoreEvent& event ) {
+        if( !event.removed ) {
+            takeObject( event.object );
+        }
+    };
+    out.reachable = []( bool ) {
+    };
+    return out;
+}
+
+void StoreFeed::takeObject( const platform::StoreObject& object ) const {
+    if( object.name == platform::configurationName ) {
+        m_handlers.configuration( object.spec );
+    }
+}
+
+FollowHandlers StoreFeed::upstreamHandlers() {
+    FollowHandlers out;
+    out.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
+        std::vector<Upstream> upstreams;
+        for( const auto& it : objects ) {
+            if( auto upstream = upstreamOf( it ) ) {
+                upstreams.push_back( std::move( *upstream ) );
+            }
+        }
+        takeListing( std::move( upstreams ) );
+    };
+    out.event = [this]( const platform::StoreEvent& event ) {
+        const auto now = std::chrono::steady_clock::now();
+        if( event.removed ) {
+            m_registry.remove( event.object.name, now );
+        } else if( auto upstream = upstreamOf( event.object ) ) {
+            m_registry.put( std::move( *upstream ), now );
+        }
+        m_handlers.upstreams();
+    };
+    out.reachable = [this]( bool reachable ) {
+        m_registry.storeReachable( reachable, std::chrono::steady_clock::now() );
+    };
+    return out;
+}
+
+void StoreFeed::takeListing( std::vector<Upstream> upstreams ) {
+    m_listed = true;
+    m_registry.list( std::move( upstreams ), std::chrono::steady_clock::now() );
+    m_handlers.upstreams();
+}
+
+void StoreFeed::takeNews( const std::string& upstreamId, const StoreNews& news ) {
+    if( upstreamId != m_relay ) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if( !news.reachable ) {
+        leaveRelay( "without the store", now );
+        return;
+    }
+    if( news.part == StorePart::upstreams ) {
+        m_relayHeard = now;
+        takeUpstreams( news );
+        return;
+    }
+    // A relay that lives tells of a store that does not answer: configuration needs no clock of
+    // its own.
+    const auto until = MonoTime::max();
+    if( m_configuration.relayed( news.revision, until ) && !news.configuration.empty() ) {
+        m_handlers.configuration( news.configuration );
+    }
+}
+
+void StoreFeed::takeUpstreams( const StoreNews& news ) {
+    if( !news.whole && !m_gotWhole ) {
+        return;
+    }
+    m_gotWhole = true;
+    const auto now = std::chrono::steady_clock::now();
+    const auto until = now + relaySilence( m_settings.bounds );
+    // Changes that were dropped here, because this gateway knew them, are no gap: later ones build
+    // on what it knows.
+    if( !m_upstreams.relayed( news.revision, until ) ) {
+        return;
+    }
+    if( news.whole ) {
+        takeListing( news.upstreams );
+        return;
+    }
+    for( const auto& it : news.upstreams ) {
+        m_registry.put( it, now );
+    }
+    for( const auto& it : news.gone ) {
+        m_registry.remove( it, now );
+    }
+    if( !news.upstreams.empty() || !news.gone.empty() ) {
+        m_handlers.upstreams();
+    }
+}
+
+void StoreFeed::leaveRelay( std::string_view why, MonoTime now ) {
+    log::info( "relay_lost", { { "upstream", m_relay }, { "why", why } } );
+    const auto it = m_fleet.nodes().find( m_relay );
+    if( it != m_fleet.nodes().end() && it->second->sidecar ) {
+        it->second->sidecar->askRelay( false );
+    }
+    m_avoided[m_relay] = now + relayAvoided;
+    m_relay.clear();
+    m_upstreams.relayLost();
+    m_configuration.relayLost();
+}
+
+void StoreFeed::seekRelay( MonoTime now ) {
+    std::vector<RelayCandidate> candidates;
+    std::vector<NodePtr> nodes;
+    for( const auto& [id, node] : m_fleet.nodes() ) {
+        if( node->sidecar ) {
+            const auto avoided = m_avoided.find( id );
+            candidates.push_back( { id, node->sidecar->up() && node->takesRequests(),
+                                    avoided != m_avoided.end() && avoided->second > now } );
+            nodes.push_back( node );
+        }
+    }
+    std::erase_if( m_avoided, [now]( const auto& it ) { return it.second <= now; } );
+    const auto best = chooseRelay( candidates, m_settings.vm, m_fleet.gateways() );
+    if( !best || candidates[*best].upstreamId == m_relay ) {
+        return;
+    }
+    const auto before = m_fleet.nodes().find( m_relay );
+    if( before != m_fleet.nodes().end() && before->second->sidecar ) {
+        before->second->sidecar->askRelay( false );
+    }
+    m_relay = nodes[*best]->upstream.id;
+    m_relayHeard = now;
+    m_gotWhole = false;
+    log::info( "relay_chosen", { { "upstream", m_relay } } );
+    nodes[*best]->sidecar->askRelay( true );
+}
+
+void StoreFeed::tick( MonoTime now ) {
+    if( !m_relay.empty() ) {
+        const auto it = m_fleet.nodes().find( m_relay );
+        const bool up =
+            it != m_fleet.nodes().end() && it->second->sidecar && it->second->sidecar->up();
+        if( !up ) {
+            leaveRelay( "connection lost", now );
+        } else if( now - m_relayHeard > relaySilence( m_settings.bounds ) ) {
+            leaveRelay( "silent", now );
+        }
+    }
+    if( m_relay.empty() || now - m_relayChecked >= relayRecheck ) {
+        m_relayChecked = now;
+        seekRelay( now );
+    }
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/store_feed.hpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_STORE_FEED_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_STORE_FEED_HPP_INCLUDED
+
+#include "gateway/fleet.hpp"
+#include "gateway/follower.hpp"
+#include "gateway/registry.hpp"
+#include "platform/node_settings.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace coursehead::gateway {
+
+//! What the feed keeps up to date.
+struct FeedHandlers {
+    //! A configuration, as the operator wrote it, at a revision of the store.
+    std::function<void( std::string_view json )> configuration;
+    //! The registry was listed or has changed.
+    std::function<void()> upstreams;
+};
+
+/**
+ * Keeps configuration and registry in line with the store. Each call to the store is paid for, and
+ * its rate does not grow with the fleet: changes come through a sidecar that calls it for many
+ * gateways. While that relay is silent, or has lost the store, the gateway calls the store itself.
+ */
+class StoreFeed {
+public:
+    StoreFeed( net::asio::io_context& context, const platform::NodeSettings& settings,
+               RandomSource& random, Fleet& fleet, Registry& registry, FeedHandlers handlers );
+
+    void start();
+    //! Regular work: looks after the relay.
+    void tick( MonoTime now );
+    bool upstreamsListed() const noexcept { return m_listed; }
+
+private:
+    FollowHandlers configurationHandlers();
+    FollowHandlers upstreamHandlers();
+    void takeObject( const platform::StoreObject& object ) const;
+    void takeListing( std::vector<Upstream> upstreams );
+    void takeNews( const std::string& upstreamId, const StoreNews& news );
+    void takeUpstreams( const StoreNews& news );
+    void leaveRelay( std::string_view why, MonoTime now );
+    void seekRelay( MonoTime now );
+
+    net::asio::io_context& m_context;
+    const platform::NodeSettings& m_settings;
+    Fleet& m_fleet;
+    Registry& m_registry;
+    FeedHandlers m_handlers;
+    Follower m_configuration;
+    Follower m_upstreams;
+    bool m_listed = false;
+    std::string m_relay;                       //!< upstream id; empty: none
+    MonoTime m_relayHeard;                     //!< its last word on upstreams
+    MonoTime m_relayChecked;                   //!< when the choice was last looked at
+    bool m_gotWhole = false;                   //!< of the upstreams, from this relay
+    std::map<std::string, MonoTime> m_avoided; //!< former relays, until when
+};
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_STORE_FEED_HPP_INCLUDED
--- /dev/null
+++ b/src/gateway/store_objects.hpp
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_STORE_OBJECTS_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_STORE_OBJECTS_HPP_INCLUDED
+
+#include "platform/wire.hpp"
+
+#include <optional>
+
+namespace coursehead::gateway {
+
+//! Reads an upstream's entry; one that cannot be read is logged and left out.
+std::optional<Upstream> upstreamOf( const platform::StoreObject& object );
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_STORE_OBJECTS_HPP_INCLUDED
--- /dev/null
+++ b/src/sidecar/relay.cpp
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/relay.hpp"
+
+#include "coursehead/kernel/log.hpp"
+#include "gateway/relay_times.hpp"
+#include "gateway/store_objects.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace coursehead::sidecar {
+
+using gateway::StoreNews;
+using gateway::StorePart;
+using gateway::Upstream;
+
+namespace {
+
+//! True when gateways have to hear of it: what an engine holds its own sidecar tells them.
+bool differs( const Upstream& a, const Upstream& b ) {
+    return a.created != b.created || a.service != b.service || a.ip != b.ip || a.port != b.port ||
+           a.hall != b.hall || a.slots != b.slots || a.state != b.state ||
+           a.remaining != b.remaining;
+}
+
+//! How long a watch on the configuration waits: changes end it at once.
+Millis configurationWait( const platform::Bounds& bounds ) {
+    constexpr double part = 1.1; // as a gateway's own watch
+    return gateway::partOf( bounds.contact, part );
+}
+
+} // namespace
+
+Relay::Relay( net::asio::io_context& context, const platform::NodeSettings& settings,
+              RandomSource& random )
+    : m_context( context ), m_settings( settings ), m_random( random ) {}
+
+void Relay::subscribe( const void* who, Send send ) {
+    auto& subscriber = m_subscribers[who];
+    subscriber = { std::move( send ), {} };
+    if( m_parts.empty() ) {
+        log::info( "relay_started", {} );
+        startPart( StorePart::upstreams );
+        startPart( StorePart::configuration );
+        return;
+    }
+    for( const auto& it : m_parts ) {
+        if( it->listed && it->reachable ) {
+            subscriber.whole.insert( it->part );
+            subscriber.send( gateway::encode( gateway::Message( wholeNews( *it ) ) ) );
+        }
+    }
+}
+
+void Relay::unsubscribe( const void* who ) {
+    if( m_subscribers.erase( who ) == 0 || !m_subscribers.empty() ) {
+        return;
+    }
+    log::info( "relay_ended", {} );
+    for( const auto& it : m_parts ) {
+        it->follower->stop();
+    }
+    m_parts.clear();
+}
+
+void Relay::startPart( StorePart kind ) {
+    const auto part = std::make_shared<Part>();
+    part->part = kind;
+    gateway::FollowSettings settings;
+    if( kind == StorePart::upstreams ) {
+        settings.kind = std::string( platform::upstreamKind );
+        settings.wait = gateway::relayWait( m_settings.bounds );
+        settings.pause = gateway::relayPause( m_settings.bounds );
+    } else {
+        settings.kind = std::string( platform::configurationKind );
+        settings.wait = configurationWait( m_settings.bounds );
+    }
+    part->follower = std::make_unique<gateway::Follower>(
+        m_context, m_settings.store, std::move( settings ), m_random, handlersFor( part ) );
+    m_parts.push_back( part );
+    auto task = [part]() -> net::Task<> {
+        co_await part->follower->run();
+    };
+    net::asio::co_spawn( m_context, std::move( task ), net::asio::detached );
+}
+
+gateway::FollowHandlers Relay::handlersFor( const PartPtr& part ) {
+    // The part holds its follower, and that its handlers: a strong pointer would keep all alive.
+    const std::weak_ptr<Part> weak = part;
+    const auto current = [this, weak]() -> Part* {
+        const auto it = weak.lock();
+        const bool followed =
+            it && std::find( m_parts.begin(), m_parts.end(), it ) != m_parts.end();
+        return followed ? it.get() : nullptr;
+    };
+    gateway::FollowHandlers out;
+    out.listing = [current]( const std::vector<platform::StoreObject>& objects ) {
+        auto* it = current();
+        if( it == nullptr ) {
+            return;
+        }
+        std::set<std::string> missing;
+        for( const auto& [name, upstream] : it->upstreams ) {
+            missing.insert( name );
+        }
+        for( const auto& object : objects ) {
+            missing.erase( object.name );
+            put( *it, object );
+        }
+        for( const auto& name : missing ) {
+            remove( *it, name );
+        }
+        it->listed = true;
+    };
+    out.event = [current]( const platform::StoreEvent& event ) {
+        auto* it = current();
+        if( it != nullptr && event.removed ) {
+            remove( *it, event.object.name );
+        } else if( it != nullptr ) {
+            put( *it, event.object );
+        }
+    };
+    out.reachable = [this, current]( bool reachable ) {
+        auto* it = current();
+        if( it != nullptr ) {
+            it->reachable = reachable;
+            if( !reachable ) {
+                publishUnreachable( *it );
+            }
+        }
+    };
+    out.synced = [this, current]( std::uint64_t revision ) {
+        auto* it = current();
+        if( it != nullptr ) {
+            it->revision = revision;
+            publish( *it );
+        }
+    };
+    return out;
+}
+
+void Relay::put( Part& part, const platform::StoreObject& object ) {
+    if( part.part == StorePart::configuration ) {
+        if( object.name == platform::configurationName ) {
+            part.configuration = object.spec;
+            part.configurationChanged = true;
+        }
+        return;
+    }
+    auto upstream = gateway::upstreamOf( object );
+    if( !upstream ) {
+        return;
+    }
+    const auto it = part.upstreams.find( object.name );
+    if( it == part.upstreams.end() || differs( it->second, *upstream ) ) {
+        part.changed.insert( object.name );
+    }
+    part.gone.erase( object.name );
+    part.upstreams[object.name] = std::move( *upstream );
+}
+
+void Relay::remove( Part& part, const std::string& name ) {
+    if( part.upstreams.erase( name ) > 0 ) {
+        part.changed.erase( name );
+        part.gone.insert( name );
+    }
+}
+
+StoreNews Relay::wholeNews( const Part& part ) {
+    StoreNews out;
+    out.part = part.part;
+    out.revision = part.revision;
+    out.whole = true;
+    for( const auto& it : part.upstreams ) {
+        out.upstreams.push_back( it.second );
+    }
+    out.configuration = part.configuration;
+    return out;
+}
+
+StoreNews Relay::changes( const Part& part ) {
+    StoreNews out;
+    out.part = part.part;
+    out.revision = part.revision;
+    for( const auto& it : part.changed ) {
+        out.upstreams.push_back( part.upstreams.at( it ) );
+    }
+    out.gone.assign( part.gone.begin(), part.gone.end() );
+    if( part.configurationChanged ) {
+        out.configuration = part.configuration;
+    }
+    return out;
+}
+
+void Relay::publish( Part& part ) {
+    const auto news = gateway::encode( gateway::Message( changes( part ) ) );
+    std::string whole;
+    for( auto& [who, subscriber] : m_subscribers ) {
+        if( !subscriber.whole.insert( part.part ).second ) {
+            subscriber.send( news );
+            continue;
+        }
+        if( whole.empty() ) {
+            whole = gateway::encode( gateway::Message( wholeNews( part ) ) );
+        }
+        subscriber.send( whole );
+    }
+    part.changed.clear();
+    part.gone.clear();
+    part.configurationChanged = false;
+}
+
+void Relay::publishUnreachable( Part& part ) {
+    StoreNews news;
+    news.part = part.part;
+    news.revision = part.revision;
+    news.reachable = false;
+    const auto encoded = gateway::encode( gateway::Message( std::move( news ) ) );
+    for( auto& it : m_subscribers ) {
+        it.second.send( encoded );
+    }
+}
+
+} // namespace coursehead::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -7,6 +7,7 @@
 #include "net/frame_channel.hpp"
 #include "platform/store_client.hpp"
 #include "sidecar/engine_client.hpp"
+#include "sidecar/relay.hpp"
 #include "sidecar/residency.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -80,7 +81,8 @@
 public:
     explicit Sidecar( platform::NodeSettings settings )
         : m_settings( std::move( settings ) ), m_engine( m_context, m_settings.engine ),
-          m_wake( m_context ), m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
+          m_random( systemSeed() ), m_relay( m_context, m_settings, m_random ), m_wake( m_context ),
+          m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
         auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
@@ -119,6 +121,7 @@
         };
         co_await peer->channel->run( std::move( handler ) );
         m_peers.erase( peer );
+        m_relay.unsubscribe( peer.get() );
         log::info( "gateway_lost", { { "gateway", peer->gateway } } );
     }
 
@@ -134,6 +137,8 @@
             takeEnsure( peer, *ensure );
         } else if( const auto* demand = std::get_if<gateway::DemandNews>( &*message ) ) {
             takeDemand( *peer, *demand );
+        } else if( const auto* ask = std::get_if<gateway::RelayAsk>( &*message ) ) {
+            takeRelayAsk( peer, *ask );
         }
     }
 
@@ -149,6 +154,16 @@
         sendReport( peer );
     }
 
+    void takeRelayAsk( const PeerPtr& peer, const gateway::RelayAsk& ask ) {
+        if( !ask.wanted ) {
+            m_relay.unsubscribe( peer.get() );
+            return;
+        }
+        m_relay.subscribe( peer.get(), [channel = peer->channel]( std::string_view message ) {
+            channel->send( message );
+        } );
+    }
+
     void takeDemand( Peer& peer, const gateway::DemandNews& news ) {
         const auto now = std::chrono::steady_clock::now();
         peer.demand.clear();
@@ -439,6 +454,8 @@
     net::asio::io_context m_context{ 1 };
     platform::NodeSettings m_settings;
     EngineClient m_engine;
+    RandomSource m_random;
+    Relay m_relay;
     net::Timer m_wake;
     net::asio::signal_set m_signals;
     std::set<PeerPtr> m_peers;
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -318,3 +318,25 @@
         CHECK( pace.readingMs( "m", 3800 ) == held );
     }
 }
+
+TEST_CASE( "News of the store survive their encoding", "[gateway][messages]" ) {
+    StoreNews news;
+    news.part = StorePart::upstreams;
+    news.revision = 17;
+    auto leaving = upstream( "u1", 80, 3 );
+    leaving.state = UpstreamState::draining;
+    leaving.remaining = 1500ms;
+    leaving.residents = { { "m", { "a1" } } };
+    news.upstreams = { leaving };
+    news.gone = { "u2" };
+    const auto decoded = decode( encode( Message( news ) ) );
+    REQUIRE( decoded );
+    const auto& out = std::get<StoreNews>( *decoded );
+    CHECK( out.revision == 17U );
+    CHECK( out.gone == news.gone );
+    REQUIRE( out.upstreams.size() == 1U );
+    CHECK( out.upstreams[0].state == UpstreamState::draining );
+    CHECK( out.upstreams[0].remaining == leaving.remaining );
+    CHECK( out.upstreams[0].created == 3U );
+    CHECK( out.upstreams[0].residents == leaving.residents );
+}
