Selection: engines whose streams pause too long are avoided

Slowness was measured by first events alone; a small prompt is read in well by an engine that is far too slow for the streams beside a long one. One gateway of thirty sees a stream on a given engine every 18 s: too few to judge by itself.

Each sidecar now counts, from its engine's own reports, the part of recent streams that paused longer than the routes' target (half-life 2 s, two streams' credit) and tells all gateways; it adds to the cost of sending there and fades, so that the engine is tried again.

With it: sidecars hear of an engine's make only when it has changed. Every configuration was passed to each sidecar before, 8 kB each from each gateway.

Ruled out: slow gateways (late parts are alike, 7 to 14 in 100, on all VMs).

Tests: [pauses] (two), "Streams that pause elsewhere speak against an upstream", "The shortest pause that a service's routes ask for is its target".

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -122,7 +122,16 @@
 
 void Fleet::setEngine( Node& node ) {
     const auto* service = m_table ? m_table->service( node.upstream.service ) : nullptr;
-    node.engine = service != nullptr ? service->engine : nullptr;
+    const auto engine = service != nullptr ? service->engine : nullptr;
+    const auto gapTarget = m_table ? m_table->gapTarget( node.upstream.service ) : Millis{ 0 };
+    const bool same = node.engine && engine && *node.engine == *engine &&
+                      node.gapTarget == gapTarget && node.sidecar;
+    if( same ) {
+        // Most configurations change routes only: sidecars need not hear of them.
+        return;
+    }
+    node.engine = engine;
+    node.gapTarget = gapTarget;
     if( !node.engine ) {
         stopSidecar( node );
         return;
@@ -149,6 +158,7 @@
     news.configVersion = m_table->configuration().version;
     news.upstreamId = node.upstream.id;
     news.engine = *node.engine;
+    news.gapTargetMs = gapTarget.count();
     node.sidecar->setNews( std::move( news ) );
 }
 
@@ -161,6 +171,7 @@
     node.reportAt = std::chrono::steady_clock::now();
     node.report = report.engine;
     node.adapterRoom = report.adapterRoom;
+    node.latePauses = report.latePauses;
     if( contains( report.formerUpstreams, node.upstream.id ) ) {
         node.replaced = true;
     }
@@ -271,6 +282,7 @@
         out.decoding =
             node.report->running - std::min( node.report->running, node.report->prefilling );
     }
+    out.latePauses = node.reportFresh( now ) ? node.latePauses : 0;
     out.loadMs = loadMs( node, generation, now );
     const auto shared = need.prefix.size() > 1 ? need.prefix[need.prefix.size() - 2] : 0;
     const auto key =
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -14,7 +14,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureAnswer, number, outcome )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ModelDemand, model, perS, copies, running, adaptersUsed )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( DemandNews, models )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, formerUpstreams, adapterRoom, engine )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, formerUpstreams, adapterRoom, latePauses, engine )
 // clang-format on
 
 void to_json( Json& out, const ModelSpec& in ) {
@@ -34,7 +34,7 @@
 
 // clang-format off
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineSpec, slots, cacheTokens, weightsMb, adapterSlots, storeLoadsPerS, models )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineNews, gateway, configVersion, upstreamId, engine )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineNews, gateway, configVersion, upstreamId, gapTargetMs, engine )
 // clang-format on
 
 void to_json( Json& out, const Upstream& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -18,7 +18,8 @@
 struct EngineNews {
     std::string gateway;
     std::uint64_t configVersion = 0;
-    std::string upstreamId; //!< the engine's present start
+    std::string upstreamId;       //!< the engine's present start
+    std::int64_t gapTargetMs = 0; //!< longest pause that keeps a stream in time; 0: none is set
     EngineSpec engine;
 };
 
@@ -68,7 +69,8 @@
     int gateways = 0;                         //!< gateways connected to this sidecar
     std::vector<std::string> formerUpstreams; //!< earlier starts of the engine, as refusals showed
     bool adapterRoom =
-        true; //!< another adapter could be loaded without waiting for requests to end
+        true;              //!< another adapter could be loaded without waiting for requests to end
+    double latePauses = 0; //!< part of its recent streams that paused too long, 0 to 1
     EngineReport engine;
 };
 
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -23,6 +23,8 @@
     Millis storeLoad{ 0 };  //!< load time from the weight store
     Millis diskLoad{ 0 };   //!< load time from the upstream's disk
     Millis memoryLoad{ 0 }; //!< load time from the upstream's host memory
+
+    bool operator==( const ModelSpec& ) const = default;
 };
 
 //! What each engine of a service is built like.
@@ -35,6 +37,7 @@
     std::vector<ModelSpec> models;
 
     const ModelSpec* find( std::string_view model ) const;
+    bool operator==( const EngineSpec& ) const = default;
 };
 
 //! A service that routes lead to.
@@ -112,6 +115,14 @@
     std::vector<Resident> residents;
 };
 
+//! A request that an engine runs.
+struct EngineRun {
+    std::string id;
+    std::int64_t events = 0; //!< made so far
+
+    bool operator==( const EngineRun& ) const = default;
+};
+
 //! What an engine tells about itself.
 struct EngineReport {
     std::vector<Resident> residents;
@@ -125,6 +136,7 @@
     std::uint32_t prefilling = 0; //!< running requests without an event yet
     std::int64_t cacheUsed = 0;
     std::int64_t cacheTotal = 0;
+    std::vector<EngineRun> runs; //!< not passed on to gateways
 
     bool operator==( const EngineReport& ) const = default;
 };
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -23,6 +23,7 @@
 
     Upstream upstream;
     std::shared_ptr<const EngineSpec> engine; //!< null for plain services
+    Millis gapTarget{ 0 };                    //!< of the service's streams; 0: none
     ConnectionPool pool;
     Health health;
     PrefixCache prefixes;
@@ -41,6 +42,7 @@
         loading;                        //!< models that this gateway waits for there, since when
     std::set<std::string> adaptersUsed; //!< MODEL/NAME sent there since the last demand message
     std::map<std::string, int, std::less<>> running; //!< in flight, by MODEL and by MODEL/NAME
+    double latePauses = 0;   //!< as the sidecar says: part of its streams that paused too long
     bool adapterRoom = true; //!< as the sidecar says: an adapter could be loaded at once
 
     //! True while new requests may go there.
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -21,6 +21,12 @@
     : m_configuration( std::move( configuration ) ) {
     for( const auto& it : m_configuration.routes ) {
         m_hosts[lowerHost( it.host )].push_back( &it );
+        for( const auto& split : it.splits ) {
+            if( it.kind == RequestKind::stream && it.gapTarget.count() > 0 ) {
+                auto& target = m_gapTargets.emplace( split.service, it.gapTarget ).first->second;
+                target = std::min( target, it.gapTarget );
+            }
+        }
     }
     for( auto& [host, routes] : m_hosts ) {
         std::stable_sort( routes.begin(), routes.end(), []( const Route* a, const Route* b ) {
@@ -47,6 +53,11 @@
     return it == m_configuration.services.end() ? nullptr : &it->second;
 }
 
+Millis RouteTable::gapTarget( std::string_view service ) const {
+    const auto it = m_gapTargets.find( service );
+    return it == m_gapTargets.end() ? Millis{ 0 } : it->second;
+}
+
 const Split* pickSplit( const Route& route, double draw ) {
     int total = 0;
     for( const auto& it : route.splits ) {
--- a/src/gateway/route_table.hpp
+++ b/src/gateway/route_table.hpp
@@ -24,11 +24,15 @@
     //! `host` may carry a port; `target` may carry a query.
     const Route* find( std::string_view host, std::string_view target ) const;
     const Service* service( std::string_view name ) const;
+    //! The shortest pause between events that keeps a stream of a service in time; 0 when no route
+    //! sets one.
+    Millis gapTarget( std::string_view service ) const;
 
 private:
     Configuration m_configuration;
     //! By host in lower case; longest prefix first.
     std::map<std::string, std::vector<const Route*>, std::less<>> m_hosts;
+    std::map<std::string, Millis, std::less<>> m_gapTargets; //!< by service
 };
 
 //! Picks a service of a route by weight; `draw` in [0, 1). Null when all weights are zero.
--- a/src/gateway/selection.cpp
+++ b/src/gateway/selection.cpp
@@ -9,6 +9,9 @@
 
 //! One recent failure counts like this much waiting: about a retry at another upstream.
 constexpr double failureMs = 150;
+//! What a stream that is sure to pause too long counts for: it is then worth as little as one whose
+//! first event comes after its goal, about a second.
+constexpr double latePauseMs = 800;
 //! Costs that differ by less are equal: estimates are no finer, and equal choices by all gateways
 //! keep prefixes and adapters together.
 constexpr double equalMs = 12;
@@ -33,7 +36,7 @@
 } // namespace
 
 double costOf( const Candidate& candidate ) {
-    return interference( candidate ) +
+    return interference( candidate ) + candidate.latePauses * latePauseMs +
            ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
            candidate.failures * failureMs + ( candidate.otherHall ? candidate.crossHallMs : 0 );
 }
--- a/src/gateway/selection.hpp
+++ b/src/gateway/selection.hpp
@@ -19,6 +19,7 @@
     double slowness = 1;          //!< factor on backlog and work
     double failures = 0;          //!< recent ones
     std::uint32_t decoding = 0;   //!< requests whose events pause while prompts are read there
+    double latePauses = 0;        //!< part of the recent streams there that paused too long
     bool otherHall = false;
     double crossHallMs = 0;     //!< what leaving the hall counts for
     std::uint64_t affinity = 0; //!< rendezvous hash: the highest is preferred among equals
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
 
@@ -166,16 +167,19 @@
     return out;
 }
 
-std::uint32_t countPrefilling( const Json& runs ) {
-    constexpr std::size_t eventsIndex = 2; // [id, tokens in memory, events made, priority]
-    std::uint32_t out = 0;
-    if( !runs.is_array() ) {
+//! Each run reads [id, tokens in memory, events made, priority].
+std::vector<gateway::EngineRun> readRuns( const Json& in ) {
+    constexpr std::size_t idIndex = 0;
+    constexpr std::size_t eventsIndex = 2;
+    std::vector<gateway::EngineRun> out;
+    if( !in.is_array() ) {
         return out;
     }
-    for( const auto& it : runs ) {
+    for( const auto& it : in ) {
         if( it.is_array() && it.size() > eventsIndex && it[eventsIndex].is_number() &&
-            it[eventsIndex].get<std::int64_t>() == 0 ) {
-            ++out;
+            it[idIndex].is_string() ) {
+            out.push_back(
+                { it[idIndex].get<std::string>(), it[eventsIndex].get<std::int64_t>() } );
         }
     }
     return out;
@@ -194,7 +198,9 @@
     out.sequence = in.value( "sequence", std::uint64_t{ 0 } );
     out.queued = in.value( "queuedRequests", std::uint32_t{ 0 } );
     out.running = in.value( "activeRequests", std::uint32_t{ 0 } );
-    out.prefilling = countPrefilling( in.value( "runs", Json::array() ) );
+    out.runs = readRuns( in.value( "runs", Json::array() ) );
+    out.prefilling = static_cast<std::uint32_t>( std::count_if(
+        out.runs.begin(), out.runs.end(), []( const auto& it ) { return it.events == 0; } ) );
     out.cacheUsed = in.value( "cacheUsed", std::int64_t{ 0 } );
     out.cacheTotal = in.value( "cacheTotal", std::int64_t{ 0 } );
     return out;
--- /dev/null
+++ b/src/sidecar/pause_meter.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/pause_meter.hpp"
+
+#include <cmath>
+
+namespace coursehead::sidecar {
+
+namespace {
+
+//! Long enough for a judgement from some streams, short enough to try an engine again within
+//! seconds after its trouble.
+constexpr double halfLifeS = 2.0;
+//! Streams without a long pause that every engine is credited with: one late stream is no verdict.
+constexpr double credit = 2.0;
+
+double fadeFactor( MonoTime from, MonoTime to ) {
+    return std::exp2( -std::chrono::duration<double>( to - from ).count() / halfLifeS );
+}
+
+} // namespace
+
+void PauseMeter::fade( MonoTime now ) {
+    const double factor = fadeFactor( m_counts.at, now );
+    m_counts.all *= factor;
+    m_counts.late *= factor;
+    m_counts.at = now;
+}
+
+void PauseMeter::count( bool late ) {
+    m_counts.all += 1;
+    m_counts.late += late ? 1 : 0;
+}
+
+void PauseMeter::update( std::span<const gateway::EngineRun> runs, Millis longestPause,
+                         MonoTime now ) {
+    fade( now );
+    std::map<std::string, Run> next;
+    for( const auto& it : runs ) {
+        auto& run = next[it.id];
+        const auto before = m_runs.find( it.id );
+        if( before != m_runs.end() ) {
+            run = before->second;
+        }
+        const bool pausing = before != m_runs.end() && run.events > 0;
+        if( pausing && !run.late && now - run.since > longestPause ) {
+            run.late = true;
+            count( true );
+        }
+        if( before == m_runs.end() || run.events != it.events ) {
+            run.events = it.events;
+            run.since = now;
+        }
+    }
+    for( const auto& [id, run] : m_runs ) {
+        if( !next.contains( id ) && !run.late && run.events > 0 ) {
+            count( false );
+        }
+    }
+    m_runs = std::move( next );
+}
+
+double PauseMeter::lateShare( MonoTime now ) const {
+    const double factor = fadeFactor( m_counts.at, now );
+    return m_counts.late * factor / ( m_counts.all * factor + credit );
+}
+
+} // namespace coursehead::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -7,6 +7,7 @@
 #include "net/frame_channel.hpp"
 #include "platform/store_client.hpp"
 #include "sidecar/engine_client.hpp"
+#include "sidecar/pause_meter.hpp"
 #include "sidecar/relay.hpp"
 #include "sidecar/residency.hpp"
 
@@ -150,6 +151,7 @@
         if( news.configVersion >= m_configVersion ) {
             m_configVersion = news.configVersion;
             m_spec = std::move( news.engine );
+            m_gapTarget = Millis( news.gapTargetMs );
         }
         sendReport( peer );
     }
@@ -211,6 +213,7 @@
             failures = report ? 0 : failures + 1;
             if( report ) {
                 noteLoads( *report );
+                notePauses( *report );
                 m_report = std::move( *report );
             }
             setReachable( report.has_value(), failures );
@@ -246,6 +249,12 @@
         m_held = std::move( held );
     }
 
+    void notePauses( const gateway::EngineReport& report ) {
+        if( m_gapTarget.count() > 0 ) {
+            m_pauses.update( report.runs, m_gapTarget, std::chrono::steady_clock::now() );
+        }
+    }
+
     Holdings holdings() const {
         Holdings out;
         out.engine = &*m_spec;
@@ -414,6 +423,7 @@
         out.gateways = static_cast<int>( m_peers.size() );
         out.formerUpstreams = m_former;
         out.adapterRoom = !m_spec || adapterRoom( holdings(), std::chrono::steady_clock::now() );
+        out.latePauses = m_pauses.lateShare( std::chrono::steady_clock::now() );
         out.engine = m_report;
         std::erase_if( out.engine.residents,
                        [this]( const auto& it ) { return it.model == m_retiring; } );
@@ -468,6 +478,8 @@
     std::vector<std::string> m_former; //!< earlier starts of the engine, oldest first
     std::string m_retiring;            //!< model that is about to make way, or empty
     MonoTime m_retiringSince;
+    PauseMeter m_pauses;
+    Millis m_gapTarget{ 0 };
     bool m_reachable = false;
     bool m_changed = false;
     MonoTime m_published;
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -319,6 +319,32 @@
     }
 }
 
+TEST_CASE( "Streams that pause elsewhere speak against an upstream", "[gateway][selection]" ) {
+    Candidate pausing;
+    pausing.workMs = 20;
+    pausing.latePauses = 0.7;
+    Candidate calm;
+    calm.workMs = 20;
+    calm.backlogMs = 300;
+    const std::vector<Candidate> candidates{ pausing, calm };
+    CHECK( choose( candidates ) == std::optional<std::size_t>( 1 ) );
+}
+
+TEST_CASE( "The shortest pause that a service's routes ask for is its target",
+           "[gateway][routes]" ) {
+    Configuration configuration;
+    auto first = route( "a", "/a/" );
+    first.kind = RequestKind::stream;
+    first.gapTarget = 500ms;
+    auto second = route( "b", "/b/" );
+    second.kind = RequestKind::stream;
+    second.gapTarget = 400ms;
+    configuration.routes = { first, second, route( "plain", "/c/" ) };
+    const RouteTable table( std::move( configuration ) );
+    CHECK( table.gapTarget( "s" ) == 400ms );
+    CHECK( table.gapTarget( "t" ) == 0ms );
+}
+
 TEST_CASE( "News of the store survive their encoding", "[gateway][messages]" ) {
     StoreNews news;
     news.part = StorePart::upstreams;
--- a/tests/unit/sidecar.tests.cpp
+++ b/tests/unit/sidecar.tests.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
+#include "sidecar/pause_meter.hpp"
 #include "sidecar/residency.hpp"
 
 #include <catch2/catch.hpp>
@@ -193,3 +194,44 @@
         }
     } );
 }
+
+TEST_CASE( "An engine whose streams pause too long is told apart from one that streams well",
+           "[sidecar][pauses]" ) {
+    PauseMeter slow;
+    PauseMeter quick;
+    MonoTime at = now;
+    std::vector<gateway::EngineRun> stalled;
+    std::vector<gateway::EngineRun> flowing;
+    for( int n = 0; n < 6; ++n ) {
+        stalled.push_back( { "r" + std::to_string( n ), 1 } );
+        flowing.push_back( { "r" + std::to_string( n ), 1 } );
+    }
+    for( int round = 0; round < 6; ++round ) {
+        for( auto& it : flowing ) {
+            ++it.events;
+        }
+        slow.update( stalled, 400ms, at );
+        quick.update( flowing, 400ms, at );
+        at += 150ms;
+    }
+    quick.update( {}, 400ms, at );
+    CHECK( slow.lateShare( at ) > 0.6 );
+    CHECK( quick.lateShare( at ) == 0 );
+    SECTION( "the judgement fades, so that it is tried again" ) {
+        slow.update( {}, 400ms, at );
+        CHECK( slow.lateShare( at + 12s ) < 0.1 );
+    }
+}
+
+TEST_CASE( "Reading a prompt is no pause, and one late stream is no verdict",
+           "[sidecar][pauses]" ) {
+    PauseMeter meter;
+    std::vector<gateway::EngineRun> reading{ { "r1", 0 } };
+    meter.update( reading, 400ms, now );
+    meter.update( reading, 400ms, now + 2s );
+    CHECK( meter.lateShare( now + 2s ) == 0 );
+    reading[0].events = 1;
+    meter.update( reading, 400ms, now + 3s );
+    meter.update( reading, 400ms, now + 4s );
+    CHECK( meter.lateShare( now + 4s ) < 0.4 );
+}
