Gateways share which prompt parts were sent to an engine

Each of 30 gateways learnt only from its own sends, 2.8 reviews a second, where 200 shared prefixes live; the rendezvous hash decides among equal costs only.

With its demand each gateway now tells a sidecar which shared parts it sent to its engine; the sidecar passes them on to all with its next report, and all it remembers (400) to a gateway that is new. What goes with an unloaded model is forgotten.

Test: "Sent parts are told once, and again when they were used again".

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace coursehead::gateway {
 
@@ -169,6 +170,7 @@
     }
     node.engineReachable = report.reachable;
     node.reportAt = std::chrono::steady_clock::now();
+    node.takeParts( report );
     node.report = report.engine;
     node.adapterRoom = report.adapterRoom;
     node.latePauses = report.latePauses;
@@ -214,6 +216,7 @@
             news.models.push_back( std::move( entry ) );
         }
         node.adaptersUsed.clear();
+        news.sentParts = std::exchange( node.sentParts, {} );
         node.sidecar->send( news );
     }
     addReplicas( held, now );
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -7,14 +7,24 @@
 
 using Json = nlohmann::json;
 
+void to_json( Json& out, const SentPart& in ) {
+    out = Json::array( { in.key, in.tokens, in.model } );
+}
+
+void from_json( const Json& in, SentPart& out ) {
+    out.key = in.at( 0 ).get<std::uint64_t>();
+    out.tokens = in.at( 1 ).get<std::int64_t>();
+    out.model = in.at( 2 ).get<std::string>();
+}
+
 // clang-format off
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( Resident, model, adapters )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineReport, residents, coming, onDisk, inMemory, ordering, sequence, queued, running, prefilling, cacheUsed, cacheTotal )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureRequest, number, upstreamId, model, adapter, fromStore, limitMs )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureAnswer, number, outcome )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ModelDemand, model, perS, copies, running, adaptersUsed )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( DemandNews, models )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, formerUpstreams, adapterRoom, latePauses, engine )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( DemandNews, models, sentParts )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, formerUpstreams, adapterRoom, sentParts, latePauses, engine )
 // clang-format on
 
 void to_json( Json& out, const ModelSpec& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -57,9 +57,17 @@
     std::vector<std::string> adaptersUsed; //!< sent there since the last message, or in flight
 };
 
+//! Part of a prompt that others share, as it was sent to an engine.
+struct SentPart {
+    std::uint64_t key = 0; //!< stands for model, adapter and all parts up to it
+    std::int64_t tokens = 0;
+    std::string model;
+};
+
 //! Sent regularly; also tells the sidecar that the gateway lives.
 struct DemandNews {
     std::vector<ModelDemand> models;
+    std::vector<SentPart> sentParts; //!< since the last message, in order
 };
 
 //! The engine's own report, passed on when it changes and regularly.
@@ -69,8 +77,9 @@
     int gateways = 0;                         //!< gateways connected to this sidecar
     std::vector<std::string> formerUpstreams; //!< earlier starts of the engine, as refusals showed
     bool adapterRoom =
-        true;              //!< another adapter could be loaded without waiting for requests to end
-    double latePauses = 0; //!< part of its recent streams that paused too long, 0 to 1
+        true; //!< another adapter could be loaded without waiting for requests to end
+    std::vector<SentPart> sentParts; //!< that gateways sent there since the last report
+    double latePauses = 0;           //!< part of its recent streams that paused too long, 0 to 1
     EngineReport engine;
 };
 
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -37,6 +37,34 @@
                                              adapter ) != resident->adapters.end();
 }
 
+void Node::notePrompt( std::span<const std::uint64_t> keys, const Generation& generation ) {
+    prefixes.insert( keys, generation );
+    if( !generation.adapter.empty() ) {
+        adaptersUsed.insert( generation.model + "/" + generation.adapter );
+    }
+    // The last part is the request's own: nobody else asks for it.
+    for( std::size_t n = 0; n + 1 < keys.size(); ++n ) {
+        const auto known = std::any_of( sentParts.begin(), sentParts.end(),
+                                        [&]( const auto& it ) { return it.key == keys[n]; } );
+        if( !known ) {
+            sentParts.push_back( { keys[n], generation.parts[n].tokens, generation.model } );
+        }
+    }
+}
+
+void Node::takeParts( const SidecarReport& next ) {
+    if( report ) {
+        for( const auto& it : report->residents ) {
+            if( findModel( next.engine.residents, it.model ) == nullptr ) {
+                prefixes.dropModel( it.model );
+            }
+        }
+    }
+    for( const auto& it : next.sentParts ) {
+        prefixes.insertPart( it.key, it.tokens, it.model );
+    }
+}
+
 std::set<std::string> Node::modelsOfInterest( MonoTime now ) const {
     std::set<std::string> out;
     for( const auto& it : residents( now ) ) {
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/connection_pool.hpp"
 #include "gateway/health.hpp"
+#include "gateway/messages.hpp"
 #include "gateway/model.hpp"
 #include "gateway/prefix_cache.hpp"
 
@@ -11,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 namespace coursehead::gateway {
@@ -40,6 +42,7 @@
     MonoTime lastHeard;   //!< bytes from any of its connections
     std::map<std::string, MonoTime>
         loading;                        //!< models that this gateway waits for there, since when
+    std::vector<SentPart> sentParts;    //!< shared parts sent there since the last demand message
     std::set<std::string> adaptersUsed; //!< MODEL/NAME sent there since the last demand message
     std::map<std::string, int, std::less<>> running; //!< in flight, by MODEL and by MODEL/NAME
     double latePauses = 0;   //!< as the sidecar says: part of its streams that paused too long
@@ -56,6 +59,10 @@
     bool holdsAdapter( std::string_view model, std::string_view adapter, MonoTime now ) const;
     //! Models that it holds, and those that requests are in flight for.
     std::set<std::string> modelsOfInterest( MonoTime now ) const;
+    //! Notes a prompt that is sent there.
+    void notePrompt( std::span<const std::uint64_t> keys, const Generation& generation );
+    //! Takes over what other gateways sent there, and forgets what went with its model.
+    void takeParts( const SidecarReport& next );
     //! Requests of this gateway in flight there for a model, or for MODEL/NAME.
     int runningOf( std::string_view key ) const;
     //! Adapters of a model that were sent there since the last demand message or are in flight.
--- a/src/gateway/prefix_cache.cpp
+++ b/src/gateway/prefix_cache.cpp
@@ -35,16 +35,37 @@
 void PrefixCache::insert( std::span<const std::uint64_t> keys, const Generation& generation ) {
     // Last part first, so that a prompt's earlier parts count as used later and outlive it.
     for( std::size_t n = keys.size(); n-- > 0; ) {
-        const auto found = m_index.find( keys[n] );
-        if( found != m_index.end() ) {
-            m_order.splice( m_order.begin(), m_order, found->second );
+        touch( keys[n], generation.parts[n].tokens, generation.model );
+    }
+    trim();
+}
+
+void PrefixCache::touch( std::uint64_t key, std::int64_t tokens, const std::string& model ) {
+    const auto found = m_index.find( key );
+    if( found != m_index.end() ) {
+        m_order.splice( m_order.begin(), m_order, found->second );
+        return;
+    }
+    m_order.push_front( { key, tokens, model } );
+    m_index.emplace( key, m_order.begin() );
+    m_used += tokens;
+}
+
+void PrefixCache::insertPart( std::uint64_t key, std::int64_t tokens, const std::string& model ) {
+    touch( key, tokens, model );
+    trim();
+}
+
+void PrefixCache::dropModel( std::string_view model ) {
+    for( auto it = m_order.begin(); it != m_order.end(); ) {
+        if( it->model != model ) {
+            ++it;
             continue;
         }
-        m_order.push_front( { keys[n], generation.parts[n].tokens } );
-        m_index.emplace( keys[n], m_order.begin() );
-        m_used += generation.parts[n].tokens;
+        m_used -= it->tokens;
+        m_index.erase( it->key );
+        it = m_order.erase( it );
     }
-    trim();
 }
 
 void PrefixCache::clear() {
--- a/src/gateway/prefix_cache.hpp
+++ b/src/gateway/prefix_cache.hpp
@@ -27,13 +27,19 @@
     std::int64_t kept( std::span<const std::uint64_t> keys, const Generation& generation ) const;
     //! Records that the prompt was read there.
     void insert( std::span<const std::uint64_t> keys, const Generation& generation );
+    //! Records that one part was read there, with all before it.
+    void insertPart( std::uint64_t key, std::int64_t tokens, const std::string& model );
+    //! Forgets what was kept for a model: it was unloaded.
+    void dropModel( std::string_view model );
     void clear();
 
 private:
     struct Entry {
         std::uint64_t key = 0;
         std::int64_t tokens = 0;
+        std::string model;
     };
+    void touch( std::uint64_t key, std::int64_t tokens, const std::string& model );
     void trim();
 
     std::int64_t m_capacity;
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -130,11 +130,7 @@
     m_client->upstream = connection;
     logSend( *node, choice, now );
     if( generates ) {
-        node->prefixes.insert( m_prefix, *m_need.generation );
-        if( !m_need.generation->adapter.empty() ) {
-            node->adaptersUsed.insert( m_need.generation->model + "/" +
-                                       m_need.generation->adapter );
-        }
+        node->notePrompt( m_prefix, *m_need.generation );
     }
     out = co_await receive( *node, connection, choice );
     now = std::chrono::steady_clock::now();
--- /dev/null
+++ b/src/sidecar/sent_parts.cpp
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/sent_parts.hpp"
+
+namespace coursehead::sidecar {
+
+namespace {
+
+//! An engine keeps some 250,000 tokens; shared parts have some thousand each, or some hundred.
+constexpr std::size_t mostParts = 400;
+
+} // namespace
+
+void SentParts::add( std::span<const gateway::SentPart> parts ) {
+    for( const auto& it : parts ) {
+        const auto found = m_index.find( it.key );
+        if( found != m_index.end() ) {
+            found->second->told = false;
+            m_entries.splice( m_entries.end(), m_entries, found->second );
+            continue;
+        }
+        m_entries.push_back( { it, false } );
+        m_index.emplace( it.key, std::prev( m_entries.end() ) );
+    }
+    while( m_entries.size() > mostParts ) {
+        m_index.erase( m_entries.front().part.key );
+        m_entries.pop_front();
+    }
+}
+
+std::vector<gateway::SentPart> SentParts::takeNew() {
+    std::vector<gateway::SentPart> out;
+    for( auto& it : m_entries ) {
+        if( !it.told ) {
+            it.told = true;
+            out.push_back( it.part );
+        }
+    }
+    return out;
+}
+
+std::vector<gateway::SentPart> SentParts::all() const {
+    std::vector<gateway::SentPart> out;
+    for( const auto& it : m_entries ) {
+        out.push_back( it.part );
+    }
+    return out;
+}
+
+void SentParts::clear() {
+    m_entries.clear();
+    m_index.clear();
+}
+
+} // namespace coursehead::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -10,6 +10,7 @@
 #include "sidecar/pause_meter.hpp"
 #include "sidecar/relay.hpp"
 #include "sidecar/residency.hpp"
+#include "sidecar/sent_parts.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -144,16 +145,22 @@
     }
 
     void takeNews( Peer& peer, gateway::EngineNews news ) {
-        if( peer.gateway.empty() ) {
+        const bool first = peer.gateway.empty();
+        if( first ) {
             log::info( "gateway_connected", { { "gateway", news.gateway } } );
         }
         peer.gateway = news.gateway;
+        if( news.upstreamId != m_upstreamId ) {
+            // Another start of the engine: it keeps nothing of what was sent before.
+            m_upstreamId = news.upstreamId;
+            m_sentParts.clear();
+        }
         if( news.configVersion >= m_configVersion ) {
             m_configVersion = news.configVersion;
             m_spec = std::move( news.engine );
             m_gapTarget = Millis( news.gapTargetMs );
         }
-        sendReport( peer );
+        sendReport( peer, first ? m_sentParts.all() : std::vector<gateway::SentPart>{} );
     }
 
     void takeRelayAsk( const PeerPtr& peer, const gateway::RelayAsk& ask ) {
@@ -168,6 +175,7 @@
 
     void takeDemand( Peer& peer, const gateway::DemandNews& news ) {
         const auto now = std::chrono::steady_clock::now();
+        m_sentParts.add( news.sentParts );
         peer.demand.clear();
         for( const auto& it : news.models ) {
             for( const auto& adapter : it.adaptersUsed ) {
@@ -291,7 +299,7 @@
         if( !peer ) {
             return;
         }
-        sendReport( *peer );
+        sendReport( *peer, {} );
         const gateway::Message message( gateway::EnsureAnswer{ pending.number, outcome } );
         peer->channel->send( gateway::encode( message ) );
     }
@@ -416,8 +424,9 @@
         return std::min( idlePoll * rounds, reportEvery );
     }
 
-    void sendReport( Peer& peer ) {
+    void sendReport( Peer& peer, std::vector<gateway::SentPart> sentParts ) {
         gateway::SidecarReport out;
+        out.sentParts = std::move( sentParts );
         out.number = ++m_reportNumber;
         out.reachable = m_reachable;
         out.gateways = static_cast<int>( m_peers.size() );
@@ -442,8 +451,9 @@
         m_changed = false;
         m_published = now;
         m_lastPublished = m_report;
+        const auto sentParts = m_sentParts.takeNew();
         for( const auto& it : m_peers ) {
-            sendReport( *it );
+            sendReport( *it, sentParts );
         }
     }
 
@@ -478,6 +488,8 @@
     std::vector<std::string> m_former; //!< earlier starts of the engine, oldest first
     std::string m_retiring;            //!< model that is about to make way, or empty
     MonoTime m_retiringSince;
+    std::string m_upstreamId; //!< the engine's present start, as gateways know it
+    SentParts m_sentParts;
     PauseMeter m_pauses;
     Millis m_gapTarget{ 0 };
     bool m_reachable = false;
--- a/tests/unit/sidecar.tests.cpp
+++ b/tests/unit/sidecar.tests.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "sidecar/pause_meter.hpp"
 #include "sidecar/residency.hpp"
+#include "sidecar/sent_parts.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -235,3 +236,18 @@
     meter.update( reading, 400ms, now + 4s );
     CHECK( meter.lateShare( now + 4s ) < 0.4 );
 }
+
+TEST_CASE( "Sent parts are told once, and again when they were used again", "[sidecar][prefix]" ) {
+    SentParts parts;
+    const std::vector<gateway::SentPart> both{ { 1, 100, "m" }, { 2, 200, "m" } };
+    parts.add( both );
+    CHECK( parts.takeNew().size() == 2U );
+    CHECK( parts.takeNew().empty() );
+    parts.add( std::span( both ).first( 1 ) );
+    const auto again = parts.takeNew();
+    REQUIRE( again.size() == 1U );
+    CHECK( again[0].key == 1U );
+    // A gateway that comes later hears of all, the one used last at the end.
+    CHECK( parts.all().back().key == 1U );
+    CHECK( parts.all().size() == 2U );
+}
