Sidecars send the load alone when nothing else has changed, encoded once for all

Reports carried what an engine holds, and has on its disk, each time, as maps with the names of fields, and were encoded anew for each of 27 gateways.

The load alone goes regularly; all the rest when it has changed, and to a new gateway. Frequent messages are arrays. One encoding serves all gateways.

Tests: "A gateway knows what others sent to an engine, until the model is unloaded", "Messages between gateways and sidecars survive the wire".

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -45,6 +45,7 @@
 constexpr double replicaActors = 1.5;
 constexpr Millis replicaLimit{ 10000 };
 constexpr double millisPerSecond = 1000;
+constexpr double percent = 100;
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
 
@@ -141,18 +142,7 @@
     if( !node.sidecar ) {
         node.sidecar =
             std::make_shared<SidecarLink>( m_context, node.upstream.ip, m_settings.sidecarPort );
-        const auto onReport = [this, id = node.upstream.id]( const SidecarReport& report ) {
-            const auto it = m_nodes.find( id );
-            if( it != m_nodes.end() ) {
-                takeReport( *it->second, report );
-            }
-        };
-        const auto onNews = [this, id = node.upstream.id]( const StoreNews& news ) {
-            if( m_onStoreNews ) {
-                m_onStoreNews( id, news );
-            }
-        };
-        node.sidecar->start( onReport, onNews );
+        node.sidecar->start( sidecarHandlers( node.upstream.id ) );
     }
     EngineNews news;
     news.gateway = m_settings.vm;
@@ -163,20 +153,36 @@
     node.sidecar->setNews( std::move( news ) );
 }
 
+SidecarLink::Handlers Fleet::sidecarHandlers( const std::string& id ) {
+    const auto find = [this, id]() -> Node* {
+        const auto it = m_nodes.find( id );
+        return it == m_nodes.end() ? nullptr : it->second.get();
+    };
+    SidecarLink::Handlers out;
+    out.report = [this, find]( const SidecarReport& report ) {
+        if( auto* node = find() ) {
+            takeReport( *node, report );
+        }
+    };
+    out.load = [find]( const EngineLoad& load ) {
+        if( auto* node = find() ) {
+            node->takeLoad( load, std::chrono::steady_clock::now() );
+        }
+    };
+    out.news = [this, id]( const StoreNews& news ) {
+        if( m_onStoreNews ) {
+            m_onStoreNews( id, news );
+        }
+    };
+    return out;
+}
+
 void Fleet::takeReport( Node& node, const SidecarReport& report ) {
     if( report.reachable != node.engineReachable ) {
         log::info( report.reachable ? "engine_regained" : "engine_lost",
                    { { "upstream", node.upstream.id } } );
     }
-    node.engineReachable = report.reachable;
-    node.reportAt = std::chrono::steady_clock::now();
-    node.takeParts( report );
-    node.report = report.engine;
-    node.adapterRoom = report.adapterRoom;
-    node.latePauses = report.latePauses;
-    if( contains( report.formerUpstreams, node.upstream.id ) ) {
-        node.replaced = true;
-    }
+    node.takeReport( report, std::chrono::steady_clock::now() );
     m_gateways = std::max( report.gateways, 1 );
 }
 
@@ -240,7 +246,7 @@
             const auto left = load - std::chrono::duration_cast<Millis>( now - under->second );
             return static_cast<double>( std::max( left, leastLoad ).count() );
         }
-        const double busy = node.report && node.report->ordering ? orderWaitMs : 0;
+        const double busy = node.report && node.report->load.ordering ? orderWaitMs : 0;
         return static_cast<double>( load.count() ) + evictionMs + busy;
     }
     if( generation.adapter.empty() ||
@@ -248,8 +254,8 @@
         return 0;
     }
     // Adapters wait for a model's order that is under way.
-    const bool ordering = node.reportFresh( now ) && node.report->ordering;
-    const bool full = node.reportFresh( now ) && !node.adapterRoom;
+    const bool ordering = node.reportFresh( now ) && node.report->load.ordering;
+    const bool full = node.reportFresh( now ) && !node.report->load.adapterRoom;
     return adapterLoadMs + ( ordering ? orderWaitMs : 0 ) + ( full ? adapterFullMs : 0 );
 }
 
@@ -275,17 +281,18 @@
     out.workMs = m_pace.readingMs( generation.model, static_cast<double>( fresh ) );
     out.backlogMs = node.prefillMs;
     if( node.reportFresh( now ) ) {
-        const auto waiting = static_cast<int>( node.report->queued + node.report->prefilling );
+        const auto waiting =
+            static_cast<int>( node.report->load.queued + node.report->load.prefilling );
         out.backlogMs += std::max( waiting - node.prefilling, 0 ) * usualPrefillMs;
         const bool full = node.engine->slots > 0 &&
-                          node.report->running >= static_cast<unsigned>( node.engine->slots );
-        out.backlogMs += full ? usualPrefillMs * ( 1 + node.report->queued ) : 0;
+                          node.report->load.running >= static_cast<unsigned>( node.engine->slots );
+        out.backlogMs += full ? usualPrefillMs * ( 1 + node.report->load.queued ) : 0;
     }
     if( node.reportFresh( now ) ) {
-        out.decoding =
-            node.report->running - std::min( node.report->running, node.report->prefilling );
+        out.decoding = node.report->load.running -
+                       std::min( node.report->load.running, node.report->load.prefilling );
     }
-    out.latePauses = node.reportFresh( now ) ? node.latePauses : 0;
+    out.latePauses = node.reportFresh( now ) ? node.report->load.latePausesPercent / percent : 0;
     out.loadMs = loadMs( node, generation, now );
     const auto shared = need.prefix.size() > 1 ? need.prefix[need.prefix.size() - 2] : 0;
     const auto key =
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -105,6 +105,7 @@
     static void drop( Node& node );
     static void stopSidecar( Node& node );
     void setEngine( Node& node );
+    SidecarLink::Handlers sidecarHandlers( const std::string& id );
     void takeReport( Node& node, const SidecarReport& report );
     Candidate candidate( const Node& node, const Need& need, MonoTime now ) const;
     double loadMs( const Node& node, const Generation& generation, MonoTime now ) const;
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -17,14 +17,80 @@
     out.model = in.at( 2 ).get<std::string>();
 }
 
+// What goes often goes as arrays, without the names of fields.
+
+void to_json( Json& out, const Resident& in ) {
+    out = Json::array( { in.model, in.adapters } );
+}
+
+void from_json( const Json& in, Resident& out ) {
+    out.model = in.at( 0 ).get<std::string>();
+    out.adapters = in.at( 1 ).get<std::vector<std::string>>();
+}
+
+void to_json( Json& out, const ModelDemand& in ) {
+    out = Json::array( { in.model, in.perS, in.copies, in.running, in.adaptersUsed } );
+}
+
+void from_json( const Json& in, ModelDemand& out ) {
+    out.model = in.at( 0 ).get<std::string>();
+    out.perS = in.at( 1 ).get<double>();
+    out.copies = in.at( 2 ).get<int>();
+    out.running = in.at( 3 ).get<int>();
+    out.adaptersUsed = in.at( 4 ).get<std::vector<std::string>>();
+}
+
+void to_json( Json& out, const DemandNews& in ) {
+    out = Json::array( { in.models, in.sentParts } );
+}
+
+void from_json( const Json& in, DemandNews& out ) {
+    out.models = in.at( 0 ).get<std::vector<ModelDemand>>();
+    out.sentParts = in.at( 1 ).get<std::vector<SentPart>>();
+}
+
+void to_json( Json& out, const EngineLoad& in ) {
+    out = Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
+                         in.latePausesPercent, in.sentParts } );
+}
+
+void from_json( const Json& in, EngineLoad& out ) {
+    out.ordering = in.at( 0 ).get<bool>();
+    out.queued = in.at( 1 ).get<std::uint32_t>();
+    out.running = in.at( 2 ).get<std::uint32_t>();
+    out.prefilling = in.at( 3 ).get<std::uint32_t>();
+    out.adapterRoom = in.at( 4 ).get<bool>();
+    out.latePausesPercent = in.at( 5 ).get<int>();
+    out.sentParts = in.at( 6 ).get<std::vector<SentPart>>();
+}
+
+void to_json( Json& out, const SidecarReport& in ) {
+    out = Json::array( { in.reachable, in.gateways, in.formerUpstreams, in.residents, in.coming,
+                         in.onDisk, in.inMemory, in.load } );
+}
+
+void from_json( const Json& in, SidecarReport& out ) {
+    out.reachable = in.at( 0 ).get<bool>();
+    out.gateways = in.at( 1 ).get<int>();
+    out.formerUpstreams = in.at( 2 ).get<std::vector<std::string>>();
+    out.residents = in.at( 3 ).get<std::vector<Resident>>();
+    out.coming = in.at( 4 ).get<std::vector<std::string>>();
+    out.onDisk = in.at( 5 ).get<std::vector<std::string>>();
+    out.inMemory = in.at( 6 ).get<std::vector<std::string>>();
+    out.load = in.at( 7 ).get<EngineLoad>();
+}
+
+void to_json( Json& out, const LoadReport& in ) {
+    out = in.load;
+}
+
+void from_json( const Json& in, LoadReport& out ) {
+    out.load = in.get<EngineLoad>();
+}
+
 // clang-format off
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( Resident, model, adapters )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineReport, residents, coming, onDisk, inMemory, ordering, sequence, queued, running, prefilling, cacheUsed, cacheTotal )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureRequest, number, upstreamId, model, adapter, fromStore, limitMs )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureAnswer, number, outcome )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( ModelDemand, model, perS, copies, running, adaptersUsed )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( DemandNews, models, sentParts )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SidecarReport, number, reachable, gateways, formerUpstreams, adapterRoom, sentParts, latePauses, engine )
 // clang-format on
 
 void to_json( Json& out, const ModelSpec& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -70,17 +70,33 @@
     std::vector<SentPart> sentParts; //!< since the last message, in order
 };
 
-//! The engine's own report, passed on when it changes and regularly.
+//! What moves all the time at an engine.
+struct EngineLoad {
+    bool ordering = false; //!< an order is under way
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::uint32_t prefilling = 0;
+    bool adapterRoom =
+        true; //!< another adapter could be loaded without waiting for requests to end
+    int latePausesPercent = 0;       //!< part of its recent streams that paused too long
+    std::vector<SentPart> sentParts; //!< that gateways sent there since the last message
+};
+
+//! All that a sidecar tells of its engine: to a new gateway, and when more than the load changes.
 struct SidecarReport {
-    std::uint64_t number = 0;
     bool reachable = false;                   //!< the engine answered the sidecar
     int gateways = 0;                         //!< gateways connected to this sidecar
     std::vector<std::string> formerUpstreams; //!< earlier starts of the engine, as refusals showed
-    bool adapterRoom =
-        true; //!< another adapter could be loaded without waiting for requests to end
-    std::vector<SentPart> sentParts; //!< that gateways sent there since the last report
-    double latePauses = 0;           //!< part of its recent streams that paused too long, 0 to 1
-    EngineReport engine;
+    std::vector<Resident> residents;
+    std::vector<std::string> coming; //!< adapters on their way: MODEL/NAME
+    std::vector<std::string> onDisk;
+    std::vector<std::string> inMemory;
+    EngineLoad load;
+};
+
+//! The load alone, regularly: most reports differ in nothing else.
+struct LoadReport {
+    EngineLoad load;
 };
 
 //! Asks a sidecar to pass on what changes in the store, or to cease to.
@@ -106,7 +122,7 @@
 };
 
 using Message = std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport,
-                             RelayAsk, StoreNews>;
+                             LoadReport, RelayAsk, StoreNews>;
 
 std::string encode( const Message& message );
 //! Reads a message; nullopt when it is malformed.
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -52,17 +52,31 @@
     }
 }
 
-void Node::takeParts( const SidecarReport& next ) {
+void Node::takeReport( const SidecarReport& next, MonoTime now ) {
     if( report ) {
         for( const auto& it : report->residents ) {
-            if( findModel( next.engine.residents, it.model ) == nullptr ) {
+            if( findModel( next.residents, it.model ) == nullptr ) {
                 prefixes.dropModel( it.model );
             }
         }
     }
-    for( const auto& it : next.sentParts ) {
+    const auto& former = next.formerUpstreams;
+    replaced = replaced || std::find( former.begin(), former.end(), upstream.id ) != former.end();
+    engineReachable = next.reachable;
+    report = next;
+    takeLoad( next.load, now );
+}
+
+void Node::takeLoad( const EngineLoad& load, MonoTime now ) {
+    if( !report ) {
+        return;
+    }
+    report->load = load;
+    reportAt = now;
+    for( const auto& it : load.sentParts ) {
         prefixes.insertPart( it.key, it.tokens, it.model );
     }
+    report->load.sentParts.clear();
 }
 
 std::set<std::string> Node::modelsOfInterest( MonoTime now ) const {
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -30,7 +30,7 @@
     Health health;
     PrefixCache prefixes;
     std::shared_ptr<SidecarLink> sidecar; //!< null for plain services
-    std::optional<EngineReport> report;   //!< the sidecar's last
+    std::optional<SidecarReport> report;  //!< the sidecar's last
     MonoTime reportAt;
     bool engineReachable = true;      //!< as the sidecar says
     bool replaced = false;            //!< another start has the address; the entry is about to go
@@ -45,8 +45,6 @@
     std::vector<SentPart> sentParts;    //!< shared parts sent there since the last demand message
     std::set<std::string> adaptersUsed; //!< MODEL/NAME sent there since the last demand message
     std::map<std::string, int, std::less<>> running; //!< in flight, by MODEL and by MODEL/NAME
-    double latePauses = 0;   //!< as the sidecar says: part of its streams that paused too long
-    bool adapterRoom = true; //!< as the sidecar says: an adapter could be loaded at once
 
     //! True while new requests may go there.
     bool takesRequests() const {
@@ -61,8 +59,9 @@
     std::set<std::string> modelsOfInterest( MonoTime now ) const;
     //! Notes a prompt that is sent there.
     void notePrompt( std::span<const std::uint64_t> keys, const Generation& generation );
-    //! Takes over what other gateways sent there, and forgets what went with its model.
-    void takeParts( const SidecarReport& next );
+    //! Takes the sidecar's word on the engine: all of it, or the load alone.
+    void takeReport( const SidecarReport& next, MonoTime now );
+    void takeLoad( const EngineLoad& load, MonoTime now );
     //! Requests of this gateway in flight there for a model, or for MODEL/NAME.
     int runningOf( std::string_view key ) const;
     //! Adapters of a model that were sent there since the last demand message or are in flight.
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -18,17 +18,15 @@
 SidecarLink::SidecarLink( net::asio::io_context& context, std::string ip, int port )
     : m_context( context ), m_ip( std::move( ip ) ), m_port( port ) {}
 
-void SidecarLink::start( ReportHandler onReport, NewsHandler onNews ) {
-    m_onReport = std::move( onReport );
-    m_onNews = std::move( onNews );
+void SidecarLink::start( Handlers handlers ) {
+    m_handlers = std::move( handlers );
     auto task = keepConnected();
     net::start( m_context, std::move( task ), "sidecar link" );
 }
 
 void SidecarLink::stop() {
     m_stopped = true;
-    m_onReport = nullptr;
-    m_onNews = nullptr;
+    m_handlers = {};
     if( m_channel ) {
         m_channel->close();
     }
@@ -98,17 +96,17 @@
         log::warn( "sidecar_message_malformed", { { "ip", m_ip } } );
         return;
     }
-    if( const auto* report = std::get_if<SidecarReport>( &*message ) ) {
-        if( m_onReport ) {
-            m_onReport( *report );
-        }
-        return;
+    const auto* report = std::get_if<SidecarReport>( &*message );
+    if( report != nullptr && m_handlers.report ) {
+        m_handlers.report( *report );
     }
-    if( const auto* news = std::get_if<StoreNews>( &*message ) ) {
-        if( m_onNews ) {
-            m_onNews( *news );
-        }
-        return;
+    const auto* load = std::get_if<LoadReport>( &*message );
+    if( load != nullptr && m_handlers.load ) {
+        m_handlers.load( load->load );
+    }
+    const auto* news = std::get_if<StoreNews>( &*message );
+    if( news != nullptr && m_handlers.news ) {
+        m_handlers.news( *news );
     }
     if( const auto* answer = std::get_if<EnsureAnswer>( &*message ) ) {
         const auto it = m_waiters.find( answer->number );
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -15,13 +15,17 @@
 //! A gateway's connection to the sidecar beside an engine; kept up until stopped.
 class SidecarLink : public std::enable_shared_from_this<SidecarLink> {
 public:
-    using ReportHandler = std::function<void( const SidecarReport& report )>;
-    using NewsHandler = std::function<void( const StoreNews& news )>;
+    //! What comes from a sidecar; called until stop().
+    struct Handlers {
+        std::function<void( const SidecarReport& report )> report;
+        std::function<void( const EngineLoad& load )> load;
+        std::function<void( const StoreNews& news )> news;
+    };
 
     SidecarLink( net::asio::io_context& context, std::string ip, int port );
 
-    //! Begins to connect; the handlers are called until stop().
-    void start( ReportHandler onReport, NewsHandler onNews );
+    //! Begins to connect.
+    void start( Handlers handlers );
     void stop();
     bool up() const { return m_channel != nullptr; }
 
@@ -48,8 +52,7 @@
     net::asio::io_context& m_context;
     std::string m_ip;
     int m_port;
-    ReportHandler m_onReport;
-    NewsHandler m_onNews;
+    Handlers m_handlers;
     std::shared_ptr<net::FrameChannel> m_channel;
     std::string m_news; //!< encoded
     std::uint64_t m_nextNumber = 1;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -54,10 +54,15 @@
     return ( a > b ? a - b : b - a ) >= step;
 }
 
-//! True when a gateway would decide differently by one report than by the other.
-bool differs( const gateway::EngineReport& a, const gateway::EngineReport& b ) {
-    return a.residents != b.residents || a.coming != b.coming || a.ordering != b.ordering ||
-           a.onDisk != b.onDisk || a.inMemory != b.inMemory || a.queued != b.queued ||
+//! True when more than the load is different.
+bool shapeDiffers( const gateway::EngineReport& a, const gateway::EngineReport& b ) {
+    return a.residents != b.residents || a.coming != b.coming || a.onDisk != b.onDisk ||
+           a.inMemory != b.inMemory;
+}
+
+//! True when a gateway would decide differently by one load than by the other.
+bool loadDiffers( const gateway::EngineReport& a, const gateway::EngineReport& b ) {
+    return a.ordering != b.ordering || a.queued != b.queued ||
            apart( a.running, b.running, runningStep ) ||
            apart( a.prefilling, b.prefilling, prefillingStep );
 }
@@ -424,18 +429,36 @@
         return std::min( idlePoll * rounds, reportEvery );
     }
 
-    void sendReport( Peer& peer, std::vector<gateway::SentPart> sentParts ) {
+    gateway::EngineLoad load() const {
+        const auto now = std::chrono::steady_clock::now();
+        gateway::EngineLoad out;
+        out.ordering = m_report.ordering;
+        out.queued = m_report.queued;
+        out.running = m_report.running;
+        out.prefilling = m_report.prefilling;
+        out.adapterRoom = !m_spec || adapterRoom( holdings(), now );
+        constexpr double percent = 100;
+        out.latePausesPercent = static_cast<int>( m_pauses.lateShare( now ) * percent );
+        return out;
+    }
+
+    gateway::SidecarReport report() const {
         gateway::SidecarReport out;
-        out.sentParts = std::move( sentParts );
-        out.number = ++m_reportNumber;
         out.reachable = m_reachable;
         out.gateways = static_cast<int>( m_peers.size() );
         out.formerUpstreams = m_former;
-        out.adapterRoom = !m_spec || adapterRoom( holdings(), std::chrono::steady_clock::now() );
-        out.latePauses = m_pauses.lateShare( std::chrono::steady_clock::now() );
-        out.engine = m_report;
-        std::erase_if( out.engine.residents,
-                       [this]( const auto& it ) { return it.model == m_retiring; } );
+        out.residents = m_report.residents;
+        std::erase_if( out.residents, [this]( const auto& it ) { return it.model == m_retiring; } );
+        out.coming = m_report.coming;
+        out.onDisk = m_report.onDisk;
+        out.inMemory = m_report.inMemory;
+        out.load = load();
+        return out;
+    }
+
+    void sendReport( Peer& peer, std::vector<gateway::SentPart> sentParts ) {
+        auto out = report();
+        out.load.sentParts = std::move( sentParts );
         const gateway::Message message( std::move( out ) );
         peer.channel->send( gateway::encode( message ) );
     }
@@ -444,19 +467,34 @@
         const auto now = std::chrono::steady_clock::now();
         const bool due = now - m_published >= reportEvery;
         const bool soon = now - m_published >= publishPause();
-        const bool news = m_changed || differs( m_report, m_lastPublished );
+        const bool whole = m_changed || shapeDiffers( m_report, m_lastPublished ) ||
+                           m_publishedTo != m_peers.size();
+        const bool news = whole || loadDiffers( m_report, m_lastPublished );
         if( !due && !( soon && news ) ) {
             return;
         }
         m_changed = false;
         m_published = now;
         m_lastPublished = m_report;
-        const auto sentParts = m_sentParts.takeNew();
+        m_publishedTo = m_peers.size();
+        const auto encoded = whole ? encodedReport() : encodedLoad();
         for( const auto& it : m_peers ) {
-            sendReport( *it, sentParts );
+            it->channel->send( encoded );
         }
     }
 
+    std::string encodedReport() {
+        auto out = report();
+        out.load.sentParts = m_sentParts.takeNew();
+        return gateway::encode( gateway::Message( std::move( out ) ) );
+    }
+
+    std::string encodedLoad() {
+        gateway::LoadReport out{ load() };
+        out.load.sentParts = m_sentParts.takeNew();
+        return gateway::encode( gateway::Message( std::move( out ) ) );
+    }
+
     net::Task<> handleSignals() {
         for( ;; ) {
             const auto [ec, number] = co_await m_signals.async_wait( net::tupled );
@@ -495,7 +533,7 @@
     bool m_reachable = false;
     bool m_changed = false;
     MonoTime m_published;
-    std::uint64_t m_reportNumber = 0;
+    std::size_t m_publishedTo = 0; //!< gateways
     std::set<std::string> m_held;
     std::map<std::string, MonoTime> m_loadedAt;
     std::map<std::string, Use, std::less<>> m_adapterUses;
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -3,6 +3,7 @@
 #include "gateway/health.hpp"
 #include "gateway/http_text.hpp"
 #include "gateway/messages.hpp"
+#include "gateway/node.hpp"
 #include "gateway/pace.hpp"
 #include "gateway/prefix_cache.hpp"
 #include "gateway/registry.hpp"
@@ -288,10 +289,17 @@
     CHECK( got.engine.weightsMb == 220000 );
     SidecarReport report;
     report.formerUpstreams = { "i-1" };
-    report.engine.residents = { { "m1", { "a1" } } };
+    report.residents = { { "m1", { "a1" } } };
+    report.load.running = 7;
+    report.load.sentParts = { { 99, 1500, "m1" } };
     const auto second = decode( encode( Message( report ) ) );
     REQUIRE( second );
-    CHECK( std::get<SidecarReport>( *second ).engine == report.engine );
+    const auto& read = std::get<SidecarReport>( *second );
+    CHECK( read.residents == report.residents );
+    CHECK( read.load.running == 7U );
+    REQUIRE( read.load.sentParts.size() == 1U );
+    CHECK( read.load.sentParts[0].key == 99U );
+    CHECK( read.load.sentParts[0].model == "m1" );
 }
 
 TEST_CASE( "Bytes that are no message are refused", "[gateway][messages]" ) {
@@ -366,3 +374,30 @@
     CHECK( out.upstreams[0].created == 3U );
     CHECK( out.upstreams[0].residents == leaving.residents );
 }
+
+TEST_CASE( "A gateway knows what others sent to an engine, until the model is unloaded",
+           "[gateway][prefix]" ) {
+    const auto generation = prompt( { { 1, 2000 }, { 2, 3000 }, { 3, 500 } } );
+    const auto keys = prefixKeys( generation );
+    Node sender( upstream( "u1", 1, 1 ) );
+    sender.prefixes.setCapacity( 100000 );
+    sender.notePrompt( keys, generation );
+    sender.notePrompt( keys, generation );
+    // The last part is the request's own.
+    REQUIRE( sender.sentParts.size() == 2U );
+    Node other( upstream( "u1", 1, 1 ) );
+    other.prefixes.setCapacity( 100000 );
+    SidecarReport report;
+    report.residents = { { "m", {} } };
+    report.load.sentParts = sender.sentParts;
+    other.takeReport( report, start );
+    CHECK( other.prefixes.kept( keys, generation ) == 5000 );
+    SECTION( "a report of the load alone keeps them" ) {
+        other.takeLoad( EngineLoad{}, start + 1s );
+        CHECK( other.prefixes.kept( keys, generation ) == 5000 );
+    }
+    SECTION( "without the model nothing is kept" ) {
+        other.takeReport( SidecarReport{}, start + 1s );
+        CHECK( other.prefixes.kept( keys, generation ) == 0 );
+    }
+}
