Test: after orders in trouble the ledger is compared with the engine itself

Cause of the known red test: not the ledger. Of two models only one fits, both were asked for, and the planner changes places some 1 to 420 ms after the last call (8 of 8 runs at once, with the states written down: "n" loaded, then retiring, then "m" loaded; the engine held the same at each point). The check demanded that "n" be loaded at one moment, which holds only until the planner's next round.

Ruled out: lost or late orders that the ledger misses: entry and engine agreed in all runs.

The check now demands what the name says: of both models the entry says "loaded" exactly of what the engine holds, and something is held.

--- a/tests/promise/memory.tests.cpp
+++ b/tests/promise/memory.tests.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck/catch.h>
 
 #include <csignal>
+#include <set>
 
 using namespace coursehead;
 using namespace coursehead::ledger;
@@ -243,6 +244,15 @@
     return fleet::Fleet::get( engine.url, "/status" )["items"].size();
 }
 
+std::set<std::string> heldModels( const fleet::Node& engine ) {
+    std::set<std::string> out;
+    const auto status = fleet::Fleet::get( engine.url, "/status" );
+    for( const auto& it : status["items"] ) {
+        out.insert( it["name"].get<std::string>() );
+    }
+    return out;
+}
+
 std::string modelState( const fleet::Node& entry, const std::string& name ) {
     const auto got = fleet::Fleet::command( entry, "show models where name = " + name );
     const auto& table = got["tables"][0];
@@ -354,5 +364,12 @@
         }
     }
     CHECK( breaches( engine ) == 0 );
-    CHECK( modelState( entry, "n" ) == "loaded" );
+    // Only one of the two fits, and both were asked for: the planner may have changed places by
+    // now. Whatever it chose, what the ledger says must be what the engine holds.
+    fleet::waitUntil( "the ledger says what the engine holds", [&] {
+        const auto held = heldModels( engine );
+        const bool agrees = ( modelState( entry, "m" ) == "loaded" ) == held.contains( "m" ) &&
+                            ( modelState( entry, "n" ) == "loaded" ) == held.contains( "n" );
+        return agrees && held.size() == 1U && heldModels( engine ) == held;
+    } );
 }
