Soak: real gateways and sidecars under random faults from outside

A driver starts the programs as processes on loopback addresses of their own, with stand-ins for the platform's store, engines and services that speak its protocol, and proxies that delay, reset, cut one way or silence. By seed it kills, pauses, stops and restarts processes, crashes and empties upstreams, breaks links and the store, changes settings and configuration, in series and overlapping; callers use their connections until these end. Checked while it runs, from what callers and upstreams see: whole and own answers, at most once, "not run" is true, order of pieces, one run a fragile stream, drains, planned stops and changes cut nothing, configuration in force and never back, memory of engines, one giver of orders, readiness, recovery, resident memory, nothing ends by itself.

The processor's clock cannot be moved from outside; no decision uses the time of day.

--- /dev/null
+++ b/tests/soak/deployment.cpp
@@ -0,0 +1,283 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "soak/deployment.hpp"
+
+#include "soak/models.hpp"
+
+#include <boost/asio/write.hpp>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+namespace coursehead::soak {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int upstreamPort = 7003;
+constexpr int storePort = 7004;
+constexpr int firstPort = 7380;
+constexpr int lastPort = 7395;
+constexpr int addressesPerNet = 250;
+// Each kind of address has its own range of indices.
+constexpr int upstreamBase = 500;
+constexpr int upstreamLinks = 1000;
+constexpr int frontLinks = 1500;
+constexpr int storeLinks = 2000;
+
+constexpr std::uint64_t keptVersions = 3;
+constexpr Millis readinessEvery{ 500 };
+constexpr Millis readinessLimit{ 400 };
+constexpr int missesToLeave = 2;
+
+Json route( const std::string& name, const std::string& prefix, const std::string& kind,
+            const std::string& service ) {
+    return { { "name", name },       { "host", hostName },   { "pathPrefix", prefix },
+             { "kind", kind },       { "timeoutMs", 4000 },  { "goalMs", 800 },
+             { "priority", 1 },      { "service", service }, { "attempts", 2 },
+             { "gapTargetMs", 400 }, { "resumable", false } };
+}
+
+Json engineSpec() {
+    Json models = Json::array();
+    for( int n = 0; n < modelCount; ++n ) {
+        models.push_back( { { "name", "m" + std::to_string( n ) },
+                            { "weightsMb", modelMb },
+                            { "loadS", loadS },
+                            { "diskS", loadS },
+                            { "warmS", loadS },
+                            { "adapters", adapterCount },
+                            { "adapterMb", adapterMb } } );
+    }
+    return { { "slots", engineSlots },        { "cacheTokens", 100000 },
+             { "weightsMb", engineMb },       { "adapterSlots", engineAdapters },
+             { "loadsPerS", storeLoadsPerS }, { "models", models } };
+}
+
+} // namespace
+
+Deployment::Deployment( net::asio::io_context& context, Record& record, RandomSource& random,
+                        SoakOptions options )
+    : m_context( context ), m_record( record ), m_random( random ),
+      m_options( std::move( options ) ), m_store( context ),
+      m_network( "127." + std::to_string( 1 + ::getpid() % addressesPerNet ) + "." ) {
+    for( int n = 0; n < m_options.gateways; ++n ) {
+        addGateway( n );
+    }
+    for( int n = 0; n < m_options.engines + m_options.services; ++n ) {
+        addUpstream( n, n < m_options.engines );
+    }
+    changeConfiguration();
+}
+
+std::string Deployment::address( int index ) const {
+    return m_network + std::to_string( index / addressesPerNet ) + "." +
+           std::to_string( 1 + index % addressesPerNet );
+}
+
+std::string Deployment::settingsPath( const Process& process ) const {
+    return m_options.folder + "/" + process.name + ".json";
+}
+
+void Deployment::makeChild( Process& process, const std::string& role ) {
+    process.child = std::make_unique<Child>( std::vector<std::string>{ m_options.binary, role },
+                                             settingsPath( process ),
+                                             m_options.folder + "/" + process.name + ".log" );
+}
+
+void Deployment::addGateway( int index ) {
+    auto process = std::make_unique<Process>();
+    process->name = "gateway-" + std::to_string( index );
+    process->ip = address( index );
+    process->reachedIp = address( frontLinks + index );
+    process->toIt =
+        std::make_unique<Link>( m_context, process->reachedIp, frontPort, process->ip, frontPort );
+    process->toStore = std::make_unique<Link>( m_context, address( storeLinks + index ), storePort,
+                                               "127.0.0.1", m_store.port() );
+    makeChild( *process, "gateway" );
+    m_gateways.push_back( std::move( process ) );
+}
+
+void Deployment::addUpstream( int index, bool engine ) {
+    RunnerSettings settings;
+    settings.service = engine ? "models" : "plain";
+    settings.engine = engine;
+    settings.ip = address( upstreamBase + index );
+    settings.listedIp = address( upstreamLinks + index );
+    settings.port = upstreamPort;
+    settings.hall = "hall-" + std::to_string( index % 2 );
+    settings.drain = drainBound;
+    Upstream out;
+    out.toIt = std::make_unique<Link>( m_context, settings.listedIp, upstreamPort, settings.ip,
+                                       upstreamPort );
+    out.runner = std::make_unique<Runner>( m_context, m_store, m_record, m_random, settings );
+    m_upstreams.push_back( std::move( out ) );
+    if( !engine ) {
+        return;
+    }
+    auto process = std::make_unique<Process>();
+    process->name = "sidecar-" + std::to_string( index );
+    process->ip = settings.ip;
+    process->reachedIp = settings.listedIp;
+    process->toIt =
+        std::make_unique<Link>( m_context, settings.listedIp, firstPort, settings.ip, firstPort );
+    process->toStore =
+        std::make_unique<Link>( m_context, address( storeLinks + m_options.gateways + index ),
+                                storePort, "127.0.0.1", m_store.port() );
+    makeChild( *process, "sidecar" );
+    m_sidecars.push_back( std::move( process ) );
+}
+
+void Deployment::writeSettings( const Process& process, int engine ) {
+    const auto number = static_cast<int>( m_gateways.size() );
+    const bool gateway = engine < 0;
+    const int link = gateway ? std::stoi( process.name.substr( process.name.find( '-' ) + 1 ) )
+                             : number + engine;
+    Json settings{
+        { "nodeName", process.name },
+        { "zone", "hall-" + std::to_string( ( gateway ? link : engine ) % 2 ) },
+        { "ip", process.ip },
+        { "internalPorts", { firstPort, lastPort } },
+        { "listen",
+          { { "front", process.ip + ":" + std::to_string( frontPort ) },
+            { "ready", process.ip + ":" + std::to_string( readyPort ) } } },
+        { "bounds",
+          { { "contactMs", contactBound.count() },
+            { "drainMs", drainBound.count() },
+            { "graceS", graceS },
+            { "configurationMs", configurationBound.count() },
+            { "budgetRatio", 0.2 },
+            { "budgetWindowS", 10 },
+            { "budgetSlack", 50 + m_random.below( 10 ) },
+            { "ceilingWindowS", 5 },
+            { "ceilingOver", 1.1 } } },
+        { "platform",
+          { { "address", address( storeLinks + link ) + ":" + std::to_string( storePort ) },
+            { "readsPerS", 2000 } } },
+    };
+    if( !gateway ) {
+        settings["app"] = process.ip + ":" + std::to_string( upstreamPort );
+        settings["service"] = "models";
+    }
+    std::ofstream( settingsPath( process ) ) << settings.dump( 1 );
+}
+
+void Deployment::rewriteSettings( const Process& process ) {
+    writeSettings( process, -1 );
+}
+
+void Deployment::start() {
+    for( auto& it : m_upstreams ) {
+        it.runner->start();
+    }
+    for( auto& it : m_gateways ) {
+        writeSettings( *it, -1 );
+        it->child->start();
+        net::start( m_context, askReadiness( *it ), "readiness" );
+    }
+    for( std::size_t n = 0; n < m_sidecars.size(); ++n ) {
+        writeSettings( *m_sidecars[n], static_cast<int>( n ) );
+        m_sidecars[n]->child->start();
+    }
+}
+
+void Deployment::changeConfiguration() {
+    ++m_version;
+    Json routes = Json::array();
+    routes.push_back( route( "safe", "/safe/", "safe", "plain" ) );
+    routes.push_back( route( "once", "/once/", "unsafe", "plain" ) );
+    auto stream = route( "stream", "/stream/", "streaming", "models" );
+    stream["resumable"] = true;
+    routes.push_back( stream );
+    routes.push_back( route( "fragile", "/fragile/", "streaming", "models" ) );
+    const auto oldest = m_version > keptVersions ? m_version - keptVersions : 1;
+    for( auto n = oldest; n <= m_version; ++n ) {
+        const auto name = "v" + std::to_string( n );
+        routes.push_back( route( name, "/" + name + "/", "safe", "plain" ) );
+    }
+    Json services = Json::array();
+    services.push_back( { { "name", "plain" }, { "connectionLimit", 100 } } );
+    services.push_back(
+        { { "name", "models" }, { "connectionLimit", 100 }, { "engine", engineSpec() } } );
+    m_store.put( "config", "main",
+                 { { "version", m_version }, { "routes", routes }, { "services", services } } );
+    m_changedAt = std::chrono::steady_clock::now();
+}
+
+void Deployment::look() {
+    const auto now = std::chrono::steady_clock::now();
+    const auto tend = [&]( Process& process ) {
+        if( process.child->running() ) {
+            const bool overdue = process.stopAsked != MonoTime{} && !process.held &&
+                                 now - process.stopAsked > std::chrono::seconds( graceS );
+            if( overdue ) {
+                if( m_record.calmSince( process.stopAsked ) ) {
+                    m_record.breach( "a stop ends in time", process.name );
+                }
+                process.child->signal( SIGKILL );
+            }
+            return;
+        }
+        if( process.stopAsked == MonoTime{} && !process.down ) {
+            m_record.breach( "nothing ends by itself", process.name );
+        }
+        process.stopAsked = {};
+        process.down = false;
+        process.held = false;
+        process.child->start();
+    };
+    for( auto& it : m_gateways ) {
+        tend( *it );
+    }
+    for( auto& it : m_sidecars ) {
+        tend( *it );
+    }
+    for( auto& it : m_upstreams ) {
+        if( !it.runner->alive() && !it.starting ) {
+            it.runner->start();
+        }
+    }
+}
+
+net::Task<> Deployment::askReadiness( Process& process ) {
+    for( ;; ) {
+        co_await net::pause( m_context, readinessEvery );
+        net::Socket socket( m_context );
+        net::ErrorCode ec;
+        const auto to = net::endpointOf( process.ip, readyPort, ec );
+        net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + readinessLimit );
+        const auto [failed] = co_await socket.async_connect( to, net::tupled );
+        bool ready = false;
+        if( !failed ) {
+            static constexpr std::string_view question =
+                "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+            const auto bytes = net::asio::buffer( question );
+            co_await net::asio::async_write( socket, bytes, net::tupled );
+            std::string answer( 12, '\0' );
+            const auto space = net::asio::buffer( answer );
+            co_await socket.async_read_some( space, net::tupled );
+            ready = answer.starts_with( "HTTP/1.1 200" );
+        }
+        process.misses = ready ? 0 : process.misses + 1;
+    }
+}
+
+Process& Deployment::pickGateway() {
+    std::vector<Process*> in;
+    for( auto& it : m_gateways ) {
+        if( it->misses < missesToLeave ) {
+            in.push_back( it.get() );
+        }
+    }
+    if( in.empty() ) {
+        for( auto& it : m_gateways ) {
+            in.push_back( it.get() );
+        }
+    }
+    return *in[m_random.below( in.size() )];
+}
+
+} // namespace coursehead::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "soak/callers.hpp"
+#include "soak/schedule.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <iostream>
+
+namespace coursehead::soak {
+
+namespace {
+
+constexpr Millis startLimit{ 8000 };
+constexpr Millis recoveryLimit{ 8000 };
+//! Traffic after everything is healed, of which nine tenths must be served.
+constexpr Millis afterwards{ 3000 };
+constexpr double servedPart = 0.9;
+constexpr Millis tendEvery{ 100 };
+//! What a process may use; the target for control alone is the same.
+constexpr long memoryLimitKb = 64L * 1024;
+constexpr int exitFailed = 1;
+constexpr int exitUsage = 2;
+
+SoakOptions readOptions( int argc, char** argv ) {
+    TCLAP::CmdLine line( "Runs gateways and sidecars under random faults and checks what callers "
+                         "and upstreams see." );
+    SoakOptions out;
+    TCLAP::ValueArg<std::uint64_t> seed( "", "seed", "of all that is drawn", false, out.seed, "N",
+                                         line );
+    TCLAP::ValueArg<int> seconds( "", "seconds", "of faults", false, out.seconds, "S", line );
+    TCLAP::ValueArg<int> gateways( "", "gateways", "processes", false, out.gateways, "N", line );
+    TCLAP::ValueArg<int> engines( "", "engines", "with a sidecar each", false, out.engines, "N",
+                                  line );
+    TCLAP::ValueArg<int> services( "", "services", "plain upstreams", false, out.services, "N",
+                                   line );
+    TCLAP::ValueArg<int> callers( "", "callers", "at once", false, out.callers, "N", line );
+    TCLAP::ValueArg<std::string> binary( "", "binary", "the program", true, "", "PATH", line );
+    TCLAP::ValueArg<std::string> folder( "", "folder", "for settings and logs", true, "", "PATH",
+                                         line );
+    line.parse( argc, argv );
+    out.seed = seed.getValue();
+    out.seconds = seconds.getValue();
+    out.gateways = gateways.getValue();
+    out.engines = engines.getValue();
+    out.services = services.getValue();
+    out.callers = callers.getValue();
+    out.binary = binary.getValue();
+    out.folder = folder.getValue();
+    return out;
+}
+
+//! One run, from the start of the processes to the verdict.
+class Soak {
+public:
+    explicit Soak( const SoakOptions& options )
+        : m_random( options.seed ), m_deployment( m_context, m_record, m_random, options ),
+          m_callers( m_deployment ), m_schedule( m_deployment ) {}
+
+    int run() {
+        net::start( m_context, play(), "soak" );
+        m_context.run();
+        std::cout << "seed " << m_deployment.options().seed << ":";
+        for( const auto& [what, n] : m_record.counts() ) {
+            std::cout << " " << what << " " << n << ";";
+        }
+        std::cout << " breaches " << m_record.breaches().size() << std::endl;
+        return m_record.breaches().empty() && m_finished ? 0 : exitFailed;
+    }
+
+private:
+    net::Task<> play() {
+        m_record.disturbed( std::chrono::steady_clock::now() + startLimit );
+        m_deployment.start();
+        net::start( m_context, tend(), "tend" );
+        co_await waitUntilReady( startLimit, "after the start" );
+        m_callers.start();
+        const Millis length = std::chrono::seconds( m_deployment.options().seconds );
+        co_await m_schedule.run( length );
+        co_await waitUntilReady( recoveryLimit, "after the faults" );
+        m_callers.takeTally();
+        co_await net::pause( m_context, afterwards );
+        checkRecovery();
+        checkMemory();
+        m_finished = true;
+        m_context.stop();
+    }
+
+    net::Task<> tend() {
+        for( ;; ) {
+            co_await net::pause( m_context, tendEvery );
+            m_deployment.look();
+        }
+    }
+
+    bool allReady() {
+        const auto& gateways = m_deployment.gateways();
+        return std::all_of( gateways.begin(), gateways.end(), []( const auto& it ) {
+            return it->misses == 0 && it->stopAsked == MonoTime{};
+        } );
+    }
+
+    net::Task<> waitUntilReady( Millis limit, std::string when ) {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        while( !allReady() ) {
+            if( std::chrono::steady_clock::now() > until ) {
+                m_record.breach( "ready again", "not all gateways are ready " + when );
+                co_return;
+            }
+            co_await net::pause( m_context, tendEvery );
+        }
+    }
+
+    void checkRecovery() {
+        const auto tally = m_callers.takeTally();
+        if( tally.served < servedPart * tally.asked ) {
+            m_record.breach( "serving again", std::to_string( tally.served ) + " of " +
+                                                  std::to_string( tally.asked ) +
+                                                  " are served after the faults" );
+        }
+    }
+
+    void checkMemory() {
+        const auto check = [this]( const Process& process ) {
+            const auto peak = process.child->peakKb();
+            if( peak > memoryLimitKb ) {
+                m_record.breach( "memory", process.name + " used " + std::to_string( peak ) +
+                                               " kB at its peak" );
+            }
+        };
+        for( const auto& it : m_deployment.gateways() ) {
+            check( *it );
+        }
+        for( const auto& it : m_deployment.sidecars() ) {
+            check( *it );
+        }
+    }
+
+    net::asio::io_context m_context{ 1 };
+    Record m_record;
+    RandomSource m_random;
+    Deployment m_deployment;
+    Callers m_callers;
+    Schedule m_schedule;
+    bool m_finished = false;
+};
+
+} // namespace
+
+} // namespace coursehead::soak
+
+int main( int argc, char** argv ) {
+    using namespace coursehead::soak;
+    try {
+        const auto options = readOptions( argc, argv );
+        std::filesystem::create_directories( options.folder );
+        return Soak( options ).run();
+    } catch( const std::exception& ex ) {
+        std::cerr << "soak: " << ex.what() << "\n";
+        return exitUsage;
+    }
+}
--- /dev/null
+++ b/tests/soak/models.hpp
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_SOAK_MODELS_HPP_INCLUDED
+#define COURSEHEAD_SOAK_MODELS_HPP_INCLUDED
+
+//! The soak's models and engines, as the configuration and the stand-ins describe them.
+namespace coursehead::soak {
+
+inline constexpr int modelCount = 6;
+inline constexpr int adapterCount = 4;
+inline constexpr double modelMb = 1000;
+inline constexpr double adapterMb = 10;
+inline constexpr double engineMb = 3100; //!< three models, and some adapters
+inline constexpr int engineAdapters = 3;
+inline constexpr int engineSlots = 32;
+inline constexpr double loadS = 0.3;
+inline constexpr double storeLoadsPerS = 6;
+
+} // namespace coursehead::soak
+
+#endif // COURSEHEAD_SOAK_MODELS_HPP_INCLUDED
--- /dev/null
+++ b/tests/soak/record.hpp
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_SOAK_RECORD_HPP_INCLUDED
+#define COURSEHEAD_SOAK_RECORD_HPP_INCLUDED
+
+#include "coursehead/kernel/clock.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+//! A randomized soak of the platform's roles: real processes under faults from outside.
+namespace coursehead::soak {
+
+//! What callers ask for.
+enum class Kind {
+    safe,    //!< plain, may run again
+    once,    //!< plain, at most once
+    stream,  //!< a stream that may be resumed
+    fragile, //!< a stream that may not
+};
+inline constexpr int kinds = 4;
+std::string_view nameOf( Kind kind );
+
+//! What callers and upstreams have seen, and the promises that it breaks.
+class Record {
+public:
+    //! A caller sends a request for the first time.
+    void asked( const std::string& id, Kind kind );
+    //! An upstream begins to run it.
+    void ran( const std::string& id );
+    //! The caller was told that it has not run and never will.
+    void toldNotRun( const std::string& id );
+    int runs( const std::string& id ) const;
+
+    //! Something happened from which on bounds in time hold again only after a while.
+    void disturbed( MonoTime until );
+    //! True when nothing disturbed the time since `from`.
+    bool calmSince( MonoTime from ) const { return m_disturbedUntil <= from; }
+
+    void breach( const std::string& promise, const std::string& detail );
+    const std::vector<std::string>& breaches() const { return m_breaches; }
+
+    void count( const std::string& what ) { ++m_counts[what]; }
+    const std::map<std::string, int>& counts() const { return m_counts; }
+
+private:
+    struct Request {
+        Kind kind = Kind::safe;
+        int runs = 0;
+        bool toldNotRun = false;
+    };
+    bool mayRunAgain( const Request& request ) const;
+    void checkPromise( const std::string& id, const Request& request );
+
+    std::map<std::string, Request> m_requests;
+    std::map<std::string, int> m_counts;
+    std::vector<std::string> m_breaches;
+    MonoTime m_disturbedUntil;
+};
+
+} // namespace coursehead::soak
+
+#endif // COURSEHEAD_SOAK_RECORD_HPP_INCLUDED
--- /dev/null
+++ b/tests/soak/schedule.cpp
@@ -0,0 +1,212 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "soak/schedule.hpp"
+
+#include <array>
+#include <csignal>
+#include <iostream>
+
+namespace coursehead::soak {
+
+namespace {
+
+constexpr int shortestFaultMs = 300;
+constexpr int faultSpanMs = 3000;
+//! Between the beginnings of two faults: shorter than most faults, so that they overlap.
+constexpr int betweenMs = 1200;
+//! After so many faults only planned work comes for a while.
+constexpr int faultsInSeries = 6;
+constexpr int plannedInSeries = 6;
+//! After a disturbance: connections, reports and readiness settle.
+constexpr Millis settling{ 4000 };
+constexpr Millis restartDelay{ 300 };
+
+} // namespace
+
+bool Schedule::isPlanned( Fault fault ) const {
+    return fault == Fault::gatewayTerm || fault == Fault::sidecarTerm || fault == Fault::reload ||
+           fault == Fault::runnerLeave || fault == Fault::configuration;
+}
+
+Process& Schedule::any( std::vector<std::unique_ptr<Process>>& processes ) {
+    return *processes[m_deployment.random().below( processes.size() )];
+}
+
+Upstream& Schedule::anyUpstream() {
+    auto& all = m_deployment.upstreams();
+    return all[m_deployment.random().below( all.size() )];
+}
+
+void Schedule::say( Fault fault, const std::string& what ) {
+    static constexpr std::array<const char*, faults> names{
+        "SIGTERM", "SIGKILL",    "SIGSTOP", "SIGTERM",       "SIGKILL",       "SIGSTOP",
+        "SIGHUP",  "crash",      "leave",   "mode",          "link",          "link",
+        "link",    "store link", "store",   "configuration", "SIGKILL to all" };
+    const auto at = std::chrono::duration<double>( std::chrono::steady_clock::now() - m_start );
+    std::cout << at.count() << " s: " << names[static_cast<std::size_t>( fault )] << " " << what
+              << std::endl;
+}
+
+void Schedule::kill( Process& process ) {
+    process.down = true;
+    process.child->signal( SIGKILL );
+}
+
+net::Task<> Schedule::pauseProcess( Process& process, Millis length ) {
+    if( process.held || process.down ) {
+        co_return;
+    }
+    process.held = true;
+    process.child->signal( SIGSTOP );
+    co_await net::pause( m_deployment.context(), length );
+    process.child->signal( SIGCONT );
+    process.held = false;
+}
+
+net::Task<> Schedule::breakLink( Link& link, Millis length ) {
+    static constexpr std::array modes{ LinkMode::delayed, LinkMode::reset, LinkMode::answersCut,
+                                       LinkMode::silent };
+    link.setMode( modes[m_deployment.random().below( modes.size() )] );
+    co_await net::pause( m_deployment.context(), length );
+    link.setMode( LinkMode::pass );
+}
+
+net::Task<> Schedule::troubleStore( Millis length ) {
+    using support::StoreMode;
+    static constexpr std::array modes{ StoreMode::silent, StoreMode::busy, StoreMode::reset,
+                                       StoreMode::up };
+    auto& store = m_deployment.store();
+    const auto mode = modes[m_deployment.random().below( modes.size() )];
+    constexpr Millis slow{ 250 };
+    store.setMode( mode );
+    store.setDelay( mode == StoreMode::up ? slow : Millis{ 0 } );
+    co_await net::pause( m_deployment.context(), length );
+    store.setDelay( Millis{ 0 } );
+    if( m_deployment.random().below( 2 ) == 0 ) {
+        store.forgetHistory();
+    }
+    store.setMode( StoreMode::up );
+}
+
+net::Task<> Schedule::strike( Fault fault ) {
+    auto& random = m_deployment.random();
+    const Millis length( shortestFaultMs +
+                         static_cast<std::int64_t>( random.below( faultSpanMs ) ) );
+    if( !isPlanned( fault ) ) {
+        m_deployment.record().disturbed( std::chrono::steady_clock::now() + length + settling );
+    }
+    auto& gateway = any( m_deployment.gateways() );
+    auto& sidecar = any( m_deployment.sidecars() );
+    auto& upstream = anyUpstream();
+    switch( fault ) {
+    case Fault::gatewayTerm:
+    case Fault::sidecarTerm: {
+        auto& process = fault == Fault::gatewayTerm ? gateway : sidecar;
+        if( process.stopAsked == MonoTime{} && !process.down ) {
+            say( fault, process.name );
+            process.stopAsked = std::chrono::steady_clock::now();
+            process.child->signal( SIGTERM );
+        }
+        break;
+    }
+    case Fault::gatewayKill:
+        say( fault, gateway.name );
+        kill( gateway );
+        break;
+    case Fault::sidecarKill:
+        say( fault, sidecar.name );
+        kill( sidecar );
+        break;
+    case Fault::gatewayPause:
+        say( fault, gateway.name );
+        co_await pauseProcess( gateway, length );
+        break;
+    case Fault::sidecarPause:
+        say( fault, sidecar.name );
+        co_await pauseProcess( sidecar, length );
+        break;
+    case Fault::reload:
+        say( fault, gateway.name );
+        m_deployment.rewriteSettings( gateway );
+        gateway.child->signal( SIGHUP );
+        break;
+    case Fault::runnerCrash:
+        say( fault, "of an upstream" );
+        upstream.starting = true;
+        upstream.runner->crash();
+        co_await net::pause( m_deployment.context(), length );
+        upstream.starting = false;
+        break;
+    case Fault::runnerLeave:
+        say( fault, "of an upstream" );
+        upstream.runner->leave();
+        break;
+    case Fault::runnerMode: {
+        constexpr std::uint64_t modes = 7;
+        say( fault, "of an upstream" );
+        upstream.runner->setMode( static_cast<RunnerMode>( 1 + random.below( modes ) ) );
+        co_await net::pause( m_deployment.context(), length );
+        upstream.runner->setMode( RunnerMode::well );
+        break;
+    }
+    case Fault::upstreamLink:
+        say( fault, "to an upstream" );
+        co_await breakLink( *upstream.toIt, length );
+        break;
+    case Fault::sidecarLink:
+        say( fault, "to " + sidecar.name );
+        co_await breakLink( *sidecar.toIt, length );
+        break;
+    case Fault::frontLink:
+        say( fault, "from callers to " + gateway.name );
+        co_await breakLink( *gateway.toIt, length );
+        break;
+    case Fault::storeLink: {
+        auto& process = random.below( 2 ) == 0 ? gateway : sidecar;
+        say( fault, "of " + process.name );
+        co_await breakLink( *process.toStore, length );
+        break;
+    }
+    case Fault::storeTrouble:
+        say( fault, "in trouble" );
+        co_await troubleStore( length );
+        break;
+    case Fault::configuration:
+        say( fault, "changes" );
+        m_deployment.changeConfiguration();
+        break;
+    case Fault::killAll:
+        say( fault, "processes" );
+        for( auto& it : m_deployment.gateways() ) {
+            kill( *it );
+        }
+        for( auto& it : m_deployment.sidecars() ) {
+            kill( *it );
+        }
+        break;
+    }
+}
+
+net::Task<> Schedule::run( Millis length ) {
+    m_start = std::chrono::steady_clock::now();
+    auto& random = m_deployment.random();
+    int turn = 0;
+    while( std::chrono::steady_clock::now() - m_start < length ) {
+        const Millis pause( static_cast<std::int64_t>( random.below( betweenMs ) ) );
+        co_await net::pause( m_deployment.context(), pause );
+        const bool calm = turn % ( faultsInSeries + plannedInSeries ) >= faultsInSeries;
+        auto fault = static_cast<Fault>( random.below( faults ) );
+        while( calm && !isPlanned( fault ) ) {
+            fault = static_cast<Fault>( random.below( faults ) );
+        }
+        const bool first = turn % ( faultsInSeries + plannedInSeries ) == faultsInSeries;
+        if( first ) {
+            co_await net::pause( m_deployment.context(), settling + Millis( faultSpanMs ) );
+        }
+        ++turn;
+        net::start( m_deployment.context(), strike( fault ), "fault" );
+    }
+    const Millis last( shortestFaultMs + faultSpanMs );
+    co_await net::pause( m_deployment.context(), last );
+}
+
+} // namespace coursehead::soak
--- /dev/null
+++ b/tests/soak/schedule.hpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_SOAK_SCHEDULE_HPP_INCLUDED
+#define COURSEHEAD_SOAK_SCHEDULE_HPP_INCLUDED
+
+#include "soak/deployment.hpp"
+
+#include <string>
+
+namespace coursehead::soak {
+
+//! Draws faults and planned work by the seed, in series and overlapping, with calm stretches in
+//! which the bounds in time are checked.
+class Schedule {
+public:
+    explicit Schedule( Deployment& deployment ) : m_deployment( deployment ) {}
+
+    //! Faults for a while; then everything is healed.
+    net::Task<> run( Millis length );
+
+private:
+    enum class Fault {
+        gatewayTerm,
+        gatewayKill,
+        gatewayPause,
+        sidecarTerm,
+        sidecarKill,
+        sidecarPause,
+        reload,
+        runnerCrash,
+        runnerLeave,
+        runnerMode,
+        upstreamLink,
+        sidecarLink,
+        frontLink,
+        storeLink,
+        storeTrouble,
+        configuration,
+        killAll,
+    };
+    static constexpr int faults = 17;
+
+    net::Task<> strike( Fault fault );
+    net::Task<> pauseProcess( Process& process, Millis length );
+    net::Task<> breakLink( Link& link, Millis length );
+    net::Task<> troubleStore( Millis length );
+    void kill( Process& process );
+    void say( Fault fault, const std::string& what );
+    bool isPlanned( Fault fault ) const;
+    Process& any( std::vector<std::unique_ptr<Process>>& processes );
+    Upstream& anyUpstream();
+
+    Deployment& m_deployment;
+    MonoTime m_start;
+};
+
+} // namespace coursehead::soak
+
+#endif // COURSEHEAD_SOAK_SCHEDULE_HPP_INCLUDED
