--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -36,6 +36,12 @@
     return all[m_deployment.random().below( all.size() )];
 }
 
+Upstream& Schedule::anyService() {
+    const auto& options = m_deployment.options();
+    const auto n = m_deployment.random().below( static_cast<std::uint64_t>( options.services ) );
+    return m_deployment.upstreams()[static_cast<std::size_t>( options.engines ) + n];
+}
+
 void Schedule::say( Fault fault, const std::string& what ) {
     static constexpr std::array<const char*, faults> names{
         "SIGTERM", "SIGKILL",    "SIGSTOP", "SIGTERM",       "SIGKILL",       "SIGSTOP",
@@ -142,10 +148,13 @@
         break;
     case Fault::runnerMode: {
         constexpr std::uint64_t modes = 7;
-        say( fault, "of an upstream" );
-        upstream.runner->setMode( static_cast<RunnerMode>( 1 + random.below( modes ) ) );
+        // What may run once goes to services only: they are hit as often as all engines together.
+        const bool service = random.below( 2 ) == 0;
+        auto& hit = service ? anyService() : upstream;
+        say( fault, service ? "of a service" : "of an upstream" );
+        hit.runner->setMode( static_cast<RunnerMode>( 1 + random.below( modes ) ) );
         co_await net::pause( m_deployment.context(), length );
-        upstream.runner->setMode( RunnerMode::well );
+        hit.runner->setMode( RunnerMode::well );
         break;
     }
     case Fault::upstreamLink:
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -48,6 +48,7 @@
     bool isPlanned( Fault fault ) const;
     Process& any( std::vector<std::unique_ptr<Process>>& processes );
     Upstream& anyUpstream();
+    Upstream& anyService();
 
     Deployment& m_deployment;
     MonoTime m_start;
