Settings that change without a signal are taken; the sidecar serves metrics

The platform may replace the settings file without SIGHUP; only the signal was heeded, and new bounds did not reach what follows the store. The sidecar's orders and answers could be read from its log alone.

A gateway looks at the file once a second and takes new bounds everywhere; a file that is empty or gone is no change. The sidecar serves counters of its orders, by verdict, and of its answers to gateways on the last of the internal ports.

Also a lint finding in the choice of relays.

Test: "A settings file that is replaced without a signal is noticed once".

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr Millis tickInterval{ 100 };
+//! How often the settings file is looked at: it may change without a signal, and configuration is
+//! due within seconds.
+constexpr Millis settingsInterval{ 1000 };
 //! After SIGTERM clients are still sent here until readiness was asked for twice, a second apart.
 constexpr Millis leaveDelay{ 2600 };
 //! Kept back from the time until SIGKILL, to exit in order.
@@ -26,8 +29,6 @@
 constexpr Millis lastSendMargin{ 1000 };
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
-constexpr unsigned statusNotFound = 404;
-constexpr std::string_view metricsPath = "/metrics";
 
 //! The gateway's services on one event loop.
 class Gateway {
@@ -53,7 +54,9 @@
             "readiness" );
         net::start( m_context,
                     serveProbes( std::move( metrics ),
-                                 [this]( std::string_view path ) { return scrape( path ); } ),
+                                 [this]( std::string_view path ) {
+                                     return metricsAnswer( m_metrics, path );
+                                 } ),
                     "metrics" );
         m_feed.start();
         net::start( m_context, ticks(), "ticks" );
@@ -86,13 +89,6 @@
         return { ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not ready\n" };
     }
 
-    ProbeAnswer scrape( std::string_view path ) const {
-        if( path != metricsPath ) {
-            return { statusNotFound, "" };
-        }
-        return { statusOk, m_metrics.prometheus() };
-    }
-
     net::Task<> acceptClients() {
         for( ;; ) {
             auto [ec, socket] = co_await m_front->async_accept( net::tupled );
@@ -150,6 +146,12 @@
             }
             m_fleet.tick( now );
             m_feed.tick( now );
+            if( now - m_settingsLook >= settingsInterval ) {
+                m_settingsLook = now;
+                if( m_settingsWatch.changed() ) {
+                    reload();
+                }
+            }
         }
     }
 
@@ -160,6 +162,7 @@
                 co_return;
             }
             if( number == SIGHUP ) {
+                m_settingsWatch.changed();
                 reload();
                 continue;
             }
@@ -205,6 +208,7 @@
             return;
         }
         m_shared.bounds = read.settings.bounds;
+        m_settings.bounds = read.settings.bounds;
         log::info( "settings_reloaded", { { "path", path } } );
     }
 
@@ -218,6 +222,8 @@
     StoreFeed m_feed;
     net::asio::signal_set m_signals;
     std::unique_ptr<net::Acceptor> m_front;
+    platform::SettingsWatch m_settingsWatch{ platform::settingsPath() };
+    MonoTime m_settingsLook;
 };
 
 } // namespace
--- a/src/gateway/probe_server.cpp
+++ b/src/gateway/probe_server.cpp
@@ -15,9 +15,7 @@
 //! Probers keep their connections; one that is silent this long is closed.
 constexpr Millis idleLimit{ 10000 };
 
-using Answerer = std::function<ProbeAnswer( std::string_view path )>;
-
-net::Task<> serveOne( net::Socket socket, Answerer answer ) {
+net::Task<> serveOne( net::Socket socket, ProbeHandler answer ) {
     boost::beast::flat_buffer buf;
     for( ;; ) {
         net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + idleLimit );
@@ -41,7 +39,17 @@
 
 } // namespace
 
-net::Task<> serveProbes( net::Acceptor acceptor, Answerer answer ) {
+ProbeAnswer metricsAnswer( const metrics::Metrics& metrics, std::string_view path ) {
+    constexpr std::string_view metricsPath = "/metrics";
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusNotFound = 404;
+    if( path != metricsPath ) {
+        return { statusNotFound, "" };
+    }
+    return { statusOk, metrics.prometheus() };
+}
+
+net::Task<> serveProbes( net::Acceptor acceptor, ProbeHandler answer ) {
     for( ;; ) {
         auto [ec, socket] = co_await acceptor.async_accept( net::tupled );
         if( ec ) {
--- a/src/gateway/relay_choice.cpp
+++ b/src/gateway/relay_choice.cpp
@@ -28,8 +28,8 @@
         return std::nullopt;
     }
     std::sort( ranked.begin(), ranked.end() );
-    const auto groups = static_cast<std::uint64_t>( 1 + ( gateways - 1 ) / gatewaysPerRelay );
-    const auto group = hash64( gateway, "relay" ) % groups;
+    const int groups = 1 + ( gateways - 1 ) / gatewaysPerRelay;
+    const auto group = hash64( gateway, "relay" ) % static_cast<std::uint64_t>( groups );
     return ranked[group % ranked.size()].second;
 }
 
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -1,11 +1,14 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "platform/node_settings.hpp"
 
+#include "kernel/hash.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 namespace coursehead::platform {
@@ -173,16 +176,40 @@
     return out;
 }
 
-ReadSettings readNodeSettings( const std::string& path ) {
+namespace {
+
+std::optional<std::string> textOf( const std::string& path ) {
     std::ifstream in( path );
     if( path.empty() || !in ) {
+        return std::nullopt;
+    }
+    std::stringstream buf;
+    buf << in.rdbuf();
+    return buf.str();
+}
+
+} // namespace
+
+ReadSettings readNodeSettings( const std::string& path ) {
+    const auto text = textOf( path );
+    if( !text ) {
         ReadSettings out;
         out.problems.push_back( "COURSEHEAD_NODE_FILE = '" + path + "': cannot be read" );
         return out;
     }
-    std::stringstream buf;
-    buf << in.rdbuf();
-    return parseNodeSettings( buf.str() );
+    return parseNodeSettings( *text );
+}
+
+SettingsWatch::SettingsWatch( std::string path )
+    : m_path( std::move( path ) ), m_hash( hash64( textOf( m_path ).value_or( "" ) ) ) {}
+
+bool SettingsWatch::changed() {
+    const auto text = textOf( m_path );
+    if( !text || text->empty() || hash64( *text ) == m_hash ) {
+        return false;
+    }
+    m_hash = hash64( *text );
+    return true;
 }
 
 } // namespace coursehead::platform
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -65,6 +65,19 @@
 ReadSettings parseNodeSettings( std::string_view json );
 ReadSettings readNodeSettings( const std::string& path );
 
+//! Notices that the settings file was replaced: it may change without a signal.
+class SettingsWatch {
+public:
+    explicit SettingsWatch( std::string path );
+    //! True when the file's text is another than at the last call. One that cannot be read has not
+    //! changed: it may be in the middle of being replaced.
+    bool changed();
+
+private:
+    std::string m_path;
+    std::uint64_t m_hash; //!< of the text that was seen last
+};
+
 } // namespace coursehead::platform
 
 #endif // COURSEHEAD_PLATFORM_NODE_SETTINGS_HPP_INCLUDED
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -2,7 +2,9 @@
 #include "sidecar/sidecar.hpp"
 
 #include "coursehead/kernel/log.hpp"
+#include "coursehead/metrics/metrics.hpp"
 #include "gateway/messages.hpp"
+#include "gateway/probe_server.hpp"
 #include "kernel/platform_role.hpp"
 #include "net/frame_channel.hpp"
 #include "platform/store_client.hpp"
@@ -94,6 +96,12 @@
     int run() {
         auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
         net::start( m_context, acceptPeers( std::move( acceptor ) ), "accept" );
+        auto metrics = net::listen( m_context, m_settings.ip, m_settings.lastPort );
+        gateway::ProbeHandler scraped = [this]( std::string_view path ) {
+            return gateway::metricsAnswer( m_metrics, path );
+        };
+        net::start( m_context, gateway::serveProbes( std::move( metrics ), std::move( scraped ) ),
+                    "metrics" );
         net::start( m_context, obtainFence(), "fence" );
         net::start( m_context, converge(), "converge" );
         net::start( m_context, handleSignals(), "signals" );
@@ -305,6 +313,7 @@
             return;
         }
         sendReport( *peer, {} );
+        m_metrics.count( "wants", gateway::nameOf( outcome ) );
         const gateway::Message message( gateway::EnsureAnswer{ pending.number, outcome } );
         peer->channel->send( gateway::encode( message ) );
     }
@@ -398,6 +407,7 @@
         if( verdict == platform::OrderVerdict::moved ) {
             noteMoved( upstreamId, given.actualUpstream );
         }
+        m_metrics.count( "orders", platform::nameOf( verdict ) );
         log::info( "order", { { "kind", step.kind == StepKind::load ? "load" : "unload" },
                               { "model", step.model },
                               { "adapter", step.adapter },
@@ -511,6 +521,7 @@
 
     net::asio::io_context m_context{ 1 };
     platform::NodeSettings m_settings;
+    metrics::Metrics m_metrics;
     EngineClient m_engine;
     RandomSource m_random;
     Relay m_relay;
--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -3,6 +3,11 @@
 #include "platform/wire.hpp"
 
 #include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
 #include <nlohmann/json.hpp>
 
 using namespace coursehead;
@@ -204,3 +209,19 @@
     CHECK( platform::retryAfterText( 300ms ) == "0.30" );
     CHECK( platform::retryAfterText( 2000ms ) == "2.00" );
 }
+
+TEST_CASE( "A settings file that is replaced without a signal is noticed once",
+           "[platform][settings]" ) {
+    const auto path = "/tmp/coursehead-settings-" + std::to_string( ::getpid() ) + ".json";
+    std::ofstream( path ) << "{\"a\":1}";
+    platform::SettingsWatch watch( path );
+    CHECK_FALSE( watch.changed() );
+    std::ofstream( path ) << "{\"a\":2}";
+    CHECK( watch.changed() );
+    CHECK_FALSE( watch.changed() );
+    // One that is gone, or empty while it is written, is no change.
+    std::ofstream( path ) << "";
+    CHECK_FALSE( watch.changed() );
+    std::remove( path.c_str() );
+    CHECK_FALSE( watch.changed() );
+}
