--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -18,7 +18,6 @@
 constexpr int plannedInSeries = 6;
 //! After a disturbance: connections, reports and readiness settle.
 constexpr Millis settling{ 4000 };
-constexpr Millis restartDelay{ 300 };
 
 } // namespace
 
@@ -100,101 +99,122 @@
     if( !isPlanned( fault ) ) {
         m_deployment.record().disturbed( std::chrono::steady_clock::now() + length + settling );
     }
-    auto& gateway = any( m_deployment.gateways() );
-    auto& sidecar = any( m_deployment.sidecars() );
-    auto& upstream = anyUpstream();
     switch( fault ) {
     case Fault::gatewayTerm:
-    case Fault::sidecarTerm: {
-        auto& process = fault == Fault::gatewayTerm ? gateway : sidecar;
-        if( process.stopAsked == MonoTime{} && !process.down ) {
-            say( fault, process.name );
-            process.stopAsked = std::chrono::steady_clock::now();
-            process.child->signal( SIGTERM );
-        }
-        break;
-    }
     case Fault::gatewayKill:
-        say( fault, gateway.name );
-        kill( gateway );
-        break;
-    case Fault::sidecarKill:
-        say( fault, sidecar.name );
-        kill( sidecar );
-        break;
     case Fault::gatewayPause:
-        say( fault, gateway.name );
-        co_await pauseProcess( gateway, length );
+        co_await strikeProcess( fault, any( m_deployment.gateways() ), length );
         break;
+    case Fault::sidecarTerm:
+    case Fault::sidecarKill:
     case Fault::sidecarPause:
-        say( fault, sidecar.name );
-        co_await pauseProcess( sidecar, length );
-        break;
-    case Fault::reload:
-        say( fault, gateway.name );
-        m_deployment.rewriteSettings( gateway );
-        gateway.child->signal( SIGHUP );
+        co_await strikeProcess( fault, any( m_deployment.sidecars() ), length );
         break;
     case Fault::runnerCrash:
-        say( fault, "of an upstream" );
-        upstream.starting = true;
-        upstream.runner->crash();
-        co_await net::pause( m_deployment.context(), length );
-        upstream.starting = false;
-        break;
     case Fault::runnerLeave:
-        say( fault, "of an upstream" );
-        upstream.runner->leave();
+    case Fault::runnerMode:
+        co_await strikeUpstream( fault, length );
         break;
-    case Fault::runnerMode: {
-        constexpr std::uint64_t modes = 7;
-        // What may run once goes to services only: they are hit as often as all engines together.
-        const bool service = random.below( 2 ) == 0;
-        auto& hit = service ? anyService() : upstream;
-        say( fault, service ? "of a service" : "of an upstream" );
-        hit.runner->setMode( static_cast<RunnerMode>( 1 + random.below( modes ) ) );
-        co_await net::pause( m_deployment.context(), length );
-        hit.runner->setMode( RunnerMode::well );
-        break;
-    }
     case Fault::upstreamLink:
-        say( fault, "to an upstream" );
-        co_await breakLink( *upstream.toIt, length );
-        break;
     case Fault::sidecarLink:
-        say( fault, "to " + sidecar.name );
-        co_await breakLink( *sidecar.toIt, length );
-        break;
     case Fault::frontLink:
-        say( fault, "from callers to " + gateway.name );
-        co_await breakLink( *gateway.toIt, length );
+    case Fault::storeLink:
+        co_await strikeLink( fault, length );
         break;
-    case Fault::storeLink: {
-        auto& process = random.below( 2 ) == 0 ? gateway : sidecar;
-        say( fault, "of " + process.name );
-        co_await breakLink( *process.toStore, length );
-        break;
-    }
     case Fault::storeTrouble:
         say( fault, "in trouble" );
         co_await troubleStore( length );
         break;
+    case Fault::reload:
+        reload( any( m_deployment.gateways() ) );
+        break;
     case Fault::configuration:
         say( fault, "changes" );
         m_deployment.changeConfiguration();
         break;
     case Fault::killAll:
-        say( fault, "processes" );
-        for( auto& it : m_deployment.gateways() ) {
-            kill( *it );
-        }
-        for( auto& it : m_deployment.sidecars() ) {
-            kill( *it );
-        }
+        killAll();
         break;
     }
 }
 
+net::Task<> Schedule::strikeProcess( Fault fault, Process& process, Millis length ) {
+    const bool stops = fault == Fault::gatewayTerm || fault == Fault::sidecarTerm;
+    if( process.down || ( stops && process.stopAsked != MonoTime{} ) ) {
+        co_return;
+    }
+    say( fault, process.name );
+    if( stops ) {
+        process.stopAsked = std::chrono::steady_clock::now();
+        process.child->signal( SIGTERM );
+    } else if( fault == Fault::gatewayKill || fault == Fault::sidecarKill ) {
+        kill( process );
+    } else {
+        co_await pauseProcess( process, length );
+    }
+}
+
+net::Task<> Schedule::strikeUpstream( Fault fault, Millis length ) {
+    auto& random = m_deployment.random();
+    auto& upstream = anyUpstream();
+    if( fault == Fault::runnerLeave ) {
+        say( fault, "of an upstream" );
+        upstream.runner->leave();
+        co_return;
+    }
+    if( fault == Fault::runnerCrash ) {
+        say( fault, "of an upstream" );
+        upstream.starting = true;
+        upstream.runner->crash();
+        co_await net::pause( m_deployment.context(), length );
+        upstream.starting = false;
+        co_return;
+    }
+    // What may run once goes to services only: they are hit as often as all engines together.
+    constexpr std::uint64_t modes = 7;
+    const bool service = random.below( 2 ) == 0;
+    auto& hit = service ? anyService() : upstream;
+    say( fault, service ? "of a service" : "of an upstream" );
+    hit.runner->setMode( static_cast<RunnerMode>( 1 + random.below( modes ) ) );
+    co_await net::pause( m_deployment.context(), length );
+    hit.runner->setMode( RunnerMode::well );
+}
+
+net::Task<> Schedule::strikeLink( Fault fault, Millis length ) {
+    auto& gateway = any( m_deployment.gateways() );
+    auto& sidecar = any( m_deployment.sidecars() );
+    if( fault == Fault::upstreamLink ) {
+        say( fault, "to an upstream" );
+        co_await breakLink( *anyUpstream().toIt, length );
+    } else if( fault == Fault::sidecarLink ) {
+        say( fault, "to " + sidecar.name );
+        co_await breakLink( *sidecar.toIt, length );
+    } else if( fault == Fault::frontLink ) {
+        say( fault, "from callers to " + gateway.name );
+        co_await breakLink( *gateway.toIt, length );
+    } else {
+        auto& process = m_deployment.random().below( 2 ) == 0 ? gateway : sidecar;
+        say( fault, "of " + process.name );
+        co_await breakLink( *process.toStore, length );
+    }
+}
+
+void Schedule::reload( Process& gateway ) {
+    say( Fault::reload, gateway.name );
+    m_deployment.rewriteSettings( gateway );
+    gateway.child->signal( SIGHUP );
+}
+
+void Schedule::killAll() {
+    say( Fault::killAll, "processes" );
+    for( auto& it : m_deployment.gateways() ) {
+        kill( *it );
+    }
+    for( auto& it : m_deployment.sidecars() ) {
+        kill( *it );
+    }
+}
+
 net::Task<> Schedule::run( Millis length ) {
     m_start = std::chrono::steady_clock::now();
     auto& random = m_deployment.random();
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -40,10 +40,15 @@
     static constexpr int faults = 17;
 
     net::Task<> strike( Fault fault );
+    net::Task<> strikeProcess( Fault fault, Process& process, Millis length );
+    net::Task<> strikeUpstream( Fault fault, Millis length );
+    net::Task<> strikeLink( Fault fault, Millis length );
     net::Task<> pauseProcess( Process& process, Millis length );
     net::Task<> breakLink( Link& link, Millis length );
     net::Task<> troubleStore( Millis length );
     void kill( Process& process );
+    void killAll();
+    void reload( Process& gateway );
     void say( Fault fault, const std::string& what );
     bool isPlanned( Fault fault ) const;
     Process& any( std::vector<std::unique_ptr<Process>>& processes );
