Stand-in store: a watch's timer lives as long as a handler that refers to it

A fault of the stand-in, not of the product. Ruled out: a fault of the processes (their logs end with the driver).

--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -199,12 +199,11 @@
         if( !got.body["events"].empty() || over ) {
             co_return got;
         }
-        net::Timer timer( m_context );
-        timer.expires_at( until );
-        // Whichever comes first: a change cancels the one, time ends the other.
-        m_changed.async_wait( [&timer]( net::ErrorCode ) { timer.cancel(); } );
-        co_await timer.async_wait( net::tupled );
-        m_changed.cancel();
+        // Shared: the handler of a change may run when this watch has ended.
+        const auto timer = std::make_shared<net::Timer>( m_context );
+        timer->expires_at( until );
+        m_changed.async_wait( [timer]( net::ErrorCode ) { timer->cancel(); } );
+        co_await timer->async_wait( net::tupled );
     }
 }
 
