--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -38,8 +38,8 @@
 
 //! Turns Nagle off, and gives a peer up that has not acknowledged bytes for `silence`.
 void tune( Socket& socket, Millis silence );
-//! Closing the connection from now on resets it: bytes that the other side has not read are lost,
-//! and it does not act on them seconds later.
+//! Closing the connection from now on resets it: bytes that have not reached the other side are
+//! lost with it, and what it has read already it learns not to answer.
 void resetOnClose( Socket& socket );
 
 //! An endpoint of an IP number; the error in `ec`.
