Patience: waits end when the client would leave, what comes too late is refused at once

Hypothesis: a stream's client leaves after 2 s, 4 goals or 8 gap targets, whichever is longest; the gateway waited for models up to 0.45 of the deadline (5.4 of 12 s), for nobody. Change: patienceOf() and longestWait(), pure; a request whose load would end later is refused at once with the load's time as Retry-After, and the load begins for it and others. The waits by parts of goal and deadline go. Tests: three in [patience].

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -84,6 +84,7 @@
         logEnd( "refused" );
         co_return ExchangeResult{ m_keepAlive };
     }
+    m_patience = patienceOf( *m_route, m_request.head.deadline );
     if( m_request.head.generation ) {
         m_prefix = prefixKeys( *m_request.head.generation );
         m_need.generation = &*m_request.head.generation;
@@ -123,14 +124,12 @@
             m_shared.fleet.countDemand( m_need, choice );
         }
         if( !choice.holdsModel || !choice.holdsAdapter ) {
-            if( now >= waitLimit() ) {
-                m_lastWhy = "model not ready";
-                m_retryAfter = modelRetryAfter;
+            if( tooLateThere( choice, now ) ) {
                 break;
             }
             const auto outcome = co_await prepare( choice );
             now = std::chrono::steady_clock::now();
-            if( outcome == EnsureOutcome::needStore && now < m_request.arrived + storeWait() ) {
+            if( outcome == EnsureOutcome::needStore ) {
                 // Nobody has the model nearer: the weight store's rate lets it in before long.
                 co_await net::pause( m_shared.context, storePoll );
                 --round;
@@ -184,7 +183,7 @@
 net::Task<EnsureOutcome> Exchange::prepare( const Choice& choice ) {
     const auto& generation = *m_request.head.generation;
     const auto now = std::chrono::steady_clock::now();
-    auto left = remaining( now, std::min( m_deadline, waitLimit() ) );
+    auto left = remaining( now, std::min( m_deadline, waitLimit( choice ) ) );
     if( choice.holdsModel ) {
         left = std::min( left, adapterPatience );
     }
@@ -207,18 +206,24 @@
     co_return outcome;
 }
 
-MonoTime Exchange::waitLimit() const {
-    // A client that is refused in the first half of its time can still be served elsewhere.
-    constexpr double waitPart = 0.45;
-    const auto whole = std::chrono::duration<double>( m_deadline - m_request.arrived );
-    return m_request.arrived + std::chrono::duration_cast<Millis>( whole * waitPart );
+MonoTime Exchange::waitLimit( const Choice& choice ) const {
+    const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
+    return m_request.arrived + longestWait( m_patience, work );
 }
 
-Millis Exchange::storeWait() const {
-    // The load itself takes some seconds: a request with a short goal is refused while its client
-    // can still come back in time.
-    constexpr int goalParts = 2;
-    return m_route->goal / goalParts;
+bool Exchange::tooLateThere( const Choice& choice, MonoTime now ) {
+    const Millis load{ static_cast<std::int64_t>( choice.loadMs ) };
+    if( now + load <= waitLimit( choice ) ) {
+        return false;
+    }
+    // The client would leave before the load is done. Told so at once it can be back when it is:
+    // the load begins now, for it and for others.
+    m_lastWhy = "model not ready";
+    m_retryAfter = std::max( load, usualRetryAfter );
+    if( !choice.holdsModel ) {
+        m_shared.fleet.startLoad( choice.node, m_request.head.generation->model );
+    }
+    return true;
 }
 
 net::Task<bool> Exchange::writeClient( std::string bytes ) {
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -7,6 +7,7 @@
 #include "gateway/client_end.hpp"
 #include "gateway/event_stream.hpp"
 #include "gateway/fleet.hpp"
+#include "gateway/patience.hpp"
 #include "gateway/retry_window.hpp"
 #include "platform/wire.hpp"
 
@@ -112,9 +113,10 @@
     net::Task<> finishFailed();
     std::string requestBytes( const Node& node ) const;
     bool keepsAlive() const { return m_keepAlive && !m_shared.draining; }
-    //! Until when the request may wait for a model before it is sent.
-    MonoTime waitLimit() const;
-    Millis storeWait() const;
+    //! Until when the request may wait for what it needs at the chosen upstream.
+    MonoTime waitLimit( const Choice& choice ) const;
+    //! True when what it needs there comes too late for the client: it is refused, the load begins.
+    bool tooLateThere( const Choice& choice, MonoTime now );
     int urgency() const;
     bool mayTryAgain( const Sent& sent );
     bool timeLeft( MonoTime now ) const { return now < m_deadline; }
@@ -131,6 +133,7 @@
     std::string m_service;
     Need m_need;
     std::vector<std::uint64_t> m_prefix;
+    Patience m_patience;
     MonoTime m_deadline;
     std::set<std::string> m_excluded; //!< upstreams that this request does not go to any more
     int m_sends = 0;                  //!< that reached an upstream
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -324,6 +324,7 @@
     out.node = nodes[*best];
     out.bestCost = costOf( it );
     out.workMs = it.workMs;
+    out.loadMs = it.loadMs;
     out.freshTokens = it.freshTokens;
     out.unqueued = it.backlogMs <= 0 && it.loadMs <= 0;
     out.expectedMs = it.backlogMs + it.workMs + it.loadMs;
@@ -454,6 +455,13 @@
     log::info( "replica_wanted", { { "model", model },
                                    { "upstream", node->upstream.id },
                                    { "load_percent", static_cast<std::int64_t>( load * 100 ) } } );
+    startLoad( node, model );
+}
+
+void Fleet::startLoad( const NodePtr& node, const std::string& model ) {
+    if( node->loading.contains( model ) ) {
+        return;
+    }
     auto task = [this, node, name = model]() -> net::Task<> {
         std::string wanted = name;
         std::string none;
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -43,6 +43,7 @@
     NodePtr node;                 //!< null when no upstream of the service is left
     double expectedMs = 0;        //!< until the first event, or the answer
     double workMs = 0;            //!< of that, reading the prompt
+    double loadMs = 0;            //!< of that, until model and adapter are there
     std::int64_t freshTokens = 0; //!< of the prompt, to be read
     bool unqueued = false;        //!< nothing was ahead of it, as far as known
     bool holdsModel = true;
@@ -70,6 +71,8 @@
     //! Makes model and adapter ready at a node.
     net::Task<EnsureOutcome> ensure( NodePtr node, std::string model, std::string adapter,
                                      Millis limit );
+    //! Has a model made ready at a node that no request waits for there.
+    void startLoad( const NodePtr& node, const std::string& model );
     //! A stream's first event came, `measuredMs` after it was sent.
     void noteFirstEvent( const Generation& generation, const Choice& choice, double measuredMs );
     //! Counts a request for a model.
--- /dev/null
+++ b/src/gateway/patience.cpp
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/patience.hpp"
+
+#include <algorithm>
+
+namespace coursehead::gateway {
+
+namespace {
+
+// Clients leave a stream after a gap of the longest of these three, before its first event too. The
+// figures are the clients': they stand in the platform's description of its wire.
+constexpr Millis leastGap{ 2000 };
+constexpr int goalsPerGap = 4;
+constexpr int gapTargetsPerGap = 8;
+
+//! Kept back for the way to the upstream and back, the first step of the engine, and a loop that
+//! is late: the first event must be with the client before it leaves.
+constexpr Millis wayBack{ 120 };
+
+} // namespace
+
+Patience patienceOf( const Route& route, std::optional<Millis> deadline ) {
+    Patience out;
+    out.whole = deadline ? std::min( *deadline, route.timeout ) : route.timeout;
+    out.firstEvent = out.whole;
+    if( route.kind == RequestKind::stream ) {
+        out.pause =
+            std::max( { leastGap, route.goal * goalsPerGap, route.gapTarget * gapTargetsPerGap } );
+        out.firstEvent = std::min( out.whole, out.pause );
+    }
+    return out;
+}
+
+Millis longestWait( const Patience& patience, Millis work ) {
+    return std::max( patience.firstEvent - work - wayBack, Millis{ 0 } );
+}
+
+} // namespace coursehead::gateway
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -5,6 +5,7 @@
 #include "gateway/messages.hpp"
 #include "gateway/node.hpp"
 #include "gateway/pace.hpp"
+#include "gateway/patience.hpp"
 #include "gateway/prefix_cache.hpp"
 #include "gateway/registry.hpp"
 #include "gateway/retry_window.hpp"
@@ -148,6 +149,41 @@
     } );
 }
 
+TEST_CASE( "A stream's client waits for its first event as for any other", "[gateway][patience]" ) {
+    auto stream = route( "r", "/" );
+    stream.kind = RequestKind::stream;
+    stream.timeout = 12000ms;
+    stream.goal = 400ms;
+    stream.gapTarget = 250ms;
+    CHECK( patienceOf( stream, 12000ms ).firstEvent == 2000ms );
+    CHECK( patienceOf( stream, 1500ms ).firstEvent == 1500ms );
+    stream.goal = 800ms;
+    CHECK( patienceOf( stream, 12000ms ).firstEvent == 3200ms );
+    stream.gapTarget = 600ms;
+    CHECK( patienceOf( stream, 12000ms ).firstEvent == 4800ms );
+    CHECK( patienceOf( stream, 12000ms ).pause == 4800ms );
+    CHECK( patienceOf( stream, 20000ms ).whole == 12000ms );
+}
+
+TEST_CASE( "The client of a whole answer waits until its deadline or the route's timeout",
+           "[gateway][patience]" ) {
+    auto whole = route( "r", "/" );
+    whole.timeout = 2500ms;
+    whole.goal = 150ms;
+    CHECK( patienceOf( whole, std::nullopt ).firstEvent == 2500ms );
+    CHECK( patienceOf( whole, 600ms ).firstEvent == 600ms );
+    CHECK( patienceOf( whole, 600ms ).pause == 0ms );
+}
+
+TEST_CASE( "A request waits as long as its first event can still find the client",
+           "[gateway][patience]" ) {
+    const Patience patience{ 2000ms, 2000ms, 12000ms };
+    CHECK( longestWait( patience, 50ms ) > 1500ms );
+    CHECK( longestWait( patience, 50ms ) < 1950ms );
+    CHECK( longestWait( patience, 400ms ) < longestWait( patience, 50ms ) );
+    CHECK( longestWait( patience, 5000ms ) == 0ms );
+}
+
 TEST_CASE( "Whole events are passed on, the rest waits", "[gateway][stream]" ) {
     EventCutter cutter( std::nullopt );
     std::string out;
