Paced reading: an engine is not asked to read prompts for a whole gap target

An engine that reads without a gap puts a piece of 50 ms into each of the six steps of an event; one free step less and the pause is in time. Change: ReadingBudget, pure, a gateway and engine: a burst of 0.3 of the gap target, then half of the engine's time less what others take. What doesn't fit goes elsewhere or waits, never past its own goal. Tests: four in [reading], one a property over random prompts.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -123,6 +123,11 @@
             retries.countFirst( now );
             m_shared.fleet.countDemand( m_need, choice );
         }
+        if( const auto wait = paceWait( choice, now ); wait.count() > 0 ) {
+            co_await net::pause( m_shared.context, wait );
+            --round;
+            continue;
+        }
         if( !choice.holdsModel || !choice.holdsAdapter ) {
             if( tooLateThere( choice, now ) ) {
                 break;
@@ -206,6 +211,18 @@
     co_return outcome;
 }
 
+Millis Exchange::paceWait( const Choice& choice, MonoTime now ) const {
+    // Looked at again soon: another upstream may have become the better one.
+    constexpr Millis look{ 25 };
+    const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
+    const auto latest = m_request.arrived + longestWait( { m_route->goal, {}, {} }, work );
+    if( choice.paceMs <= 0 || now >= latest ) {
+        return Millis{ 0 };
+    }
+    return std::min(
+        { Millis( static_cast<std::int64_t>( choice.paceMs ) ), look, remaining( now, latest ) } );
+}
+
 MonoTime Exchange::waitLimit( const Choice& choice ) const {
     const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
     return m_request.arrived + longestWait( m_patience, work );
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -223,6 +223,7 @@
         }
         node.adaptersUsed.clear();
         news.sentParts = std::exchange( node.sentParts, {} );
+        news.reading = node.reading.ownShare( now );
         node.sidecar->send( news );
     }
     addReplicas( held, now );
@@ -280,6 +281,10 @@
     out.freshTokens = fresh;
     out.workMs = m_pace.readingMs( generation.model, static_cast<double>( fresh ) );
     out.backlogMs = node.prefillMs;
+    if( node.gapTarget.count() > 0 ) {
+        out.paceMs = static_cast<double>(
+            node.reading.wait( out.workMs, node.readingLimits( now ), now ).count() );
+    }
     if( node.reportFresh( now ) ) {
         const auto waiting =
             static_cast<int>( node.report->load.queued + node.report->load.prefilling );
@@ -325,6 +330,7 @@
     out.bestCost = costOf( it );
     out.workMs = it.workMs;
     out.loadMs = it.loadMs;
+    out.paceMs = it.paceMs;
     out.freshTokens = it.freshTokens;
     out.unqueued = it.backlogMs <= 0 && it.loadMs <= 0;
     out.expectedMs = it.backlogMs + it.workMs + it.loadMs;
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -44,6 +44,7 @@
     double expectedMs = 0;        //!< until the first event, or the answer
     double workMs = 0;            //!< of that, reading the prompt
     double loadMs = 0;            //!< of that, until model and adapter are there
+    double paceMs = 0;            //!< until it should be sent, for the streams that run there
     std::int64_t freshTokens = 0; //!< of the prompt, to be read
     bool unqueued = false;        //!< nothing was ahead of it, as far as known
     bool holdsModel = true;
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -41,17 +41,18 @@
 }
 
 void to_json( Json& out, const DemandNews& in ) {
-    out = Json::array( { in.models, in.sentParts } );
+    out = Json::array( { in.models, in.sentParts, in.reading } );
 }
 
 void from_json( const Json& in, DemandNews& out ) {
     out.models = in.at( 0 ).get<std::vector<ModelDemand>>();
     out.sentParts = in.at( 1 ).get<std::vector<SentPart>>();
+    out.reading = in.at( 2 ).get<double>();
 }
 
 void to_json( Json& out, const EngineLoad& in ) {
     out = Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
-                         in.latePausesPercent, in.sentParts } );
+                         in.latePausesPercent, in.sentParts, in.readingPercent } );
 }
 
 void from_json( const Json& in, EngineLoad& out ) {
@@ -62,6 +63,7 @@
     out.adapterRoom = in.at( 4 ).get<bool>();
     out.latePausesPercent = in.at( 5 ).get<int>();
     out.sentParts = in.at( 6 ).get<std::vector<SentPart>>();
+    out.readingPercent = in.at( 7 ).get<int>();
 }
 
 void to_json( Json& out, const SidecarReport& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -68,6 +68,7 @@
 struct DemandNews {
     std::vector<ModelDemand> models;
     std::vector<SentPart> sentParts; //!< since the last message, in order
+    double reading = 0;              //!< part of the engine's time that this gateway's prompts take
 };
 
 //! What moves all the time at an engine.
@@ -79,6 +80,7 @@
     bool adapterRoom =
         true; //!< another adapter could be loaded without waiting for requests to end
     int latePausesPercent = 0;       //!< part of its recent streams that paused too long
+    int readingPercent = 0;          //!< part of its time that prompts of all gateways take
     std::vector<SentPart> sentParts; //!< that gateways sent there since the last message
 };
 
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -19,6 +19,12 @@
 
 } // namespace
 
+ReadingBudget::Limits Node::readingLimits( MonoTime now ) const {
+    constexpr double percent = 100;
+    const double all = reportFresh( now ) ? report->load.readingPercent / percent : 0;
+    return gateway::readingLimits( gapTarget, std::max( all - reading.ownShare( now ), 0.0 ) );
+}
+
 bool Node::reportFresh( MonoTime now ) const {
     return report && now - reportAt < reportLife;
 }
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -7,6 +7,7 @@
 #include "gateway/messages.hpp"
 #include "gateway/model.hpp"
 #include "gateway/prefix_cache.hpp"
+#include "gateway/reading_budget.hpp"
 
 #include <map>
 #include <memory>
@@ -28,6 +29,7 @@
     Millis gapTarget{ 0 };                    //!< of the service's streams; 0: none
     ConnectionPool pool;
     Health health;
+    ReadingBudget reading;
     PrefixCache prefixes;
     std::shared_ptr<SidecarLink> sidecar; //!< null for plain services
     std::optional<SidecarReport> report;  //!< the sidecar's last
@@ -51,6 +53,8 @@
         return !gone && !replaced && upstream.state == UpstreamState::ready;
     }
     bool reportFresh( MonoTime now ) const;
+    //! How much prompt reading this gateway may ask of it.
+    ReadingBudget::Limits readingLimits( MonoTime now ) const;
     //! What it holds: by the sidecar's report when fresh, else by its entry.
     const std::vector<Resident>& residents( MonoTime now ) const;
     bool holdsModel( std::string_view model, MonoTime now ) const;
--- a/src/gateway/selection.cpp
+++ b/src/gateway/selection.cpp
@@ -38,7 +38,8 @@
 double costOf( const Candidate& candidate ) {
     return interference( candidate ) + candidate.latePauses * latePauseMs +
            ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
-           candidate.failures * failureMs + ( candidate.otherHall ? candidate.crossHallMs : 0 );
+           candidate.paceMs + candidate.failures * failureMs +
+           ( candidate.otherHall ? candidate.crossHallMs : 0 );
 }
 
 std::optional<std::size_t> choose( std::span<const Candidate> candidates ) {
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -134,6 +134,7 @@
     logSend( *node, choice, now );
     if( generates ) {
         node->notePrompt( m_prefix, *m_need.generation );
+        node->reading.take( choice.workMs, node->readingLimits( now ), now );
     }
     out = co_await receive( *node, connection, choice );
     now = std::chrono::steady_clock::now();
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -74,6 +74,7 @@
     std::shared_ptr<net::FrameChannel> channel;
     std::string gateway;
     std::map<std::string, gateway::ModelDemand> demand; //!< by model
+    double reading = 0; //!< part of the engine's time that its prompts take
 };
 using PeerPtr = std::shared_ptr<Peer>;
 
@@ -190,6 +191,7 @@
         const auto now = std::chrono::steady_clock::now();
         m_sentParts.add( news.sentParts );
         peer.demand.clear();
+        peer.reading = news.reading;
         for( const auto& it : news.models ) {
             for( const auto& adapter : it.adaptersUsed ) {
                 m_adapterUses[adapterKey( it.model, adapter )].lastUsed = now;
@@ -448,6 +450,11 @@
         out.prefilling = m_report.prefilling;
         out.adapterRoom = !m_spec || adapterRoom( holdings(), now );
         constexpr double percent = 100;
+        double reading = 0;
+        for( const auto& it : m_peers ) {
+            reading += it->reading;
+        }
+        out.readingPercent = static_cast<int>( reading * percent );
         out.latePausesPercent = static_cast<int>( m_pauses.lateShare( now ) * percent );
         return out;
     }
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -7,6 +7,7 @@
 #include "gateway/pace.hpp"
 #include "gateway/patience.hpp"
 #include "gateway/prefix_cache.hpp"
+#include "gateway/reading_budget.hpp"
 #include "gateway/registry.hpp"
 #include "gateway/retry_window.hpp"
 #include "gateway/route_table.hpp"
@@ -184,6 +185,64 @@
     CHECK( longestWait( patience, 5000ms ) == 0ms );
 }
 
+TEST_CASE( "A burst of prompts goes at once, what follows is spread over the engine's time",
+           "[gateway][reading]" ) {
+    ReadingBudget budget;
+    const auto limits = readingLimits( 250ms, 0 );
+    const double prompt = limits.burstMs / 3;
+    for( int n = 0; n < 3; ++n ) {
+        CHECK( budget.wait( prompt, limits, start ) == 0ms );
+        budget.take( prompt, limits, start );
+    }
+    const auto wait = budget.wait( prompt, limits, start );
+    CHECK( wait > 0ms );
+    CHECK( budget.wait( prompt, limits, start + wait ) == 0ms );
+    CHECK( budget.wait( prompt, limits, start + 10s ) == 0ms );
+}
+
+TEST_CASE( "Within one gap target an engine is never asked to read for all of it",
+           "[gateway][reading][property]" ) {
+    CHECK( rc::check( [] {
+        const auto limits = readingLimits( 250ms, *rc::gen::inRange( 0, 40 ) / 100.0 );
+        const auto works = *rc::gen::container<std::vector<int>>( rc::gen::inRange( 1, 40 ) );
+        ReadingBudget budget;
+        std::vector<std::pair<MonoTime, double>> sent;
+        auto now = start;
+        for( const auto work : works ) {
+            now += budget.wait( work, limits, now );
+            budget.take( work, limits, now );
+            sent.emplace_back( now, work );
+            double within = 0;
+            for( const auto& [at, ms] : sent ) {
+                within += now - at < 250ms ? ms : 0;
+            }
+            RC_ASSERT( within < 0.85 * 250 );
+        }
+    } ) );
+}
+
+TEST_CASE( "What other gateways ask of an engine leaves less to this one, but never nothing",
+           "[gateway][reading]" ) {
+    CHECK( readingLimits( 250ms, 0.3 ).share < readingLimits( 250ms, 0 ).share );
+    CHECK( readingLimits( 250ms, 2.0 ).share > 0 );
+    ReadingBudget budget;
+    const auto limits = readingLimits( 250ms, 0 );
+    for( int n = 0; n < 50; ++n ) {
+        budget.take( 20, limits, start + n * 100ms );
+    }
+    CHECK( budget.ownShare( start + 5s ) == Approx( 0.2 ).margin( 0.03 ) );
+    CHECK( budget.ownShare( start + 15s ) < 0.01 );
+}
+
+TEST_CASE( "A prompt larger than any burst goes alone, not never", "[gateway][reading]" ) {
+    ReadingBudget budget;
+    const auto limits = readingLimits( 250ms, 0 );
+    CHECK( budget.wait( 900, limits, start ) == 0ms );
+    budget.take( 900, limits, start );
+    CHECK( budget.wait( 20, limits, start ) > 0ms );
+    CHECK( budget.wait( 20, limits, start ) < 2000ms );
+}
+
 TEST_CASE( "Whole events are passed on, the rest waits", "[gateway][stream]" ) {
     EventCutter cutter( std::nullopt );
     std::string out;
