Fleet and wire split by job: estimates, store grants and headers have files of their own

No change of behaviour: what sending would take is estimate(), a free function; grants are StoreGrants and storeShare() with two tests; the headers of requests and answers stand in platform/headers.

--- /dev/null
+++ b/src/gateway/estimate.cpp
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/estimate.hpp"
+
+#include "kernel/hash.hpp"
+
+#include <algorithm>
+
+namespace coursehead::gateway {
+
+namespace {
+
+//! Prompt reading of a request of which nothing more is known, in milliseconds.
+constexpr double usualPrefillMs = 80;
+//! Usual work of a plain service's request, in milliseconds, until slowness is measured.
+constexpr double usualWorkMs = 20;
+//! Loading an adapter that is not there: some milliseconds, and a round trip to the sidecar.
+constexpr double adapterLoadMs = 25;
+//! Waiting where every adapter slot is taken by running requests: streams last about a second.
+constexpr double adapterFullMs = 800;
+//! Usual rest of a model's order that is under way.
+constexpr double orderWaitMs = 400;
+//! Rest of a load that has taken longer than expected.
+constexpr Millis leastLoad{ 50 };
+//! What leaving the hall counts for: a review's 18 KB cost about one part in a hundred of its
+//! worth, a tenth of that in time.
+constexpr double crossHallMs = 4;
+//! The same for plain services, which keep nothing that makes one better than the other.
+constexpr double plainCrossHallMs = 15;
+//! A load also makes another model give way; it is chosen only when it wins this much.
+constexpr double evictionMs = 150;
+constexpr double percent = 100;
+
+bool contains( const std::vector<std::string>& names, std::string_view name ) {
+    return std::find( names.begin(), names.end(), name ) != names.end();
+}
+
+double loadMs( const Node& node, const Generation& generation, MonoTime now ) {
+    if( !node.holdsModel( generation.model, now ) ) {
+        const auto* model = node.engine->find( generation.model );
+        if( model == nullptr ) {
+            return 0;
+        }
+        const auto under = node.loading.find( generation.model );
+        Millis load = model->storeLoad;
+        if( node.report && contains( node.report->inMemory, generation.model ) ) {
+            load = model->memoryLoad;
+        } else if( node.report && contains( node.report->onDisk, generation.model ) ) {
+            load = model->diskLoad;
+        }
+        if( under != node.loading.end() ) {
+            // Others wait for it there already: what is left of the load, and no further order.
+            const auto left = load - std::chrono::duration_cast<Millis>( now - under->second );
+            return static_cast<double>( std::max( left, leastLoad ).count() );
+        }
+        const double busy = node.report && node.report->load.ordering ? orderWaitMs : 0;
+        return static_cast<double>( load.count() ) + evictionMs + busy;
+    }
+    if( generation.adapter.empty() ||
+        node.holdsAdapter( generation.model, generation.adapter, now ) ) {
+        return 0;
+    }
+    // Adapters wait for a model's order that is under way.
+    const bool ordering = node.reportFresh( now ) && node.report->load.ordering;
+    const bool full = node.reportFresh( now ) && !node.report->load.adapterRoom;
+    return adapterLoadMs + ( ordering ? orderWaitMs : 0 ) + ( full ? adapterFullMs : 0 );
+}
+
+} // namespace
+
+Candidate estimate( const Node& node, const Need& need, const ModelPace& pace,
+                    std::string_view hall, MonoTime now ) {
+    Candidate out;
+    out.failures = recentFailures( node.health, now );
+    out.slowness = slownessNow( node.health, now );
+    out.otherHall = node.upstream.hall != hall;
+    out.crossHallMs = crossHallMs;
+    out.avoided = node.health.avoidUntil > now || !node.engineReachable;
+    if( need.generation == nullptr || !node.engine ) {
+        out.workMs = usualWorkMs;
+        out.crossHallMs = plainCrossHallMs;
+        out.backlogMs = usualWorkMs * node.inFlight / std::max( node.upstream.slots, 1 ) +
+                        ( node.inFlight >= node.upstream.slots ? usualWorkMs : 0 );
+        out.affinity = hash64( node.upstream.id, std::to_string( now.time_since_epoch().count() ) );
+        return out;
+    }
+    const auto& generation = *need.generation;
+    const auto cached = node.prefixes.kept( need.prefix, generation );
+    const auto fresh = std::max<std::int64_t>( generation.promptTokens - cached, 0 );
+    out.freshTokens = fresh;
+    out.workMs = pace.readingMs( generation.model, static_cast<double>( fresh ) );
+    out.backlogMs = node.prefillMs;
+    if( node.gapTarget.count() > 0 ) {
+        out.paceMs = static_cast<double>(
+            node.reading.wait( out.workMs, node.readingLimits( now ), now ).count() );
+    }
+    if( node.reportFresh( now ) ) {
+        const auto waiting =
+            static_cast<int>( node.report->load.queued + node.report->load.prefilling );
+        out.backlogMs += std::max( waiting - node.prefilling, 0 ) * usualPrefillMs;
+        const bool full = node.engine->slots > 0 &&
+                          node.report->load.running >= static_cast<unsigned>( node.engine->slots );
+        out.backlogMs += full ? usualPrefillMs * ( 1 + node.report->load.queued ) : 0;
+    }
+    if( node.reportFresh( now ) ) {
+        out.decoding = node.report->load.running -
+                       std::min( node.report->load.running, node.report->load.prefilling );
+    }
+    out.latePauses = node.reportFresh( now ) ? node.report->load.latePausesPercent / percent : 0;
+    out.loadMs = loadMs( node, generation, now );
+    const auto shared = need.prefix.size() > 1 ? need.prefix[need.prefix.size() - 2] : 0;
+    const auto key =
+        shared != 0 ? std::to_string( shared ) : generation.model + "/" + generation.adapter;
+    out.affinity = hash64( node.upstream.id, key );
+    return out;
+}
+
+bool hasWeights( const Node& node, const std::string& model ) {
+    return node.report &&
+           ( contains( node.report->inMemory, model ) || contains( node.report->onDisk, model ) );
+}
+
+} // namespace coursehead::gateway
--- /dev/null
+++ b/src/gateway/estimate.hpp
@@ -0,0 +1,33 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_ESTIMATE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_ESTIMATE_HPP_INCLUDED
+
+#include "gateway/node.hpp"
+#include "gateway/pace.hpp"
+#include "gateway/selection.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace coursehead::gateway {
+
+//! What a request needs of an upstream.
+struct Need {
+    std::string service;
+    const Generation* generation = nullptr; //!< null for plain services
+    std::span<const std::uint64_t> prefix;  //!< keys of the prompt's parts
+    Millis goal{ 0 };
+    std::size_t requestBytes = 0;
+};
+
+//! What sending a request to a node would take, from a gateway in `hall`.
+Candidate estimate( const Node& node, const Need& need, const ModelPace& pace,
+                    std::string_view hall, MonoTime now );
+
+//! True when a load of the model there needs nothing from the weight store.
+bool hasWeights( const Node& node, const std::string& model );
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_ESTIMATE_HPP_INCLUDED
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -9,7 +9,8 @@
 #include "gateway/fleet.hpp"
 #include "gateway/patience.hpp"
 #include "gateway/retry_window.hpp"
-#include "platform/wire.hpp"
+#include "platform/headers.hpp"
+#include "platform/node_settings.hpp"
 
 #include <boost/beast/http/fields.hpp>
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -15,25 +15,6 @@
 
 namespace {
 
-//! Prompt reading of a request of which nothing more is known, in milliseconds.
-constexpr double usualPrefillMs = 80;
-//! Usual work of a plain service's request, in milliseconds, until slowness is measured.
-constexpr double usualWorkMs = 20;
-//! Loading an adapter that is not there: some milliseconds, and a round trip to the sidecar.
-constexpr double adapterLoadMs = 25;
-//! Waiting where every adapter slot is taken by running requests: streams last about a second.
-constexpr double adapterFullMs = 800;
-//! Usual rest of a model's order that is under way.
-constexpr double orderWaitMs = 400;
-//! Rest of a load that has taken longer than expected.
-constexpr Millis leastLoad{ 50 };
-//! What leaving the hall counts for: a review's 18 KB cost about one part in a hundred of its
-//! worth, a tenth of that in time.
-constexpr double crossHallMs = 4;
-//! The same for plain services, which keep nothing that makes one better than the other.
-constexpr double plainCrossHallMs = 15;
-//! A load also makes another model give way; it is chosen only when it wins this much.
-constexpr double evictionMs = 150;
 //! Demand is smoothed over about two seconds, to follow shifts that take four to six.
 constexpr double demandSmoothing = 0.2;
 constexpr Millis demandInterval{ 400 };
@@ -45,20 +26,15 @@
 constexpr double replicaActors = 1.5;
 constexpr Millis replicaLimit{ 10000 };
 constexpr double millisPerSecond = 1000;
-constexpr double percent = 100;
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
 
-bool contains( const std::vector<std::string>& names, std::string_view name ) {
-    return std::find( names.begin(), names.end(), name ) != names.end();
-}
-
 } // namespace
 
 Fleet::Fleet( net::asio::io_context& context, RandomSource& random, FleetSettings settings )
     : m_context( context ), m_random( random ), m_settings( std::move( settings ) ),
-      m_started( std::chrono::steady_clock::now() ), m_lastTick( m_started ),
-      m_gateways( assumedGateways ) {}
+      m_grants( m_settings.ceilingWindow ), m_started( std::chrono::steady_clock::now() ),
+      m_lastTick( m_started ), m_gateways( assumedGateways ) {}
 
 Fleet::~Fleet() {
     for( auto& it : m_nodes ) {
@@ -229,83 +205,6 @@
     addReplicas( held, now );
 }
 
-double Fleet::loadMs( const Node& node, const Generation& generation, MonoTime now ) const {
-    if( !node.holdsModel( generation.model, now ) ) {
-        const auto* model = node.engine->find( generation.model );
-        if( model == nullptr ) {
-            return 0;
-        }
-        const auto under = node.loading.find( generation.model );
-        Millis load = model->storeLoad;
-        if( node.report && contains( node.report->inMemory, generation.model ) ) {
-            load = model->memoryLoad;
-        } else if( node.report && contains( node.report->onDisk, generation.model ) ) {
-            load = model->diskLoad;
-        }
-        if( under != node.loading.end() ) {
-            // Others wait for it there already: what is left of the load, and no further order.
-            const auto left = load - std::chrono::duration_cast<Millis>( now - under->second );
-            return static_cast<double>( std::max( left, leastLoad ).count() );
-        }
-        const double busy = node.report && node.report->load.ordering ? orderWaitMs : 0;
-        return static_cast<double>( load.count() ) + evictionMs + busy;
-    }
-    if( generation.adapter.empty() ||
-        node.holdsAdapter( generation.model, generation.adapter, now ) ) {
-        return 0;
-    }
-    // Adapters wait for a model's order that is under way.
-    const bool ordering = node.reportFresh( now ) && node.report->load.ordering;
-    const bool full = node.reportFresh( now ) && !node.report->load.adapterRoom;
-    return adapterLoadMs + ( ordering ? orderWaitMs : 0 ) + ( full ? adapterFullMs : 0 );
-}
-
-Candidate Fleet::candidate( const Node& node, const Need& need, MonoTime now ) const {
-    Candidate out;
-    out.failures = recentFailures( node.health, now );
-    out.slowness = slownessNow( node.health, now );
-    out.otherHall = node.upstream.hall != m_settings.hall;
-    out.crossHallMs = crossHallMs;
-    out.avoided = node.health.avoidUntil > now || !node.engineReachable;
-    if( need.generation == nullptr || !node.engine ) {
-        out.workMs = usualWorkMs;
-        out.crossHallMs = plainCrossHallMs;
-        out.backlogMs = usualWorkMs * node.inFlight / std::max( node.upstream.slots, 1 ) +
-                        ( node.inFlight >= node.upstream.slots ? usualWorkMs : 0 );
-        out.affinity = hash64( node.upstream.id, std::to_string( now.time_since_epoch().count() ) );
-        return out;
-    }
-    const auto& generation = *need.generation;
-    const auto cached = node.prefixes.kept( need.prefix, generation );
-    const auto fresh = std::max<std::int64_t>( generation.promptTokens - cached, 0 );
-    out.freshTokens = fresh;
-    out.workMs = m_pace.readingMs( generation.model, static_cast<double>( fresh ) );
-    out.backlogMs = node.prefillMs;
-    if( node.gapTarget.count() > 0 ) {
-        out.paceMs = static_cast<double>(
-            node.reading.wait( out.workMs, node.readingLimits( now ), now ).count() );
-    }
-    if( node.reportFresh( now ) ) {
-        const auto waiting =
-            static_cast<int>( node.report->load.queued + node.report->load.prefilling );
-        out.backlogMs += std::max( waiting - node.prefilling, 0 ) * usualPrefillMs;
-        const bool full = node.engine->slots > 0 &&
-                          node.report->load.running >= static_cast<unsigned>( node.engine->slots );
-        out.backlogMs += full ? usualPrefillMs * ( 1 + node.report->load.queued ) : 0;
-    }
-    if( node.reportFresh( now ) ) {
-        out.decoding = node.report->load.running -
-                       std::min( node.report->load.running, node.report->load.prefilling );
-    }
-    out.latePauses = node.reportFresh( now ) ? node.report->load.latePausesPercent / percent : 0;
-    out.loadMs = loadMs( node, generation, now );
-    const auto shared = need.prefix.size() > 1 ? need.prefix[need.prefix.size() - 2] : 0;
-    const auto key =
-        shared != 0 ? std::to_string( shared ) : generation.model + "/" + generation.adapter;
-    out.affinity = hash64( node.upstream.id, key );
-    return out;
-}
-
 Choice Fleet::choose( const Need& need, const std::set<std::string>& excluded,
                       MonoTime now ) const {
     std::vector<Candidate> candidates;
@@ -316,7 +215,7 @@
         if( !usable ) {
             continue;
         }
-        candidates.push_back( candidate( *node, need, now ) );
+        candidates.push_back( estimate( *node, need, m_pace, m_settings.hall, now ) );
         nodes.push_back( node );
     }
     Choice out;
@@ -351,29 +250,14 @@
     }
 }
 
-bool Fleet::takeStoreLoad( const Node& node, const std::string& model, MonoTime now ) {
-    const auto window = m_settings.ceilingWindow;
-    while( !m_storeLoads.empty() && now - m_storeLoads.front().at > window ) {
-        m_storeLoads.pop_front();
-    }
-    // Requests that wait for the same load share it.
-    for( const auto& it : m_storeLoads ) {
-        if( it.upstreamId == node.upstream.id && it.model == model ) {
-            return true;
-        }
-    }
+bool Fleet::mayUseStore( const Node& node, const std::string& model, MonoTime now ) {
     // A process that has just started does not know what was allowed before.
-    if( now - m_started < window ) {
-        return false;
-    }
-    const double seconds = std::chrono::duration<double>( window ).count();
-    const double share = node.engine->storeLoadsPerS * seconds / m_gateways;
-    const double allowed = std::max( std::floor( share ), 1.0 );
-    if( static_cast<double>( m_storeLoads.size() ) >= allowed ) {
+    if( now - m_started < m_settings.ceilingWindow ) {
         return false;
     }
-    m_storeLoads.push_back( { now, node.upstream.id, model } );
-    return true;
+    const int share =
+        storeShare( node.engine->storeLoadsPerS, m_settings.ceilingWindow, m_gateways );
+    return m_grants.take( node.upstream.id, model, share, now );
 }
 
 net::Task<EnsureOutcome> Fleet::ensure( NodePtr node, std::string model, std::string adapter,
@@ -387,10 +271,8 @@
     request.upstreamId = node->upstream.id;
     request.model = std::move( model );
     request.adapter = std::move( adapter );
-    const bool near = node->holdsModel( request.model, now ) ||
-                      ( node->report && ( contains( node->report->inMemory, request.model ) ||
-                                          contains( node->report->onDisk, request.model ) ) );
-    request.fromStore = !near && node->engine && takeStoreLoad( *node, request.model, now );
+    const bool near = node->holdsModel( request.model, now ) || hasWeights( *node, request.model );
+    request.fromStore = !near && node->engine && mayUseStore( *node, request.model, now );
     const bool loads = !node->holdsModel( request.model, now ) && ( near || request.fromStore );
     const std::string name = request.model;
     const bool first = loads && node->loading.emplace( name, now ).second;
@@ -447,7 +329,7 @@
         const bool fit = node->upstream.service == service && node->engine &&
                          node->takesRequests() && !node->holdsModel( model, now );
         if( fit ) {
-            auto it = candidate( *node, need, now );
+            auto it = estimate( *node, need, m_pace, m_settings.hall, now );
             it.affinity = hash64( id, model );
             candidates.push_back( it );
             nodes.push_back( node );
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -3,14 +3,15 @@
 #define COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
+#include "gateway/estimate.hpp"
 #include "gateway/node.hpp"
 #include "gateway/pace.hpp"
 #include "gateway/registry.hpp"
 #include "gateway/route_table.hpp"
 #include "gateway/selection.hpp"
 #include "gateway/sidecar_link.hpp"
+#include "gateway/store_grants.hpp"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,16 +27,6 @@
     std::string hall;
     int sidecarPort = 0;
     Millis ceilingWindow{ 5000 };
-    double ceilingOver = 1.1;
-};
-
-//! What a request needs of an upstream.
-struct Need {
-    std::string service;
-    const Generation* generation = nullptr; //!< null for plain services
-    std::span<const std::uint64_t> prefix;  //!< keys of the prompt's parts
-    Millis goal{ 0 };
-    std::size_t requestBytes = 0;
 };
 
 //! An upstream chosen for a request, with what the choice rests on.
@@ -111,9 +102,8 @@
     void setEngine( Node& node );
     SidecarLink::Handlers sidecarHandlers( const std::string& id );
     void takeReport( Node& node, const SidecarReport& report );
-    Candidate candidate( const Node& node, const Need& need, MonoTime now ) const;
-    double loadMs( const Node& node, const Generation& generation, MonoTime now ) const;
-    bool takeStoreLoad( const Node& node, const std::string& model, MonoTime now );
+    //! True when this gateway may allow a load from the weight store now.
+    bool mayUseStore( const Node& node, const std::string& model, MonoTime now );
 
     net::asio::io_context& m_context;
     RandomSource& m_random;
@@ -122,13 +112,7 @@
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, Demand> m_demand; //!< by model
     ModelPace m_pace;
-    //! A load from the weight store that this gateway allowed.
-    struct StoreLoad {
-        MonoTime at;
-        std::string upstreamId;
-        std::string model;
-    };
-    std::deque<StoreLoad> m_storeLoads; //!< within the window
+    StoreGrants m_grants;
     StoreNewsHandler m_onStoreNews;
     MonoTime m_started;
     MonoTime m_lastTick;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,7 +76,6 @@
         out.hall = m_settings.hall;
         out.sidecarPort = m_settings.firstPort;
         out.ceilingWindow = m_settings.bounds.ceilingWindow;
-        out.ceilingOver = m_settings.bounds.ceilingOver;
         return out;
     }
 
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -4,9 +4,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <cstdio>
 
 namespace coursehead::platform {
 
@@ -27,46 +24,6 @@
 constexpr unsigned statusConflict = 409;
 constexpr unsigned statusPrecondition = 412;
 
-constexpr std::string_view requestIdName = "X-Request-Id";
-constexpr std::string_view deadlineName = "X-Deadline-Ms";
-constexpr std::string_view lastEventName = "Last-Event-Id";
-constexpr std::string_view modelName = "X-Model";
-constexpr std::string_view tokensName = "X-Token-Counts";
-constexpr std::string_view partsName = "X-Prompt-Prefix";
-constexpr std::string_view instanceName = "X-Expect-Instance";
-constexpr std::string_view urgencyName = "X-Request-Urgency";
-constexpr std::string_view notRunName = "X-Not-Run";
-//! Headers by which the system asks an upstream for something. From a client they would take
-//! memory, copies or turns that nobody granted: a fifth of all sends was refused for them.
-constexpr std::array systemNames = {
-    std::string_view( "X-Hold" ),
-    std::string_view( "X-Pin-Ms" ),
-    std::string_view( "X-Cache-Backup" ),
-    std::string_view( "Kv-From" ),
-    std::string_view( "Kv-Fetch" ),
-    std::string_view( "X-Expect-Version" ),
-    instanceName,
-    urgencyName,
-};
-constexpr std::string_view actualInstanceName = "X-Instance-Id";
-constexpr std::string_view sealName = "X-Response-Seal";
-
-std::string_view field( const http::fields& fields, std::string_view name ) {
-    const auto it = fields.find( name );
-    return it == fields.end() ? std::string_view{} : std::string_view( it->value() );
-}
-
-template <typename T>
-std::optional<T> readNumber( std::string_view text, int base = 10 ) {
-    T out{};
-    const auto* end = text.data() + text.size();
-    const auto [ptr, ec] = std::from_chars( text.data(), end, out, base );
-    if( ec != std::errc() || ptr != end || text.empty() ) {
-        return std::nullopt;
-    }
-    return out;
-}
-
 Millis secondsOf( const Json& table, const char* name ) {
     return Millis( static_cast<std::int64_t>( table.value( name, 0.0 ) * millisPerSecond ) );
 }
@@ -229,41 +186,6 @@
     return out;
 }
 
-gateway::Generation readGeneration( const http::fields& fields ) {
-    gateway::Generation out;
-    const auto model = field( fields, modelName );
-    const auto slash = model.find( '/' );
-    out.model = std::string( model.substr( 0, slash ) );
-    if( slash != std::string_view::npos ) {
-        out.adapter = std::string( model.substr( slash + 1 ) );
-    }
-    const auto tokens = field( fields, tokensName );
-    const auto comma = tokens.find( ',' );
-    out.promptTokens = readNumber<std::int64_t>( tokens.substr( 0, comma ) ).value_or( 0 );
-    if( comma != std::string_view::npos ) {
-        out.mostTokens = readNumber<std::int64_t>( tokens.substr( comma + 1 ) ).value_or( 0 );
-    }
-    constexpr int hex = 16;
-    auto rest = field( fields, partsName );
-    while( !rest.empty() ) {
-        const auto end = rest.find( ',' );
-        const auto part = rest.substr( 0, end );
-        rest = end == std::string_view::npos ? std::string_view{} : rest.substr( end + 1 );
-        const auto colon = part.find( ':' );
-        const auto id = readNumber<std::uint64_t>( part.substr( 0, colon ), hex );
-        if( !id || colon == std::string_view::npos ) {
-            break; // a part that cannot be read ends what can be shared
-        }
-        out.parts.push_back(
-            { *id, readNumber<std::int64_t>( part.substr( colon + 1 ) ).value_or( 0 ) } );
-    }
-    return out;
-}
-
-std::string numbered( std::int64_t n ) {
-    return std::to_string( n );
-}
-
 } // namespace
 
 std::optional<Configuration> readConfiguration( std::string_view json, std::string& problem ) {
@@ -315,58 +237,6 @@
     }
 }
 
-RequestHead readRequestHead( const http::fields& fields ) {
-    RequestHead out;
-    out.requestId = std::string( field( fields, requestIdName ) );
-    if( const auto n = readNumber<std::int64_t>( field( fields, deadlineName ) ); n && *n >= 0 ) {
-        out.deadline = Millis( *n );
-    }
-    out.lastEventId = readNumber<std::uint64_t>( field( fields, lastEventName ) );
-    if( fields.find( modelName ) != fields.end() ) {
-        out.generation = readGeneration( fields );
-    }
-    return out;
-}
-
-std::size_t removeSystemHeaders( http::fields& fields ) {
-    std::size_t out = 0;
-    for( const auto name : systemNames ) {
-        out += fields.erase( { name.data(), name.size() } );
-    }
-    return out;
-}
-
-void writeSendHead( const SendHead& head, http::fields& fields ) {
-    fields.set( instanceName, head.upstreamId );
-    fields.set( deadlineName, numbered( head.deadline.count() ) );
-    if( head.urgency ) {
-        fields.set( urgencyName, numbered( *head.urgency ) );
-    }
-    if( head.lastEventId ) {
-        fields.set( lastEventName, std::to_string( *head.lastEventId ) );
-    }
-}
-
-AnswerHead readAnswerHead( unsigned status, const http::fields& fields ) {
-    AnswerHead out;
-    out.requestId = std::string( field( fields, requestIdName ) );
-    out.sealed = fields.find( sealName ) != fields.end();
-    if( status == statusMisdirected ) {
-        out.answerClass = AnswerClass::moved;
-        out.actualUpstream = std::string( field( fields, actualInstanceName ) );
-    } else if( fields.find( notRunName ) != fields.end() ) {
-        out.answerClass = AnswerClass::notRun;
-    }
-    return out;
-}
-
-std::string retryAfterText( Millis delay ) {
-    char buf[32]; // NOLINT(*-avoid-c-arrays)
-    std::snprintf( buf, sizeof buf, "%.2f",
-                   static_cast<double>( delay.count() ) / millisPerSecond );
-    return buf;
-}
-
 std::optional<EngineReport> readEngineReport( std::string_view json ) {
     try {
         return reportOf( Json::parse( json ) );
@@ -426,14 +296,6 @@
     return "unknown";
 }
 
-std::string_view actualUpstreamHeader() {
-    return actualInstanceName;
-}
-
-std::string_view expectedUpstreamHeader() {
-    return instanceName;
-}
-
 std::string listPath( std::string_view kind, std::string_view after ) {
     std::string out = "/objects/";
     out += kind;
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -5,9 +5,6 @@
 #include "gateway/model.hpp"
 #include "platform/node_settings.hpp"
 
-#include <boost/beast/http/fields.hpp>
-#include <boost/beast/http/message.hpp>
-
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,8 +13,6 @@
 //! The platform's messages: decoded into the product's types, and encoded from them.
 namespace coursehead::platform {
 
-namespace http = boost::beast::http;
-
 // Configuration and the list of upstreams.
 
 //! The objects that the operator and the upstreams write.
@@ -32,46 +27,6 @@
 std::optional<gateway::Upstream> readUpstream( std::string_view id, std::string_view json,
                                                std::string& problem );
 
-// Requests and answers.
-
-//! What a client's request says beside method, path and body.
-struct RequestHead {
-    std::string requestId;
-    std::optional<Millis> deadline;           //!< how long the client will wait
-    std::optional<std::uint64_t> lastEventId; //!< the client resumes behind this event
-    std::optional<gateway::Generation> generation;
-};
-RequestHead readRequestHead( const http::fields& fields );
-//! Drops the headers that only the system may set: an upstream would act on them. Returns how many.
-std::size_t removeSystemHeaders( http::fields& fields );
-
-//! What one send to an upstream carries beside the client's own headers.
-struct SendHead {
-    std::string upstreamId;
-    Millis deadline{ 0 };
-    std::optional<int> urgency;               //!< 0 (first) to 9
-    std::optional<std::uint64_t> lastEventId; //!< go on behind this event
-};
-//! Sets the headers of a send; replaces what the client gave under the same names.
-void writeSendHead( const SendHead& head, http::fields& fields );
-
-//! How an upstream's answer is to be understood.
-enum class AnswerClass {
-    complete, //!< the upstream's own answer to a request that it ran (of any status)
-    notRun,   //!< the upstream has not run the request and never will
-    moved,    //!< not run: another upstream has the address, or lacks the model
-};
-struct AnswerHead {
-    std::string requestId;
-    AnswerClass answerClass = AnswerClass::complete;
-    bool sealed = false;        //!< carries the upstream's signature
-    std::string actualUpstream; //!< who has the address, when it is not the one that was meant
-};
-AnswerHead readAnswerHead( unsigned status, const http::fields& fields );
-
-//! Milliseconds for a header that counts seconds, fractions allowed.
-std::string retryAfterText( Millis delay );
-
 // Engines.
 
 //! Reads an engine's report of itself.
@@ -101,14 +56,9 @@
 OrderVerdict orderVerdict( unsigned status );
 //! The verdict's name in logs.
 std::string_view nameOf( OrderVerdict verdict );
-//! Header in which a refusal names the upstream that has the address.
-std::string_view actualUpstreamHeader();
-
 inline constexpr std::string_view reportPath = "/report";
 inline constexpr std::string_view orderPath = "/order";
 inline constexpr std::string_view readyPath = "/ready";
-//! Header that makes any upstream but the named one refuse.
-std::string_view expectedUpstreamHeader();
 
 // The store.
 
--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "sidecar/engine_client.hpp"
 
+#include "platform/headers.hpp"
+
 namespace coursehead::sidecar {
 
 namespace {
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -63,7 +63,7 @@
     net::asio::io_context context{ 1 };
     RandomSource random{ 1 };
     metrics::Metrics metrics;
-    Fleet fleet{ context, random, FleetSettings{ "vm", "hall", 1, 5000ms, 1.1 } };
+    Fleet fleet{ context, random, FleetSettings{ "vm", "hall", 1, 5000ms } };
     Shared shared{ context, fleet, random, metrics, {}, nullptr, {} };
     ScriptedUpstream first{ context };
     ScriptedUpstream second{ context };
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -12,6 +12,7 @@
 #include "gateway/retry_window.hpp"
 #include "gateway/route_table.hpp"
 #include "gateway/selection.hpp"
+#include "gateway/store_grants.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -185,6 +186,26 @@
     CHECK( longestWait( patience, 5000ms ) == 0ms );
 }
 
+TEST_CASE( "Requests that wait for the same load share its grant, others take their turn",
+           "[gateway][store]" ) {
+    StoreGrants grants( 5000ms );
+    CHECK( grants.take( "u1", "a", 2, start ) );
+    CHECK( grants.take( "u1", "a", 2, start + 10ms ) );
+    CHECK( grants.take( "u2", "a", 2, start + 20ms ) );
+    CHECK_FALSE( grants.take( "u1", "b", 2, start + 30ms ) );
+    CHECK( grants.take( "u1", "a", 2, start + 40ms ) );
+    CHECK_FALSE( grants.take( "u1", "b", 2, start + 5000ms ) );
+    CHECK( grants.take( "u1", "b", 2, start + 5001ms ) );
+}
+
+TEST_CASE( "Gateways share the weight store's rate, and none is left without a load",
+           "[gateway][store]" ) {
+    CHECK( storeShare( 1.6, 5000ms, 4 ) == 2 );
+    CHECK( storeShare( 1.6, 5000ms, 1 ) == 8 );
+    CHECK( storeShare( 1.6, 5000ms, 30 ) == 1 );
+    CHECK( storeShare( 1.6, 5000ms, 0 ) == 8 );
+}
+
 TEST_CASE( "A burst of prompts goes at once, what follows is spread over the engine's time",
            "[gateway][reading]" ) {
     ReadingBudget budget;
--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
+#include "platform/headers.hpp"
 #include "platform/node_settings.hpp"
 #include "platform/wire.hpp"
 
