Admission: gateways ask an engine's sidecar before they send a prompt

Each gateway rationed an engine's prompt reading by itself: with 22 of them the floor of 0.12 of its time each is 2.6 engines in all, so pieces of prompts filled every step of an event and streams paused too long, while other prompts waited in vain for budgets. Requests also raced the orders of the sidecar beside the engine: nobody saw the whole of its work.

EnsureRequest asks for the model, the adapter and leave to send one prompt. The sidecar keeps one queue (decide/reading_queue, pure): within any gap target a part goes to reading, the order is that of the time by which prompts have to start, what can't start in time or would make an accepted one late is told so at once, with when. It knows which shared parts all gateways had read (sidecar/prompt_gate), and follows the engine's own reports. A leave that is not used is handed back. Without a sidecar that speaks a gateway keeps its own budget.

--- a/src/gateway/estimate.cpp
+++ b/src/gateway/estimate.cpp
@@ -89,14 +89,19 @@
     out.freshTokens = fresh;
     out.workMs = pace.readingMs( generation.model, static_cast<double>( fresh ) );
     out.backlogMs = node.prefillMs;
-    if( node.gapTarget.count() > 0 ) {
+    if( node.asksSidecar( now ) ) {
+        // It knows what all gateways have sent and are waiting to send.
+        out.backlogMs = std::max( out.backlogMs, node.readingWait( now ) );
+    } else if( node.gapTarget.count() > 0 ) {
         out.paceMs = static_cast<double>(
             node.reading.wait( out.workMs, node.readingLimits( now ), now ).count() );
     }
     if( node.reportFresh( now ) ) {
         const auto waiting =
             static_cast<int>( node.report->load.queued + node.report->load.prefilling );
-        out.backlogMs += std::max( waiting - node.prefilling, 0 ) * usualPrefillMs;
+        if( !node.asksSidecar( now ) ) {
+            out.backlogMs += std::max( waiting - node.prefilling, 0 ) * usualPrefillMs;
+        }
         const bool full = node.engine->slots > 0 &&
                           node.report->load.running >= static_cast<unsigned>( node.engine->slots );
         out.backlogMs += full ? usualPrefillMs * ( 1 + node.report->load.queued ) : 0;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -25,8 +25,9 @@
 //! the time that a load, or an outage of the store, takes.
 constexpr Millis modelRetryAfter{ 1000 };
 constexpr Millis startRetryAfter{ 2000 };
-//! An adapter loads within some ten milliseconds; where it takes longer another upstream is asked.
-constexpr Millis adapterPatience{ 500 };
+//! Engines that are asked for room before the goal; then a late answer is better than none. Each
+//! question costs a round trip, and the next engine is a worse one.
+constexpr int inTimeAsks = 2;
 //! Pause until the weight store's rate is asked for again.
 constexpr Millis storePoll{ 150 };
 
@@ -112,7 +113,7 @@
         if( hasLeft( *m_client ) || m_shared.sendsEnded || !timeLeft( now ) ) {
             break;
         }
-        const auto choice = m_shared.fleet.choose( m_need, m_excluded, now );
+        auto choice = m_shared.fleet.choose( m_need, m_excluded, now );
         if( !choice.node ) {
             m_lastWhy = choice.candidates == 0 && m_excluded.empty() ? "no upstream" : m_lastWhy;
             break;
@@ -123,33 +124,24 @@
             retries.countFirst( now );
             m_shared.fleet.countDemand( m_need, choice );
         }
-        if( const auto wait = paceWait( choice, now ); wait.count() > 0 ) {
-            co_await net::pause( m_shared.context, wait );
+        const auto next = co_await prepare( choice );
+        if( next == Next::stop ) {
+            break;
+        }
+        if( next == Next::again ) {
             --round;
             continue;
         }
-        if( !choice.holdsModel || !choice.holdsAdapter ) {
-            if( tooLateThere( choice, now ) ) {
-                break;
-            }
-            const auto outcome = co_await prepare( choice );
-            now = std::chrono::steady_clock::now();
-            if( outcome == EnsureOutcome::needStore ) {
-                // Nobody has the model nearer: the weight store's rate lets it in before long.
-                co_await net::pause( m_shared.context, storePoll );
-                --round;
-                continue;
-            }
-            if( outcome != EnsureOutcome::ready ) {
-                m_excluded.insert( choice.node->upstream.id );
-                continue;
-            }
+        if( next == Next::elsewhere ) {
+            m_excluded.insert( choice.node->upstream.id );
+            continue;
         }
         now = std::chrono::steady_clock::now();
         if( m_client->left || m_shared.sendsEnded || !timeLeft( now ) ) {
             break;
         }
         if( !choice.node->takesRequests() ) {
+            m_leave.reset();
             m_excluded.insert( choice.node->upstream.id );
             continue;
         }
@@ -162,6 +154,7 @@
             }
         }
         const auto sent = co_await sendTo( choice.node, choice );
+        m_leave.reset();
         if( sent.end == SendEnd::answered || sent.end == SendEnd::streamed ||
             sent.end == SendEnd::stopped || !mayTryAgain( sent ) ) {
             break;
@@ -185,30 +178,95 @@
     return again && m_runs < m_route->attempts;
 }
 
-net::Task<EnsureOutcome> Exchange::prepare( const Choice& choice ) {
-    const auto& generation = *m_request.head.generation;
+net::Task<Exchange::Next> Exchange::prepare( Choice& choice ) {
+    if( m_need.generation == nullptr || !choice.node->engine ) {
+        co_return Next::send;
+    }
     const auto now = std::chrono::steady_clock::now();
-    auto left = remaining( now, std::min( m_deadline, waitLimit( choice ) ) );
-    if( choice.holdsModel ) {
-        left = std::min( left, adapterPatience );
+    const bool holds = choice.holdsModel && choice.holdsAdapter;
+    if( !holds && tooLateThere( choice, now ) ) {
+        co_return Next::stop;
+    }
+    if( choice.node->asksSidecar( now ) ) {
+        co_return co_await askSidecar( choice );
+    }
+    // Without a sidecar nobody orders loads there, and this gateway keeps its own budget.
+    const auto wait = paceWait( choice, now );
+    if( holds && wait.count() > 0 ) {
+        co_await net::pause( m_shared.context, wait );
+        co_return Next::again;
     }
-    std::string model = generation.model;
-    std::string adapter = generation.adapter;
+    m_lastWhy = holds ? m_lastWhy : "model not ready";
+    co_return holds ? Next::send : Next::elsewhere;
+}
+
+EnsureRequest Exchange::question( const Choice& choice, MonoTime now ) const {
+    const auto& generation = *m_need.generation;
+    const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
+    const auto goalEnd = m_request.arrived + longestWait( { m_route->goal, {}, {} }, work );
+    const auto lastEnd = std::min( m_deadline, waitLimit( choice ) );
+    EnsureRequest out;
+    out.model = generation.model;
+    out.adapter = generation.adapter;
+    out.prompt = m_shared.fleet.askedPrompt( m_need );
+    out.prompt.goalMs = remaining( now, goalEnd ).count();
+    // Where something has to be loaded first, or others had no room, late is better than never.
+    out.prompt.late = !choice.holdsModel || m_refusals >= inTimeAsks || out.prompt.goalMs == 0;
+    out.limitMs = remaining( now, out.prompt.late ? lastEnd : goalEnd ).count();
+    return out;
+}
+
+net::Task<Exchange::Next> Exchange::askSidecar( Choice& choice ) {
+    const auto asked = std::chrono::steady_clock::now();
+    auto request = question( choice, asked );
+    const bool late = request.prompt.late;
     NodePtr node = choice.node;
-    const auto outcome = co_await m_shared.fleet.ensure( std::move( node ), std::move( model ),
-                                                         std::move( adapter ), left );
-    const auto took = millisBetween( now, std::chrono::steady_clock::now() );
-    log::info( "ensure", { { "id", m_request.head.requestId },
-                           { "upstream", choice.node->upstream.id },
-                           { "model", generation.model },
-                           { "adapter", generation.adapter },
-                           { "outcome", nameOf( outcome ) },
-                           { "took_ms", took } } );
-    if( outcome != EnsureOutcome::ready ) {
+    const auto answer = co_await m_shared.fleet.ensure( std::move( node ), std::move( request ) );
+    logAsk( choice, answer, asked );
+    const auto next = followAnswer( choice, answer, late );
+    if( answer.outcome == EnsureOutcome::needStore ) {
+        // Nobody has the model nearer: the weight store's rate lets it in before long.
+        co_await net::pause( m_shared.context, storePoll );
+    }
+    co_return next;
+}
+
+Exchange::Next Exchange::followAnswer( Choice& choice, const EnsureAnswer& answer, bool late ) {
+    switch( answer.outcome ) {
+    case EnsureOutcome::ready:
+        m_leave.emplace( choice.node, answer );
+        choice.workMs = answer.workMs;
+        choice.unqueued = choice.unqueued && answer.waitMs <= answer.workMs;
+        return Next::send;
+    case EnsureOutcome::needStore:
         m_lastWhy = "model not ready";
         m_retryAfter = modelRetryAfter;
+        return Next::again;
+    case EnsureOutcome::later:
+        ++m_refusals;
+        m_lastWhy = "engines are busy";
+        m_retryAfter = std::max( Millis( answer.waitMs ), usualRetryAfter );
+        return late ? Next::stop : Next::again;
+    case EnsureOutcome::noRoom:
+    case EnsureOutcome::failed:
+        break;
     }
-    co_return outcome;
+    m_lastWhy = "model not ready";
+    m_retryAfter = modelRetryAfter;
+    return Next::elsewhere;
+}
+
+void Exchange::logAsk( const Choice& choice, const EnsureAnswer& answer, MonoTime since ) const {
+    const auto took = millisBetween( since, std::chrono::steady_clock::now() );
+    log::info( "ask", { { "id", m_request.head.requestId },
+                        { "upstream", choice.node->upstream.id },
+                        { "model", m_need.generation->model },
+                        { "adapter", m_need.generation->adapter },
+                        { "held", choice.holdsModel && choice.holdsAdapter ? "yes" : "no" },
+                        { "outcome", nameOf( answer.outcome ) },
+                        { "wait_ms", answer.waitMs },
+                        { "work_ms", static_cast<std::int64_t>( answer.workMs ) },
+                        { "took_ms", took } } );
 }
 
 Millis Exchange::paceWait( const Choice& choice, MonoTime now ) const {
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -8,6 +8,7 @@
 #include "gateway/event_stream.hpp"
 #include "gateway/fleet.hpp"
 #include "gateway/patience.hpp"
+#include "gateway/reading_leave.hpp"
 #include "gateway/retry_window.hpp"
 #include "platform/headers.hpp"
 #include "platform/node_settings.hpp"
@@ -98,8 +99,21 @@
         Millis retryAfter{ 0 };
     };
 
+    //! What follows on a choice of upstream.
+    enum class Next {
+        send,      //!< all is there, and the engine takes the prompt now
+        again,     //!< what is known has changed: choose once more
+        elsewhere, //!< not there
+        stop,      //!< it can't be served in time by any
+    };
+
     net::Task<> forward();
-    net::Task<EnsureOutcome> prepare( const Choice& choice );
+    //! Obtains what the request needs at the chosen upstream.
+    net::Task<Next> prepare( Choice& choice );
+    net::Task<Next> askSidecar( Choice& choice );
+    EnsureRequest question( const Choice& choice, MonoTime now ) const;
+    Next followAnswer( Choice& choice, const EnsureAnswer& answer, bool late );
+    void logAsk( const Choice& choice, const EnsureAnswer& answer, MonoTime since ) const;
     net::Task<Sent> sendTo( NodePtr node, const Choice& choice );
     net::Task<ConnectionPtr> connectionTo( Node& node );
     net::Task<Sent> receive( Node& node, ConnectionPtr connection, const Choice& choice );
@@ -138,9 +152,11 @@
     std::vector<std::uint64_t> m_prefix;
     Patience m_patience;
     MonoTime m_deadline;
-    std::set<std::string> m_excluded; //!< upstreams that this request does not go to any more
-    int m_sends = 0;                  //!< that reached an upstream
-    int m_runs = 0;                   //!< of these, may have run
+    std::set<std::string> m_excluded;    //!< upstreams that this request does not go to any more
+    int m_refusals = 0;                  //!< sidecars that could not let it in before its goal
+    std::optional<ReadingLeave> m_leave; //!< to send its prompt to the chosen upstream
+    int m_sends = 0;                     //!< that reached an upstream
+    int m_runs = 0;                      //!< of these, may have run
     bool m_mayHaveRun = false;
     std::string m_lastWhy;
     Millis m_retryAfter{ 0 };
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -260,27 +260,41 @@
     return m_grants.take( node.upstream.id, model, share, now );
 }
 
-net::Task<EnsureOutcome> Fleet::ensure( NodePtr node, std::string model, std::string adapter,
-                                        Millis limit ) {
+AskedPrompt Fleet::askedPrompt( const Need& need ) const {
+    AskedPrompt out;
+    const auto& generation = *need.generation;
+    out.tokens = generation.promptTokens;
+    out.msPerToken = m_pace.readingMs( generation.model, 1 );
+    for( std::size_t n = 0; n < need.prefix.size(); ++n ) {
+        out.parts.push_back( { need.prefix[n], generation.parts[n].tokens } );
+    }
+    return out;
+}
+
+void Fleet::handBack( const Node& node, const EnsureAnswer& leave ) {
+    if( node.sidecar ) {
+        node.sidecar->cancel( leave.number );
+    }
+}
+
+net::Task<EnsureAnswer> Fleet::ensure( NodePtr node, EnsureRequest request ) {
     const auto link = node->sidecar;
     if( !link ) {
-        co_return EnsureOutcome::failed;
+        co_return EnsureAnswer{};
     }
     const auto now = std::chrono::steady_clock::now();
-    EnsureRequest request;
     request.upstreamId = node->upstream.id;
-    request.model = std::move( model );
-    request.adapter = std::move( adapter );
     const bool near = node->holdsModel( request.model, now ) || hasWeights( *node, request.model );
     request.fromStore = !near && node->engine && mayUseStore( *node, request.model, now );
     const bool loads = !node->holdsModel( request.model, now ) && ( near || request.fromStore );
     const std::string name = request.model;
     const bool first = loads && node->loading.emplace( name, now ).second;
-    const auto outcome = co_await link->ensure( std::move( request ), limit );
+    const auto answer = co_await link->ensure( std::move( request ) );
     if( first ) {
         node->loading.erase( name );
     }
-    co_return outcome;
+    node->takeReadingWait( static_cast<double>( answer.waitMs ), std::chrono::steady_clock::now() );
+    co_return answer;
 }
 
 void Fleet::noteFirstEvent( const Generation& generation, const Choice& choice,
@@ -351,10 +365,11 @@
         return;
     }
     auto task = [this, node, name = model]() -> net::Task<> {
-        std::string wanted = name;
-        std::string none;
+        EnsureRequest request;
+        request.model = name;
+        request.limitMs = replicaLimit.count();
         NodePtr at = node;
-        co_await ensure( std::move( at ), std::move( wanted ), std::move( none ), replicaLimit );
+        co_await ensure( std::move( at ), std::move( request ) );
     };
     net::asio::co_spawn( m_context, std::move( task ), net::asio::detached );
 }
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -60,9 +60,13 @@
 
     //! Chooses among the upstreams of a service that are not in `excluded`.
     Choice choose( const Need& need, const std::set<std::string>& excluded, MonoTime now ) const;
-    //! Makes model and adapter ready at a node.
-    net::Task<EnsureOutcome> ensure( NodePtr node, std::string model, std::string adapter,
-                                     Millis limit );
+    //! Asks a node's sidecar for what a request needs there. The leave that `ready` gives is used
+    //! by a send, or handed back.
+    net::Task<EnsureAnswer> ensure( NodePtr node, EnsureRequest request );
+    //! Hands back the leave to send a prompt, which has become of no use.
+    static void handBack( const Node& node, const EnsureAnswer& leave );
+    //! The prompt of a request as a sidecar is asked about it.
+    AskedPrompt askedPrompt( const Need& need ) const;
     //! Has a model made ready at a node that no request waits for there.
     void startLoad( const NodePtr& node, const std::string& model );
     //! A stream's first event came, `measuredMs` after it was sent.
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -51,8 +51,9 @@
 }
 
 void to_json( Json& out, const EngineLoad& in ) {
-    out = Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
-                         in.latePausesPercent, in.sentParts, in.readingPercent } );
+    out =
+        Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
+                       in.latePausesPercent, in.sentParts, in.readingPercent, in.readingWaitMs } );
 }
 
 void from_json( const Json& in, EngineLoad& out ) {
@@ -64,6 +65,7 @@
     out.latePausesPercent = in.at( 5 ).get<int>();
     out.sentParts = in.at( 6 ).get<std::vector<SentPart>>();
     out.readingPercent = in.at( 7 ).get<int>();
+    out.readingWaitMs = in.at( 8 ).get<std::int64_t>();
 }
 
 void to_json( Json& out, const SidecarReport& in ) {
@@ -90,9 +92,55 @@
     out.load = in.get<EngineLoad>();
 }
 
+void to_json( Json& out, const AskedPart& in ) {
+    out = Json::array( { in.key, in.tokens } );
+}
+
+void from_json( const Json& in, AskedPart& out ) {
+    out.key = in.at( 0 ).get<std::uint64_t>();
+    out.tokens = in.at( 1 ).get<std::int64_t>();
+}
+
+void to_json( Json& out, const AskedPrompt& in ) {
+    out = Json::array( { in.tokens, in.msPerToken, in.goalMs, in.late, in.parts } );
+}
+
+void from_json( const Json& in, AskedPrompt& out ) {
+    out.tokens = in.at( 0 ).get<std::int64_t>();
+    out.msPerToken = in.at( 1 ).get<double>();
+    out.goalMs = in.at( 2 ).get<std::int64_t>();
+    out.late = in.at( 3 ).get<bool>();
+    out.parts = in.at( 4 ).get<std::vector<AskedPart>>();
+}
+
+void to_json( Json& out, const EnsureRequest& in ) {
+    out = Json::array(
+        { in.number, in.upstreamId, in.model, in.adapter, in.fromStore, in.limitMs, in.prompt } );
+}
+
+void from_json( const Json& in, EnsureRequest& out ) {
+    out.number = in.at( 0 ).get<std::uint64_t>();
+    out.upstreamId = in.at( 1 ).get<std::string>();
+    out.model = in.at( 2 ).get<std::string>();
+    out.adapter = in.at( 3 ).get<std::string>();
+    out.fromStore = in.at( 4 ).get<bool>();
+    out.limitMs = in.at( 5 ).get<std::int64_t>();
+    out.prompt = in.at( 6 ).get<AskedPrompt>();
+}
+
+void to_json( Json& out, const EnsureAnswer& in ) {
+    out = Json::array( { in.number, in.outcome, in.waitMs, in.workMs } );
+}
+
+void from_json( const Json& in, EnsureAnswer& out ) {
+    out.number = in.at( 0 ).get<std::uint64_t>();
+    out.outcome = in.at( 1 ).get<EnsureOutcome>();
+    out.waitMs = in.at( 2 ).get<std::int64_t>();
+    out.workMs = in.at( 3 ).get<double>();
+}
+
 // clang-format off
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureRequest, number, upstreamId, model, adapter, fromStore, limitMs )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureAnswer, number, outcome )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EnsureCancel, number )
 // clang-format on
 
 void to_json( Json& out, const ModelSpec& in ) {
@@ -168,6 +216,8 @@
         return "weight_store_rate";
     case EnsureOutcome::failed:
         return "failed";
+    case EnsureOutcome::later:
+        return "later";
     }
     return "unknown";
 }
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -23,7 +23,22 @@
     EngineSpec engine;
 };
 
-//! Asks for a model or adapter to be made ready.
+//! Part of a prompt that is to be sent, in the order of the prompt.
+struct AskedPart {
+    std::uint64_t key = 0; //!< stands for model, adapter and all parts up to it
+    std::int64_t tokens = 0;
+};
+
+//! A prompt that is to be sent to an engine.
+struct AskedPrompt {
+    std::int64_t tokens = 0; //!< in all
+    double msPerToken = 0;   //!< pace at which the gateway saw the model read
+    std::int64_t goalMs = 0; //!< reading has to begin within it for the answer to be in time
+    bool late = false;       //!< it may begin after that too, within the question's limit
+    std::vector<AskedPart> parts;
+};
+
+//! Asks for a model or adapter to be made ready, and for leave to send a prompt then.
 struct EnsureRequest {
     std::uint64_t number = 0; //!< of this gateway; the answer repeats it
     std::string upstreamId;
@@ -31,6 +46,12 @@
     std::string adapter;      //!< empty: the model alone
     bool fromStore = false;   //!< the weight store may be used
     std::int64_t limitMs = 0; //!< the gateway waits no longer for the answer
+    AskedPrompt prompt;       //!< without tokens: none is to be sent
+};
+
+//! The gateway has no use for an answer to this question, or for the leave that it was given.
+struct EnsureCancel {
+    std::uint64_t number = 0;
 };
 
 enum class EnsureOutcome {
@@ -38,6 +59,7 @@
     noRoom,    //!< everything that could make way is needed more
     needStore, //!< only the weight store has it, and it may not be used now
     failed,    //!< the engine did not take the order or cannot be reached
+    later,     //!< all is there, but the prompt can't be read in time
 };
 
 //! The outcome's name in logs.
@@ -46,6 +68,8 @@
 struct EnsureAnswer {
     std::uint64_t number = 0;
     EnsureOutcome outcome = EnsureOutcome::failed;
+    std::int64_t waitMs = 0; //!< until the engine could begin with a further prompt like this one
+    double workMs = 0;       //!< reading of the prompt, less what the engine keeps of it
 };
 
 //! How much a model is asked for, as one gateway sees it.
@@ -71,6 +95,12 @@
     double reading = 0;              //!< part of the engine's time that this gateway's prompts take
 };
 
+//! A model that an engine will hold.
+struct ComingModel {
+    std::string model;
+    std::int64_t readyMs = 0; //!< until then
+};
+
 //! What moves all the time at an engine.
 struct EngineLoad {
     bool ordering = false; //!< an order is under way
@@ -81,6 +111,7 @@
         true; //!< another adapter could be loaded without waiting for requests to end
     int latePausesPercent = 0;       //!< part of its recent streams that paused too long
     int readingPercent = 0;          //!< part of its time that prompts of all gateways take
+    std::int64_t readingWaitMs = 0;  //!< until it could begin with a prompt of the usual size
     std::vector<SentPart> sentParts; //!< that gateways sent there since the last message
 };
 
@@ -124,7 +155,7 @@
 };
 
 using Message = std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport,
-                             LoadReport, RelayAsk, StoreNews>;
+                             LoadReport, RelayAsk, StoreNews, EnsureCancel>;
 
 std::string encode( const Message& message );
 //! Reads a message; nullopt when it is malformed.
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -133,7 +133,8 @@
     std::uint64_t sequence = 0; //!< orders taken
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
-    std::uint32_t prefilling = 0; //!< running requests without an event yet
+    std::uint32_t prefilling =
+        0; //!< running requests without an event yet: their prompts are being read
     std::int64_t cacheUsed = 0;
     std::int64_t cacheTotal = 0;
     std::vector<EngineRun> runs; //!< not passed on to gateways
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "gateway/node.hpp"
 
+#include "gateway/sidecar_link.hpp"
+
 #include <algorithm>
 
 namespace coursehead::gateway {
@@ -79,12 +81,27 @@
     }
     report->load = load;
     reportAt = now;
+    takeReadingWait( static_cast<double>( load.readingWaitMs ), now );
     for( const auto& it : load.sentParts ) {
         prefixes.insertPart( it.key, it.tokens, it.model );
     }
     report->load.sentParts.clear();
 }
 
+void Node::takeReadingWait( double waitMs, MonoTime now ) {
+    readingWaitMs = waitMs;
+    readingWaitAt = now;
+}
+
+double Node::readingWait( MonoTime now ) const {
+    const auto passed = std::chrono::duration<double, std::milli>( now - readingWaitAt ).count();
+    return std::max( readingWaitMs - passed, 0.0 );
+}
+
+bool Node::asksSidecar( MonoTime now ) const {
+    return engine && sidecar && sidecar->answers( now ) && reportFresh( now );
+}
+
 std::set<std::string> Node::modelsOfInterest( MonoTime now ) const {
     std::set<std::string> out;
     for( const auto& it : residents( now ) ) {
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -39,9 +39,11 @@
     bool gone = false;                //!< no longer in the fleet
     std::optional<MonoTime> leavesAt; //!< it was announced to be gone by then
     int inFlight = 0;
-    int prefilling = 0;   //!< of those, without a first event yet
-    double prefillMs = 0; //!< their estimated prompt reading time
-    MonoTime lastHeard;   //!< bytes from any of its connections
+    int prefilling = 0;       //!< of those, without a first event yet
+    double prefillMs = 0;     //!< their estimated prompt reading time
+    MonoTime lastHeard;       //!< bytes from any of its connections
+    double readingWaitMs = 0; //!< until it could begin with a prompt, as its sidecar last said
+    MonoTime readingWaitAt;   //!< when the sidecar said so
     std::map<std::string, MonoTime>
         loading;                        //!< models that this gateway waits for there, since when
     std::vector<SentPart> sentParts;    //!< shared parts sent there since the last demand message
@@ -66,6 +68,12 @@
     //! Takes the sidecar's word on the engine: all of it, or the load alone.
     void takeReport( const SidecarReport& next, MonoTime now );
     void takeLoad( const EngineLoad& load, MonoTime now );
+    //! Takes the sidecar's word on when the engine could begin with a prompt.
+    void takeReadingWait( double waitMs, MonoTime now );
+    //! What is left of that wait.
+    double readingWait( MonoTime now ) const;
+    //! True when prompts are sent with its sidecar's leave.
+    bool asksSidecar( MonoTime now ) const;
     //! Requests of this gateway in flight there for a model, or for MODEL/NAME.
     int runningOf( std::string_view key ) const;
     //! Adapters of a model that were sent there since the last demand message or are in flight.
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -128,6 +128,9 @@
                    { { "id", m_request.head.requestId }, { "upstream", node->upstream.id } } );
         co_return out;
     }
+    if( m_leave ) {
+        m_leave->use();
+    }
     ++m_sends;
     m_expectedMs = choice.expectedMs;
     m_client->upstream = connection;
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -12,6 +12,11 @@
 constexpr Millis lastRetryPause{ 1000 };
 //! Sidecars speak every 500 ms; after three missed messages the connection is taken for dead.
 constexpr Millis silence{ 1500 };
+//! A sidecar that was not heard for this long is not asked: it speaks every 450 ms at the latest,
+//! and a question to one that stands still would cost a request half of its time.
+constexpr Millis askSilence{ 700 };
+//! How often a wait looks whether the sidecar still speaks.
+constexpr Millis silenceLook{ 200 };
 
 } // namespace
 
@@ -65,27 +70,47 @@
     }
 }
 
-net::Task<EnsureOutcome> SidecarLink::ensure( EnsureRequest request, Millis limit ) {
+bool SidecarLink::answers( MonoTime now ) const {
+    return m_channel != nullptr && now - m_channel->lastHeard() <= askSilence;
+}
+
+net::Task<EnsureAnswer> SidecarLink::ensure( EnsureRequest request ) {
     if( !m_channel ) {
-        co_return EnsureOutcome::failed;
+        co_return EnsureAnswer{};
     }
     const auto me = shared_from_this();
-    request.number = m_nextNumber++;
-    request.limitMs = limit.count();
+    const auto number = m_nextNumber++;
+    const auto until = std::chrono::steady_clock::now() + Millis( request.limitMs );
+    request.number = number;
     const auto waiter = std::make_shared<Waiter>( m_context );
-    m_waiters.emplace( request.number, waiter );
-    const auto number = request.number;
+    waiter->answer.number = number;
+    m_waiters.emplace( number, waiter );
     const Message message( std::move( request ) );
     const auto encoded = encode( message );
     m_channel->send( encoded );
-    waiter->timer.expires_after( limit );
-    co_await waiter->timer.async_wait( net::tupled );
+    auto now = std::chrono::steady_clock::now();
+    while( !waiter->ended && now < until && answers( now ) ) {
+        waiter->timer.expires_after( std::min( silenceLook, remaining( now, until ) ) );
+        co_await waiter->timer.async_wait( net::tupled );
+        now = std::chrono::steady_clock::now();
+    }
     m_waiters.erase( number );
-    co_return waiter->outcome;
+    if( !waiter->ended ) {
+        cancel( number );
+    }
+    co_return waiter->answer;
+}
+
+void SidecarLink::cancel( std::uint64_t number ) {
+    if( m_channel ) {
+        const Message message( EnsureCancel{ number } );
+        m_channel->send( encode( message ) );
+    }
 }
 
 void SidecarLink::failWaiters() {
     for( auto& it : m_waiters ) {
+        it.second->ended = true;
         it.second->timer.cancel();
     }
 }
@@ -111,7 +136,8 @@
     if( const auto* answer = std::get_if<EnsureAnswer>( &*message ) ) {
         const auto it = m_waiters.find( answer->number );
         if( it != m_waiters.end() ) {
-            it->second->outcome = answer->outcome;
+            it->second->answer = *answer;
+            it->second->ended = true;
             it->second->timer.cancel();
         }
     }
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -28,14 +28,19 @@
     void start( Handlers handlers );
     void stop();
     bool up() const { return m_channel != nullptr; }
+    //! True when the sidecar spoke lately: it can be asked.
+    bool answers( MonoTime now ) const;
 
     //! Tells the sidecar what its engine is built like, now and after each reconnect.
     void setNews( EngineNews news );
     void send( const DemandNews& demand );
     //! Asks the sidecar to pass the store's changes on, or to cease to; lost with the connection.
     void askRelay( bool wanted );
-    //! Asks for a model or adapter, and waits for the answer; `failed` after `limit`.
-    net::Task<EnsureOutcome> ensure( EnsureRequest request, Millis limit );
+    //! Asks, and waits for the answer; `failed` after the request's limit, or when the sidecar
+    //! falls silent. The number of the question is kept in `number` for cancel().
+    net::Task<EnsureAnswer> ensure( EnsureRequest request );
+    //! Tells the sidecar that a question, or the leave given in answer to it, has no use any more.
+    void cancel( std::uint64_t number );
     //! Ends every wait as failed.
     void failWaiters();
 
@@ -43,7 +48,8 @@
     struct Waiter {
         explicit Waiter( net::asio::io_context& context ) : timer( context ) {}
         net::Timer timer;
-        EnsureOutcome outcome = EnsureOutcome::failed;
+        EnsureAnswer answer;
+        bool ended = false; //!< answered, or given up
     };
 
     net::Task<> keepConnected();
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -169,8 +169,11 @@
     out.queued = in.value( "queuedRequests", std::uint32_t{ 0 } );
     out.running = in.value( "activeRequests", std::uint32_t{ 0 } );
     out.runs = readRuns( in.value( "runs", Json::array() ) );
-    out.prefilling = static_cast<std::uint32_t>( std::count_if(
-        out.runs.begin(), out.runs.end(), []( const auto& it ) { return it.events == 0; } ) );
+    // A request is listed under `runs` from its first event on: the others are being read.
+    const auto reads = std::count_if( out.runs.begin(), out.runs.end(),
+                                      []( const auto& it ) { return it.events > 0; } );
+    const auto streaming = std::min( out.running, static_cast<std::uint32_t>( reads ) );
+    out.prefilling = out.running - streaming;
     out.cacheUsed = in.value( "cacheUsed", std::int64_t{ 0 } );
     out.cacheTotal = in.value( "cacheTotal", std::int64_t{ 0 } );
     return out;
--- /dev/null
+++ b/src/sidecar/prompt_gate.cpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/prompt_gate.hpp"
+
+#include <algorithm>
+
+namespace coursehead::sidecar {
+
+namespace {
+
+//! A prompt just let through may still be on its way when the engine reports: an answer to the
+//! gateway, a new connection and the request take some milliseconds each.
+constexpr Millis onItsWay{ 30 };
+//! The usual size follows about the last ten prompts.
+constexpr double usualSmoothing = 0.1;
+
+gateway::Generation generationOf( const PromptAsk& ask ) {
+    gateway::Generation out;
+    out.model = ask.model;
+    out.adapter = ask.adapter;
+    out.promptTokens = ask.prompt.tokens;
+    for( const auto& it : ask.prompt.parts ) {
+        out.parts.push_back( { it.key, it.tokens } );
+    }
+    return out;
+}
+
+std::vector<std::uint64_t> keysOf( const PromptAsk& ask ) {
+    std::vector<std::uint64_t> out;
+    for( const auto& it : ask.prompt.parts ) {
+        out.push_back( it.key );
+    }
+    return out;
+}
+
+} // namespace
+
+void PromptGate::setEngine( std::int64_t cacheTokens, Millis gapTarget ) {
+    m_queue.setGapTarget( gapTarget );
+    if( cacheTokens != m_cacheTokens ) {
+        m_cacheTokens = cacheTokens;
+        m_prefixes.setCapacity( cacheTokens );
+    }
+}
+
+double PromptGate::workOf( const PromptAsk& ask ) const {
+    const auto kept = m_prefixes.kept( keysOf( ask ), generationOf( ask ) );
+    const auto fresh = std::max<std::int64_t>( ask.prompt.tokens - kept, 0 );
+    return static_cast<double>( fresh ) * ask.prompt.msPerToken;
+}
+
+decide::ReadingVerdict PromptGate::ask( const PromptAsk& ask, MonoTime now ) {
+    const auto goal = ask.since + std::min( Millis( ask.prompt.goalMs ), ask.limit );
+    decide::ReadingAsk reading{ ask.key, workOf( ask ), goal };
+    auto verdict = m_queue.ask( reading, now );
+    if( !verdict.accepted && ask.prompt.late ) {
+        reading.startBy = ask.since + ask.limit;
+        verdict = m_queue.ask( reading, now );
+    }
+    if( verdict.accepted ) {
+        m_waiting.emplace( ask.key, ask );
+    }
+    return verdict;
+}
+
+std::vector<PromptLeave> PromptGate::takeDue( MonoTime now ) {
+    std::vector<PromptLeave> out;
+    while( const auto next = m_queue.takeNext( now ) ) {
+        const auto it = m_waiting.find( next->key );
+        m_usualWorkMs += usualSmoothing * ( next->workMs - m_usualWorkMs );
+        m_prefixes.insert( keysOf( it->second ), generationOf( it->second ) );
+        m_waiting.erase( it );
+        m_leaves.push_back( now );
+        out.push_back( { next->key, next->workMs } );
+    }
+    return out;
+}
+
+void PromptGate::withdraw( std::uint64_t key, MonoTime now ) {
+    m_queue.withdraw( key, now );
+    m_waiting.erase( key );
+}
+
+void PromptGate::noteUnread( std::size_t prompts, MonoTime now ) {
+    while( !m_leaves.empty() && now - m_leaves.front() > onItsWay ) {
+        m_leaves.pop_front();
+    }
+    m_queue.noteUnread( std::max( prompts, m_leaves.size() ), now );
+}
+
+void PromptGate::clear() {
+    m_queue.clear();
+    m_waiting.clear();
+    m_prefixes = gateway::PrefixCache( m_cacheTokens );
+}
+
+} // namespace coursehead::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -10,6 +10,7 @@
 #include "platform/store_client.hpp"
 #include "sidecar/engine_client.hpp"
 #include "sidecar/pause_meter.hpp"
+#include "sidecar/prompt_gate.hpp"
 #include "sidecar/relay.hpp"
 #include "sidecar/residency.hpp"
 #include "sidecar/sent_parts.hpp"
@@ -29,6 +30,8 @@
 
 //! Pause between reports while nothing is wanted.
 constexpr Millis idlePoll{ 150 };
+//! While prompts are read: the gate follows what the engine has read of them.
+constexpr Millis readingPoll{ 40 };
 //! While a want waits: adapters load within some ten milliseconds, models within seconds.
 constexpr Millis wantPoll{ 12 };
 //! Reports are repeated at the latest after this, so that gateways know the sidecar lives.
@@ -37,6 +40,8 @@
 constexpr Millis wantLimit{ 9000 };
 //! A want without room is answered after this, so that the request can go elsewhere.
 constexpr Millis roomLimit{ 400 };
+//! An adapter loads within some ten milliseconds; where it takes longer another engine is asked.
+constexpr Millis adapterLimit{ 500 };
 //! Failed reports in a row after which the engine counts as unreachable.
 constexpr int failuresToLost = 2;
 //! Earlier starts of the engine that are remembered.
@@ -74,25 +79,36 @@
     std::shared_ptr<net::FrameChannel> channel;
     std::string gateway;
     std::map<std::string, gateway::ModelDemand> demand; //!< by model
-    double reading = 0; //!< part of the engine's time that its prompts take
+    double reading = 0;       //!< part of the engine's time that its prompts take
+    std::uint64_t serial = 0; //!< of the connection
 };
 using PeerPtr = std::shared_ptr<Peer>;
 
+//! What a gateway waits for: a model or adapter, then leave to send a prompt.
 struct PendingWant {
     Want want;
     std::string upstreamId;
     std::weak_ptr<Peer> peer;
     std::uint64_t number = 0;
+    std::uint64_t key = 0; //!< of the question, among those of all gateways
+    gateway::AskedPrompt prompt;
     MonoTime since;
-    Millis limit{ 0 }; //!< the gateway waits no longer
+    Millis limit{ 0 };   //!< the gateway waits no longer
+    bool loaded = false; //!< something had to be ordered or waited for
 };
 
+//! Names a question among those of all connections.
+std::uint64_t keyOf( const Peer& peer, std::uint64_t number ) {
+    constexpr unsigned serialShift = 40;
+    return ( peer.serial << serialShift ) | number;
+}
+
 class Sidecar {
 public:
     explicit Sidecar( platform::NodeSettings settings )
         : m_settings( std::move( settings ) ), m_engine( m_context, m_settings.engine ),
           m_random( systemSeed() ), m_relay( m_context, m_settings, m_random ), m_wake( m_context ),
-          m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
+          m_gateTimer( m_context ), m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
         auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
@@ -129,6 +145,7 @@
 
     net::Task<> servePeer( net::Socket socket ) {
         const auto peer = std::make_shared<Peer>();
+        peer->serial = ++m_lastSerial;
         peer->channel =
             std::make_shared<net::FrameChannel>( std::move( socket ), net::ChannelSide::server );
         m_peers.insert( peer );
@@ -138,6 +155,7 @@
         co_await peer->channel->run( std::move( handler ) );
         m_peers.erase( peer );
         m_relay.unsubscribe( peer.get() );
+        forgetQuestions( *peer );
         log::info( "gateway_lost", { { "gateway", peer->gateway } } );
     }
 
@@ -155,6 +173,8 @@
             takeDemand( *peer, *demand );
         } else if( const auto* ask = std::get_if<gateway::RelayAsk>( &*message ) ) {
             takeRelayAsk( peer, *ask );
+        } else if( const auto* cancel = std::get_if<gateway::EnsureCancel>( &*message ) ) {
+            forgetQuestion( keyOf( *peer, cancel->number ) );
         }
     }
 
@@ -168,11 +188,14 @@
             // Another start of the engine: it keeps nothing of what was sent before.
             m_upstreamId = news.upstreamId;
             m_sentParts.clear();
+            failAdmitted();
+            m_gate.clear();
         }
         if( news.configVersion >= m_configVersion ) {
             m_configVersion = news.configVersion;
             m_spec = std::move( news.engine );
             m_gapTarget = Millis( news.gapTargetMs );
+            m_gate.setEngine( m_spec->cacheTokens, m_gapTarget );
         }
         sendReport( peer, first ? m_sentParts.all() : std::vector<gateway::SentPart>{} );
     }
@@ -206,15 +229,122 @@
         pending.upstreamId = ensure.upstreamId;
         pending.peer = peer;
         pending.number = ensure.number;
+        pending.key = keyOf( *peer, ensure.number );
+        pending.prompt = ensure.prompt;
         pending.since = std::chrono::steady_clock::now();
         pending.limit = std::min( Millis( ensure.limitMs ), wantLimit );
-        if( !ensure.adapter.empty() ) {
-            m_adapterUses[adapterKey( ensure.model, ensure.adapter )].lastUsed = pending.since;
+        noteUse( pending.want, pending.since );
+        if( m_spec && m_reachable && isThere( pending.want ) ) {
+            admit( std::move( pending ) );
+            return;
         }
+        pending.loaded = true;
         m_wants.push_back( std::move( pending ) );
         m_wake.cancel();
     }
 
+    bool isThere( const Want& want ) const {
+        const auto now = std::chrono::steady_clock::now();
+        return nextStep( holdings(), want, now ).kind == StepKind::ready;
+    }
+
+    //! All that the request needs is there: its prompt goes as soon as the engine has time for it.
+    void admit( PendingWant pending ) {
+        if( pending.prompt.tokens == 0 ) {
+            answer( pending, EnsureOutcome::ready );
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        const PromptAsk ask{ pending.key,    pending.want.model, pending.want.adapter,
+                             pending.prompt, pending.since,      pending.limit };
+        const auto verdict = m_gate.ask( ask, now );
+        if( !verdict.accepted ) {
+            answer( pending, EnsureOutcome::later, verdict.wait );
+            return;
+        }
+        m_admitted.emplace( pending.key, std::move( pending ) );
+        letThrough();
+    }
+
+    //! Gives leave to the prompts whose time has come, and waits for the next one.
+    void letThrough() {
+        const auto now = std::chrono::steady_clock::now();
+        for( const auto& leave : m_gate.takeDue( now ) ) {
+            auto node = m_admitted.extract( leave.key );
+            auto& pending = node.mapped();
+            if( !isThere( pending.want ) ) {
+                // It made way meanwhile.
+                m_gate.withdraw( leave.key, now );
+                pending.loaded = true;
+                m_wants.push_back( std::move( pending ) );
+                m_wake.cancel();
+                continue;
+            }
+            noteUse( pending.want, now );
+            noteParts( pending );
+            answer( pending, EnsureOutcome::ready, m_gate.usualWait( now ), leave.workMs );
+        }
+        const auto next = m_gate.nextAt( now );
+        if( !next ) {
+            m_gateTimer.cancel();
+            return;
+        }
+        m_gateTimer.expires_at( *next );
+        m_gateTimer.async_wait( [this]( net::ErrorCode ec ) {
+            if( !ec ) {
+                letThrough();
+            }
+        } );
+    }
+
+    void noteUse( const Want& want, MonoTime now ) {
+        if( !want.adapter.empty() ) {
+            m_adapterUses[adapterKey( want.model, want.adapter )].lastUsed = now;
+        }
+    }
+
+    //! Other gateways hear which shared parts the engine has read. The last part is the request's
+    //! own.
+    void noteParts( const PendingWant& pending ) {
+        std::vector<gateway::SentPart> parts;
+        for( const auto& it : pending.prompt.parts ) {
+            parts.push_back( { it.key, it.tokens, pending.want.model } );
+        }
+        if( !parts.empty() ) {
+            parts.pop_back();
+        }
+        m_sentParts.add( parts );
+    }
+
+    void forgetQuestion( std::uint64_t key ) {
+        m_wants.remove_if( [key]( const auto& it ) { return it.key == key; } );
+        m_admitted.erase( key );
+        m_gate.withdraw( key, std::chrono::steady_clock::now() );
+        letThrough();
+    }
+
+    void forgetQuestions( const Peer& peer ) {
+        const auto gone = [&peer]( const PendingWant& it ) {
+            return it.key == keyOf( peer, it.number );
+        };
+        m_wants.remove_if( gone );
+        const auto now = std::chrono::steady_clock::now();
+        std::erase_if( m_admitted, [&]( const auto& it ) {
+            if( gone( it.second ) ) {
+                m_gate.withdraw( it.first, now );
+                return true;
+            }
+            return false;
+        } );
+        letThrough();
+    }
+
+    void failAdmitted() {
+        for( const auto& it : std::exchange( m_admitted, {} ) ) {
+            answer( it.second, EnsureOutcome::failed );
+        }
+    }
+
     //! A number that only rises over this VM's lives, and that no other VM is given for an engine.
     net::Task<> obtainFence() {
         platform::StoreClient store( m_context, m_settings.store );
@@ -237,6 +367,7 @@
             if( report ) {
                 noteLoads( *report );
                 notePauses( *report );
+                noteReading( *report );
                 m_report = std::move( *report );
             }
             setReachable( report.has_value(), failures );
@@ -246,11 +377,18 @@
             } else {
                 dropOldWants();
             }
-            m_wake.expires_after( m_wants.empty() ? idlePoll : wantPoll );
+            m_wake.expires_after( pollPause() );
             co_await m_wake.async_wait( net::tupled );
         }
     }
 
+    Millis pollPause() const {
+        if( !m_wants.empty() ) {
+            return wantPoll;
+        }
+        return m_gate.busy( std::chrono::steady_clock::now() ) ? readingPoll : idlePoll;
+    }
+
     void setReachable( bool answered, int failures ) {
         const bool now = answered || ( m_reachable && failures < failuresToLost );
         if( now != m_reachable ) {
@@ -269,6 +407,11 @@
                 m_loadedAt[it.model] = m_held.empty() ? MonoTime{} : now;
             }
         }
+        for( const auto& it : m_held ) {
+            if( !held.contains( it ) ) {
+                m_gate.dropModel( it );
+            }
+        }
         m_held = std::move( held );
     }
 
@@ -278,6 +421,11 @@
         }
     }
 
+    void noteReading( const gateway::EngineReport& report ) {
+        m_gate.noteUnread( report.queued + report.prefilling, std::chrono::steady_clock::now() );
+        letThrough();
+    }
+
     Holdings holdings() const {
         Holdings out;
         out.engine = &*m_spec;
@@ -309,14 +457,18 @@
         return out;
     }
 
-    void answer( const PendingWant& pending, EnsureOutcome outcome ) {
+    void answer( const PendingWant& pending, EnsureOutcome outcome, Millis wait = Millis{ 0 },
+                 double workMs = 0 ) {
         const auto peer = pending.peer.lock();
         if( !peer ) {
             return;
         }
-        sendReport( *peer, {} );
+        if( pending.loaded ) {
+            sendReport( *peer, {} );
+        }
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
-        const gateway::Message message( gateway::EnsureAnswer{ pending.number, outcome } );
+        const gateway::Message message(
+            gateway::EnsureAnswer{ pending.number, outcome, wait.count(), workMs } );
         peer->channel->send( gateway::encode( message ) );
     }
 
@@ -351,6 +503,19 @@
         return waited > limit ? std::optional( EnsureOutcome::failed ) : std::nullopt;
     }
 
+    static Millis limitOf( const PendingWant& pending, const Holdings& held ) {
+        const bool adapterOnly = held.models.contains( pending.want.model );
+        return adapterOnly ? std::min( pending.limit, adapterLimit ) : pending.limit;
+    }
+
+    void settle( PendingWant pending, EnsureOutcome outcome ) {
+        if( outcome == EnsureOutcome::ready ) {
+            admit( std::move( pending ) );
+        } else {
+            answer( pending, outcome );
+        }
+    }
+
     net::Task<> serveWants() {
         // An order moves the engine's state: one a round, then look again.
         std::optional<Step> order;
@@ -361,9 +526,10 @@
         for( auto it = m_wants.begin(); it != m_wants.end(); ) {
             const auto step = nextStep( held, it->want, now );
             const auto waited = remaining( it->since, now );
-            if( const auto outcome = outcomeOf( step.kind, waited, it->limit ) ) {
-                answer( *it, *outcome );
+            if( const auto outcome = outcomeOf( step.kind, waited, limitOf( *it, held ) ) ) {
+                PendingWant pending = std::move( *it );
                 it = m_wants.erase( it );
+                settle( std::move( pending ), *outcome );
                 continue;
             }
             if( step.kind == StepKind::retire ) {
@@ -409,6 +575,12 @@
         if( verdict == platform::OrderVerdict::moved ) {
             noteMoved( upstreamId, given.actualUpstream );
         }
+        const bool mayBeTaken = verdict == platform::OrderVerdict::underWay ||
+                                verdict == platform::OrderVerdict::holds ||
+                                verdict == platform::OrderVerdict::unknown;
+        if( step.kind == StepKind::unload && mayBeTaken ) {
+            noteUnloading( step );
+        }
         m_metrics.count( "orders", platform::nameOf( verdict ) );
         log::info( "order", { { "kind", step.kind == StepKind::load ? "load" : "unload" },
                               { "model", step.model },
@@ -418,6 +590,20 @@
                               { "verdict", platform::nameOf( verdict ) } } );
     }
 
+    //! From now on the engine refuses requests for it: nobody is given leave any more.
+    void noteUnloading( const Step& step ) {
+        auto& residents = m_report.residents;
+        if( step.adapter.empty() ) {
+            std::erase_if( residents, [&]( const auto& it ) { return it.model == step.model; } );
+            return;
+        }
+        for( auto& it : residents ) {
+            if( it.model == step.model ) {
+                std::erase( it.adapters, step.adapter );
+            }
+        }
+    }
+
     //! The engine has restarted: what waits for its former start never comes.
     void noteMoved( const std::string& meant, const std::string& actual ) {
         log::info( "engine_restarted", { { "before", meant }, { "now", actual } } );
@@ -455,6 +641,7 @@
             reading += it->reading;
         }
         out.readingPercent = static_cast<int>( reading * percent );
+        out.readingWaitMs = m_gate.usualWait( now ).count();
         out.latePausesPercent = static_cast<int>( m_pauses.lateShare( now ) * percent );
         return out;
     }
@@ -533,9 +720,13 @@
     RandomSource m_random;
     Relay m_relay;
     net::Timer m_wake;
+    net::Timer m_gateTimer;
     net::asio::signal_set m_signals;
     std::set<PeerPtr> m_peers;
-    std::list<PendingWant> m_wants;
+    std::uint64_t m_lastSerial = 0;
+    std::list<PendingWant> m_wants;                  //!< for a model or adapter
+    std::map<std::uint64_t, PendingWant> m_admitted; //!< for leave to send, by key
+    PromptGate m_gate;
     std::optional<gateway::EngineSpec> m_spec;
     std::uint64_t m_configVersion = 0;
     std::uint64_t m_fence = 0; //!< 0: none yet, no orders are given
