Admission: the reading queue follows the engine it stands before

(3) The queue took an engine to be as fast as gateways' estimates, without the steps of streams in between (a quarter more), and where a model's pace was not known too slow by up to four.

Change. decide/event_pace learns from reports how long events pause while prompts are read; reading is limited unless that is far below the gap target. What will not start in time any more is told so (takeLate), with when. Engine time for each millisecond of named work is learnt while prompts are there all the time.

--- a/src/decide/reading_queue.cpp
+++ b/src/decide/reading_queue.cpp
@@ -2,7 +2,6 @@
 #include "decide/reading_queue.hpp"
 
 #include <algorithm>
-#include <vector>
 
 namespace coursehead::decide {
 
@@ -14,11 +13,21 @@
 //! A prompt is sent this long before the engine is expected to be free for it: about a round trip
 //! and a late loop, so that the engine does not wait for prompts.
 constexpr Millis sendAhead{ 15 };
+//! Estimates are no finer, and those who ask keep 120 ms back for the way: a prompt that starts
+//! this much late is not turned away for it.
+constexpr Millis lateSlack{ 90 };
 //! What is left of a prompt that should have been read by now, as a part of it.
 constexpr double overduePart = 0.5;
 //! A prompt that was never seen read is forgotten this long after it should have been: it may have
 //! gone with its connection.
 constexpr Millis unseenLife{ 2000 };
+//! Engine time for each millisecond of named work is believed after about this much of it, and what
+//! was seen before fades by this part with each report: about half a second of reading counts.
+constexpr double usualMs = 200;
+constexpr double fading = 0.92;
+//! Estimates of gateways that know nothing of a model are off by a factor of four at most.
+constexpr double leastStretch = 0.25;
+constexpr double mostStretch = 4;
 
 using Work = std::chrono::duration<double, std::milli>;
 
@@ -43,7 +52,7 @@
     }
     const auto window = std::chrono::duration_cast<MonoTime::duration>( m_gapTarget );
     const auto most = std::chrono::duration_cast<MonoTime::duration>( m_gapTarget * readingPart );
-    const auto work = std::min( spanOf( workMs ), most );
+    const auto work = std::min( engineTime( workMs ), most );
     // Goes back over what was given: the newest of it that fit into the window beside this prompt
     // stay, and the window begins where they do.
     auto room = most - work;
@@ -60,7 +69,7 @@
 
 MonoTime ReadingQueue::place( Given& given, const ReadingAsk& ask, MonoTime now ) const {
     const auto start = startOf( given, ask.workMs, now );
-    given.push_back( { ask.key, ask.workMs, start, start + spanOf( ask.workMs ), false } );
+    given.push_back( { ask.key, ask.workMs, start, start + engineTime( ask.workMs ), false } );
     return start;
 }
 
@@ -113,6 +122,22 @@
     return out;
 }
 
+std::vector<ReadingAsk> ReadingQueue::takeLate( MonoTime now ) {
+    forgetOld( now );
+    std::vector<ReadingAsk> out;
+    Given given = m_given;
+    std::erase_if( m_waiting, [&]( const ReadingAsk& it ) {
+        const bool late = startOf( given, it.workMs, now ) > it.startBy + lateSlack;
+        if( late ) {
+            out.push_back( it );
+        } else {
+            place( given, it, now );
+        }
+        return late;
+    } );
+    return out;
+}
+
 void ReadingQueue::withdraw( std::uint64_t key, MonoTime now ) {
     std::erase_if( m_waiting, [key]( const auto& it ) { return it.key == key; } );
     // What the engine is taken to have read stays: only the rest comes free.
@@ -130,23 +155,43 @@
         --first;
         --left;
     }
+    double readMs = 0;
     for( std::size_t n = 0; n < first; ++n ) {
         auto& it = m_given[n];
+        readMs += it.read ? 0 : it.workMs;
         it.read = true;
         it.to = std::min( it.to, now );
         it.from = std::min( it.from, it.to );
     }
+    learnStretch( readMs, now );
+    m_readingSince = first < m_given.size() ? std::optional( now ) : std::nullopt;
     MonoTime free = now;
     for( std::size_t n = first; n < m_given.size(); ++n ) {
         auto& it = m_given[n];
         const bool begun = it.from < now && n == first;
-        const auto rest = std::max( it.to - now, spanOf( it.workMs * overduePart ) );
+        const auto rest = std::max( it.to - now, engineTime( it.workMs * overduePart ) );
         it.from = begun ? it.from : free;
-        it.to = free + ( begun ? rest : spanOf( it.workMs ) );
+        it.to = free + ( begun ? rest : engineTime( it.workMs ) );
         free = it.to;
     }
 }
 
+//! Steps of streams lie between the pieces of a prompt, and gateways' estimates of a model's pace
+//! may be wrong: both show in how fast prompts are read while some are there all the time.
+void ReadingQueue::learnStretch( double readMs, MonoTime now ) {
+    if( !m_readingSince ) {
+        return;
+    }
+    const Work passed = now - *m_readingSince;
+    m_seenMs = m_seenMs * fading + passed.count();
+    m_namedMs = m_namedMs * fading + readMs;
+}
+
+MonoTime::duration ReadingQueue::engineTime( double workMs ) const {
+    const double stretch = ( m_seenMs + usualMs ) / ( m_namedMs + usualMs );
+    return spanOf( workMs * std::clamp( stretch, leastStretch, mostStretch ) );
+}
+
 bool ReadingQueue::busy( MonoTime now ) const {
     return !m_waiting.empty() || ( !m_given.empty() && m_given.back().to > now );
 }
@@ -154,6 +199,7 @@
 void ReadingQueue::clear() {
     m_given.clear();
     m_waiting.clear();
+    m_readingSince.reset();
 }
 
 Millis ReadingQueue::waitFor( double workMs, MonoTime now ) const {
--- a/src/decide/reading_queue.hpp
+++ b/src/decide/reading_queue.hpp
@@ -6,9 +6,9 @@
 
 #include <cstdint>
 #include <deque>
-#include <list>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace coursehead::decide {
 
@@ -47,6 +47,8 @@
     ReadingVerdict ask( const ReadingAsk& ask, MonoTime now );
     //! The next prompt when it may be sent now; it counts as given to the engine.
     std::optional<ReadingAsk> takeNext( MonoTime now );
+    //! Takes out those that will not start in time any more: the engine was slower than expected.
+    std::vector<ReadingAsk> takeLate( MonoTime now );
     //! When takeNext() will give one; nullopt while none waits.
     std::optional<MonoTime> nextAt( MonoTime now ) const;
     //! Forgets a prompt that its request has no use for any more, queued or given but not yet read.
@@ -83,10 +85,16 @@
     };
     Outlook outlook( std::span<const ReadingAsk> order, std::uint64_t key, MonoTime now ) const;
     void forgetOld( MonoTime now );
+    MonoTime::duration engineTime( double workMs ) const;
+    void learnStretch( double readMs, MonoTime now );
 
     Millis m_gapTarget{ 0 };
-    Given m_given;                    //!< in order, without overlaps
-    std::deque<ReadingAsk> m_waiting; //!< the one that has to start first at the front
+    //! Engine time that was seen to go into prompts, and the work that asks named for these.
+    double m_seenMs = 0;
+    double m_namedMs = 0;
+    std::optional<MonoTime> m_readingSince; //!< last report, if prompts were being read then
+    Given m_given;                          //!< in order, without overlaps
+    std::deque<ReadingAsk> m_waiting;       //!< the one that has to start first at the front
 };
 
 } // namespace coursehead::decide
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -17,6 +17,8 @@
 constexpr Millis askSilence{ 700 };
 //! How often a wait looks whether the sidecar still speaks.
 constexpr Millis silenceLook{ 200 };
+//! The sidecar answers when a question's limit is over: the way there and back, and two late loops.
+constexpr Millis answerDelay{ 60 };
 
 } // namespace
 
@@ -80,7 +82,7 @@
     }
     const auto me = shared_from_this();
     const auto number = m_nextNumber++;
-    const auto until = std::chrono::steady_clock::now() + Millis( request.limitMs );
+    const auto until = std::chrono::steady_clock::now() + Millis( request.limitMs ) + answerDelay;
     request.number = number;
     const auto waiter = std::make_shared<Waiter>( m_context );
     waiter->answer.number = number;
--- a/src/sidecar/prompt_gate.cpp
+++ b/src/sidecar/prompt_gate.cpp
@@ -75,6 +75,23 @@
     return out;
 }
 
+std::vector<std::uint64_t> PromptGate::takeLate( MonoTime now ) {
+    std::vector<std::uint64_t> out;
+    for( auto reading : m_queue.takeLate( now ) ) {
+        const auto it = m_waiting.find( reading.key );
+        const auto last = it->second.since + it->second.limit;
+        // Its goal is lost, but it may be late.
+        const bool again = it->second.prompt.late && reading.startBy < last;
+        reading.startBy = last;
+        if( again && m_queue.ask( reading, now ).accepted ) {
+            continue;
+        }
+        m_waiting.erase( it );
+        out.push_back( reading.key );
+    }
+    return out;
+}
+
 void PromptGate::withdraw( std::uint64_t key, MonoTime now ) {
     m_queue.withdraw( key, now );
     m_waiting.erase( key );
--- a/src/sidecar/prompt_gate.hpp
+++ b/src/sidecar/prompt_gate.hpp
@@ -41,11 +41,14 @@
 public:
     PromptGate() : m_prefixes( 0 ) {}
 
+    //! `gapTarget`: the streams' one where reading has to leave room for it; else zero.
     void setEngine( std::int64_t cacheTokens, Millis gapTarget );
     //! Queues a prompt, or says when the engine could begin with it.
     decide::ReadingVerdict ask( const PromptAsk& ask, MonoTime now );
     //! Prompts that may be sent now.
     std::vector<PromptLeave> takeDue( MonoTime now );
+    //! Prompts that come too late for their requests by now.
+    std::vector<std::uint64_t> takeLate( MonoTime now );
     //! When takeDue() has one; nullopt while none waits.
     std::optional<MonoTime> nextAt( MonoTime now ) const { return m_queue.nextAt( now ); }
     //! The request has no use for a prompt any more, queued or let through.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -3,6 +3,7 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "coursehead/metrics/metrics.hpp"
+#include "decide/event_pace.hpp"
 #include "gateway/messages.hpp"
 #include "gateway/probe_server.hpp"
 #include "kernel/platform_role.hpp"
@@ -195,7 +196,7 @@
             m_configVersion = news.configVersion;
             m_spec = std::move( news.engine );
             m_gapTarget = Millis( news.gapTargetMs );
-            m_gate.setEngine( m_spec->cacheTokens, m_gapTarget );
+            limitReading();
         }
         sendReport( peer, first ? m_sentParts.all() : std::vector<gateway::SentPart>{} );
     }
@@ -284,6 +285,10 @@
             noteParts( pending );
             answer( pending, EnsureOutcome::ready, m_gate.usualWait( now ), leave.workMs );
         }
+        for( const auto key : m_gate.takeLate( now ) ) {
+            const auto node = m_admitted.extract( key );
+            answer( node.mapped(), EnsureOutcome::later, m_gate.usualWait( now ) );
+        }
         const auto next = m_gate.nextAt( now );
         if( !next ) {
             m_gateTimer.cancel();
@@ -415,9 +420,31 @@
         m_held = std::move( held );
     }
 
+    //! Prompts leave the streams a part of the engine's time, unless these are in time without.
+    void limitReading() {
+        // Parts of the gap target. What was seen is mostly short prompts: long ones would add more.
+        constexpr double freePart = 0.5;
+        constexpr double limitPart = 0.65;
+        const auto pause = m_eventPace.whileReading();
+        const bool inTime =
+            pause && *pause <= m_gapTarget * ( m_readsFreely ? limitPart : freePart );
+        if( inTime != m_readsFreely ) {
+            log::info( inTime ? "reading_free" : "reading_limited",
+                       { { "pause_ms", pause ? pause->count() : -1 },
+                         { "gap_target_ms", m_gapTarget.count() } } );
+            m_readsFreely = inTime;
+        }
+        m_gate.setEngine( m_spec->cacheTokens, inTime ? Millis{ 0 } : m_gapTarget );
+    }
+
     void notePauses( const gateway::EngineReport& report ) {
         if( m_gapTarget.count() > 0 ) {
-            m_pauses.update( report.runs, m_gapTarget, std::chrono::steady_clock::now() );
+            const auto now = std::chrono::steady_clock::now();
+            m_pauses.update( report.runs, m_gapTarget, now );
+            m_eventPace.update( report.runs, report.queued + report.prefilling > 0, now );
+        }
+        if( m_spec ) {
+            limitReading();
         }
     }
 
@@ -738,6 +765,8 @@
     std::string m_upstreamId; //!< the engine's present start, as gateways know it
     SentParts m_sentParts;
     PauseMeter m_pauses;
+    decide::EventPace m_eventPace;
+    bool m_readsFreely = false; //!< streams are in time however much is read
     Millis m_gapTarget{ 0 };
     bool m_reachable = false;
     bool m_changed = false;
--- a/tests/replay/many_gateways.tests.cpp
+++ b/tests/replay/many_gateways.tests.cpp
@@ -135,6 +135,7 @@
         for( const auto& it : gate.takeDue( at( time ) ) ) {
             engine.send( waiting.at( it.key ) );
         }
+        refused += gate.takeLate( at( time ) ).size();
     };
     double reportAt = 0;
     const auto advance = [&]( double from, double until ) {
--- a/tests/unit/reading_queue.tests.cpp
+++ b/tests/unit/reading_queue.tests.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "decide/reading_queue.hpp"
+#include "decide/event_pace.hpp"
 #include "sidecar/prompt_gate.hpp"
 
 #include <catch2/catch.hpp>
@@ -164,6 +165,59 @@
     CHECK( queue.waitFor( 100, later ) == 150ms );
 }
 
+TEST_CASE( "A prompt that becomes late because the engine is slower than expected is told so",
+           "[admission][reading]" ) {
+    ReadingQueue queue;
+    REQUIRE( queue.ask( prompt( 1, 100, 500ms ), now ).accepted );
+    REQUIRE( queue.takeNext( now ) );
+    REQUIRE( queue.ask( prompt( 2, 100, 150ms ), now ).accepted );
+    REQUIRE( queue.ask( prompt( 3, 100, 900ms ), now ).accepted );
+    CHECK( queue.takeLate( now + 90ms ).empty() );
+    // The engine still has the first one, and is expected to need 50 ms more.
+    queue.noteUnread( 1, now + 200ms );
+    const auto late = queue.takeLate( now + 200ms );
+    REQUIRE( late.size() == 1 );
+    CHECK( late[0].key == 2 );
+    CHECK( queue.waiting() == 1 );
+}
+
+TEST_CASE( "A prompt that may be late keeps its place when its goal is lost",
+           "[admission][gate]" ) {
+    sidecar::PromptGate gate;
+    gate.setEngine( 100000, 0ms );
+    gate.ask( ask( 1, askedPrompt( { { 1, 1000 } } ) ), now );
+    REQUIRE( gate.takeDue( now ).size() == 1 );
+    auto second = ask( 2, askedPrompt( { { 2, 1000 } } ) );
+    second.prompt.goalMs = 110;
+    second.prompt.late = true;
+    second.limit = 2000ms;
+    REQUIRE( gate.ask( second, now ).accepted );
+    gate.noteUnread( 1, now + 140ms );
+    CHECK( gate.takeLate( now + 140ms ).empty() );
+    CHECK( gate.waiting() == 1 );
+}
+
+TEST_CASE( "How long events pause while prompts are read is learnt from an engine's reports",
+           "[admission][pace]" ) {
+    EventPace pace;
+    const auto report = [&]( std::int64_t events, Millis at, bool reading ) {
+        const std::vector<gateway::EngineRun> runs = { { "r", events } };
+        pace.update( runs, reading, now + at );
+    };
+    for( int n = 0; n < 20; ++n ) {
+        report( n, n * 40ms, false );
+    }
+    CHECK_FALSE( pace.whileReading() );
+    for( int n = 0; n < 40; ++n ) {
+        // A report in the middle of each pause, while prompts are read all the time.
+        report( 20 + n, 800ms + n * 300ms, true );
+        report( 20 + n, 950ms + n * 300ms, true );
+    }
+    REQUIRE( pace.whileReading() );
+    CHECK( *pace.whileReading() > 280ms );
+    CHECK( *pace.whileReading() < 320ms );
+}
+
 TEST_CASE( "Of two prompts with the same shared part only the first has it read",
            "[admission][gate]" ) {
     sidecar::PromptGate gate;
