Revert "Placing: sidecars forecast when a model will be there, and requests turned away call for a copy"

What it was for stays open: waits of a client's whole patience for a model at an engine that is busy loading another one.

--- a/src/gateway/estimate.cpp
+++ b/src/gateway/estimate.cpp
@@ -34,65 +34,35 @@
     return std::find( names.begin(), names.end(), name ) != names.end();
 }
 
-//! Load time of a model by where its weights are.
-double tierLoadMs( const Node& node, const ModelSpec& model ) {
-    if( node.report && contains( node.report->inMemory, model.name ) ) {
-        return static_cast<double>( model.memoryLoad.count() );
-    }
-    const bool onDisk = node.report && contains( node.report->onDisk, model.name );
-    return static_cast<double>( ( onDisk ? model.diskLoad : model.storeLoad ).count() );
-}
-
-//! What is left of a wait that the sidecar told with its last report.
-double leftOf( const Node& node, std::int64_t toldMs, MonoTime now ) {
-    const auto age = std::chrono::duration<double, std::milli>( now - node.reportAt ).count();
-    return std::max( static_cast<double>( toldMs ) - age, 0.0 );
-}
-
-//! Until a model that is not there will be.
-double modelWaitMs( const Node& node, const std::string& name, MonoTime now ) {
-    const auto* model = node.engine->find( name );
-    if( model == nullptr ) {
-        return 0;
-    }
-    const auto load = tierLoadMs( node, *model );
-    const auto least = static_cast<double>( leastLoad.count() );
-    if( !node.reportFresh( now ) ) {
-        return load + evictionMs + orderWaitMs;
-    }
-    const auto& told = node.report->load;
-    for( const auto& it : told.comingModels ) {
-        // Others wait for it there already: no further order is needed.
-        if( it.model == name ) {
-            return std::max( leftOf( node, it.readyMs, now ), least );
-        }
-    }
-    const auto wait = leftOf( node, told.orderWaitMs, now );
-    const auto asked = node.loading.find( name );
-    if( asked == node.loading.end() ) {
-        return load + wait + evictionMs;
-    }
-    const Millis passed = std::chrono::duration_cast<Millis>( now - asked->second );
-    return std::max( load + wait - static_cast<double>( passed.count() ), least );
-}
-
 double loadMs( const Node& node, const Generation& generation, MonoTime now ) {
     if( !node.holdsModel( generation.model, now ) ) {
-        return modelWaitMs( node, generation.model, now );
+        const auto* model = node.engine->find( generation.model );
+        if( model == nullptr ) {
+            return 0;
+        }
+        const auto under = node.loading.find( generation.model );
+        Millis load = model->storeLoad;
+        if( node.report && contains( node.report->inMemory, generation.model ) ) {
+            load = model->memoryLoad;
+        } else if( node.report && contains( node.report->onDisk, generation.model ) ) {
+            load = model->diskLoad;
+        }
+        if( under != node.loading.end() ) {
+            // Others wait for it there already: what is left of the load, and no further order.
+            const auto left = load - std::chrono::duration_cast<Millis>( now - under->second );
+            return static_cast<double>( std::max( left, leastLoad ).count() );
+        }
+        const double busy = node.report && node.report->load.ordering ? orderWaitMs : 0;
+        return static_cast<double>( load.count() ) + evictionMs + busy;
     }
     if( generation.adapter.empty() ||
         node.holdsAdapter( generation.model, generation.adapter, now ) ) {
         return 0;
     }
-    if( !node.reportFresh( now ) ) {
-        return adapterLoadMs;
-    }
     // Adapters wait for a model's order that is under way.
-    const auto& told = node.report->load;
-    const double rest = told.comingModels.empty()
-                            ? orderWaitMs
-                            : leftOf( node, told.comingModels.front().readyMs, now );
-    return adapterLoadMs + ( told.ordering ? rest : 0 ) + ( told.adapterRoom ? 0 : adapterFullMs );
+    const bool ordering = node.reportFresh( now ) && node.report->load.ordering;
+    const bool full = node.reportFresh( now ) && !node.report->load.adapterRoom;
+    return adapterLoadMs + ( ordering ? orderWaitMs : 0 ) + ( full ? adapterFullMs : 0 );
 }
 
 } // namespace
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -219,10 +219,11 @@
 net::Task<Exchange::Next> Exchange::askSidecar( Choice& choice ) {
     const auto asked = std::chrono::steady_clock::now();
     auto request = question( choice, asked );
+    const bool late = request.prompt.late;
     NodePtr node = choice.node;
     const auto answer = co_await m_shared.fleet.ensure( std::move( node ), std::move( request ) );
     logAsk( choice, answer, asked );
-    const auto next = followAnswer( choice, answer );
+    const auto next = followAnswer( choice, answer, late );
     if( answer.outcome == EnsureOutcome::needStore ) {
         // Nobody has the model nearer: the weight store's rate lets it in before long.
         co_await net::pause( m_shared.context, storePoll );
@@ -230,7 +231,7 @@
     co_return next;
 }
 
-Exchange::Next Exchange::followAnswer( Choice& choice, const EnsureAnswer& answer ) {
+Exchange::Next Exchange::followAnswer( Choice& choice, const EnsureAnswer& answer, bool late ) {
     switch( answer.outcome ) {
     case EnsureOutcome::ready:
         m_leave.emplace( choice.node, answer );
@@ -243,19 +244,9 @@
         return Next::again;
     case EnsureOutcome::later:
         ++m_refusals;
-        if( choice.holdsModel ) {
-            m_shared.fleet.countTurnedAway( m_need.generation->model );
-        }
         m_lastWhy = "engines are busy";
         m_retryAfter = std::max( Millis( answer.waitMs ), usualRetryAfter );
-        if( m_refusals <= inTimeAsks ) {
-            return Next::again;
-        }
-        if( !choice.holdsModel ) {
-            // It will be there for those who come back.
-            m_shared.fleet.startLoad( choice.node, m_need.generation->model );
-        }
-        return Next::stop;
+        return late ? Next::stop : Next::again;
     case EnsureOutcome::noRoom:
     case EnsureOutcome::failed:
         break;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -112,7 +112,7 @@
     net::Task<Next> prepare( Choice& choice );
     net::Task<Next> askSidecar( Choice& choice );
     EnsureRequest question( const Choice& choice, MonoTime now ) const;
-    Next followAnswer( Choice& choice, const EnsureAnswer& answer );
+    Next followAnswer( Choice& choice, const EnsureAnswer& answer, bool late );
     void logAsk( const Choice& choice, const EnsureAnswer& answer, MonoTime since ) const;
     net::Task<Sent> sendTo( NodePtr node, const Choice& choice );
     net::Task<ConnectionPtr> connectionTo( Node& node );
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -18,7 +18,14 @@
 //! Demand is smoothed over about two seconds, to follow shifts that take four to six.
 constexpr double demandSmoothing = 0.2;
 constexpr Millis demandInterval{ 400 };
+//! Part of its time that each copy of a model spends on reading that model's prompts, from which
+//! another copy is started. An engine holds three models; above a third in all, prompts queue.
+constexpr double replicaLoad = 0.35;
+constexpr Millis replicaPause{ 1000 };
+//! Gateways that act on the same load in one round, on average.
+constexpr double replicaActors = 1.5;
 constexpr Millis replicaLimit{ 10000 };
+constexpr double millisPerSecond = 1000;
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
 
@@ -307,46 +314,24 @@
     demand.arrivedWork += choice.workMs;
 }
 
-void Fleet::countTurnedAway( const std::string& model ) {
-    const auto it = m_demand.find( model );
-    if( it != m_demand.end() ) {
-        ++it->second.turnedAway;
-    }
-}
-
-bool Fleet::isComing( const std::string& model, MonoTime now ) const {
-    return std::any_of( m_nodes.begin(), m_nodes.end(), [&]( const auto& it ) {
-        const Node& node = *it.second;
-        if( node.loading.contains( model ) ) {
-            return true;
-        }
-        if( !node.reportFresh( now ) ) {
-            return false;
-        }
-        const auto& coming = node.report->load.comingModels;
-        return std::any_of( coming.begin(), coming.end(),
-                            [&]( const auto& c ) { return c.model == model; } );
-    } );
-}
-
 void Fleet::addReplicas( const std::map<std::string, int>& held, MonoTime now ) {
     for( auto& [model, demand] : m_demand ) {
         const auto it = held.find( model );
-        decide::ModelPressure pressure;
-        pressure.copies = it == held.end() ? 0 : it->second;
-        pressure.workMsPerS = demand.workPerS;
-        pressure.turnedAway = std::exchange( demand.turnedAway, 0 );
-        pressure.coming = pressure.turnedAway > 0 && isComing( model, now );
-        pressure.sinceLastAdded = remaining( demand.lastReplica, now );
-        if( decide::callsForCopy( pressure, m_gateways, m_random.unit() ) ) {
+        const int copies = it == held.end() ? 0 : it->second;
+        if( copies == 0 || now - demand.lastReplica < replicaPause ) {
+            continue;
+        }
+        const double load = demand.workPerS * m_gateways / ( millisPerSecond * copies );
+        // All gateways see about the same load: each acts now and then, together often enough.
+        if( load > replicaLoad && m_random.unit() * m_gateways < replicaActors ) {
             demand.lastReplica = now;
-            addReplica( demand.service, model, pressure, now );
+            addReplica( demand.service, model, load, now );
         }
     }
 }
 
-void Fleet::addReplica( const std::string& service, const std::string& model,
-                        const decide::ModelPressure& pressure, MonoTime now ) {
+void Fleet::addReplica( const std::string& service, const std::string& model, double load,
+                        MonoTime now ) {
     Generation generation;
     generation.model = model;
     Need need;
@@ -369,12 +354,9 @@
         return;
     }
     const auto node = nodes[*best];
-    log::info( "replica_wanted",
-               { { "model", model },
-                 { "upstream", node->upstream.id },
-                 { "copies", static_cast<std::int64_t>( pressure.copies ) },
-                 { "work_ms_per_s", static_cast<std::int64_t>( pressure.workMsPerS ) },
-                 { "turned_away", static_cast<std::int64_t>( pressure.turnedAway ) } } );
+    log::info( "replica_wanted", { { "model", model },
+                                   { "upstream", node->upstream.id },
+                                   { "load_percent", static_cast<std::int64_t>( load * 100 ) } } );
     startLoad( node, model );
 }
 
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -3,7 +3,6 @@
 #define COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
-#include "decide/replica_rule.hpp"
 #include "gateway/estimate.hpp"
 #include "gateway/node.hpp"
 #include "gateway/pace.hpp"
@@ -74,8 +73,6 @@
     void noteFirstEvent( const Generation& generation, const Choice& choice, double measuredMs );
     //! Counts a request for a model.
     void countDemand( const Need& need, const Choice& choice );
-    //! Counts a request that an engine with its model could not let in before its goal.
-    void countTurnedAway( const std::string& model );
 
     //! Called with what the sidecar of an upstream passes on from the store.
     using StoreNewsHandler =
@@ -97,14 +94,12 @@
         double workPerS = 0;    //!< prompt reading asked for, in milliseconds a second
         double arrivals = 0;    //!< since the last tick
         double arrivedWork = 0; //!< likewise
-        int turnedAway = 0;     //!< likewise, by engines that hold the model
         MonoTime lastReplica;
     };
 
-    bool isComing( const std::string& model, MonoTime now ) const;
     void addReplicas( const std::map<std::string, int>& held, MonoTime now );
-    void addReplica( const std::string& service, const std::string& model,
-                     const decide::ModelPressure& pressure, MonoTime now );
+    void addReplica( const std::string& service, const std::string& model, double load,
+                     MonoTime now );
     void add( const Upstream& upstream, MonoTime now );
     static void drop( Node& node );
     static void stopSidecar( Node& node );
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -50,19 +50,10 @@
     out.reading = in.at( 2 ).get<double>();
 }
 
-void to_json( Json& out, const ComingModel& in ) {
-    out = Json::array( { in.model, in.readyMs } );
-}
-
-void from_json( const Json& in, ComingModel& out ) {
-    out.model = in.at( 0 ).get<std::string>();
-    out.readyMs = in.at( 1 ).get<std::int64_t>();
-}
-
 void to_json( Json& out, const EngineLoad& in ) {
-    out = Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
-                         in.latePausesPercent, in.sentParts, in.readingPercent, in.readingWaitMs,
-                         in.comingModels, in.orderWaitMs } );
+    out =
+        Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
+                       in.latePausesPercent, in.sentParts, in.readingPercent, in.readingWaitMs } );
 }
 
 void from_json( const Json& in, EngineLoad& out ) {
@@ -75,8 +66,6 @@
     out.sentParts = in.at( 6 ).get<std::vector<SentPart>>();
     out.readingPercent = in.at( 7 ).get<int>();
     out.readingWaitMs = in.at( 8 ).get<std::int64_t>();
-    out.comingModels = in.at( 9 ).get<std::vector<ComingModel>>();
-    out.orderWaitMs = in.at( 10 ).get<std::int64_t>();
 }
 
 void to_json( Json& out, const SidecarReport& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -109,12 +109,10 @@
     std::uint32_t prefilling = 0;
     bool adapterRoom =
         true; //!< another adapter could be loaded without waiting for requests to end
-    int latePausesPercent = 0;             //!< part of its recent streams that paused too long
-    int readingPercent = 0;                //!< part of its time that prompts of all gateways take
-    std::int64_t readingWaitMs = 0;        //!< until it could begin with a prompt of the usual size
-    std::vector<SentPart> sentParts;       //!< that gateways sent there since the last message
-    std::vector<ComingModel> comingModels; //!< being loaded, and wanted, in the order of loading
-    std::int64_t orderWaitMs = 0;          //!< until the load of one more model could begin
+    int latePausesPercent = 0;       //!< part of its recent streams that paused too long
+    int readingPercent = 0;          //!< part of its time that prompts of all gateways take
+    std::int64_t readingWaitMs = 0;  //!< until it could begin with a prompt of the usual size
+    std::vector<SentPart> sentParts; //!< that gateways sent there since the last message
 };
 
 //! All that a sidecar tells of its engine: to a new gateway, and when more than the load changes.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -10,7 +10,6 @@
 #include "net/frame_channel.hpp"
 #include "platform/store_client.hpp"
 #include "sidecar/engine_client.hpp"
-#include "sidecar/forecast.hpp"
 #include "sidecar/pause_meter.hpp"
 #include "sidecar/prompt_gate.hpp"
 #include "sidecar/relay.hpp"
@@ -241,60 +240,10 @@
             return;
         }
         pending.loaded = true;
-        if( const auto wait = tooLongFor( pending ); wait.count() > 0 ) {
-            answer( pending, EnsureOutcome::later, wait );
-            return;
-        }
         m_wants.push_back( std::move( pending ) );
         m_wake.cancel();
     }
 
-    //! Models that are wanted and not there, each once, in the order in which they are loaded.
-    std::vector<Want> wantedModels( const Holdings& held ) const {
-        std::vector<Want> out;
-        for( const auto& it : m_wants ) {
-            const auto same = [&it]( const Want& other ) {
-                return other.model == it.want.model;
-            };
-            if( !held.models.contains( it.want.model ) &&
-                std::none_of( out.begin(), out.end(), same ) ) {
-                out.push_back( it.want );
-            }
-        }
-        std::stable_sort( out.begin(), out.end(), [&]( const Want& a, const Want& b ) {
-            return loadTime( held, a.model ) < loadTime( held, b.model );
-        } );
-        return out;
-    }
-
-    Forecast forecastNow( const Holdings& held, std::vector<Want> wanted ) const {
-        return forecast( held, m_order, wanted, std::chrono::steady_clock::now() );
-    }
-
-    //! How long a missing model takes when that is more than the request can wait; else zero.
-    Millis tooLongFor( const PendingWant& pending ) const {
-        if( !m_spec || !m_reachable ) {
-            return Millis{ 0 };
-        }
-        const auto held = holdings();
-        if( held.models.contains( pending.want.model ) ) {
-            return Millis{ 0 };
-        }
-        auto wanted = wantedModels( held );
-        const auto same = [&]( const Want& it ) {
-            return it.model == pending.want.model;
-        };
-        if( std::none_of( wanted.begin(), wanted.end(), same ) ) {
-            wanted.push_back( pending.want );
-        }
-        const auto coming = forecastNow( held, std::move( wanted ) ).coming;
-        const auto it = std::find_if( coming.begin(), coming.end(), [&]( const auto& c ) {
-            return c.model == pending.want.model;
-        } );
-        const Millis ready{ it == coming.end() ? 0 : it->readyMs };
-        return ready > pending.limit ? ready : Millis{ 0 };
-    }
-
     bool isThere( const Want& want ) const {
         const auto now = std::chrono::steady_clock::now();
         return nextStep( holdings(), want, now ).kind == StepKind::ready;
@@ -421,9 +370,6 @@
             auto report = co_await m_engine.report();
             failures = report ? 0 : failures + 1;
             if( report ) {
-                if( !report->ordering ) {
-                    m_order.reset();
-                }
                 noteLoads( *report );
                 notePauses( *report );
                 noteReading( *report );
@@ -584,21 +530,6 @@
         return waited > limit ? std::optional( EnsureOutcome::failed ) : std::nullopt;
     }
 
-    //! Which order goes first: the lowest. An engine takes one at a time; adapters take
-    //! milliseconds, and near weights a fifth of what the weight store does. What has waited long
-    //! gains on the rest.
-    static Millis rankOf( const PendingWant& pending, const Step& step, const Holdings& held,
-                          Millis waited ) {
-        constexpr int waitWeight = 2;
-        constexpr Millis unasked{ 3000 }; // no request waits for it
-        if( !step.adapter.empty() ) {
-            return -Millis::max() / 2;
-        }
-        const bool asked = pending.prompt.tokens > 0;
-        return loadTime( held, pending.want.model ) - waited * waitWeight +
-               ( asked ? Millis{ 0 } : unasked );
-    }
-
     static Millis limitOf( const PendingWant& pending, const Holdings& held ) {
         const bool adapterOnly = held.models.contains( pending.want.model );
         return adapterOnly ? std::min( pending.limit, adapterLimit ) : pending.limit;
@@ -615,7 +546,6 @@
     net::Task<> serveWants() {
         // An order moves the engine's state: one a round, then look again.
         std::optional<Step> order;
-        Millis orderRank{ 0 };
         std::string upstreamId;
         std::string retire;
         const auto now = std::chrono::steady_clock::now();
@@ -629,17 +559,14 @@
                 settle( std::move( pending ), *outcome );
                 continue;
             }
-            if( step.kind == StepKind::retire && retire.empty() ) {
+            if( step.kind == StepKind::retire ) {
                 retire = step.model;
             }
             const bool orders = step.kind == StepKind::load || step.kind == StepKind::unload;
-            if( orders ) {
-                const auto rank = rankOf( *it, step, held, waited );
-                if( !order || rank < orderRank ) {
-                    order = step;
-                    orderRank = rank;
-                    upstreamId = it->upstreamId;
-                }
+            // Adapters first: they take milliseconds.
+            if( orders && ( !order || ( order->adapter.empty() && !step.adapter.empty() ) ) ) {
+                order = step;
+                upstreamId = it->upstreamId;
             }
             ++it;
         }
@@ -681,10 +608,6 @@
         if( step.kind == StepKind::unload && mayBeTaken ) {
             noteUnloading( step );
         }
-        if( mayBeTaken && step.adapter.empty() ) {
-            m_order = { step.kind, step.model, std::chrono::steady_clock::now() };
-            m_changed = true;
-        }
         m_metrics.count( "orders", platform::nameOf( verdict ) );
         log::info( "order", { { "kind", step.kind == StepKind::load ? "load" : "unload" },
                               { "model", step.model },
@@ -745,12 +668,6 @@
             reading += it->reading;
         }
         out.readingPercent = static_cast<int>( reading * percent );
-        if( m_spec ) {
-            const auto held = holdings();
-            auto coming = forecastNow( held, wantedModels( held ) );
-            out.comingModels = std::move( coming.coming );
-            out.orderWaitMs = coming.further.count();
-        }
         out.readingWaitMs = m_gate.usualWait( now ).count();
         out.latePausesPercent = static_cast<int>( m_pauses.lateShare( now ) * percent );
         return out;
@@ -842,9 +759,8 @@
     std::uint64_t m_fence = 0; //!< 0: none yet, no orders are given
     gateway::EngineReport m_report;
     gateway::EngineReport m_lastPublished;
-    std::vector<std::string> m_former;    //!< earlier starts of the engine, oldest first
-    std::optional<OrderUnderWay> m_order; //!< for a model
-    std::string m_retiring;               //!< model that is about to make way, or empty
+    std::vector<std::string> m_former; //!< earlier starts of the engine, oldest first
+    std::string m_retiring;            //!< model that is about to make way, or empty
     MonoTime m_retiringSince;
     std::string m_upstreamId; //!< the engine's present start, as gateways know it
     SentParts m_sentParts;
