Sidecar: admission in a file of its own; a lost engine fails what waits at once

Prompts that waited for an engine that was lost were let through to it until their limits: they hear at once now, as they do when the engine restarts (tested). An answer for a question that is not known any more is passed over (tested; no case is known in which a gateway caused it).

--- /dev/null
+++ b/src/sidecar/admission.cpp
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/admission.hpp"
+
+#include "coursehead/kernel/log.hpp"
+
+#include <utility>
+
+namespace coursehead::sidecar {
+
+namespace {
+
+using gateway::EnsureOutcome;
+
+// Parts of the gap target, for pauses between events while prompts are read: below the first
+// reading is not limited, above the second it is again. What is seen is mostly short prompts, and
+// long ones add more: with 0.75 a loaded day lost 4 in 100 of its worth (one score each).
+constexpr double freePart = 0.5;
+constexpr double limitPart = 0.65;
+
+} // namespace
+
+Admission::Admission( net::asio::io_context& context, Host host )
+    : m_host( std::move( host ) ), m_timer( context ) {}
+
+void Admission::setEngine( std::int64_t cacheTokens, Millis gapTarget ) {
+    m_cacheTokens = cacheTokens;
+    m_gapTarget = gapTarget;
+    limitReading();
+}
+
+//! Prompts leave the streams a part of the engine's time, unless these are in time without.
+void Admission::limitReading() {
+    const auto pause = m_eventPace.whileReading();
+    const auto longest = m_gapTarget * ( m_readsFreely ? limitPart : freePart );
+    const bool inTime = pause && *pause <= longest;
+    if( inTime != m_readsFreely ) {
+        log::info( inTime ? "reading_free" : "reading_limited",
+                   { { "pause_ms", pause ? pause->count() : -1 },
+                     { "gap_target_ms", m_gapTarget.count() } } );
+        m_readsFreely = inTime;
+    }
+    m_gate.setEngine( m_cacheTokens, inTime ? Millis{ 0 } : m_gapTarget );
+}
+
+void Admission::admit( Question question ) {
+    if( question.prompt.tokens == 0 ) {
+        m_host.answer( question, EnsureOutcome::ready, Millis{ 0 }, 0 );
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const PromptAsk ask{ question.key,    question.want.model, question.want.adapter,
+                         question.prompt, question.since,      question.limit };
+    const auto verdict = m_gate.ask( ask, now );
+    if( !verdict.accepted ) {
+        m_host.answer( question, EnsureOutcome::later, verdict.wait, 0 );
+        return;
+    }
+    m_waiting.emplace( question.key, std::move( question ) );
+    letThrough();
+}
+
+//! Gives leave to the prompts whose time has come, and waits for the next one.
+void Admission::letThrough() {
+    const auto now = std::chrono::steady_clock::now();
+    for( const auto& leave : m_gate.takeDue( now ) ) {
+        auto node = m_waiting.extract( leave.key );
+        if( node.empty() ) {
+            continue;
+        }
+        auto& question = node.mapped();
+        if( !m_host.isThere( question.want ) ) {
+            m_gate.withdraw( leave.key, now );
+            m_host.missing( std::move( question ) );
+            continue;
+        }
+        m_host.given( question );
+        m_host.answer( question, EnsureOutcome::ready, m_gate.usualWait( now ), leave.workMs );
+    }
+    for( const auto key : m_gate.takeLate( now ) ) {
+        const auto node = m_waiting.extract( key );
+        if( !node.empty() ) {
+            m_host.answer( node.mapped(), EnsureOutcome::later, m_gate.usualWait( now ), 0 );
+        }
+    }
+    const auto next = m_gate.nextAt( now );
+    if( !next ) {
+        m_timer.cancel();
+        return;
+    }
+    m_timer.expires_at( *next );
+    m_timer.async_wait( [this]( net::ErrorCode ec ) {
+        if( !ec ) {
+            letThrough();
+        }
+    } );
+}
+
+void Admission::takeReport( const gateway::EngineReport& report, MonoTime now ) {
+    const auto unread = report.queued + report.prefilling;
+    if( m_gapTarget.count() > 0 ) {
+        m_eventPace.update( report.runs, unread > 0, now );
+        limitReading();
+    }
+    m_gate.noteUnread( unread, now );
+    letThrough();
+}
+
+void Admission::forget( std::uint64_t key ) {
+    m_waiting.erase( key );
+    m_gate.withdraw( key, std::chrono::steady_clock::now() );
+    letThrough();
+}
+
+void Admission::forgetPeer( const Peer& peer ) {
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if( m_waiting, [&]( const auto& it ) {
+        const bool gone = it.first == keyOf( peer, it.second.number );
+        if( gone ) {
+            m_gate.withdraw( it.first, now );
+        }
+        return gone;
+    } );
+    letThrough();
+}
+
+void Admission::failAll() {
+    m_gate.clear();
+    for( const auto& it : std::exchange( m_waiting, {} ) ) {
+        m_host.answer( it.second, EnsureOutcome::failed, Millis{ 0 }, 0 );
+    }
+}
+
+} // namespace coursehead::sidecar
--- /dev/null
+++ b/src/sidecar/admission.hpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_SIDECAR_ADMISSION_HPP_INCLUDED
+#define COURSEHEAD_SIDECAR_ADMISSION_HPP_INCLUDED
+
+#include "decide/event_pace.hpp"
+#include "net/net.hpp"
+#include "sidecar/prompt_gate.hpp"
+#include "sidecar/question.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace coursehead::sidecar {
+
+//! Questions whose model and adapter are there, until their prompts may be sent: the prompt gate
+//! with a timer and the answers.
+class Admission {
+public:
+    //! What the sidecar does for it.
+    struct Host {
+        std::function<bool( const Want& want )> isThere;
+        std::function<void( const Question& question, gateway::EnsureOutcome outcome, Millis wait,
+                            double workMs )>
+            answer;
+        std::function<void( Question question )> missing;      //!< what it needs has made way
+        std::function<void( const Question& question )> given; //!< it gets leave now
+    };
+
+    Admission( net::asio::io_context& context, Host host );
+
+    void setEngine( std::int64_t cacheTokens, Millis gapTarget );
+    //! Queues a question's prompt, or answers at once.
+    void admit( Question question );
+    //! What the engine's report says of its prompts and streams.
+    void takeReport( const gateway::EngineReport& report, MonoTime now );
+    //! A gateway has no use for the answer, or for the leave that it was given.
+    void forget( std::uint64_t key );
+    //! A gateway has gone.
+    void forgetPeer( const Peer& peer );
+    //! The engine is lost or another one: nothing that waits or was sent reaches it.
+    void failAll();
+    //! The engine has dropped a model.
+    void dropModel( const std::string& model ) { m_gate.dropModel( model ); }
+
+    Millis usualWait( MonoTime now ) const { return m_gate.usualWait( now ); }
+    bool busy( MonoTime now ) const { return m_gate.busy( now ); }
+
+private:
+    void letThrough();
+    void limitReading();
+
+    Host m_host;
+    net::Timer m_timer;
+    PromptGate m_gate;
+    decide::EventPace m_eventPace;
+    std::map<std::uint64_t, Question> m_waiting; //!< by key
+    std::int64_t m_cacheTokens = 0;
+    Millis m_gapTarget{ 0 };
+    bool m_readsFreely = false; //!< streams are in time however much is read
+};
+
+} // namespace coursehead::sidecar
+
+#endif // COURSEHEAD_SIDECAR_ADMISSION_HPP_INCLUDED
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -3,16 +3,17 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "coursehead/metrics/metrics.hpp"
-#include "decide/event_pace.hpp"
 #include "gateway/messages.hpp"
 #include "gateway/probe_server.hpp"
 #include "kernel/platform_role.hpp"
 #include "net/frame_channel.hpp"
 #include "platform/store_client.hpp"
+#include "sidecar/admission.hpp"
 #include "sidecar/engine_client.hpp"
 #include "sidecar/pause_meter.hpp"
-#include "sidecar/prompt_gate.hpp"
+#include "sidecar/question.hpp"
 #include "sidecar/relay.hpp"
+#include "sidecar/report_news.hpp"
 #include "sidecar/residency.hpp"
 #include "sidecar/sent_parts.hpp"
 
@@ -54,62 +55,13 @@
 
 //! Gateways for which the pause between reports grows by another poll.
 constexpr int gatewaysPerPause = 8;
-//! Changes of the load that are worth a report of their own.
-constexpr std::uint32_t runningStep = 4;
-constexpr std::uint32_t prefillingStep = 2;
-
-bool apart( std::uint32_t a, std::uint32_t b, std::uint32_t step ) {
-    return ( a > b ? a - b : b - a ) >= step;
-}
-
-//! True when more than the load is different.
-bool shapeDiffers( const gateway::EngineReport& a, const gateway::EngineReport& b ) {
-    return a.residents != b.residents || a.coming != b.coming || a.onDisk != b.onDisk ||
-           a.inMemory != b.inMemory;
-}
-
-//! True when a gateway would decide differently by one load than by the other.
-bool loadDiffers( const gateway::EngineReport& a, const gateway::EngineReport& b ) {
-    return a.ordering != b.ordering || a.queued != b.queued ||
-           apart( a.running, b.running, runningStep ) ||
-           apart( a.prefilling, b.prefilling, prefillingStep );
-}
-
-//! One connected gateway.
-struct Peer {
-    std::shared_ptr<net::FrameChannel> channel;
-    std::string gateway;
-    std::map<std::string, gateway::ModelDemand> demand; //!< by model
-    double reading = 0;       //!< part of the engine's time that its prompts take
-    std::uint64_t serial = 0; //!< of the connection
-};
-using PeerPtr = std::shared_ptr<Peer>;
-
-//! What a gateway waits for: a model or adapter, then leave to send a prompt.
-struct PendingWant {
-    Want want;
-    std::string upstreamId;
-    std::weak_ptr<Peer> peer;
-    std::uint64_t number = 0;
-    std::uint64_t key = 0; //!< of the question, among those of all gateways
-    gateway::AskedPrompt prompt;
-    MonoTime since;
-    Millis limit{ 0 };   //!< the gateway waits no longer
-    bool loaded = false; //!< something had to be ordered or waited for
-};
-
-//! Names a question among those of all connections.
-std::uint64_t keyOf( const Peer& peer, std::uint64_t number ) {
-    constexpr unsigned serialShift = 40;
-    return ( peer.serial << serialShift ) | number;
-}
-
 class Sidecar {
 public:
     explicit Sidecar( platform::NodeSettings settings )
         : m_settings( std::move( settings ) ), m_engine( m_context, m_settings.engine ),
           m_random( systemSeed() ), m_relay( m_context, m_settings, m_random ), m_wake( m_context ),
-          m_gateTimer( m_context ), m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
+          m_admission( m_context, admissionHost() ),
+          m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
         auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
@@ -189,14 +141,13 @@
             // Another start of the engine: it keeps nothing of what was sent before.
             m_upstreamId = news.upstreamId;
             m_sentParts.clear();
-            failAdmitted();
-            m_gate.clear();
+            m_admission.failAll();
         }
         if( news.configVersion >= m_configVersion ) {
             m_configVersion = news.configVersion;
             m_spec = std::move( news.engine );
             m_gapTarget = Millis( news.gapTargetMs );
-            limitReading();
+            m_admission.setEngine( m_spec->cacheTokens, m_gapTarget );
         }
         sendReport( peer, first ? m_sentParts.all() : std::vector<gateway::SentPart>{} );
     }
@@ -225,23 +176,21 @@
     }
 
     void takeEnsure( const PeerPtr& peer, const gateway::EnsureRequest& ensure ) {
-        PendingWant pending;
-        pending.want = { ensure.model, ensure.adapter, ensure.fromStore };
-        pending.upstreamId = ensure.upstreamId;
-        pending.peer = peer;
-        pending.number = ensure.number;
-        pending.key = keyOf( *peer, ensure.number );
-        pending.prompt = ensure.prompt;
-        pending.since = std::chrono::steady_clock::now();
-        pending.limit = std::min( Millis( ensure.limitMs ), wantLimit );
-        noteUse( pending.want, pending.since );
-        if( m_spec && m_reachable && isThere( pending.want ) ) {
-            admit( std::move( pending ) );
+        Question question;
+        question.want = { ensure.model, ensure.adapter, ensure.fromStore };
+        question.upstreamId = ensure.upstreamId;
+        question.peer = peer;
+        question.number = ensure.number;
+        question.key = keyOf( *peer, ensure.number );
+        question.prompt = ensure.prompt;
+        question.since = std::chrono::steady_clock::now();
+        question.limit = std::min( Millis( ensure.limitMs ), wantLimit );
+        noteUse( question.want, question.since );
+        if( m_spec && m_reachable && isThere( question.want ) ) {
+            m_admission.admit( std::move( question ) );
             return;
         }
-        pending.loaded = true;
-        m_wants.push_back( std::move( pending ) );
-        m_wake.cancel();
+        waitForWant( std::move( question ) );
     }
 
     bool isThere( const Want& want ) const {
@@ -249,59 +198,6 @@
         return nextStep( holdings(), want, now ).kind == StepKind::ready;
     }
 
-    //! All that the request needs is there: its prompt goes as soon as the engine has time for it.
-    void admit( PendingWant pending ) {
-        if( pending.prompt.tokens == 0 ) {
-            answer( pending, EnsureOutcome::ready );
-            return;
-        }
-        const auto now = std::chrono::steady_clock::now();
-        const PromptAsk ask{ pending.key,    pending.want.model, pending.want.adapter,
-                             pending.prompt, pending.since,      pending.limit };
-        const auto verdict = m_gate.ask( ask, now );
-        if( !verdict.accepted ) {
-            answer( pending, EnsureOutcome::later, verdict.wait );
-            return;
-        }
-        m_admitted.emplace( pending.key, std::move( pending ) );
-        letThrough();
-    }
-
-    //! Gives leave to the prompts whose time has come, and waits for the next one.
-    void letThrough() {
-        const auto now = std::chrono::steady_clock::now();
-        for( const auto& leave : m_gate.takeDue( now ) ) {
-            auto node = m_admitted.extract( leave.key );
-            auto& pending = node.mapped();
-            if( !isThere( pending.want ) ) {
-                // It made way meanwhile.
-                m_gate.withdraw( leave.key, now );
-                pending.loaded = true;
-                m_wants.push_back( std::move( pending ) );
-                m_wake.cancel();
-                continue;
-            }
-            noteUse( pending.want, now );
-            noteParts( pending );
-            answer( pending, EnsureOutcome::ready, m_gate.usualWait( now ), leave.workMs );
-        }
-        for( const auto key : m_gate.takeLate( now ) ) {
-            const auto node = m_admitted.extract( key );
-            answer( node.mapped(), EnsureOutcome::later, m_gate.usualWait( now ) );
-        }
-        const auto next = m_gate.nextAt( now );
-        if( !next ) {
-            m_gateTimer.cancel();
-            return;
-        }
-        m_gateTimer.expires_at( *next );
-        m_gateTimer.async_wait( [this]( net::ErrorCode ec ) {
-            if( !ec ) {
-                letThrough();
-            }
-        } );
-    }
-
     void noteUse( const Want& want, MonoTime now ) {
         if( !want.adapter.empty() ) {
             m_adapterUses[adapterKey( want.model, want.adapter )].lastUsed = now;
@@ -310,10 +206,10 @@
 
     //! Other gateways hear which shared parts the engine has read. The last part is the request's
     //! own.
-    void noteParts( const PendingWant& pending ) {
+    void noteParts( const Question& question ) {
         std::vector<gateway::SentPart> parts;
-        for( const auto& it : pending.prompt.parts ) {
-            parts.push_back( { it.key, it.tokens, pending.want.model } );
+        for( const auto& it : question.prompt.parts ) {
+            parts.push_back( { it.key, it.tokens, question.want.model } );
         }
         if( !parts.empty() ) {
             parts.pop_back();
@@ -321,33 +217,40 @@
         m_sentParts.add( parts );
     }
 
+    Admission::Host admissionHost() {
+        Admission::Host out;
+        out.isThere = [this]( const Want& want ) {
+            return isThere( want );
+        };
+        out.answer = [this]( const Question& question, EnsureOutcome outcome, Millis wait,
+                             double workMs ) {
+            answer( question, outcome, wait, workMs );
+        };
+        out.missing = [this]( Question question ) {
+            waitForWant( std::move( question ) );
+        };
+        out.given = [this]( const Question& question ) {
+            noteUse( question.want, std::chrono::steady_clock::now() );
+            noteParts( question );
+        };
+        return out;
+    }
+
+    void waitForWant( Question question ) {
+        question.loaded = true;
+        m_wants.push_back( std::move( question ) );
+        m_wake.cancel();
+    }
+
     void forgetQuestion( std::uint64_t key ) {
         m_wants.remove_if( [key]( const auto& it ) { return it.key == key; } );
-        m_admitted.erase( key );
-        m_gate.withdraw( key, std::chrono::steady_clock::now() );
-        letThrough();
+        m_admission.forget( key );
     }
 
     void forgetQuestions( const Peer& peer ) {
-        const auto gone = [&peer]( const PendingWant& it ) {
-            return it.key == keyOf( peer, it.number );
-        };
-        m_wants.remove_if( gone );
-        const auto now = std::chrono::steady_clock::now();
-        std::erase_if( m_admitted, [&]( const auto& it ) {
-            if( gone( it.second ) ) {
-                m_gate.withdraw( it.first, now );
-                return true;
-            }
-            return false;
-        } );
-        letThrough();
-    }
-
-    void failAdmitted() {
-        for( const auto& it : std::exchange( m_admitted, {} ) ) {
-            answer( it.second, EnsureOutcome::failed );
-        }
+        m_wants.remove_if(
+            [&peer]( const Question& it ) { return it.key == keyOf( peer, it.number ); } );
+        m_admission.forgetPeer( peer );
     }
 
     //! A number that only rises over this VM's lives, and that no other VM is given for an engine.
@@ -372,7 +275,7 @@
             if( report ) {
                 noteLoads( *report );
                 notePauses( *report );
-                noteReading( *report );
+                m_admission.takeReport( *report, std::chrono::steady_clock::now() );
                 m_report = std::move( *report );
             }
             setReachable( report.has_value(), failures );
@@ -391,7 +294,7 @@
         if( !m_wants.empty() ) {
             return wantPoll;
         }
-        return m_gate.busy( std::chrono::steady_clock::now() ) ? readingPoll : idlePoll;
+        return m_admission.busy( std::chrono::steady_clock::now() ) ? readingPoll : idlePoll;
     }
 
     void setReachable( bool answered, int failures ) {
@@ -400,6 +303,9 @@
             log::info( now ? "engine_regained" : "engine_lost", {} );
             m_reachable = now;
             m_changed = true;
+            if( !now ) {
+                m_admission.failAll();
+            }
         }
     }
 
@@ -414,43 +320,16 @@
         }
         for( const auto& it : m_held ) {
             if( !held.contains( it ) ) {
-                m_gate.dropModel( it );
+                m_admission.dropModel( it );
             }
         }
         m_held = std::move( held );
     }
 
-    //! Prompts leave the streams a part of the engine's time, unless these are in time without.
-    void limitReading() {
-        // Parts of the gap target. What was seen is mostly short prompts: long ones would add more.
-        constexpr double freePart = 0.5;
-        constexpr double limitPart = 0.65;
-        const auto pause = m_eventPace.whileReading();
-        const bool inTime =
-            pause && *pause <= m_gapTarget * ( m_readsFreely ? limitPart : freePart );
-        if( inTime != m_readsFreely ) {
-            log::info( inTime ? "reading_free" : "reading_limited",
-                       { { "pause_ms", pause ? pause->count() : -1 },
-                         { "gap_target_ms", m_gapTarget.count() } } );
-            m_readsFreely = inTime;
-        }
-        m_gate.setEngine( m_spec->cacheTokens, inTime ? Millis{ 0 } : m_gapTarget );
-    }
-
     void notePauses( const gateway::EngineReport& report ) {
         if( m_gapTarget.count() > 0 ) {
-            const auto now = std::chrono::steady_clock::now();
-            m_pauses.update( report.runs, m_gapTarget, now );
-            m_eventPace.update( report.runs, report.queued + report.prefilling > 0, now );
+            m_pauses.update( report.runs, m_gapTarget, std::chrono::steady_clock::now() );
         }
-        if( m_spec ) {
-            limitReading();
-        }
-    }
-
-    void noteReading( const gateway::EngineReport& report ) {
-        m_gate.noteUnread( report.queued + report.prefilling, std::chrono::steady_clock::now() );
-        letThrough();
     }
 
     Holdings holdings() const {
@@ -484,24 +363,24 @@
         return out;
     }
 
-    void answer( const PendingWant& pending, EnsureOutcome outcome, Millis wait = Millis{ 0 },
+    void answer( const Question& question, EnsureOutcome outcome, Millis wait = Millis{ 0 },
                  double workMs = 0 ) {
-        const auto peer = pending.peer.lock();
+        const auto peer = question.peer.lock();
         if( !peer ) {
             return;
         }
-        if( pending.loaded ) {
+        if( question.loaded ) {
             sendReport( *peer, {} );
         }
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
         const gateway::Message message(
-            gateway::EnsureAnswer{ pending.number, outcome, wait.count(), workMs } );
+            gateway::EnsureAnswer{ question.number, outcome, wait.count(), workMs } );
         peer->channel->send( gateway::encode( message ) );
     }
 
     void dropOldWants() {
         const auto now = std::chrono::steady_clock::now();
-        m_wants.remove_if( [&]( const PendingWant& it ) {
+        m_wants.remove_if( [&]( const Question& it ) {
             const bool old = now - it.since > roomLimit;
             if( old ) {
                 answer( it, EnsureOutcome::failed );
@@ -530,16 +409,16 @@
         return waited > limit ? std::optional( EnsureOutcome::failed ) : std::nullopt;
     }
 
-    static Millis limitOf( const PendingWant& pending, const Holdings& held ) {
-        const bool adapterOnly = held.models.contains( pending.want.model );
-        return adapterOnly ? std::min( pending.limit, adapterLimit ) : pending.limit;
+    static Millis limitOf( const Question& question, const Holdings& held ) {
+        const bool adapterOnly = held.models.contains( question.want.model );
+        return adapterOnly ? std::min( question.limit, adapterLimit ) : question.limit;
     }
 
-    void settle( PendingWant pending, EnsureOutcome outcome ) {
+    void settle( Question question, EnsureOutcome outcome ) {
         if( outcome == EnsureOutcome::ready ) {
-            admit( std::move( pending ) );
+            m_admission.admit( std::move( question ) );
         } else {
-            answer( pending, outcome );
+            answer( question, outcome );
         }
     }
 
@@ -554,9 +433,9 @@
             const auto step = nextStep( held, it->want, now );
             const auto waited = remaining( it->since, now );
             if( const auto outcome = outcomeOf( step.kind, waited, limitOf( *it, held ) ) ) {
-                PendingWant pending = std::move( *it );
+                Question question = std::move( *it );
                 it = m_wants.erase( it );
-                settle( std::move( pending ), *outcome );
+                settle( std::move( question ), *outcome );
                 continue;
             }
             if( step.kind == StepKind::retire ) {
@@ -639,7 +518,7 @@
             m_former.erase( m_former.begin() );
         }
         m_changed = true;
-        m_wants.remove_if( [&]( const PendingWant& it ) {
+        m_wants.remove_if( [&]( const Question& it ) {
             const bool stale = it.upstreamId == meant;
             if( stale ) {
                 answer( it, EnsureOutcome::failed );
@@ -668,7 +547,7 @@
             reading += it->reading;
         }
         out.readingPercent = static_cast<int>( reading * percent );
-        out.readingWaitMs = m_gate.usualWait( now ).count();
+        out.readingWaitMs = m_admission.usualWait( now ).count();
         out.latePausesPercent = static_cast<int>( m_pauses.lateShare( now ) * percent );
         return out;
     }
@@ -747,13 +626,11 @@
     RandomSource m_random;
     Relay m_relay;
     net::Timer m_wake;
-    net::Timer m_gateTimer;
+    Admission m_admission;
     net::asio::signal_set m_signals;
     std::set<PeerPtr> m_peers;
     std::uint64_t m_lastSerial = 0;
-    std::list<PendingWant> m_wants;                  //!< for a model or adapter
-    std::map<std::uint64_t, PendingWant> m_admitted; //!< for leave to send, by key
-    PromptGate m_gate;
+    std::list<Question> m_wants; //!< for a model or adapter
     std::optional<gateway::EngineSpec> m_spec;
     std::uint64_t m_configVersion = 0;
     std::uint64_t m_fence = 0; //!< 0: none yet, no orders are given
@@ -765,8 +642,6 @@
     std::string m_upstreamId; //!< the engine's present start, as gateways know it
     SentParts m_sentParts;
     PauseMeter m_pauses;
-    decide::EventPace m_eventPace;
-    bool m_readsFreely = false; //!< streams are in time however much is read
     Millis m_gapTarget{ 0 };
     bool m_reachable = false;
     bool m_changed = false;
--- /dev/null
+++ b/tests/unit/admission.tests.cpp
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/admission.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace coursehead;
+using namespace coursehead::sidecar;
+using namespace std::chrono_literals;
+using gateway::EnsureOutcome;
+
+namespace {
+
+//! An admission whose answers are kept.
+struct Fixture {
+    struct Answer {
+        std::uint64_t key;
+        EnsureOutcome outcome;
+    };
+    net::asio::io_context context{ 1 };
+    bool there = true;
+    std::vector<Answer> answers;
+    std::vector<std::uint64_t> missing;
+    std::vector<std::uint64_t> given;
+    Admission admission{ context, host() };
+
+    Fixture() { admission.setEngine( 100000, 600ms ); }
+
+    Admission::Host host() {
+        Admission::Host out;
+        out.isThere = [this]( const Want& ) {
+            return there;
+        };
+        out.answer = [this]( const Question& question, EnsureOutcome outcome, Millis, double ) {
+            answers.push_back( { question.key, outcome } );
+        };
+        out.missing = [this]( const Question& question ) {
+            missing.push_back( question.key );
+        };
+        out.given = [this]( const Question& question ) {
+            given.push_back( question.key );
+        };
+        return out;
+    }
+
+    //! A prompt of 400 ms of reading: one fits into a gap target.
+    static Question question( std::uint64_t key, Millis goal ) {
+        Question out;
+        out.key = key;
+        out.want.model = "m";
+        out.prompt.tokens = 4000;
+        out.prompt.msPerToken = 0.1;
+        out.prompt.goalMs = goal.count();
+        out.since = std::chrono::steady_clock::now();
+        out.limit = goal;
+        return out;
+    }
+};
+
+} // namespace
+
+TEST_CASE( "A prompt that an idle engine can read gets leave at once", "[sidecar][admission]" ) {
+    Fixture f;
+    f.admission.admit( Fixture::question( 1, 500ms ) );
+    REQUIRE( f.answers.size() == 1 );
+    CHECK( f.answers[0].outcome == EnsureOutcome::ready );
+    CHECK( f.given == std::vector<std::uint64_t>{ 1 } );
+}
+
+TEST_CASE( "A prompt that can't start in time is told so at once", "[sidecar][admission]" ) {
+    Fixture f;
+    f.admission.admit( Fixture::question( 1, 500ms ) );
+    f.admission.admit( Fixture::question( 2, 100ms ) );
+    REQUIRE( f.answers.size() == 2 );
+    CHECK( f.answers[1].outcome == EnsureOutcome::later );
+}
+
+TEST_CASE( "When the engine is lost all that wait hear it at once", "[sidecar][admission]" ) {
+    Fixture f;
+    f.admission.admit( Fixture::question( 1, 500ms ) );
+    f.admission.admit( Fixture::question( 2, 60s ) );
+    REQUIRE( f.answers.size() == 1 );
+    f.admission.failAll();
+    REQUIRE( f.answers.size() == 2 );
+    CHECK( f.answers[1].key == 2 );
+    CHECK( f.answers[1].outcome == EnsureOutcome::failed );
+    CHECK_FALSE( f.admission.busy( std::chrono::steady_clock::now() ) );
+}
+
+TEST_CASE( "A model that made way meanwhile is wanted again, and no leave is given",
+           "[sidecar][admission]" ) {
+    Fixture f;
+    f.there = false;
+    f.admission.admit( Fixture::question( 1, 500ms ) );
+    CHECK( f.answers.empty() );
+    CHECK( f.missing == std::vector<std::uint64_t>{ 1 } );
+}
+
+TEST_CASE( "A cancel that names nothing does no harm", "[sidecar][admission]" ) {
+    Fixture f;
+    f.admission.forget( 77 );
+    f.admission.admit( Fixture::question( 1, 500ms ) );
+    f.admission.forget( 1 );
+    f.admission.forget( 1 );
+    f.admission.admit( Fixture::question( 2, 500ms ) );
+    CHECK( f.answers.size() == 2 );
+    CHECK( f.answers[1].outcome == EnsureOutcome::ready );
+}
