Keys and organisations: a key leads to its organisation, upstreams see the organisation alone

Reading of the configuration has a file of its own (platform/configuration.cpp); a bad organisation is refused with field and value, never with a key. Ruled out: judging keys only after the body was read (a body of 4 MB would be taken for nothing). Tests: the new ones name types that did not exist, so they do not compile on the code before; not seen failing there.

--- /dev/null
+++ b/src/gateway/access.cpp
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/access.hpp"
+
+namespace coursehead::gateway {
+
+Access accessOf( const RouteTable& table, const Route& route, const std::optional<KeyDigest>& key,
+                 bool current ) {
+    if( !table.configuration().keyed || route.keyless ) {
+        return {};
+    }
+    if( !key ) {
+        return { AccessVerdict::denied, nullptr };
+    }
+    if( const auto* organisation = table.organisationOf( *key ) ) {
+        return { AccessVerdict::allowed, organisation };
+    }
+    return { current ? AccessVerdict::denied : AccessVerdict::undecided, nullptr };
+}
+
+} // namespace coursehead::gateway
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -2,6 +2,7 @@
 #include "gateway/client_session.hpp"
 
 #include "coursehead/kernel/log.hpp"
+#include "gateway/access.hpp"
 #include "gateway/http_text.hpp"
 
 #include <boost/asio/write.hpp>
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusTimeout = 408;
 constexpr unsigned statusTooLarge = 413;
 constexpr unsigned statusHeaderTooLarge = 431;
@@ -45,6 +47,9 @@
 
 net::Task<> refuse( net::Socket& socket, unsigned status ) {
     http::fields fields;
+    if( status == statusUnauthorized ) {
+        fields.set( http::field::www_authenticate, keyChallenge );
+    }
     const std::string bytes = answerHeadText( status, "", fields, "Content-Length: 0\r\n", false );
     const auto buf = net::asio::buffer( bytes );
     co_await net::asio::async_write( socket, buf, net::tupled );
@@ -90,8 +95,22 @@
     co_return !ec && !deadline.expired();
 }
 
+//! True when the key leads nowhere: a body that nobody will use is not read.
+bool deniedByHead( const Shared& shared, const http::request_header<>& head,
+                   const std::optional<KeyDigest>& key ) {
+    if( !shared.table ) {
+        return false;
+    }
+    const auto host = head[http::field::host];
+    const auto target = head.target();
+    const auto* route = shared.table->find( std::string_view( host.data(), host.size() ),
+                                            std::string_view( target.data(), target.size() ) );
+    return route != nullptr &&
+           accessOf( *shared.table, *route, key, shared.current ).verdict == AccessVerdict::denied;
+}
+
 net::Task<ReadRequest> readRequest( net::Socket& socket, boost::beast::flat_buffer& buf,
-                                    const ClientLimits& limits ) {
+                                    const ClientLimits& limits, const Shared& shared ) {
     ReadRequest out;
     const auto arrived = std::chrono::steady_clock::now();
     http::request_parser<http::string_body> parser;
@@ -107,6 +126,14 @@
             co_return out;
         }
     }
+    std::optional<KeyDigest> key;
+    if( !failure ) {
+        key = platform::readClientKey( parser.get() );
+        if( !parser.is_done() && deniedByHead( shared, parser.get(), key ) ) {
+            out.refusal = statusUnauthorized;
+            co_return out;
+        }
+    }
     const bool expects = !failure && parser.get().find( http::field::expect ) != parser.get().end();
     if( expects && !parser.is_done() ) {
         static constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -135,6 +162,7 @@
     out.request.fields = std::move( message.base() );
     const auto removed = platform::removeSystemHeaders( out.request.fields );
     out.request.head = platform::readRequestHead( out.request.fields );
+    out.request.head.key = key;
     out.request.arrived = arrived;
     if( removed > 0 ) {
         log::info( "headers_removed", { { "id", out.request.head.requestId },
@@ -156,7 +184,7 @@
         if( !more ) {
             co_return;
         }
-        auto got = co_await readRequest( socket, buf, limits );
+        auto got = co_await readRequest( socket, buf, limits, shared );
         if( got.refusal != 0 ) {
             log::info( "request_refused",
                        { { "status", static_cast<std::int64_t>( got.refusal ) } } );
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 #include "gateway/exchange.hpp"
 
 #include "coursehead/kernel/log.hpp"
+#include "gateway/access.hpp"
 #include "gateway/http_text.hpp"
 
 #include <boost/asio/write.hpp>
@@ -12,6 +13,7 @@
 
 namespace {
 
+constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
@@ -57,10 +59,36 @@
         logEnd( "client_left" );
         co_return ExchangeResult{ false };
     }
+    const bool admitted = co_await admit();
+    if( !admitted ) {
+        co_return ExchangeResult{ m_keepAlive };
+    }
+    m_patience = patienceOf( *m_route, m_request.head.deadline );
+    if( m_request.head.generation ) {
+        m_prefix = prefixKeys( *m_request.head.generation );
+        m_need.generation = &*m_request.head.generation;
+        m_need.prefix = m_prefix;
+    }
+    m_need.service = m_service;
+    m_need.goal = m_route->goal;
+    m_need.requestBytes = m_request.body.size();
+    m_lastEvent = m_request.head.lastEventId;
+    co_await forward();
+    if( !m_answered && !m_client->left && !m_client->broken ) {
+        co_await finishFailed();
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto spent = static_cast<double>( millisBetween( m_request.arrived, now ) );
+    m_shared.metrics.observe( metrics::Series::request, m_route->name, m_service, spent );
+    logEnd( m_client->left ? "client_left" : m_answered ? "answered" : "cut" );
+    co_return ExchangeResult{ m_keepAlive && m_answered };
+}
+
+net::Task<bool> Exchange::admit() {
     if( !m_table ) {
         std::string reason = "no configuration yet";
         co_await answerOwn( statusUnavailable, std::move( reason ), startRetryAfter );
-        co_return ExchangeResult{ m_keepAlive };
+        co_return false;
     }
     const auto host = m_request.fields.find( http::field::host );
     const auto hostText =
@@ -72,9 +100,19 @@
         std::string reason = "no route";
         co_await answerOwn( statusNotFound, std::move( reason ), Millis{ 0 } );
         logEnd( "no_route" );
-        co_return ExchangeResult{ m_keepAlive };
+        co_return false;
     }
     m_service = split->service;
+    const auto access = accessOf( *m_table, *m_route, m_request.head.key, m_shared.current );
+    m_organisation = access.organisation;
+    if( access.verdict != AccessVerdict::allowed ) {
+        const bool denied = access.verdict == AccessVerdict::denied;
+        std::string reason = denied ? "key not known" : "key not known here yet";
+        co_await answerOwn( denied ? statusUnauthorized : statusUnavailable, std::move( reason ),
+                            denied ? Millis{ 0 } : modelRetryAfter );
+        logEnd( denied ? "denied" : "refused" );
+        co_return false;
+    }
     m_deadline = m_request.arrived + m_route->timeout;
     if( m_request.head.deadline ) {
         m_deadline = std::min( m_deadline, m_request.arrived + *m_request.head.deadline );
@@ -83,27 +121,9 @@
         std::string reason = "leaving";
         co_await answerOwn( statusUnavailable, std::move( reason ), modelRetryAfter );
         logEnd( "refused" );
-        co_return ExchangeResult{ m_keepAlive };
-    }
-    m_patience = patienceOf( *m_route, m_request.head.deadline );
-    if( m_request.head.generation ) {
-        m_prefix = prefixKeys( *m_request.head.generation );
-        m_need.generation = &*m_request.head.generation;
-        m_need.prefix = m_prefix;
-    }
-    m_need.service = m_service;
-    m_need.goal = m_route->goal;
-    m_need.requestBytes = m_request.body.size();
-    m_lastEvent = m_request.head.lastEventId;
-    co_await forward();
-    if( !m_answered && !m_client->left && !m_client->broken ) {
-        co_await finishFailed();
+        co_return false;
     }
-    const auto now = std::chrono::steady_clock::now();
-    const auto spent = static_cast<double>( millisBetween( m_request.arrived, now ) );
-    m_shared.metrics.observe( metrics::Series::request, m_route->name, m_service, spent );
-    logEnd( m_client->left ? "client_left" : m_answered ? "answered" : "cut" );
-    co_return ExchangeResult{ m_keepAlive && m_answered };
+    co_return true;
 }
 
 net::Task<> Exchange::forward() {
@@ -327,6 +347,9 @@
     answer.status = status;
     answer.own = true;
     answer.fields.set( http::field::content_type, "text/plain" );
+    if( status == statusUnauthorized ) {
+        answer.fields.set( http::field::www_authenticate, keyChallenge );
+    }
     if( retryAfter.count() > 0 ) {
         answer.fields.set( http::field::retry_after, platform::retryAfterText( retryAfter ) );
     }
@@ -362,6 +385,7 @@
     const auto now = std::chrono::steady_clock::now();
     log::info( "request_end", { { "id", m_request.head.requestId },
                                 { "route", m_route != nullptr ? m_route->name : "" },
+                                { "organisation", m_organisation ? m_organisation->name : "" },
                                 { "outcome", outcome },
                                 { "status", static_cast<std::int64_t>( m_status ) },
                                 { "sends", static_cast<std::int64_t>( m_sends ) },
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -35,6 +35,7 @@
     std::shared_ptr<const RouteTable> table;    //!< null until a configuration is known
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
+    bool current = true; //!< changes of the configuration are heard of
     bool draining = false;
     MonoTime stopAt{};                    //!< when draining: nothing may be in flight any more
     bool pastHandover = false;            //!< when draining: clients had time to go elsewhere
@@ -67,6 +68,9 @@
 //! Time kept back for the last answer: a request that reaches its limit gets it in time.
 inline constexpr Millis answerMargin{ 30 };
 
+//! How a client that is not known is told to show its key.
+inline constexpr std::string_view keyChallenge = "Bearer";
+
 //! How a request ended towards its client.
 struct ExchangeResult {
     bool keepAlive = true; //!< the client's connection may serve another request
@@ -107,6 +111,8 @@
         stop,      //!< it can't be served in time by any
     };
 
+    //! Finds route and organisation, or refuses.
+    net::Task<bool> admit();
     net::Task<> forward();
     //! Obtains what the request needs at the chosen upstream.
     net::Task<Next> prepare( Choice& choice );
@@ -147,6 +153,7 @@
     std::shared_ptr<ClientEnd> m_client;
     bool m_keepAlive;
     const Route* m_route = nullptr;
+    const Organisation* m_organisation = nullptr; //!< null where no key is needed
     std::string m_service;
     Need m_need;
     std::vector<std::uint64_t> m_prefix;
--- a/src/gateway/follower.hpp
+++ b/src/gateway/follower.hpp
@@ -49,6 +49,8 @@
     void relayLost();
 
     std::uint64_t revision() const noexcept { return m_revision; }
+    //! The store, or a relay, told of changes when it was last asked.
+    bool reachable() const noexcept { return m_reachable; }
 
 private:
     net::Task<platform::StoreStatus> callStore();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -145,6 +145,7 @@
             }
             m_fleet.tick( now );
             m_feed.tick( now );
+            m_shared.current = m_feed.configurationCurrent();
             if( now - m_settingsLook >= settingsInterval ) {
                 m_settingsLook = now;
                 if( m_settingsWatch.changed() ) {
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_GATEWAY_MODEL_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
+#include "gateway/organisation.hpp"
 
 #include <cstdint>
 #include <map>
@@ -70,6 +71,7 @@
     int priority = 0;      //!< 0 is the highest
     int attempts = 1;      //!< upstreams that one request may go to
     bool resumable = false;
+    bool keyless = false; //!< needs no key
     std::vector<Split> splits;
 
     //! True when a second run does no harm.
@@ -88,6 +90,8 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::map<std::string, Service, std::less<>> services;
+    bool keyed = false; //!< requests carry keys, but for those on keyless routes
+    std::vector<Organisation> organisations;
     ClientLimits limits;
 };
 
--- a/src/gateway/route_table.cpp
+++ b/src/gateway/route_table.cpp
@@ -28,6 +28,11 @@
             }
         }
     }
+    for( const auto& it : m_configuration.organisations ) {
+        for( const auto& key : it.keys ) {
+            m_keys.emplace( key, &it );
+        }
+    }
     for( auto& [host, routes] : m_hosts ) {
         std::stable_sort( routes.begin(), routes.end(), []( const Route* a, const Route* b ) {
             return a->pathPrefix.size() > b->pathPrefix.size();
@@ -53,6 +58,11 @@
     return it == m_configuration.services.end() ? nullptr : &it->second;
 }
 
+const Organisation* RouteTable::organisationOf( const KeyDigest& key ) const {
+    const auto it = m_keys.find( key );
+    return it == m_keys.end() ? nullptr : it->second;
+}
+
 Millis RouteTable::gapTarget( std::string_view service ) const {
     const auto it = m_gapTargets.find( service );
     return it == m_gapTargets.end() ? Millis{ 0 } : it->second;
--- a/src/gateway/route_table.hpp
+++ b/src/gateway/route_table.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace coursehead::gateway {
@@ -24,6 +25,8 @@
     //! `host` may carry a port; `target` may carry a query.
     const Route* find( std::string_view host, std::string_view target ) const;
     const Service* service( std::string_view name ) const;
+    //! The organisation that a key leads to; null when none has it.
+    const Organisation* organisationOf( const KeyDigest& key ) const;
     //! The shortest pause between events that keeps a stream of a service in time; 0 when no route
     //! sets one.
     Millis gapTarget( std::string_view service ) const;
@@ -33,6 +36,7 @@
     //! By host in lower case; longest prefix first.
     std::map<std::string, std::vector<const Route*>, std::less<>> m_hosts;
     std::map<std::string, Millis, std::less<>> m_gapTargets; //!< by service
+    std::unordered_map<KeyDigest, const Organisation*, KeyDigestHash> m_keys;
 };
 
 //! Picks a service of a route by weight; `draw` in [0, 1). Null when all weights are zero.
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -47,22 +47,30 @@
     constexpr std::int64_t longGoalMs = 2000;
     constexpr int step = 2;
     constexpr int last = 9;
-    const int base = 1 + step * m_route->priority;
+    // An organisation's rank takes the place of its routes' own.
+    const bool ranked = m_organisation != nullptr && m_organisation->priority;
+    const int priority = ranked ? *m_organisation->priority : m_route->priority;
+    const int base = 1 + step * priority;
     return std::min( base + ( m_route->goal.count() > longGoalMs ? step : 0 ), last );
 }
 
 std::string Exchange::requestBytes( const Node& node ) const {
     http::fields fields = m_request.fields;
     platform::SendHead head;
+    head.keyed = m_table->configuration().keyed;
+    if( m_organisation != nullptr ) {
+        head.organisation = m_organisation->name;
+    }
     head.upstreamId = node.upstream.id;
     head.deadline = remaining( std::chrono::steady_clock::now(), m_deadline );
     if( m_need.generation != nullptr ) {
         head.urgency = urgency();
     }
     head.lastEventId = m_lastEvent;
-    platform::writeSendHead( head, fields );
+    const auto own = platform::takeSendHead( head, fields );
     std::string out = m_request.method + " " + m_request.target + " HTTP/1.1\r\n";
     appendForwarded( out, fields );
+    appendForwarded( out, own );
     const bool hasBody =
         !m_request.body.empty() ||
         m_request.fields.find( http::field::content_length ) != m_request.fields.end() ||
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -35,6 +35,10 @@
     //! Regular work: looks after the relay.
     void tick( MonoTime now );
     bool upstreamsListed() const noexcept { return m_listed; }
+    //! True while changes of the configuration are heard of.
+    bool configurationCurrent() const noexcept {
+        return !m_relay.empty() || m_configuration.reachable();
+    }
 
 private:
     FollowHandlers configurationHandlers();
--- /dev/null
+++ b/src/platform/configuration.cpp
@@ -0,0 +1,205 @@
+// SPDX-License-Identifier: BSL-1.0
+// The operator's configuration, decoded and checked.
+#include "platform/wire.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+#include <unordered_set>
+
+namespace coursehead::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+using gateway::Configuration;
+using gateway::EngineSpec;
+using gateway::Organisation;
+using gateway::QuotaLimit;
+using gateway::QuotaUnit;
+using gateway::RequestKind;
+using gateway::Route;
+using gateway::Service;
+
+constexpr double millisPerSecond = 1000.0;
+
+//! A field that can't be taken as it is; says field and value. Never names a key.
+struct BadField : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+Millis secondsOf( const Json& table, const char* name ) {
+    return Millis( static_cast<std::int64_t>( table.value( name, 0.0 ) * millisPerSecond ) );
+}
+
+RequestKind readKind( const std::string& word ) {
+    if( word == "safe" ) {
+        return RequestKind::repeatable;
+    }
+    return word == "streaming" ? RequestKind::stream : RequestKind::once;
+}
+
+Route readRoute( const Json& in ) {
+    Route out;
+    out.name = in.at( "name" ).get<std::string>();
+    out.host = in.at( "host" ).get<std::string>();
+    out.pathPrefix = in.at( "pathPrefix" ).get<std::string>();
+    out.kind = readKind( in.at( "kind" ).get<std::string>() );
+    out.timeout = Millis( static_cast<std::int64_t>( in.at( "timeoutMs" ).get<double>() ) );
+    out.goal = Millis( static_cast<std::int64_t>( in.value( "goalMs", 0.0 ) ) );
+    out.gapTarget = Millis( static_cast<std::int64_t>( in.value( "gapTargetMs", 0.0 ) ) );
+    out.priority = in.value( "priority", 0 );
+    out.attempts = in.value( "attempts", 1 );
+    out.resumable = in.value( "resumable", false );
+    out.keyless = in.value( "keyless", false );
+    if( in.contains( "split" ) && in["split"].is_array() ) {
+        for( const auto& it : in["split"] ) {
+            out.splits.push_back(
+                { it.at( "service" ).get<std::string>(), it.at( "weight" ).get<int>() } );
+        }
+    } else {
+        out.splits.push_back( { in.at( "service" ).get<std::string>(), 1 } );
+    }
+    return out;
+}
+
+std::shared_ptr<const EngineSpec> readEngine( const Json& in ) {
+    auto out = std::make_shared<EngineSpec>();
+    out->slots = in.value( "slots", 0 );
+    out->cacheTokens = in.value( "cacheTokens", std::int64_t{ 0 } );
+    out->weightsMb = in.value( "weightsMb", 0.0 );
+    out->adapterSlots = in.value( "adapterSlots", 0 );
+    out->storeLoadsPerS = in.value( "loadsPerS", 0.0 );
+    for( const auto& it : in.value( "models", Json::array() ) ) {
+        gateway::ModelSpec model;
+        model.name = it.at( "name" ).get<std::string>();
+        model.weightsMb = it.at( "weightsMb" ).get<double>();
+        model.adapterMb = it.value( "adapterMb", 0.0 );
+        model.adapters = it.value( "adapters", 0 );
+        model.storeLoad = secondsOf( it, "loadS" );
+        model.diskLoad = it.contains( "diskS" ) ? secondsOf( it, "diskS" ) : model.storeLoad;
+        model.memoryLoad = it.contains( "warmS" ) ? secondsOf( it, "warmS" ) : model.diskLoad;
+        out->models.push_back( std::move( model ) );
+    }
+    return out;
+}
+
+Service readService( const Json& in ) {
+    Service out;
+    out.name = in.at( "name" ).get<std::string>();
+    out.connectionLimit = in.value( "connectionLimit", 0 );
+    if( in.contains( "engine" ) && in["engine"].is_object() ) {
+        out.engine = readEngine( in["engine"] );
+    }
+    return out;
+}
+
+gateway::ClientLimits readLimits( const Json& in ) {
+    gateway::ClientLimits out;
+    out.headerBytes = in.value( "headerBytes", out.headerBytes );
+    out.bodyBytes = in.value( "bodyBytes", out.bodyBytes );
+    out.headerTime = Millis( in.value( "headerMs", out.headerTime.count() ) );
+    out.idleTime = Millis( in.value( "idleMs", out.idleTime.count() ) );
+    return out;
+}
+
+double readAmount( const Json& in, const char* name, const std::string& path ) {
+    const auto it = in.find( name );
+    if( it == in.end() || it->is_null() ) {
+        return 0;
+    }
+    if( !it->is_number() || it->get<double>() < 0 ) {
+        throw BadField( path + name + " = " + it->dump() + ": expected a number, 0 or more" );
+    }
+    return it->get<double>();
+}
+
+QuotaUnit readUnit( const Json& in, const std::string& path ) {
+    const auto it = in.find( "unit" );
+    if( it == in.end() || *it == "requests" ) {
+        return QuotaUnit::requests;
+    }
+    if( *it == "tokens" ) {
+        return QuotaUnit::tokens;
+    }
+    throw BadField( path + "unit = " + it->dump() + ": expected \"requests\" or \"tokens\"" );
+}
+
+Organisation readOrganisation( const Json& in, const std::string& path ) {
+    Organisation out;
+    out.name = in.at( "name" ).get<std::string>();
+    for( const auto& it : in.value( "keys", Json::array() ) ) {
+        if( !it.is_string() ) {
+            throw BadField( path + "keys: expected texts only" );
+        }
+        out.keys.push_back( gateway::digestOf( it.get_ref<const std::string&>() ) );
+    }
+    if( in.contains( "priority" ) && in["priority"].is_number_integer() ) {
+        out.priority = in["priority"].get<int>();
+    }
+    QuotaLimit& limit = out.limit;
+    limit.perS = readAmount( in, "perS", path );
+    limit.burst = readAmount( in, "burst", path );
+    limit.unit = readUnit( in, path );
+    limit.plainTokens = static_cast<std::int64_t>( readAmount( in, "plainTokens", path ) );
+    return out;
+}
+
+std::vector<Organisation> readOrganisations( const Json& in ) {
+    std::vector<Organisation> out;
+    std::unordered_set<gateway::KeyDigest, gateway::KeyDigestHash> seen;
+    for( const auto& it : in ) {
+        const auto path = "tenants[" + std::to_string( out.size() ) + "].";
+        out.push_back( readOrganisation( it, path ) );
+        const auto& keys = out.back().keys;
+        std::unordered_set<gateway::KeyDigest, gateway::KeyDigestHash> own( keys.begin(),
+                                                                            keys.end() );
+        for( const auto& key : own ) {
+            if( !seen.insert( key ).second ) {
+                throw BadField( path + "keys, of '" + out.back().name +
+                                "': one of them is another organisation's too" );
+            }
+        }
+    }
+    return out;
+}
+
+Configuration readAll( const Json& in ) {
+    Configuration out;
+    out.version = in.at( "version" ).get<std::uint64_t>();
+    for( const auto& it : in.at( "routes" ) ) {
+        out.routes.push_back( readRoute( it ) );
+    }
+    for( const auto& it : in.at( "services" ) ) {
+        auto service = readService( it );
+        out.services.emplace( service.name, std::move( service ) );
+    }
+    out.limits = readLimits( in.value( "limits", Json::object() ) );
+    out.keyed = in.contains( "tenants" ) && in["tenants"].is_array();
+    if( out.keyed ) {
+        out.organisations = readOrganisations( in["tenants"] );
+    }
+    return out;
+}
+
+} // namespace
+
+std::optional<Configuration> readConfiguration( std::string_view json, std::string& problem ) {
+    // A parser's own message quotes the text, and keys stand in it.
+    const auto in = Json::parse( json, nullptr, false );
+    if( in.is_discarded() ) {
+        problem = "not JSON";
+        return std::nullopt;
+    }
+    try {
+        return readAll( in );
+    } catch( const Json::exception& ex ) {
+        problem = ex.what();
+    } catch( const BadField& ex ) {
+        problem = ex.what();
+    }
+    return std::nullopt;
+}
+
+} // namespace coursehead::platform
--- a/src/platform/headers.cpp
+++ b/src/platform/headers.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "platform/headers.hpp"
 
+#include <boost/beast/core/string.hpp>
+
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -20,6 +22,8 @@
 constexpr std::string_view partsName = "X-Prompt-Prefix";
 constexpr std::string_view instanceName = "X-Expect-Instance";
 constexpr std::string_view urgencyName = "X-Request-Urgency";
+constexpr std::string_view organisationName = "X-Tenant";
+constexpr std::string_view keyScheme = "bearer";
 constexpr std::string_view notRunName = "X-Not-Run";
 //! Headers by which the system asks an upstream for something. From a client they would take
 //! memory, copies or turns that nobody granted: a fifth of all sends was refused for them.
@@ -52,6 +56,23 @@
     return out;
 }
 
+//! The prompt's tokens and the most that may be generated.
+struct TokenCounts {
+    std::int64_t prompt = 0;
+    std::int64_t most = 0;
+};
+
+TokenCounts readTokenCounts( const http::fields& fields ) {
+    const auto text = field( fields, tokensName );
+    const auto comma = text.find( ',' );
+    TokenCounts out;
+    out.prompt = readNumber<std::int64_t>( text.substr( 0, comma ) ).value_or( 0 );
+    if( comma != std::string_view::npos ) {
+        out.most = readNumber<std::int64_t>( text.substr( comma + 1 ) ).value_or( 0 );
+    }
+    return out;
+}
+
 gateway::Generation readGeneration( const http::fields& fields ) {
     gateway::Generation out;
     const auto model = field( fields, modelName );
@@ -60,12 +81,9 @@
     if( slash != std::string_view::npos ) {
         out.adapter = std::string( model.substr( slash + 1 ) );
     }
-    const auto tokens = field( fields, tokensName );
-    const auto comma = tokens.find( ',' );
-    out.promptTokens = readNumber<std::int64_t>( tokens.substr( 0, comma ) ).value_or( 0 );
-    if( comma != std::string_view::npos ) {
-        out.mostTokens = readNumber<std::int64_t>( tokens.substr( comma + 1 ) ).value_or( 0 );
-    }
+    const auto counts = readTokenCounts( fields );
+    out.promptTokens = counts.prompt;
+    out.mostTokens = counts.most;
     constexpr int hex = 16;
     auto rest = field( fields, partsName );
     while( !rest.empty() ) {
@@ -96,12 +114,40 @@
         out.deadline = Millis( *n );
     }
     out.lastEventId = readNumber<std::uint64_t>( field( fields, lastEventName ) );
+    if( fields.find( tokensName ) != fields.end() ) {
+        const auto counts = readTokenCounts( fields );
+        out.tokens = counts.prompt + counts.most;
+    }
     if( fields.find( modelName ) != fields.end() ) {
         out.generation = readGeneration( fields );
     }
     return out;
 }
 
+std::optional<gateway::KeyDigest> readClientKey( const http::fields& fields ) {
+    if( fields.count( http::field::authorization ) != 1 ) {
+        return std::nullopt;
+    }
+    auto text = std::string_view( fields[http::field::authorization] );
+    const auto scheme = text.substr( 0, keyScheme.size() );
+    if( !boost::beast::iequals( { scheme.data(), scheme.size() },
+                                { keyScheme.data(), keyScheme.size() } ) ) {
+        return std::nullopt;
+    }
+    text.remove_prefix( keyScheme.size() );
+    constexpr std::string_view blanks = " \t";
+    const auto begin = text.find_first_not_of( blanks );
+    if( begin == 0 || begin == std::string_view::npos ) {
+        return std::nullopt;
+    }
+    text.remove_prefix( begin );
+    text = text.substr( 0, text.find_last_not_of( blanks ) + 1 );
+    if( text.find_first_of( blanks ) != std::string_view::npos ) {
+        return std::nullopt;
+    }
+    return gateway::digestOf( text );
+}
+
 std::size_t removeSystemHeaders( http::fields& fields ) {
     std::size_t out = 0;
     for( const auto name : systemNames ) {
@@ -110,15 +156,28 @@
     return out;
 }
 
-void writeSendHead( const SendHead& head, http::fields& fields ) {
-    fields.set( instanceName, head.upstreamId );
-    fields.set( deadlineName, numbered( head.deadline.count() ) );
+http::fields takeSendHead( const SendHead& head, http::fields& client ) {
+    http::fields out;
+    const auto set = [&]( std::string_view name, const std::string& value ) {
+        client.erase( { name.data(), name.size() } );
+        out.set( name, value );
+    };
+    set( instanceName, head.upstreamId );
+    set( deadlineName, numbered( head.deadline.count() ) );
     if( head.urgency ) {
-        fields.set( urgencyName, numbered( *head.urgency ) );
+        set( urgencyName, numbered( *head.urgency ) );
     }
     if( head.lastEventId ) {
-        fields.set( lastEventName, std::to_string( *head.lastEventId ) );
+        set( lastEventName, std::to_string( *head.lastEventId ) );
     }
+    if( head.keyed ) {
+        client.erase( http::field::authorization );
+        client.erase( { organisationName.data(), organisationName.size() } );
+    }
+    if( !head.organisation.empty() ) {
+        out.set( organisationName, head.organisation );
+    }
+    return out;
 }
 
 AnswerHead readAnswerHead( unsigned status, const http::fields& fields ) {
--- a/src/platform/headers.hpp
+++ b/src/platform/headers.hpp
@@ -18,11 +18,16 @@
 //! What a client's request says beside method, path and body.
 struct RequestHead {
     std::string requestId;
-    std::optional<Millis> deadline;           //!< how long the client will wait
+    std::optional<gateway::KeyDigest> key; //!< of the key that it carries, if it is well formed
+    std::optional<std::int64_t> tokens;    //!< of its prompt and the most it may generate, together
+    std::optional<Millis> deadline;        //!< how long the client will wait
     std::optional<std::uint64_t> lastEventId; //!< the client resumes behind this event
     std::optional<gateway::Generation> generation;
 };
 RequestHead readRequestHead( const http::fields& fields );
+//! The key of a request's head; nullopt when there is none, more than one, or it is malformed.
+//! Trailers must not be among the fields yet.
+std::optional<gateway::KeyDigest> readClientKey( const http::fields& fields );
 //! Drops the headers that only the system may set: an upstream would act on them. Returns how many.
 std::size_t removeSystemHeaders( http::fields& fields );
 
@@ -32,9 +37,13 @@
     Millis deadline{ 0 };
     std::optional<int> urgency;               //!< 0 (first) to 9
     std::optional<std::uint64_t> lastEventId; //!< go on behind this event
+    bool keyed = false;                       //!< requests carry keys, which upstreams don't see
+    std::string organisation;                 //!< whom the key belongs to; empty: nobody's
 };
-//! Sets the headers of a send; replaces what the client gave under the same names.
-void writeSendHead( const SendHead& head, http::fields& fields );
+//! The headers of a send that are the system's own. What the client gave under the same names is
+//! removed from `client`. They are kept apart, since what a client's `Connection` header names
+//! would be taken for its own and dropped.
+http::fields takeSendHead( const SendHead& head, http::fields& client );
 
 //! How an upstream's answer is to be understood.
 enum class AnswerClass {
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -10,94 +10,14 @@
 namespace {
 
 using Json = nlohmann::json;
-using gateway::Configuration;
 using gateway::EngineReport;
-using gateway::EngineSpec;
-using gateway::RequestKind;
-using gateway::Route;
-using gateway::Service;
 
-constexpr double millisPerSecond = 1000.0;
 constexpr unsigned statusMisdirected = 421;
 constexpr unsigned statusAccepted = 202;
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusConflict = 409;
 constexpr unsigned statusPrecondition = 412;
 
-Millis secondsOf( const Json& table, const char* name ) {
-    return Millis( static_cast<std::int64_t>( table.value( name, 0.0 ) * millisPerSecond ) );
-}
-
-RequestKind readKind( const std::string& word ) {
-    if( word == "safe" ) {
-        return RequestKind::repeatable;
-    }
-    return word == "streaming" ? RequestKind::stream : RequestKind::once;
-}
-
-Route readRoute( const Json& in ) {
-    Route out;
-    out.name = in.at( "name" ).get<std::string>();
-    out.host = in.at( "host" ).get<std::string>();
-    out.pathPrefix = in.at( "pathPrefix" ).get<std::string>();
-    out.kind = readKind( in.at( "kind" ).get<std::string>() );
-    out.timeout = Millis( static_cast<std::int64_t>( in.at( "timeoutMs" ).get<double>() ) );
-    out.goal = Millis( static_cast<std::int64_t>( in.value( "goalMs", 0.0 ) ) );
-    out.gapTarget = Millis( static_cast<std::int64_t>( in.value( "gapTargetMs", 0.0 ) ) );
-    out.priority = in.value( "priority", 0 );
-    out.attempts = in.value( "attempts", 1 );
-    out.resumable = in.value( "resumable", false );
-    if( in.contains( "split" ) && in["split"].is_array() ) {
-        for( const auto& it : in["split"] ) {
-            out.splits.push_back(
-                { it.at( "service" ).get<std::string>(), it.at( "weight" ).get<int>() } );
-        }
-    } else {
-        out.splits.push_back( { in.at( "service" ).get<std::string>(), 1 } );
-    }
-    return out;
-}
-
-std::shared_ptr<const EngineSpec> readEngine( const Json& in ) {
-    auto out = std::make_shared<EngineSpec>();
-    out->slots = in.value( "slots", 0 );
-    out->cacheTokens = in.value( "cacheTokens", std::int64_t{ 0 } );
-    out->weightsMb = in.value( "weightsMb", 0.0 );
-    out->adapterSlots = in.value( "adapterSlots", 0 );
-    out->storeLoadsPerS = in.value( "loadsPerS", 0.0 );
-    for( const auto& it : in.value( "models", Json::array() ) ) {
-        gateway::ModelSpec model;
-        model.name = it.at( "name" ).get<std::string>();
-        model.weightsMb = it.at( "weightsMb" ).get<double>();
-        model.adapterMb = it.value( "adapterMb", 0.0 );
-        model.adapters = it.value( "adapters", 0 );
-        model.storeLoad = secondsOf( it, "loadS" );
-        model.diskLoad = it.contains( "diskS" ) ? secondsOf( it, "diskS" ) : model.storeLoad;
-        model.memoryLoad = it.contains( "warmS" ) ? secondsOf( it, "warmS" ) : model.diskLoad;
-        out->models.push_back( std::move( model ) );
-    }
-    return out;
-}
-
-Service readService( const Json& in ) {
-    Service out;
-    out.name = in.at( "name" ).get<std::string>();
-    out.connectionLimit = in.value( "connectionLimit", 0 );
-    if( in.contains( "engine" ) && in["engine"].is_object() ) {
-        out.engine = readEngine( in["engine"] );
-    }
-    return out;
-}
-
-gateway::ClientLimits readLimits( const Json& in ) {
-    gateway::ClientLimits out;
-    out.headerBytes = in.value( "headerBytes", out.headerBytes );
-    out.bodyBytes = in.value( "bodyBytes", out.bodyBytes );
-    out.headerTime = Millis( in.value( "headerMs", out.headerTime.count() ) );
-    out.idleTime = Millis( in.value( "idleMs", out.idleTime.count() ) );
-    return out;
-}
-
 std::vector<gateway::Resident> readResidents( const Json& in ) {
     std::vector<gateway::Resident> out;
     if( !in.is_array() ) {
@@ -191,26 +111,6 @@
 
 } // namespace
 
-std::optional<Configuration> readConfiguration( std::string_view json, std::string& problem ) {
-    try {
-        const auto in = Json::parse( json );
-        Configuration out;
-        out.version = in.at( "version" ).get<std::uint64_t>();
-        for( const auto& it : in.at( "routes" ) ) {
-            out.routes.push_back( readRoute( it ) );
-        }
-        for( const auto& it : in.at( "services" ) ) {
-            auto service = readService( it );
-            out.services.emplace( service.name, std::move( service ) );
-        }
-        out.limits = readLimits( in.value( "limits", Json::object() ) );
-        return out;
-    } catch( const Json::exception& ex ) {
-        problem = ex.what();
-        return std::nullopt;
-    }
-}
-
 std::optional<gateway::Upstream> readUpstream( std::string_view id, std::string_view json,
                                                std::string& problem ) {
     try {
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
@@ -361,6 +362,137 @@
     CHECK( startsWith( Path().send( "GET /safe/a HTTP/1.1\r\nHost:" ), "HTTP/1.1 408" ) );
 }
 
+namespace {
+
+//! The configuration with two organisations; every route but "safe" needs a key.
+std::shared_ptr<const RouteTable> keyedTable() {
+    auto out = configuration();
+    out.keyed = true;
+    out.routes[0].keyless = true;
+    Organisation one;
+    one.name = "one";
+    one.keys = { digestOf( "k1" ) };
+    out.organisations = { one };
+    return std::make_shared<RouteTable>( std::move( out ) );
+}
+
+} // namespace
+
+TEST_CASE( "An upstream learns whose request it is, and never the key or what the client claims",
+           "[gateway][exchange][organisation]" ) {
+    Path path;
+    path.shared.table = keyedTable();
+    path.first.then( { wholeAnswer( 200, sealed, "done" ) } );
+    const auto got = path.send( "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                                "X-Deadline-Ms: 2000\r\nAuthorization: Bearer k1\r\n"
+                                "x-TENANT: forged\r\nX-Tenant:  other \r\n"
+                                "Connection: close, X-Tenant, X-Expect-Instance\r\n"
+                                "Trailer: X-Tenant\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "2\r\nhi\r\n0\r\nX-Tenant: late\r\n"
+                                "Authorization: Bearer k2\r\n\r\n" );
+    CHECK( startsWith( got, "HTTP/1.1 200" ) );
+    REQUIRE( path.first.requests().size() == 1 );
+    const auto& sent = path.first.requests()[0];
+    CHECK( sent.find( "X-Tenant: one\r\n" ) != std::string::npos );
+    CHECK( sent.find( "X-Expect-Instance: u1\r\n" ) != std::string::npos );
+    for( const auto* it : { "forged", "other", "late", "k1", "k2", "Bearer" } ) {
+        INFO( it );
+        CHECK( sent.find( it ) == std::string::npos );
+    }
+}
+
+TEST_CASE( "A request without a known key is denied at once, its body unread",
+           "[gateway][exchange][organisation]" ) {
+    const std::string head = "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n";
+    const std::vector<std::string> keys = {
+        "", "Authorization: Bearer k9\r\n", "Authorization: Basic k1\r\n",
+        "Authorization: Bearer k1\r\nAuthorization: Bearer k1\r\n" };
+    for( const auto& key : keys ) {
+        INFO( key );
+        Path path;
+        path.shared.table = keyedTable();
+        const auto whole =
+            path.send( head + key + "Connection: close\r\nContent-Length: 0\r\n\r\n" );
+        CHECK( startsWith( whole, "HTTP/1.1 401" ) );
+        CHECK( whole.find( "WWW-Authenticate: Bearer\r\n" ) != std::string::npos );
+        // The body never comes: an answer all the same.
+        const auto early = path.send( head + key + "Content-Length: 900\r\n\r\nstart" );
+        CHECK( startsWith( early, "HTTP/1.1 401" ) );
+        CHECK( path.first.requests().empty() );
+    }
+}
+
+TEST_CASE( "A key that stands in a trailer opens nothing", "[gateway][exchange][organisation]" ) {
+    Path path;
+    path.shared.table = keyedTable();
+    const auto got = path.send( "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                                "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "2\r\nhi\r\n0\r\nAuthorization: Bearer k1\r\n\r\n" );
+    CHECK( startsWith( got, "HTTP/1.1 401" ) );
+    CHECK( path.first.requests().empty() );
+}
+
+TEST_CASE( "A gateway that hears no news of the configuration tells unknown keys to come back",
+           "[gateway][exchange][organisation]" ) {
+    Path path;
+    path.shared.table = keyedTable();
+    path.shared.current = false;
+    const auto got =
+        path.ask( "POST", "/unsafe/a", "Content-Length: 0\r\nAuthorization: Bearer k9\r\n" );
+    CHECK( startsWith( got, "HTTP/1.1 503" ) );
+    CHECK( got.find( "Retry-After" ) != std::string::npos );
+}
+
+TEST_CASE( "Keyless routes serve everybody, and pass no claim on",
+           "[gateway][exchange][organisation]" ) {
+    Path path;
+    path.shared.table = keyedTable();
+    path.first.then( { wholeAnswer( 200, sealed, "done" ) } );
+    const auto got =
+        path.ask( "GET", "/safe/a", "X-Tenant: forged\r\nAuthorization: Bearer k9\r\n" );
+    CHECK( startsWith( got, "HTTP/1.1 200" ) );
+    REQUIRE( path.first.requests().size() == 1 );
+    CHECK( path.first.requests()[0].find( "forged" ) == std::string::npos );
+    CHECK( path.first.requests()[0].find( "k9" ) == std::string::npos );
+}
+
+TEST_CASE( "A key that is taken away stops working on a kept connection",
+           "[gateway][exchange][organisation]" ) {
+    Path path;
+    path.shared.table = keyedTable();
+    path.first.then( { wholeAnswer( 200, sealed, "done" ) } );
+    const std::string request = "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                                "X-Deadline-Ms: 2000\r\nContent-Length: 0\r\n"
+                                "Authorization: Bearer k1\r\n";
+    std::string first;
+    std::string second;
+    auto client = [&]() -> net::Task<> {
+        net::Socket socket( path.context );
+        const auto to = path.front.local_endpoint();
+        co_await socket.async_connect( to, net::tupled );
+        const std::string kept = request + "\r\n";
+        const auto buf = net::asio::buffer( kept );
+        co_await net::asio::async_write( socket, buf, net::tupled );
+        auto sink = net::asio::dynamic_buffer( first );
+        co_await net::asio::async_read_until( socket, sink, "done", net::tupled );
+        auto without = configuration();
+        without.version = 2;
+        without.keyed = true;
+        path.shared.table = std::make_shared<RouteTable>( std::move( without ) );
+        const std::string last = request + "Connection: close\r\n\r\n";
+        const auto again = net::asio::buffer( last );
+        co_await net::asio::async_write( socket, again, net::tupled );
+        auto rest = net::asio::dynamic_buffer( second );
+        co_await net::asio::async_read( socket, rest, net::tupled );
+        path.context.stop();
+    };
+    net::asio::co_spawn( path.context, client, net::asio::detached );
+    path.context.run_for( 10s );
+    CHECK( startsWith( first, "HTTP/1.1 200" ) );
+    CHECK( startsWith( second, "HTTP/1.1 401" ) );
+    CHECK( path.first.requests().size() == 1 );
+}
+
 TEST_CASE( "Without a configuration a request is refused, not judged", "[gateway][exchange]" ) {
     Path path;
     path.shared.table = nullptr;
