Quotas over all gateways: one holder an organisation, which grants the part of its gateways

Change: src/decide/quota*: pure rules. Each organisation's bucket lies with one sidecar (rendezvous hash of those that answer); gateways ask it for what a request takes, with what is expected next, and spend within half a second; what is not spent or did not run goes back. A holder grants gateways-that-hold-to-it / gateways-about of the limit, so that two sides of a cut together grant it once; a bucket starts empty; a gateway that lost its holder turns to the next after the time for which it is still counted there; meanwhile it has a small reserve, then 503. Beyond the limit: 429 at once, with the time at which there is room behind those refused before. Not tried: shares leased by flow, counting at every engine's sidecar.

--- /dev/null
+++ b/src/decide/quota_bucket.cpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "decide/quota_bucket.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coursehead::decide {
+
+namespace {
+
+constexpr double millisPerSecond = 1000;
+//! Part of the burst that stays for what is asked for now: the rest may be granted ahead.
+constexpr double keptPart = 0.5;
+//! Times further away are not told: by then most of those who wait have left.
+constexpr double longestPromiseS = 2;
+
+Millis timeFor( double units, double perS ) {
+    return Millis( static_cast<std::int64_t>( std::ceil( units / perS * millisPerSecond ) ) );
+}
+
+} // namespace
+
+void refill( QuotaBucket& bucket, const QuotaRate& rate, MonoTime now ) {
+    const double seconds = std::chrono::duration<double>( now - bucket.at ).count();
+    if( bucket.at == MonoTime{} || seconds <= 0 ) {
+        bucket.at = std::max( bucket.at, now );
+        return;
+    }
+    bucket.level = std::min( bucket.level + rate.perS * seconds, rate.burst );
+    bucket.promised = std::max( bucket.promised - rate.perS * seconds, 0.0 );
+    bucket.at = now;
+}
+
+QuotaGrant take( QuotaBucket& bucket, const QuotaRate& rate, const QuotaAsk& ask, MonoTime now ) {
+    refill( bucket, rate, now );
+    if( rate.perS <= 0 ) {
+        return { 0, timeFor( longestPromiseS, 1 ) };
+    }
+    const double missing = std::min( ask.needed, rate.burst ) - bucket.level;
+    const Millis wait = missing <= 0 ? Millis{ 0 } : timeFor( missing, rate.perS );
+    if( wait > Millis( ask.patienceMs ) ) {
+        const auto told = timeFor( missing + bucket.promised, rate.perS );
+        const double most = longestPromiseS * rate.perS;
+        bucket.promised = std::min( bucket.promised + ask.needed, most );
+        return { 0, told };
+    }
+    const double spare = bucket.level - ask.needed - keptPart * rate.burst;
+    const double extra = std::clamp( ask.wished - ask.needed, 0.0, std::max( spare, 0.0 ) );
+    bucket.level -= ask.needed + extra;
+    return { ask.needed + extra, wait };
+}
+
+void giveBack( QuotaBucket& bucket, const QuotaRate& rate, double units, MonoTime now ) {
+    refill( bucket, rate, now );
+    bucket.level = std::min( bucket.level + std::max( units, 0.0 ), rate.burst );
+}
+
+} // namespace coursehead::decide
--- /dev/null
+++ b/src/decide/quota_bucket.hpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_DECIDE_QUOTA_BUCKET_HPP_INCLUDED
+#define COURSEHEAD_DECIDE_QUOTA_BUCKET_HPP_INCLUDED
+
+#include "decide/quota.hpp"
+
+namespace coursehead::decide {
+
+//! What is left of an organisation's limit. Starts empty: whoever kept it before may have spent a
+//! whole burst just now.
+struct QuotaBucket {
+    double level = 0;    //!< units; below zero: granted ahead of time
+    double promised = 0; //!< units for which requests were told to come back
+    MonoTime at;         //!< to which both are counted
+};
+
+struct QuotaGrant {
+    double units = 0; //!< 0: refused
+    Millis wait{ 0 }; //!< until they may be spent; if refused, until there is room
+};
+
+//! Counts a bucket up to `now`.
+void refill( QuotaBucket& bucket, const QuotaRate& rate, MonoTime now );
+/**
+ * Takes `needed` units, and up to `wished` of them while the bucket is more than half full. A
+ * request larger than the burst is let in by a full bucket, and paid for afterwards. What has to
+ * wait longer than `patience` is refused, with a time at which there is room behind all that were
+ * refused before.
+ */
+QuotaGrant take( QuotaBucket& bucket, const QuotaRate& rate, const QuotaAsk& ask, MonoTime now );
+void giveBack( QuotaBucket& bucket, const QuotaRate& rate, double units, MonoTime now );
+
+} // namespace coursehead::decide
+
+#endif // COURSEHEAD_DECIDE_QUOTA_BUCKET_HPP_INCLUDED
--- /dev/null
+++ b/src/decide/quota_holder.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "decide/quota_holder.hpp"
+
+#include <algorithm>
+
+namespace coursehead::decide {
+
+double QuotaHolder::partOf( std::string_view organisation, MonoTime now ) const {
+    int holdingTo = 0;
+    int heard = 0;
+    int told = 1;
+    for( const auto& [name, member] : m_members ) {
+        heard += now - member.heard <= m_window ? 1 : 0;
+        if( now - member.heard > quotaMembership ) {
+            continue;
+        }
+        told = std::max( told, member.gateways );
+        const auto& list = member.organisations;
+        holdingTo += std::find( list.begin(), list.end(), organisation ) != list.end() ? 1 : 0;
+    }
+    return static_cast<double>( holdingTo ) / std::max( { heard, told, holdingTo, 1 } );
+}
+
+QuotaRate QuotaHolder::rateOf( const Account& account, MonoTime now ) const {
+    QuotaRate out = account.rate;
+    const double part = partOf( out.organisation, now );
+    out.perS *= part;
+    out.burst *= part;
+    return out;
+}
+
+void QuotaHolder::takeNews( const QuotaNews& news, MonoTime now ) {
+    std::erase_if( m_members, [&]( const auto& it ) { return now - it.second.heard > m_window; } );
+    std::vector<std::string> organisations;
+    for( const auto& it : news.rates ) {
+        organisations.push_back( it.organisation );
+    }
+    auto& member = m_members[news.gateway];
+    const bool stays =
+        now - member.heard <= quotaMembership && member.organisations == organisations;
+    if( !stays ) {
+        // The parts change: what was earned until now was earned by the parts until now.
+        refillAll( member.organisations, now );
+        refillAll( organisations, now );
+        member.organisations = std::move( organisations );
+    }
+    member.heard = now;
+    member.gateways = news.gateways;
+    for( const auto& it : news.rates ) {
+        auto& account = m_accounts[it.organisation];
+        if( news.version >= account.version ) {
+            account.version = news.version;
+            account.rate = it;
+        }
+        if( account.bucket.at == MonoTime{} ) {
+            account.bucket.at = now;
+        }
+    }
+}
+
+void QuotaHolder::refillAll( const std::vector<std::string>& organisations, MonoTime now ) {
+    for( const auto& it : organisations ) {
+        const auto found = m_accounts.find( it );
+        if( found != m_accounts.end() ) {
+            refill( found->second.bucket, rateOf( found->second, now ), now );
+        }
+    }
+}
+
+QuotaAnswer QuotaHolder::ask( const QuotaAsk& ask, MonoTime now ) {
+    QuotaAnswer out;
+    out.number = ask.number;
+    const auto it = m_accounts.find( ask.organisation );
+    if( it == m_accounts.end() ) {
+        return out;
+    }
+    out.known = true;
+    const auto grant = take( it->second.bucket, rateOf( it->second, now ), ask, now );
+    out.granted = grant.units;
+    out.waitMs = grant.wait.count();
+    return out;
+}
+
+void QuotaHolder::takeBack( const QuotaReturn& back, MonoTime now ) {
+    const auto it = m_accounts.find( back.organisation );
+    if( it != m_accounts.end() ) {
+        giveBack( it->second.bucket, rateOf( it->second, now ), back.units, now );
+    }
+}
+
+} // namespace coursehead::decide
--- /dev/null
+++ b/src/decide/quota_holder.hpp
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_DECIDE_QUOTA_HOLDER_HPP_INCLUDED
+#define COURSEHEAD_DECIDE_QUOTA_HOLDER_HPP_INCLUDED
+
+#include "decide/quota_bucket.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace coursehead::decide {
+
+/**
+ * The buckets that one process keeps for gateways. Of an organisation's limit it grants the part
+ * `gateways that hold to it / gateways that are about`: with all in touch the whole, and on both
+ * sides of a cut as much as each side's gateways count for.
+ */
+class QuotaHolder {
+public:
+    //! `window`: gateways that were heard within it are about.
+    void setWindow( Millis window ) { m_window = window; }
+    //! A gateway says what it obtains here; replaces what it said before.
+    void takeNews( const QuotaNews& news, MonoTime now );
+    QuotaAnswer ask( const QuotaAsk& ask, MonoTime now );
+    void takeBack( const QuotaReturn& back, MonoTime now );
+
+    //! The part of an organisation's limit that is granted here.
+    double partOf( std::string_view organisation, MonoTime now ) const;
+
+private:
+    struct Member {
+        MonoTime heard;
+        int gateways = 1; //!< as many as it knows of
+        std::vector<std::string> organisations;
+    };
+    struct Account {
+        QuotaRate rate;
+        std::uint64_t version = 0; //!< of the configuration that the rate is from
+        QuotaBucket bucket;
+    };
+
+    void refillAll( const std::vector<std::string>& organisations, MonoTime now );
+    QuotaRate rateOf( const Account& account, MonoTime now ) const;
+
+    Millis m_window{ 8000 };
+    std::map<std::string, Member> m_members; //!< by gateway
+    std::map<std::string, Account, std::less<>> m_accounts;
+};
+
+} // namespace coursehead::decide
+
+#endif // COURSEHEAD_DECIDE_QUOTA_HOLDER_HPP_INCLUDED
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -15,6 +15,7 @@
 
 constexpr unsigned statusUnauthorized = 401;
 constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusTooMany = 429;
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusGatewayTimeout = 504;
@@ -30,6 +31,9 @@
 //! Engines that are asked for room before the goal; then a late answer is better than none. Each
 //! question costs a round trip, and the next engine is a worse one.
 constexpr int inTimeAsks = 2;
+//! A request waits for its organisation's quota up to this part of its goal: the rest is for being
+//! served, and a refusal within it leaves the client the time to come back.
+constexpr int quotaPatienceParts = 5;
 //! Pause until the weight store's rate is asked for again.
 constexpr Millis storePoll{ 150 };
 
@@ -52,6 +56,9 @@
 
 Exchange::~Exchange() {
     --m_shared.inFlight;
+    if( m_charged > 0 && m_runs == 0 ) {
+        m_shared.quota->giveBack( m_organisation->name, m_charged );
+    }
 }
 
 net::Task<ExchangeResult> Exchange::run() {
@@ -63,6 +70,10 @@
     if( !admitted ) {
         co_return ExchangeResult{ m_keepAlive };
     }
+    const bool charged = co_await charge();
+    if( !charged ) {
+        co_return ExchangeResult{ m_keepAlive };
+    }
     m_patience = patienceOf( *m_route, m_request.head.deadline );
     if( m_request.head.generation ) {
         m_prefix = prefixKeys( *m_request.head.generation );
@@ -126,6 +137,31 @@
     co_return true;
 }
 
+net::Task<bool> Exchange::charge() {
+    if( m_organisation == nullptr || m_shared.quota == nullptr ) {
+        co_return true;
+    }
+    const auto& limit = m_organisation->limit;
+    const double units = chargeOf( limit, m_request.head.tokens );
+    if( !limit.limited() || units <= 0 ) {
+        co_return true;
+    }
+    const auto patience = m_route->goal / quotaPatienceParts;
+    std::string name = m_organisation->name;
+    const auto decision = co_await m_shared.quota->obtain( std::move( name ), units, patience );
+    if( decision.verdict == QuotaVerdict::granted ) {
+        m_charged = units;
+        co_return true;
+    }
+    const bool over = decision.verdict == QuotaVerdict::over;
+    std::string reason = over ? "beyond the organisation's limit" : "limit not known now";
+    m_shared.metrics.count( "quota_refusals", over ? "over" : "unknown" );
+    co_await answerOwn( over ? statusTooMany : statusUnavailable, std::move( reason ),
+                        decision.retryAfter );
+    logEnd( over ? "over_quota" : "refused" );
+    co_return false;
+}
+
 net::Task<> Exchange::forward() {
     bool counted = false;
     for( int round = 0; round < m_route->attempts + extraSends; ++round ) {
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -8,6 +8,7 @@
 #include "gateway/event_stream.hpp"
 #include "gateway/fleet.hpp"
 #include "gateway/patience.hpp"
+#include "gateway/quota_client.hpp"
 #include "gateway/reading_leave.hpp"
 #include "gateway/retry_window.hpp"
 #include "platform/headers.hpp"
@@ -35,7 +36,8 @@
     std::shared_ptr<const RouteTable> table;    //!< null until a configuration is known
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
-    bool current = true; //!< changes of the configuration are heard of
+    QuotaClient* quota = nullptr; //!< null: nobody's requests are counted
+    bool current = true;          //!< changes of the configuration are heard of
     bool draining = false;
     MonoTime stopAt{};                    //!< when draining: nothing may be in flight any more
     bool pastHandover = false;            //!< when draining: clients had time to go elsewhere
@@ -113,6 +115,8 @@
 
     //! Finds route and organisation, or refuses.
     net::Task<bool> admit();
+    //! Takes what it counts from its organisation's quota, or refuses.
+    net::Task<bool> charge();
     net::Task<> forward();
     //! Obtains what the request needs at the chosen upstream.
     net::Task<Next> prepare( Choice& choice );
@@ -154,6 +158,7 @@
     bool m_keepAlive;
     const Route* m_route = nullptr;
     const Organisation* m_organisation = nullptr; //!< null where no key is needed
+    double m_charged = 0;                         //!< units of its quota
     std::string m_service;
     Need m_need;
     std::vector<std::uint64_t> m_prefix;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,10 +39,12 @@
           m_registry( Registry::Settings{} ), m_shared{ m_context, m_fleet,           m_random,
                                                         m_metrics, m_settings.bounds, nullptr,
                                                         {} },
+          m_quota( m_context, m_fleet, m_settings.vm, m_settings.bounds ),
           m_feed( m_context, m_settings, m_random, m_fleet, m_registry, feedHandlers() ),
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
+        m_shared.quota = &m_quota;
         m_front = std::make_unique<net::Acceptor>(
             net::listen( m_context, m_settings.front.ip, m_settings.front.port ) );
         auto ready = net::listen( m_context, m_settings.ready.ip, m_settings.ready.port );
@@ -130,6 +132,7 @@
                      { "routes", static_cast<std::int64_t>( read->routes.size() ) } } );
         m_shared.table = std::make_shared<RouteTable>( std::move( *read ) );
         m_fleet.setConfiguration( m_shared.table, std::chrono::steady_clock::now() );
+        m_quota.setConfiguration( m_shared.table->configuration() );
     }
 
     void syncFleet() { m_fleet.sync( m_registry.members(), std::chrono::steady_clock::now() ); }
@@ -145,6 +148,7 @@
             }
             m_fleet.tick( now );
             m_feed.tick( now );
+            m_quota.tick( now );
             m_shared.current = m_feed.configurationCurrent();
             if( now - m_settingsLook >= settingsInterval ) {
                 m_settingsLook = now;
@@ -208,6 +212,7 @@
             return;
         }
         m_shared.bounds = read.settings.bounds;
+        m_quota.setBounds( read.settings.bounds );
         m_settings.bounds = read.settings.bounds;
         log::info( "settings_reloaded", { { "path", path } } );
     }
@@ -219,6 +224,7 @@
     Fleet m_fleet;
     Registry m_registry;
     Shared m_shared;
+    QuotaClient m_quota;
     StoreFeed m_feed;
     net::asio::signal_set m_signals;
     std::unique_ptr<net::Acceptor> m_front;
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -3,6 +3,65 @@
 
 #include <nlohmann/json.hpp>
 
+namespace coursehead::decide {
+
+using Json = nlohmann::json;
+
+void to_json( Json& out, const QuotaRate& in ) {
+    out = Json::array( { in.organisation, in.perS, in.burst } );
+}
+
+void from_json( const Json& in, QuotaRate& out ) {
+    out.organisation = in.at( 0 ).get<std::string>();
+    out.perS = in.at( 1 ).get<double>();
+    out.burst = in.at( 2 ).get<double>();
+}
+
+void to_json( Json& out, const QuotaNews& in ) {
+    out = Json::array( { in.gateway, in.version, in.gateways, in.rates } );
+}
+
+void from_json( const Json& in, QuotaNews& out ) {
+    out.gateway = in.at( 0 ).get<std::string>();
+    out.version = in.at( 1 ).get<std::uint64_t>();
+    out.gateways = in.at( 2 ).get<int>();
+    out.rates = in.at( 3 ).get<std::vector<QuotaRate>>();
+}
+
+void to_json( Json& out, const QuotaAsk& in ) {
+    out = Json::array( { in.number, in.organisation, in.needed, in.wished, in.patienceMs } );
+}
+
+void from_json( const Json& in, QuotaAsk& out ) {
+    out.number = in.at( 0 ).get<std::uint64_t>();
+    out.organisation = in.at( 1 ).get<std::string>();
+    out.needed = in.at( 2 ).get<double>();
+    out.wished = in.at( 3 ).get<double>();
+    out.patienceMs = in.at( 4 ).get<std::int64_t>();
+}
+
+void to_json( Json& out, const QuotaAnswer& in ) {
+    out = Json::array( { in.number, in.known, in.granted, in.waitMs } );
+}
+
+void from_json( const Json& in, QuotaAnswer& out ) {
+    out.number = in.at( 0 ).get<std::uint64_t>();
+    out.known = in.at( 1 ).get<bool>();
+    out.granted = in.at( 2 ).get<double>();
+    out.waitMs = in.at( 3 ).get<std::int64_t>();
+}
+
+void to_json( Json& out, const QuotaReturn& in ) {
+    out = Json::array( { in.organisation, in.units } );
+}
+
+void from_json( const Json& in, QuotaReturn& out ) {
+    out.organisation = in.at( 0 ).get<std::string>();
+    out.units = in.at( 1 ).get<double>();
+}
+
+} // namespace coursehead::decide
+
 namespace coursehead::gateway {
 
 using Json = nlohmann::json;
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
 
+#include "decide/quota.hpp"
 #include "gateway/model.hpp"
 
 #include <cstdint>
@@ -155,7 +156,8 @@
 };
 
 using Message = std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport,
-                             LoadReport, RelayAsk, StoreNews, EnsureCancel>;
+                             LoadReport, RelayAsk, StoreNews, EnsureCancel, decide::QuotaNews,
+                             decide::QuotaAsk, decide::QuotaAnswer, decide::QuotaReturn>;
 
 std::string encode( const Message& message );
 //! Reads a message; nullopt when it is malformed.
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -65,31 +65,26 @@
     m_channel->send( encode( message ) );
 }
 
-void SidecarLink::askRelay( bool wanted ) {
+void SidecarLink::send( const Message& message ) {
     if( m_channel ) {
-        const Message message( RelayAsk{ wanted } );
         m_channel->send( encode( message ) );
     }
 }
 
+void SidecarLink::askRelay( bool wanted ) {
+    send( Message( RelayAsk{ wanted } ) );
+}
+
 bool SidecarLink::answers( MonoTime now ) const {
     return m_channel != nullptr && now - m_channel->lastHeard() <= askSilence;
 }
 
-net::Task<EnsureAnswer> SidecarLink::ensure( EnsureRequest request ) {
-    if( !m_channel ) {
-        co_return EnsureAnswer{};
-    }
+net::Task<std::optional<Message>> SidecarLink::askFor( std::uint64_t number, std::string question,
+                                                       MonoTime until ) {
     const auto me = shared_from_this();
-    const auto number = m_nextNumber++;
-    const auto until = std::chrono::steady_clock::now() + Millis( request.limitMs ) + answerDelay;
-    request.number = number;
     const auto waiter = std::make_shared<Waiter>( m_context );
-    waiter->answer.number = number;
     m_waiters.emplace( number, waiter );
-    const Message message( std::move( request ) );
-    const auto encoded = encode( message );
-    m_channel->send( encoded );
+    m_channel->send( question );
     auto now = std::chrono::steady_clock::now();
     while( !waiter->ended && now < until && answers( now ) ) {
         waiter->timer.expires_after( std::min( silenceLook, remaining( now, until ) ) );
@@ -97,17 +92,47 @@
         now = std::chrono::steady_clock::now();
     }
     m_waiters.erase( number );
-    if( !waiter->ended ) {
+    co_return std::move( waiter->answer );
+}
+
+net::Task<EnsureAnswer> SidecarLink::ensure( EnsureRequest request ) {
+    EnsureAnswer out;
+    if( !m_channel ) {
+        co_return out;
+    }
+    const auto number = m_nextNumber++;
+    const auto until = std::chrono::steady_clock::now() + Millis( request.limitMs ) + answerDelay;
+    request.number = number;
+    const Message message( std::move( request ) );
+    auto question = encode( message );
+    const auto answer = co_await askFor( number, std::move( question ), until );
+    if( !answer ) {
         cancel( number );
+        out.number = number;
+        co_return out;
     }
-    co_return waiter->answer;
+    co_return std::get<EnsureAnswer>( *answer );
 }
 
-void SidecarLink::cancel( std::uint64_t number ) {
-    if( m_channel ) {
-        const Message message( EnsureCancel{ number } );
-        m_channel->send( encode( message ) );
+net::Task<std::optional<decide::QuotaAnswer>> SidecarLink::askQuota( decide::QuotaAsk ask,
+                                                                     Millis limit ) {
+    if( !m_channel ) {
+        co_return std::nullopt;
     }
+    const auto number = m_nextNumber++;
+    ask.number = number;
+    const auto until = std::chrono::steady_clock::now() + limit;
+    const Message message( std::move( ask ) );
+    auto question = encode( message );
+    const auto answer = co_await askFor( number, std::move( question ), until );
+    if( !answer ) {
+        co_return std::nullopt;
+    }
+    co_return std::get<decide::QuotaAnswer>( *answer );
+}
+
+void SidecarLink::cancel( std::uint64_t number ) {
+    send( Message( EnsureCancel{ number } ) );
 }
 
 void SidecarLink::failWaiters() {
@@ -117,6 +142,15 @@
     }
 }
 
+void SidecarLink::takeAnswer( std::uint64_t number, Message answer ) {
+    const auto it = m_waiters.find( number );
+    if( it != m_waiters.end() ) {
+        it->second->answer = std::move( answer );
+        it->second->ended = true;
+        it->second->timer.cancel();
+    }
+}
+
 void SidecarLink::onFrame( std::string_view frame ) {
     const auto message = decode( frame );
     if( !message ) {
@@ -136,12 +170,10 @@
         m_handlers.news( *news );
     }
     if( const auto* answer = std::get_if<EnsureAnswer>( &*message ) ) {
-        const auto it = m_waiters.find( answer->number );
-        if( it != m_waiters.end() ) {
-            it->second->answer = *answer;
-            it->second->ended = true;
-            it->second->timer.cancel();
-        }
+        takeAnswer( answer->number, *message );
+    }
+    if( const auto* answer = std::get_if<decide::QuotaAnswer>( &*message ) ) {
+        takeAnswer( answer->number, *message );
     }
 }
 
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace coursehead::gateway {
@@ -39,6 +40,9 @@
     //! Asks, and waits for the answer; `failed` after the request's limit, or when the sidecar
     //! falls silent. The number of the question is kept in `number` for cancel().
     net::Task<EnsureAnswer> ensure( EnsureRequest request );
+    //! Asks for units of an organisation's quota; nullopt when no answer came within `limit`.
+    net::Task<std::optional<decide::QuotaAnswer>> askQuota( decide::QuotaAsk ask, Millis limit );
+    void send( const Message& message );
     //! Tells the sidecar that a question, or the leave given in answer to it, has no use any more.
     void cancel( std::uint64_t number );
     //! Ends every wait as failed.
@@ -48,10 +52,14 @@
     struct Waiter {
         explicit Waiter( net::asio::io_context& context ) : timer( context ) {}
         net::Timer timer;
-        EnsureAnswer answer;
+        std::optional<Message> answer;
         bool ended = false; //!< answered, or given up
     };
 
+    //! Sends a question and waits until `until`, unless the sidecar falls silent.
+    net::Task<std::optional<Message>> askFor( std::uint64_t number, std::string question,
+                                              MonoTime until );
+    void takeAnswer( std::uint64_t number, Message answer );
     net::Task<> keepConnected();
     void onFrame( std::string_view frame );
 
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -108,6 +108,9 @@
     out.retrySlack = in.number( "budgetSlack", out.retrySlack );
     out.ceilingWindow = in.seconds( "ceilingWindowS", out.ceilingWindow );
     out.ceilingOver = in.number( "ceilingOver", out.ceilingOver );
+    out.quotaWindow = in.seconds( "quotaWindowS", out.quotaWindow );
+    out.quotaOver = in.number( "quotaOver", out.quotaOver );
+    out.quotaSlack = in.number( "quotaSlack", out.quotaSlack );
     out.fencingRequired = in.flag( "fencingRequired", out.fencingRequired );
     return out;
 }
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -35,6 +35,9 @@
     double retrySlack = 50;       //!< retries allowed per window on top, by all processes
     Millis ceilingWindow{ 5000 }; //!< window of the weight store's rate
     double ceilingOver = 1.1;     //!< tolerated factor over the weight store's rate
+    Millis quotaWindow{ 8000 };   //!< in which organisations' quotas are judged
+    double quotaOver = 0;         //!< part of a quota that may be passed
+    double quotaSlack = 0;        //!< units that may be spent on top
     bool fencingRequired = false; //!< upstreams check fencing tokens
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -3,6 +3,7 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "coursehead/metrics/metrics.hpp"
+#include "decide/quota_holder.hpp"
 #include "gateway/messages.hpp"
 #include "gateway/probe_server.hpp"
 #include "kernel/platform_role.hpp"
@@ -64,6 +65,7 @@
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
+        m_quota.setWindow( m_settings.bounds.quotaWindow );
         auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
         net::start( m_context, acceptPeers( std::move( acceptor ) ), "accept" );
         auto metrics = net::listen( m_context, m_settings.ip, m_settings.lastPort );
@@ -128,6 +130,21 @@
             takeRelayAsk( peer, *ask );
         } else if( const auto* cancel = std::get_if<gateway::EnsureCancel>( &*message ) ) {
             forgetQuestion( keyOf( *peer, cancel->number ) );
+        } else {
+            takeQuota( peer, *message );
+        }
+    }
+
+    void takeQuota( const PeerPtr& peer, const gateway::Message& message ) {
+        const auto now = std::chrono::steady_clock::now();
+        if( const auto* news = std::get_if<decide::QuotaNews>( &message ) ) {
+            m_quota.takeNews( *news, now );
+        } else if( const auto* back = std::get_if<decide::QuotaReturn>( &message ) ) {
+            m_quota.takeBack( *back, now );
+        } else if( const auto* ask = std::get_if<decide::QuotaAsk>( &message ) ) {
+            const auto answer = m_quota.ask( *ask, now );
+            m_metrics.count( "quota_asks", answer.granted > 0 ? "granted" : "refused" );
+            peer->channel->send( gateway::encode( gateway::Message( answer ) ) );
         }
     }
 
@@ -626,6 +643,7 @@
     RandomSource m_random;
     Relay m_relay;
     net::Timer m_wake;
+    decide::QuotaHolder m_quota;
     Admission m_admission;
     net::asio::signal_set m_signals;
     std::set<PeerPtr> m_peers;
--- /dev/null
+++ b/tests/replay/quotas.tests.cpp
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: BSL-1.0
+// Twenty-one, and two hundred, gateways keep one organisation's limit: few large requests at the
+// smallest limit of a loaded day, an organisation that sends nine or twenty times its usual, cuts,
+// freezes and restarts.
+#include "replay/quota_world.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <cstdio>
+
+using namespace coursehead;
+using namespace coursehead::decide;
+using namespace coursehead::replay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const QuotaRule rule{ 8000ms, 0.1, 110000 };
+
+QuotaLoad hot( double times ) {
+    QuotaLoad out;
+    out.hotTimes = times * 0.55;
+    out.hotFrom = 3000ms;
+    out.hotTo = 15000ms;
+    out.skew = 3;
+    return out;
+}
+
+void show( const char* what, const QuotaLoad& load, const QuotaOutcome& it ) {
+    std::printf( "%s: %d gateways, worst window %.2f of what the rule allows, served %.3f of the "
+                 "limit's, %.1f questions a second, waited %.1f ms, unknown %d\n",
+                 what, load.gateways, it.worstWindow / quotaBound( load, rule ),
+                 it.served / std::max( it.allowed, 1.0 ),
+                 it.messages / std::chrono::duration<double>( load.length ).count(), it.waitedMs,
+                 it.unknown );
+}
+
+} // namespace
+
+TEST_CASE( "With all in touch an organisation is served what its limit allows, and no more",
+           "[replay][quota]" ) {
+    for( const int gateways : { 21, 200 } ) {
+        for( const double times : { 1.0, 9.0, 20.0 } ) {
+            auto load = hot( times );
+            load.gateways = gateways;
+            const auto got = playQuota( load, {}, QuotaWay::holder, rule, 7 );
+            INFO( gateways << " gateways, x " << times );
+            show( "holder", load, got );
+            CHECK( got.served >= 0.95 * got.allowed );
+            CHECK( got.worstWindow <= quotaBound( load, rule ) );
+            CHECK( got.unknown == 0 );
+        }
+    }
+}
+
+TEST_CASE( "Equal parts of a limit starve an organisation whose requests are large",
+           "[replay][quota]" ) {
+    // What the holders are for: the same load without them.
+    const QuotaLoad load = hot( 1 );
+    const auto parts = playQuota( load, {}, QuotaWay::equalParts, rule, 7 );
+    show( "equal parts", load, parts );
+    CHECK( parts.served < 0.8 * parts.allowed );
+}
+
+TEST_CASE( "A fleet that is cut, split, frozen or killed never spends a limit twice",
+           "[replay][quota]" ) {
+    for( const auto kind :
+         { QuotaTrouble::cutOff, QuotaTrouble::split, QuotaTrouble::freeze, QuotaTrouble::killAll,
+           QuotaTrouble::holderKill, QuotaTrouble::holderFreeze } ) {
+        const auto load = hot( 9 );
+        const std::vector<QuotaEvent> events{ { kind, 6000ms, 13000ms, 0.4 } };
+        const auto got = playQuota( load, events, QuotaWay::holder, rule, 11 );
+        INFO( "trouble " << static_cast<int>( kind ) );
+        show( "holder in trouble", load, got );
+        CHECK( got.worstWindow <= quotaBound( load, rule ) );
+        CHECK( got.served > 0.4 * got.allowed );
+    }
+}
+
+TEST_CASE( "For any troubles the sum in every window stays within the rule", "[replay][quota]" ) {
+    CHECK( rc::check( [] {
+        QuotaLoad load = hot( *rc::gen::element( 2.0, 9.0, 20.0 ) );
+        load.perS = *rc::gen::element( 29000.0, 90000.0, 300000.0 );
+        load.skew = *rc::gen::element( 1.0, 5.0, 20.0 );
+        load.holders = *rc::gen::inRange( 2, 20 );
+        load.length = 16000ms;
+        std::vector<QuotaEvent> events;
+        const int count = *rc::gen::inRange( 1, 4 );
+        for( int n = 0; n < count; ++n ) {
+            const Millis from{ *rc::gen::inRange( 2000, 12000 ) };
+            const Millis length{ *rc::gen::inRange( 300, 8000 ) };
+            const auto kind = static_cast<QuotaTrouble>( *rc::gen::inRange( 0, 6 ) );
+            events.push_back( { kind, from, from + length, *rc::gen::inRange( 1, 11 ) * 0.1 } );
+        }
+        const auto seed = static_cast<std::uint64_t>( *rc::gen::inRange( 1, 100000 ) );
+        const auto got = playQuota( load, events, QuotaWay::holder, rule, seed );
+        RC_ASSERT( got.worstWindow <= quotaBound( load, rule ) );
+    } ) );
+}
