Replicas by the load of all gateways, as sidecars sum it up, not by one gateway's own times their number

Cause: each gateway took its own requests for an even part of all. One prompt for a rare model (241 ms of reading, at 21 gateways) looked like two and a half engines' time, for nine ticks; half of such prompts had a copy added. Ruled out: the choice of what makes way (it picks the copy that is missed least, which is one of a busy model); loads for requests that found no copy (a fifth of the asks, on models with a copy elsewhere). Change: gateways tell the reading they ask for with their demand; an engine's sidecar sums it and says the sum with each answer to a question, which costs no further message; the rule is pure (src/decide/replica_rule).

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -18,14 +18,7 @@
 //! Demand is smoothed over about two seconds, to follow shifts that take four to six.
 constexpr double demandSmoothing = 0.2;
 constexpr Millis demandInterval{ 400 };
-//! Part of its time that each copy of a model spends on reading that model's prompts, from which
-//! another copy is started. An engine holds three models; above a third in all, prompts queue.
-constexpr double replicaLoad = 0.35;
-constexpr Millis replicaPause{ 1000 };
-//! Gateways that act on the same load in one round, on average.
-constexpr double replicaActors = 1.5;
 constexpr Millis replicaLimit{ 10000 };
-constexpr double millisPerSecond = 1000;
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
 
@@ -191,7 +184,10 @@
             ModelDemand entry;
             entry.model = model;
             const auto demand = m_demand.find( model );
-            entry.perS = demand == m_demand.end() ? 0 : demand->second.perS;
+            if( demand != m_demand.end() ) {
+                entry.perS = demand->second.perS;
+                entry.workPerS = demand->second.workPerS;
+            }
             entry.copies = held[model];
             entry.running = node.runningOf( model );
             entry.adaptersUsed = node.adaptersInUse( model );
@@ -288,12 +284,19 @@
     request.fromStore = !near && node->engine && mayUseStore( *node, request.model, now );
     const bool loads = !node->holdsModel( request.model, now ) && ( near || request.fromStore );
     const std::string name = request.model;
+    const bool held = node->holdsModel( name, now );
     const bool first = loads && node->loading.emplace( name, now ).second;
     const auto answer = co_await link->ensure( std::move( request ) );
     if( first ) {
         node->loading.erase( name );
     }
-    node->takeReadingWait( static_cast<double>( answer.waitMs ), std::chrono::steady_clock::now() );
+    const auto answered = std::chrono::steady_clock::now();
+    node->takeReadingWait( static_cast<double>( answer.waitMs ), answered );
+    const auto demand = m_demand.find( name );
+    if( held && answer.modelWorkPerS >= 0 && demand != m_demand.end() ) {
+        demand->second.fleet.workPerS = answer.modelWorkPerS;
+        demand->second.fleet.toldAt = answered;
+    }
     co_return answer;
 }
 
@@ -317,15 +320,10 @@
 void Fleet::addReplicas( const std::map<std::string, int>& held, MonoTime now ) {
     for( auto& [model, demand] : m_demand ) {
         const auto it = held.find( model );
-        const int copies = it == held.end() ? 0 : it->second;
-        if( copies == 0 || now - demand.lastReplica < replicaPause ) {
-            continue;
-        }
-        const double load = demand.workPerS * m_gateways / ( millisPerSecond * copies );
-        // All gateways see about the same load: each acts now and then, together often enough.
-        if( load > replicaLoad && m_random.unit() * m_gateways < replicaActors ) {
-            demand.lastReplica = now;
-            addReplica( demand.service, model, load, now );
+        demand.fleet.copies = it == held.end() ? 0 : it->second;
+        if( decide::wantsReplica( demand.fleet, m_gateways, m_random.unit(), now ) ) {
+            demand.fleet.lastReplica = now;
+            addReplica( demand.service, model, decide::copyLoad( demand.fleet ), now );
         }
     }
 }
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
+#include "decide/replica_rule.hpp"
 #include "gateway/estimate.hpp"
 #include "gateway/node.hpp"
 #include "gateway/pace.hpp"
@@ -91,10 +92,10 @@
     struct Demand {
         std::string service;
         double perS = 0;
-        double workPerS = 0;    //!< prompt reading asked for, in milliseconds a second
-        double arrivals = 0;    //!< since the last tick
-        double arrivedWork = 0; //!< likewise
-        MonoTime lastReplica;
+        double workPerS = 0;     //!< prompt reading asked for, in milliseconds a second
+        double arrivals = 0;     //!< since the last tick
+        double arrivedWork = 0;  //!< likewise
+        decide::ModelLoad fleet; //!< over all gateways, as sidecars said last
     };
 
     void addReplicas( const std::map<std::string, int>& held, MonoTime now );
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -88,15 +88,16 @@
 }
 
 void to_json( Json& out, const ModelDemand& in ) {
-    out = Json::array( { in.model, in.perS, in.copies, in.running, in.adaptersUsed } );
+    out = Json::array( { in.model, in.perS, in.workPerS, in.copies, in.running, in.adaptersUsed } );
 }
 
 void from_json( const Json& in, ModelDemand& out ) {
     out.model = in.at( 0 ).get<std::string>();
     out.perS = in.at( 1 ).get<double>();
-    out.copies = in.at( 2 ).get<int>();
-    out.running = in.at( 3 ).get<int>();
-    out.adaptersUsed = in.at( 4 ).get<std::vector<std::string>>();
+    out.workPerS = in.at( 2 ).get<double>();
+    out.copies = in.at( 3 ).get<int>();
+    out.running = in.at( 4 ).get<int>();
+    out.adaptersUsed = in.at( 5 ).get<std::vector<std::string>>();
 }
 
 void to_json( Json& out, const DemandNews& in ) {
@@ -188,7 +189,7 @@
 }
 
 void to_json( Json& out, const EnsureAnswer& in ) {
-    out = Json::array( { in.number, in.outcome, in.waitMs, in.workMs } );
+    out = Json::array( { in.number, in.outcome, in.waitMs, in.workMs, in.modelWorkPerS } );
 }
 
 void from_json( const Json& in, EnsureAnswer& out ) {
@@ -196,6 +197,7 @@
     out.outcome = in.at( 1 ).get<EnsureOutcome>();
     out.waitMs = in.at( 2 ).get<std::int64_t>();
     out.workMs = in.at( 3 ).get<double>();
+    out.modelWorkPerS = in.at( 4 ).get<double>();
 }
 
 // clang-format off
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -71,12 +71,16 @@
     EnsureOutcome outcome = EnsureOutcome::failed;
     std::int64_t waitMs = 0; //!< until the engine could begin with a further prompt like this one
     double workMs = 0;       //!< reading of the prompt, less what the engine keeps of it
+    //! Milliseconds of prompt reading a second that all gateways ask of the model; negative: not
+    //! known.
+    double modelWorkPerS = -1;
 };
 
 //! How much a model is asked for, as one gateway sees it.
 struct ModelDemand {
     std::string model;
     double perS = 0;                       //!< requests a second, smoothed
+    double workPerS = 0;                   //!< milliseconds of prompt reading a second, smoothed
     int copies = 0;                        //!< upstreams that hold it
     int running = 0;                       //!< this gateway's requests for it in flight there
     std::vector<std::string> adaptersUsed; //!< sent there since the last message, or in flight
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -380,6 +380,16 @@
         return out;
     }
 
+    //! Reading of a model's prompts that all gateways ask for, in milliseconds a second.
+    double workPerS( const std::string& model ) const {
+        double out = 0;
+        for( const auto& peer : m_peers ) {
+            const auto it = peer->demand.find( model );
+            out += it == peer->demand.end() ? 0 : it->second.workPerS;
+        }
+        return out;
+    }
+
     void answer( const Question& question, EnsureOutcome outcome, Millis wait = Millis{ 0 },
                  double workMs = 0 ) {
         const auto peer = question.peer.lock();
@@ -390,8 +400,8 @@
             sendReport( *peer, {} );
         }
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
-        const gateway::Message message(
-            gateway::EnsureAnswer{ question.number, outcome, wait.count(), workMs } );
+        const gateway::Message message( gateway::EnsureAnswer{
+            question.number, outcome, wait.count(), workMs, workPerS( question.want.model ) } );
         peer->channel->send( gateway::encode( message ) );
     }
 
