Unloads under way are remembered: nobody gets leave for what is on its way out, its memory stays counted

Cause: an engine unloads when the runs there have ended, refuses new ones until then and goes on listing the model. The sidecar took it out of its own view when it ordered, and the next report put it back. Change: an unload that was ordered is kept until a report that was asked for later shows it done or lost; nobody is let in or waits for it there; its memory counts as taken; gateways hear of it at once. Tests: an engine that lists the model while twenty gateways ask, and a load that is wanted meanwhile; they name types that are new, and do not compile on the code before.

--- a/src/sidecar/residency.cpp
+++ b/src/sidecar/residency.cpp
@@ -16,6 +16,9 @@
 constexpr Millis modelStay{ 1500 };
 //! An adapter used this lately is taken to be in use.
 constexpr Millis adapterStay{ 300 };
+//! An adapter that nothing uses is unloaded at once; one that is still listed after this is in use,
+//! or the order was lost.
+constexpr Millis adapterUnload{ 1000 };
 //! Adapters that may be on their way to an engine at once.
 constexpr std::size_t maxComing = 4;
 
@@ -204,8 +207,46 @@
     return out;
 }
 
+void settleUnloads( std::vector<Unloading>& unloads, const EngineReport& report, MonoTime now ) {
+    std::erase_if( unloads, [&]( const Unloading& it ) {
+        const auto* resident = findModel( report, it.model );
+        if( resident == nullptr ) {
+            return true;
+        }
+        if( it.adapter.empty() ) {
+            return !report.ordering;
+        }
+        return !contains( resident->adapters, it.adapter ) || now - it.since > adapterUnload;
+    } );
+}
+
+bool isUnloading( const std::vector<Unloading>& unloads, std::string_view model,
+                  std::string_view adapter ) {
+    return std::any_of( unloads.begin(), unloads.end(), [&]( const Unloading& it ) {
+        return it.model == model && ( it.adapter.empty() || it.adapter == adapter );
+    } );
+}
+
+std::vector<Resident> offered( const std::vector<Resident>& residents,
+                               const std::vector<Unloading>& unloads, std::string_view retiring ) {
+    std::vector<Resident> out;
+    for( const auto& it : residents ) {
+        if( it.model == retiring || isUnloading( unloads, it.model, "" ) ) {
+            continue;
+        }
+        out.push_back( it );
+        std::erase_if( out.back().adapters, [&]( const std::string& adapter ) {
+            return isUnloading( unloads, it.model, adapter );
+        } );
+    }
+    return out;
+}
+
 Step nextStep( const Holdings& holdings, const Want& want, MonoTime now ) {
     const auto* resident = findModel( *holdings.report, want.model );
+    if( resident != nullptr && isUnloading( holdings.unloads, want.model, want.adapter ) ) {
+        return { StepKind::leaving, want.model, want.adapter };
+    }
     if( resident == nullptr ) {
         return stepToModel( holdings, want, now );
     }
--- a/src/sidecar/residency.hpp
+++ b/src/sidecar/residency.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 //! Which order an engine gets next, so that wanted models and adapters become ready.
 namespace coursehead::sidecar {
@@ -20,6 +21,27 @@
     MonoTime loadedAt;
 };
 
+/**
+ * A model or adapter whose unload was ordered, and is not known to be done or lost. An engine
+ * carries an unload out when the runs there have ended, and refuses new ones until then; its
+ * reports go on listing what it unloads. Of 290 requests that engines refused on a loaded day 270
+ * were sent to a model that its own sidecar had ordered out.
+ */
+struct Unloading {
+    std::string model;
+    std::string adapter; //!< empty: the model
+    MonoTime since;
+};
+//! Forgets what a report shows to be done or lost; the report was asked for after the orders.
+void settleUnloads( std::vector<Unloading>& unloads, const gateway::EngineReport& report,
+                    MonoTime now );
+bool isUnloading( const std::vector<Unloading>& unloads, std::string_view model,
+                  std::string_view adapter );
+//! Residents that requests may still be sent for: without those that make way.
+std::vector<gateway::Resident> offered( const std::vector<gateway::Resident>& residents,
+                                        const std::vector<Unloading>& unloads,
+                                        std::string_view retiring );
+
 //! What the decision rests on.
 struct Holdings {
     const gateway::EngineSpec* engine = nullptr;
@@ -28,6 +50,7 @@
     std::map<std::string, Use, std::less<>> adapters; //!< by MODEL/NAME
     std::string retiring;                             //!< model that gets no new requests; or empty
     MonoTime retiringSince;
+    std::vector<Unloading> unloads; //!< under way; their memory is still taken
 };
 
 //! A model, or an adapter of it, that a request waits for.
@@ -41,6 +64,7 @@
 
 enum class StepKind {
     ready,     //!< it is there
+    leaving,   //!< it is there, and on its way out: nobody is let in, or waits for it
     wait,      //!< an order under way has to end first
     load,      //!< order to load `model` or `adapter`
     unload,    //!< order to unload `model` or `adapter`, to make room
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -294,6 +294,7 @@
                 notePauses( *report );
                 m_admission.takeReport( *report, std::chrono::steady_clock::now() );
                 m_report = std::move( *report );
+                settleUnloads( m_unloads, m_report, std::chrono::steady_clock::now() );
             }
             setReachable( report.has_value(), failures );
             publish();
@@ -369,6 +370,7 @@
         }
         out.retiring = m_retiring;
         out.retiringSince = m_retiringSince;
+        out.unloads = m_unloads;
         out.adapters = m_adapterUses;
         for( const auto& peer : m_peers ) {
             for( const auto& [model, demand] : peer->demand ) {
@@ -425,6 +427,8 @@
             return EnsureOutcome::needStore;
         case StepKind::unknown:
             return EnsureOutcome::failed;
+        case StepKind::leaving:
+            return EnsureOutcome::noRoom;
         case StepKind::noRoom:
             return waited > roomLimit ? std::optional( EnsureOutcome::noRoom ) : std::nullopt;
         case StepKind::wait:
@@ -512,7 +516,8 @@
                                 verdict == platform::OrderVerdict::holds ||
                                 verdict == platform::OrderVerdict::unknown;
         if( step.kind == StepKind::unload && mayBeTaken ) {
-            noteUnloading( step );
+            m_unloads.push_back( { step.model, step.adapter, std::chrono::steady_clock::now() } );
+            m_changed = true;
         }
         m_metrics.count( "orders", platform::nameOf( verdict ) );
         log::info( "order", { { "kind", step.kind == StepKind::load ? "load" : "unload" },
@@ -523,20 +528,6 @@
                               { "verdict", platform::nameOf( verdict ) } } );
     }
 
-    //! From now on the engine refuses requests for it: nobody is given leave any more.
-    void noteUnloading( const Step& step ) {
-        auto& residents = m_report.residents;
-        if( step.adapter.empty() ) {
-            std::erase_if( residents, [&]( const auto& it ) { return it.model == step.model; } );
-            return;
-        }
-        for( auto& it : residents ) {
-            if( it.model == step.model ) {
-                std::erase( it.adapters, step.adapter );
-            }
-        }
-    }
-
     //! The engine has restarted: what waits for its former start never comes.
     void noteMoved( const std::string& meant, const std::string& actual ) {
         log::info( "engine_restarted", { { "before", meant }, { "now", actual } } );
@@ -584,8 +575,7 @@
         out.reachable = m_reachable;
         out.gateways = static_cast<int>( m_peers.size() );
         out.formerUpstreams = m_former;
-        out.residents = m_report.residents;
-        std::erase_if( out.residents, [this]( const auto& it ) { return it.model == m_retiring; } );
+        out.residents = offered( m_report.residents, m_unloads, m_retiring );
         out.coming = m_report.coming;
         out.onDisk = m_report.onDisk;
         out.inMemory = m_report.inMemory;
@@ -665,6 +655,7 @@
     gateway::EngineReport m_report;
     gateway::EngineReport m_lastPublished;
     std::vector<std::string> m_former; //!< earlier starts of the engine, oldest first
+    std::vector<Unloading> m_unloads;  //!< ordered, and not yet known to be done
     std::string m_retiring;            //!< model that is about to make way, or empty
     MonoTime m_retiringSince;
     std::string m_upstreamId; //!< the engine's present start, as gateways know it
--- a/tests/unit/sidecar.tests.cpp
+++ b/tests/unit/sidecar.tests.cpp
@@ -77,6 +77,52 @@
     CHECK( nextStep( f.holdings, { "m4", "", true }, now ).kind == StepKind::load );
 }
 
+TEST_CASE( "While an unload waits for its runs, nobody is let in, and its memory stays taken",
+           "[sidecar][residency]" ) {
+    Fixture f;
+    f.report.ordering = true;
+    f.holdings.unloads = { { "m0", "", now } };
+    // Twenty gateways ask on, and the report goes on listing the model.
+    for( int n = 0; n < 20; ++n ) {
+        const auto at = now + n * 40ms;
+        settleUnloads( f.holdings.unloads, f.report, at );
+        CHECK( nextStep( f.holdings, { "m0", "", false }, at ).kind == StepKind::leaving );
+        CHECK( nextStep( f.holdings, { "m0", "a1", false }, at ).kind == StepKind::leaving );
+        // A load that is wanted meanwhile waits: the room is not there yet.
+        CHECK( nextStep( f.holdings, { "m3", "", false }, at ).kind == StepKind::wait );
+    }
+    CHECK( usedMb( f.spec, f.report ) == Approx( 3 * 72700 ) );
+    const auto shown = offered( f.report.residents, f.holdings.unloads, "" );
+    REQUIRE( shown.size() == 2 );
+    CHECK( shown[0].model == "m1" );
+}
+
+TEST_CASE( "An unload is forgotten when a report shows that it is done, or was lost",
+           "[sidecar][residency]" ) {
+    Fixture f;
+    std::vector<Unloading> unloads{ { "m0", "", now } };
+    f.report.ordering = true;
+    settleUnloads( unloads, f.report, now + 2s );
+    CHECK( unloads.size() == 1 );
+    auto done = f.report;
+    done.residents.erase( done.residents.begin() );
+    auto after = unloads;
+    settleUnloads( after, done, now + 2s );
+    CHECK( after.empty() );
+    f.report.ordering = false;
+    settleUnloads( unloads, f.report, now + 2s );
+    CHECK( unloads.empty() );
+    // An adapter's unload does not show as an order under way.
+    f.report.residents[1].adapters = { "a1", "a2" };
+    unloads = { { "m1", "a1", now } };
+    settleUnloads( unloads, f.report, now + 100ms );
+    CHECK( unloads.size() == 1 );
+    CHECK( offered( f.report.residents, unloads, "" )[1].adapters ==
+           std::vector<std::string>{ "a2" } );
+    settleUnloads( unloads, f.report, now + 1100ms );
+    CHECK( unloads.empty() );
+}
+
 TEST_CASE( "While a model's order is under way no other order is given", "[sidecar][residency]" ) {
     Fixture f;
     f.report.ordering = true;
