Coming back: requests wait for the configuration, new quota buckets start with a part of the allowance

A quota bucket that started empty refused 28 reviews as beyond a limit of which nothing had been asked: 9,190 tokens take 0.31 s to come in at the smallest limit, and a review waits a fifth of its goal, 0.16 s. Ruled out: the store's answer (7 ms), relays (they are chosen after the first listing). Change: a request that comes before configuration and upstreams waits for them for half a second, 200 requests at most; told otherwise to come back in 1 s. What may be passed beyond a limit is shared out: a quarter to gateways that can't ask (0.4 before), a fifth to buckets that start anew, the rest to grants spent a lease late. Test: "A request that comes before the configuration waits for it a little" (it names a flag that is new).

--- a/src/decide/quota.hpp
+++ b/src/decide/quota.hpp
@@ -37,6 +37,14 @@
     double slack = 0;      //!< units on top, over all gateways
 };
 
+//! Units that may be passed beyond a limit within the rule's window, over all gateways.
+double allowance( const QuotaRule& rule, const QuotaRate& rate );
+
+// How the allowance is spent: gateways that can't ask, buckets that start anew, and half a second's
+// limit for grants that are spent a lease later than they were counted.
+inline constexpr double reservePart = 0.25;
+inline constexpr double startPart = 0.2;
+
 //! A gateway tells a holder which organisations it obtains from there; regularly, and on change.
 struct QuotaNews {
     std::string gateway;
--- a/src/decide/quota_book.cpp
+++ b/src/decide/quota_book.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-//! Part of what may be passed beyond the limit that gateways spend without asking; the rest covers
-//! grants that are spent a lease later than they were counted.
-constexpr double reservePart = 0.4;
 //! One question serves about this time's requests, well within the lease.
 constexpr double aheadS = 0.2;
 //! The pace of requests is smoothed over about this time.
@@ -192,10 +189,7 @@
     for( const auto& past : spent ) {
         sum += past.units;
     }
-    const double seconds = std::chrono::duration<double>( m_rule.window ).count();
-    const double limit = account.rate.perS * seconds + account.rate.burst;
-    const double mine =
-        reservePart * ( m_rule.over * limit + m_rule.slack ) / std::max( m_gateways, 1 );
+    const double mine = reservePart * allowance( m_rule, account.rate ) / std::max( m_gateways, 1 );
     if( sum > mine ) {
         return false;
     }
--- a/src/decide/quota_bucket.cpp
+++ b/src/decide/quota_bucket.cpp
@@ -23,6 +23,11 @@
 
 } // namespace
 
+double allowance( const QuotaRule& rule, const QuotaRate& rate ) {
+    const double seconds = std::chrono::duration<double>( rule.window ).count();
+    return rule.over * ( rate.perS * seconds + rate.burst ) + rule.slack;
+}
+
 void refill( QuotaBucket& bucket, const QuotaRate& rate, MonoTime now ) {
     if( bucket.at == MonoTime{} ) {
         bucket.at = now;
--- a/src/decide/quota_bucket.hpp
+++ b/src/decide/quota_bucket.hpp
@@ -6,8 +6,8 @@
 
 namespace coursehead::decide {
 
-//! What is left of an organisation's limit. Starts empty: whoever kept it before may have spent a
-//! whole burst just now.
+//! What is left of an organisation's limit. Starts without a burst: whoever kept it before may have
+//! spent one just now.
 struct QuotaBucket {
     double level = 0;    //!< units; below zero: granted ahead of time
     double promised = 0; //!< units for which requests were told to come back
--- a/src/decide/quota_holder.cpp
+++ b/src/decide/quota_holder.cpp
@@ -10,7 +10,7 @@
     int heard = 0;
     int told = 1;
     for( const auto& [name, member] : m_members ) {
-        heard += now - member.heard <= m_window ? 1 : 0;
+        heard += now - member.heard <= m_rule.window ? 1 : 0;
         if( now - member.heard > quotaMembership ) {
             continue;
         }
@@ -30,7 +30,8 @@
 }
 
 void QuotaHolder::takeNews( const QuotaNews& news, MonoTime now ) {
-    std::erase_if( m_members, [&]( const auto& it ) { return now - it.second.heard > m_window; } );
+    std::erase_if( m_members,
+                   [&]( const auto& it ) { return now - it.second.heard > m_rule.window; } );
     std::vector<std::string> organisations;
     for( const auto& it : news.rates ) {
         organisations.push_back( it.organisation );
@@ -52,7 +53,19 @@
             account.version = news.version;
             account.rate = it;
         }
-        refill( account.bucket, rateOf( account, now ), now );
+        start( account, now );
+    }
+}
+
+void QuotaHolder::start( Account& account, MonoTime now ) {
+    const auto rate = rateOf( account, now );
+    const bool isNew = account.bucket.at == MonoTime{};
+    refill( account.bucket, rate, now );
+    if( isNew ) {
+        // Requests larger than what comes in while they wait would be refused though nobody has
+        // asked for anything: after a loss of power 28 reviews were.
+        const double first = startPart * allowance( m_rule, account.rate );
+        account.bucket.level = std::min( first, rate.burst );
     }
 }
 
--- a/src/decide/quota_holder.hpp
+++ b/src/decide/quota_holder.hpp
@@ -17,8 +17,8 @@
  */
 class QuotaHolder {
 public:
-    //! `window`: gateways that were heard within it are about.
-    void setWindow( Millis window ) { m_window = window; }
+    //! Gateways that were heard within the rule's window are about.
+    void setRule( const QuotaRule& rule ) { m_rule = rule; }
     //! A gateway says what it obtains here; replaces what it said before.
     void takeNews( const QuotaNews& news, MonoTime now );
     QuotaAnswer ask( const QuotaAsk& ask, MonoTime now );
@@ -39,10 +39,11 @@
         QuotaBucket bucket;
     };
 
+    void start( Account& account, MonoTime now );
     void refillAll( const std::vector<std::string>& organisations, MonoTime now );
     QuotaRate rateOf( const Account& account, MonoTime now ) const;
 
-    Millis m_window{ 8000 };
+    QuotaRule m_rule;
     std::map<std::string, Member> m_members; //!< by gateway
     std::map<std::string, Account, std::less<>> m_accounts;
 };
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -27,7 +27,14 @@
 //! The same where a model has to be loaded first, and where no configuration is known yet: about
 //! the time that a load, or an outage of the store, takes.
 constexpr Millis modelRetryAfter{ 1000 };
-constexpr Millis startRetryAfter{ 2000 };
+constexpr Millis startRetryAfter{ 1000 };
+//! A request that comes before the configuration waits for it this long: a process that starts has
+//! it after 20 to 90 ms when the store answers. With the retry after two seconds that was told
+//! before, 194 requests after a loss of power came back when their time was nearly over.
+constexpr Millis startPatience{ 500 };
+constexpr Millis startLook{ 10 };
+//! Requests that wait so at most: each holds its body in memory.
+constexpr int mostStarting = 200;
 //! Engines that are asked for room before the goal; then a late answer is better than none. Each
 //! question costs a round trip, and the next engine is a worse one.
 constexpr int inTimeAsks = 2;
@@ -95,7 +102,24 @@
     co_return ExchangeResult{ m_keepAlive && m_answered };
 }
 
+net::Task<> Exchange::waitForStart() {
+    if( m_shared.starting >= mostStarting ) {
+        co_return;
+    }
+    ++m_shared.starting;
+    const auto until = m_request.arrived + startPatience;
+    while( ( !m_shared.table || !m_shared.listed ) && !m_client->left &&
+           std::chrono::steady_clock::now() < until ) {
+        co_await net::pause( m_shared.context, startLook );
+    }
+    --m_shared.starting;
+    m_table = m_shared.table;
+}
+
 net::Task<bool> Exchange::admit() {
+    if( !m_table || !m_shared.listed ) {
+        co_await waitForStart();
+    }
     if( !m_table ) {
         std::string reason = "no configuration yet";
         co_await answerOwn( statusUnavailable, std::move( reason ), startRetryAfter );
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -37,6 +37,8 @@
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
     QuotaClient* quota = nullptr; //!< null: nobody's requests are counted
+    bool listed = true;           //!< the upstreams are known
+    int starting = 0;             //!< requests that wait for configuration and upstreams
     bool current = true;          //!< changes of the configuration are heard of
     bool draining = false;
     MonoTime stopAt{};                    //!< when draining: nothing may be in flight any more
@@ -113,6 +115,8 @@
         stop,      //!< it can't be served in time by any
     };
 
+    //! A process that has just started knows neither configuration nor upstreams: waits a little.
+    net::Task<> waitForStart();
     //! Finds route and organisation, or refuses.
     net::Task<bool> admit();
     //! Takes what it counts from its organisation's quota, or refuses.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,6 +45,7 @@
 
     int run() {
         m_shared.quota = &m_quota;
+        m_shared.listed = false;
         m_front = std::make_unique<net::Acceptor>(
             net::listen( m_context, m_settings.front.ip, m_settings.front.port ) );
         auto ready = net::listen( m_context, m_settings.ready.ip, m_settings.ready.port );
@@ -135,7 +136,10 @@
         m_quota.setConfiguration( m_shared.table->configuration() );
     }
 
-    void syncFleet() { m_fleet.sync( m_registry.members(), std::chrono::steady_clock::now() ); }
+    void syncFleet() {
+        m_shared.listed = m_feed.upstreamsListed();
+        m_fleet.sync( m_registry.members(), std::chrono::steady_clock::now() );
+    }
 
     net::Task<> ticks() {
         for( ;; ) {
@@ -149,6 +153,7 @@
             m_fleet.tick( now );
             m_feed.tick( now );
             m_quota.tick( now );
+            m_shared.listed = m_feed.upstreamsListed();
             m_shared.current = m_feed.configurationCurrent();
             if( now - m_settingsLook >= settingsInterval ) {
                 m_settingsLook = now;
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -18,19 +18,15 @@
 //! Refused clients come back no sooner: a connection and a request take some milliseconds.
 constexpr Millis leastRetryAfter{ 50 };
 
-decide::QuotaRule ruleOf( const platform::Bounds& bounds ) {
-    return { bounds.quotaWindow, bounds.quotaOver, bounds.quotaSlack };
-}
-
 } // namespace
 
 QuotaClient::QuotaClient( net::asio::io_context& context, Fleet& fleet, std::string vm,
                           const platform::Bounds& bounds )
-    : m_context( context ), m_fleet( fleet ), m_vm( std::move( vm ) ), m_book( ruleOf( bounds ) ),
-      m_window( bounds.quotaWindow ) {}
+    : m_context( context ), m_fleet( fleet ), m_vm( std::move( vm ) ),
+      m_book( platform::quotaRule( bounds ) ), m_window( bounds.quotaWindow ) {}
 
 void QuotaClient::setBounds( const platform::Bounds& bounds ) {
-    m_book.setRule( ruleOf( bounds ) );
+    m_book.setRule( platform::quotaRule( bounds ) );
     m_window = bounds.quotaWindow;
 }
 
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_PLATFORM_NODE_SETTINGS_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
+#include "decide/quota.hpp"
 
 #include <cstdint>
 #include <string>
@@ -41,6 +42,11 @@
     bool fencingRequired = false; //!< upstreams check fencing tokens
 };
 
+//! The rule by which organisations' quotas are judged.
+inline decide::QuotaRule quotaRule( const Bounds& bounds ) {
+    return { bounds.quotaWindow, bounds.quotaOver, bounds.quotaSlack };
+}
+
 //! The settings that the platform lays down for a process.
 struct NodeSettings {
     std::string vm;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -65,7 +65,7 @@
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
-        m_quota.setWindow( m_settings.bounds.quotaWindow );
+        m_quota.setRule( platform::quotaRule( m_settings.bounds ) );
         auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
         net::start( m_context, acceptPeers( std::move( acceptor ) ), "accept" );
         auto metrics = net::listen( m_context, m_settings.ip, m_settings.lastPort );
--- a/tests/replay/quota_world.cpp
+++ b/tests/replay/quota_world.cpp
@@ -115,7 +115,7 @@
 private:
     void startHolder( Holder& holder ) const {
         holder.kept = std::make_unique<decide::QuotaHolder>();
-        holder.kept->setWindow( m_rule.window );
+        holder.kept->setRule( m_rule );
     }
 
     void startGateway( Gateway& gateway ) const {
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -501,6 +501,21 @@
     CHECK( got.find( "Retry-After" ) != std::string::npos );
 }
 
+TEST_CASE( "A request that comes before the configuration waits for it a little",
+           "[gateway][exchange]" ) {
+    Path path;
+    const auto table = std::exchange( path.shared.table, nullptr );
+    path.shared.listed = false;
+    net::Timer known( path.context );
+    known.expires_after( 60ms );
+    known.async_wait( [&]( net::ErrorCode ) {
+        path.shared.table = table;
+        path.shared.listed = true;
+    } );
+    path.first.then( { wholeAnswer( 200, sealed, "done" ) } );
+    CHECK( startsWith( path.ask( "GET", "/safe/a" ), "HTTP/1.1 200" ) );
+}
+
 TEST_CASE( "While the gateway leaves, answers close their connection", "[gateway][exchange]" ) {
     Path path;
     path.shared.draining = true;
