Recall: an engine that starts anew takes in what it held before, before anybody asks

Cause: after a loss of power 39 empty engines had 15 loads begun in their first quarter of a second, 32 within the first, since a load began only when a request had found the engine; an engine that crashed alone came back to nothing. Change: the sidecar remembers what its engine held (with the copies that gateways counted); if it has started itself, a listing of the store that may be seconds old still names it. Into free room, from host memory and disk alone, one order a round, behind all that requests wait for. Everywhere empty: busy models first, by draw; one engine: what nobody else holds. Two ways: loads on demand, and this. Kept for what callers get: copies are back without a request that waits for each.

--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -25,12 +25,12 @@
 StoreClient::StoreClient( net::asio::io_context& context, const Endpoint& store )
     : m_http( context, store.ip, store.port ) {}
 
-net::Task<ListResult> StoreClient::list( std::string_view kind, Millis limit ) {
+net::Task<ListResult> StoreClient::list( std::string_view kind, Millis limit, ListAge age ) {
     ListResult out;
     std::string after;
     for( bool first = true;; first = false ) {
         net::JsonCall call;
-        call.target = listPath( kind, after );
+        call.target = listPath( kind, after, age );
         call.limit = limit;
         ++m_calls;
         const auto answer = co_await m_http.call( call );
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -32,7 +32,7 @@
     StoreClient( net::asio::io_context& context, const Endpoint& store );
 
     //! Lists a kind, page by page.
-    net::Task<ListResult> list( std::string_view kind, Millis limit );
+    net::Task<ListResult> list( std::string_view kind, Millis limit, ListAge age = ListAge::now );
     //! Waits up to `wait` for changes behind a revision.
     net::Task<WatchResult> watch( std::string_view kind, std::uint64_t revision, Millis wait );
 
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -199,11 +199,17 @@
     return "unknown";
 }
 
-std::string listPath( std::string_view kind, std::string_view after ) {
+std::string listPath( std::string_view kind, std::string_view after, ListAge age ) {
     std::string out = "/objects/";
     out += kind;
+    char mark = '?';
+    if( age == ListAge::secondsOld ) {
+        out += "?isStale=1";
+        mark = '&';
+    }
     if( !after.empty() ) {
-        out += "?after=";
+        out += mark;
+        out += "after=";
         out += after;
     }
     return out;
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -81,7 +81,12 @@
     std::vector<StoreEvent> events;
     std::uint64_t revision = 0; //!< where the next watch goes on
 };
-std::string listPath( std::string_view kind, std::string_view after );
+//! How a listing may be answered.
+enum class ListAge {
+    now,
+    secondsOld, //!< at a tenth of the price, outside the store's rate
+};
+std::string listPath( std::string_view kind, std::string_view after, ListAge age );
 std::string watchPath( std::string_view kind, std::uint64_t revision, Millis wait );
 std::optional<StorePage> readPage( std::string_view json );
 std::optional<StoreEvents> readEvents( std::string_view json );
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -4,8 +4,10 @@
 #include "coursehead/kernel/log.hpp"
 #include "coursehead/metrics/metrics.hpp"
 #include "decide/quota_holder.hpp"
+#include "decide/recall.hpp"
 #include "gateway/messages.hpp"
 #include "gateway/probe_server.hpp"
+#include "gateway/store_objects.hpp"
 #include "kernel/platform_role.hpp"
 #include "net/frame_channel.hpp"
 #include "platform/store_client.hpp"
@@ -157,6 +159,7 @@
         if( news.upstreamId != m_upstreamId ) {
             // Another start of the engine: it keeps nothing of what was sent before.
             m_upstreamId = news.upstreamId;
+            m_engineId = news.upstreamId;
             m_sentParts.clear();
             m_admission.failAll();
         }
@@ -284,12 +287,64 @@
         }
     }
 
+    //! After a loss of power the store's list still names what engines held before; a copy that is
+    //! seconds old shows it best.
+    net::Task<> recallFromStore() {
+        platform::StoreClient store( m_context, m_settings.store );
+        const auto result = co_await store.list( platform::upstreamKind, storeLimit,
+                                                 platform::ListAge::secondsOld );
+        std::map<std::string, int> copies;
+        std::set<std::string> mine;
+        for( const auto& object : result.listing.objects ) {
+            const auto upstream = gateway::upstreamOf( object );
+            if( !upstream ) {
+                continue;
+            }
+            const bool here =
+                upstream->ip == m_settings.engine.ip && upstream->port == m_settings.engine.port;
+            for( const auto& it : upstream->residents ) {
+                ++copies[it.model];
+                if( here ) {
+                    mine.insert( it.model );
+                }
+            }
+        }
+        m_recall.everywhere = true;
+        for( const auto& it : mine ) {
+            m_recall.models.push_back( { it, copies[it] } );
+        }
+        log::info( "recall", { { "models", static_cast<std::int64_t>( mine.size() ) },
+                               { "from", "store" } } );
+    }
+
+    //! Notices that the engine has started anew, and what it held before.
+    void noteStart( const gateway::EngineReport& report ) {
+        const bool first = !m_reported;
+        m_reported = true;
+        if( !report.residents.empty() ) {
+            m_lastHeld.clear();
+            for( const auto& it : report.residents ) {
+                m_lastHeld.push_back( { it.model, useOfModel( it.model ).copies } );
+            }
+            return;
+        }
+        if( first ) {
+            net::start( m_context, recallFromStore(), "recall" );
+        } else if( !m_lastHeld.empty() ) {
+            m_recall = { std::exchange( m_lastHeld, {} ), false };
+            log::info( "recall",
+                       { { "models", static_cast<std::int64_t>( m_recall.models.size() ) },
+                         { "from", "memory" } } );
+        }
+    }
+
     net::Task<> converge() {
         int failures = 0;
         for( ;; ) {
             auto report = co_await m_engine.report();
             failures = report ? 0 : failures + 1;
             if( report ) {
+                noteStart( *report );
                 noteLoads( *report );
                 notePauses( *report );
                 m_admission.takeReport( *report, std::chrono::steady_clock::now() );
@@ -350,23 +405,28 @@
         }
     }
 
+    //! How much all gateways use a model here.
+    Use useOfModel( const std::string& model ) const {
+        Use out;
+        for( const auto& peer : m_peers ) {
+            const auto found = peer->demand.find( model );
+            if( found != peer->demand.end() ) {
+                out.perS += found->second.perS;
+                out.copies = std::max( out.copies, found->second.copies );
+                out.running += found->second.running;
+            }
+        }
+        const auto loaded = m_loadedAt.find( model );
+        out.loadedAt = loaded == m_loadedAt.end() ? MonoTime{} : loaded->second;
+        return out;
+    }
+
     Holdings holdings() const {
         Holdings out;
         out.engine = &*m_spec;
         out.report = &m_report;
         for( const auto& it : m_report.residents ) {
-            Use use;
-            for( const auto& peer : m_peers ) {
-                const auto found = peer->demand.find( it.model );
-                if( found != peer->demand.end() ) {
-                    use.perS += found->second.perS;
-                    use.copies = std::max( use.copies, found->second.copies );
-                    use.running += found->second.running;
-                }
-            }
-            const auto loaded = m_loadedAt.find( it.model );
-            use.loadedAt = loaded == m_loadedAt.end() ? MonoTime{} : loaded->second;
-            out.models.emplace( it.model, use );
+            out.models.emplace( it.model, useOfModel( it.model ) );
         }
         out.retiring = m_retiring;
         out.retiringSince = m_retiringSince;
@@ -481,12 +541,33 @@
             ++it;
         }
         setRetiring( retire, now );
+        if( !order && !m_report.ordering && m_fence != 0 ) {
+            order = recallStep( held, now );
+            upstreamId = m_engineId;
+        }
         if( order && m_fence != 0 ) {
             const Step step = *order;
             co_await give( step, upstreamId );
         }
     }
 
+    //! A load of what the engine held before it started anew; only into free room.
+    std::optional<Step> recallStep( const Holdings& held, MonoTime now ) {
+        const auto isNear = [this]( std::string_view model ) {
+            const auto has = [model]( const std::vector<std::string>& names ) {
+                return std::find( names.begin(), names.end(), model ) != names.end();
+            };
+            return has( m_report.inMemory ) || has( m_report.onDisk );
+        };
+        while( const auto model = decide::takeNext( m_recall, isNear, m_random.unit() ) ) {
+            const auto step = nextStep( held, { *model, "", false }, now );
+            if( step.kind == StepKind::load ) {
+                return step;
+            }
+        }
+        return std::nullopt;
+    }
+
     //! The model that gateways are told is no longer here; empty: none.
     void setRetiring( const std::string& model, MonoTime now ) {
         if( model == m_retiring ) {
@@ -531,6 +612,9 @@
     //! The engine has restarted: what waits for its former start never comes.
     void noteMoved( const std::string& meant, const std::string& actual ) {
         log::info( "engine_restarted", { { "before", meant }, { "now", actual } } );
+        if( !actual.empty() ) {
+            m_engineId = actual;
+        }
         m_former.push_back( meant );
         if( m_former.size() > maxFormer ) {
             m_former.erase( m_former.begin() );
@@ -655,8 +739,12 @@
     gateway::EngineReport m_report;
     gateway::EngineReport m_lastPublished;
     std::vector<std::string> m_former; //!< earlier starts of the engine, oldest first
-    std::vector<Unloading> m_unloads;  //!< ordered, and not yet known to be done
-    std::string m_retiring;            //!< model that is about to make way, or empty
+    decide::Recall m_recall;
+    std::vector<decide::FormerModel> m_lastHeld;
+    std::string m_engineId;           //!< the engine's present start, as far as known
+    bool m_reported = false;          //!< the engine has reported once
+    std::vector<Unloading> m_unloads; //!< ordered, and not yet known to be done
+    std::string m_retiring;           //!< model that is about to make way, or empty
     MonoTime m_retiringSince;
     std::string m_upstreamId; //!< the engine's present start, as gateways know it
     SentParts m_sentParts;
