--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -100,12 +100,6 @@
     double reading = 0;              //!< part of the engine's time that this gateway's prompts take
 };
 
-//! A model that an engine will hold.
-struct ComingModel {
-    std::string model;
-    std::int64_t readyMs = 0; //!< until then
-};
-
 //! What moves all the time at an engine.
 struct EngineLoad {
     bool ordering = false; //!< an order is under way
--- /dev/null
+++ b/src/sidecar/engine_view.cpp
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/engine_view.hpp"
+
+#include "coursehead/kernel/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace coursehead::sidecar {
+
+namespace {
+
+bool holds( const gateway::EngineReport& report, std::string_view model ) {
+    return std::any_of( report.residents.begin(), report.residents.end(),
+                        [model]( const auto& it ) { return it.model == model; } );
+}
+
+bool contains( const std::vector<std::string>& names, std::string_view name ) {
+    return std::find( names.begin(), names.end(), name ) != names.end();
+}
+
+} // namespace
+
+EngineView::News EngineView::take( gateway::EngineReport report, MonoTime now ) {
+    News out;
+    for( const auto& it : report.residents ) {
+        if( !holds( m_report, it.model ) ) {
+            m_loadedAt[it.model] = m_report.residents.empty() ? MonoTime{} : now;
+        }
+    }
+    for( const auto& it : m_report.residents ) {
+        if( !holds( report, it.model ) ) {
+            out.dropped.push_back( it.model );
+        }
+    }
+    if( report.residents.empty() ) {
+        out.startedEmpty = !m_reported;
+        out.lost = std::exchange( m_lastHeld, {} );
+    } else {
+        m_lastHeld.clear();
+        for( const auto& it : report.residents ) {
+            m_lastHeld.push_back( { it.model, useOf( it.model ).copies } );
+        }
+    }
+    m_reported = true;
+    m_report = std::move( report );
+    settleUnloads( m_unloads, m_report, now );
+    return out;
+}
+
+Use EngineView::useOf( const std::string& model ) const {
+    Use out;
+    for( const auto& peer : m_peers ) {
+        const auto found = peer->demand.find( model );
+        if( found != peer->demand.end() ) {
+            out.perS += found->second.perS;
+            out.copies = std::max( out.copies, found->second.copies );
+            out.running += found->second.running;
+        }
+    }
+    const auto loaded = m_loadedAt.find( model );
+    out.loadedAt = loaded == m_loadedAt.end() ? MonoTime{} : loaded->second;
+    return out;
+}
+
+double EngineView::workPerS( const std::string& model ) const {
+    double out = 0;
+    for( const auto& peer : m_peers ) {
+        const auto it = peer->demand.find( model );
+        out += it == peer->demand.end() ? 0 : it->second.workPerS;
+    }
+    return out;
+}
+
+Holdings EngineView::holdings() const {
+    Holdings out;
+    out.engine = &*m_spec;
+    out.report = &m_report;
+    for( const auto& it : m_report.residents ) {
+        out.models.emplace( it.model, useOf( it.model ) );
+    }
+    out.retiring = m_retiring;
+    out.retiringSince = m_retiringSince;
+    out.unloads = m_unloads;
+    out.adapters = m_adapterUses;
+    for( const auto& peer : m_peers ) {
+        for( const auto& [model, demand] : peer->demand ) {
+            for( const auto& adapter : demand.adaptersUsed ) {
+                ++out.adapters[adapterKey( model, adapter )].running;
+            }
+        }
+    }
+    return out;
+}
+
+bool EngineView::isThere( const Want& want, MonoTime now ) const {
+    return nextStep( holdings(), want, now ).kind == StepKind::ready;
+}
+
+bool EngineView::hasWeights( std::string_view model ) const {
+    return contains( m_report.inMemory, model ) || contains( m_report.onDisk, model );
+}
+
+void EngineView::noteUse( const Want& want, MonoTime now ) {
+    if( !want.adapter.empty() ) {
+        m_adapterUses[adapterKey( want.model, want.adapter )].lastUsed = now;
+    }
+}
+
+void EngineView::noteDemand( const gateway::DemandNews& news, MonoTime now ) {
+    for( const auto& it : news.models ) {
+        for( const auto& adapter : it.adaptersUsed ) {
+            m_adapterUses[adapterKey( it.model, adapter )].lastUsed = now;
+        }
+    }
+}
+
+void EngineView::noteUnload( const Step& step, MonoTime now ) {
+    m_unloads.push_back( { step.model, step.adapter, now } );
+}
+
+bool EngineView::setRetiring( const std::string& model, MonoTime now ) {
+    if( model == m_retiring ) {
+        return false;
+    }
+    log::info( "retiring", { { "model", model }, { "before", m_retiring } } );
+    m_retiring = model;
+    m_retiringSince = now;
+    return true;
+}
+
+std::vector<gateway::Resident> EngineView::offered() const {
+    return sidecar::offered( m_report.residents, m_unloads, m_retiring );
+}
+
+} // namespace coursehead::sidecar
--- /dev/null
+++ b/src/sidecar/engine_view.hpp
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_SIDECAR_ENGINE_VIEW_HPP_INCLUDED
+#define COURSEHEAD_SIDECAR_ENGINE_VIEW_HPP_INCLUDED
+
+#include "decide/recall.hpp"
+#include "sidecar/question.hpp"
+#include "sidecar/residency.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace coursehead::sidecar {
+
+//! What a sidecar knows of its engine: what it is built like, its last report, what was ordered
+//! since, and how much gateways use what it holds.
+class EngineView {
+public:
+    //! `peers` are the connected gateways; they outlive this.
+    explicit EngineView( const std::set<PeerPtr>& peers ) : m_peers( peers ) {}
+
+    void setSpec( gateway::EngineSpec spec ) { m_spec = std::move( spec ); }
+    const std::optional<gateway::EngineSpec>& spec() const noexcept { return m_spec; }
+
+    //! What a new report shows beside its contents.
+    struct News {
+        std::vector<std::string> dropped; //!< models that are no longer there
+        bool startedEmpty = false;        //!< the first report, and the engine holds nothing
+        //! What the engine held before it came back empty.
+        std::vector<decide::FormerModel> lost;
+    };
+    News take( gateway::EngineReport report, MonoTime now );
+    const gateway::EngineReport& report() const noexcept { return m_report; }
+
+    //! How much all gateways use a model here.
+    Use useOf( const std::string& model ) const;
+    //! Reading of a model's prompts that all gateways ask for, in milliseconds a second.
+    double workPerS( const std::string& model ) const;
+    //! What a decision on the next order rests on. Needs the spec.
+    Holdings holdings() const;
+    bool isThere( const Want& want, MonoTime now ) const;
+    bool hasWeights( std::string_view model ) const;
+
+    void noteUse( const Want& want, MonoTime now );
+    void noteDemand( const gateway::DemandNews& news, MonoTime now );
+    //! An unload was ordered, and may be carried out.
+    void noteUnload( const Step& step, MonoTime now );
+    //! The model that gateways are told is no longer here; empty: none. True when it is another.
+    bool setRetiring( const std::string& model, MonoTime now );
+    //! What requests may still be sent for.
+    std::vector<gateway::Resident> offered() const;
+
+private:
+    const std::set<PeerPtr>& m_peers;
+    std::optional<gateway::EngineSpec> m_spec;
+    gateway::EngineReport m_report;
+    bool m_reported = false; //!< the engine has reported once
+    std::vector<decide::FormerModel> m_lastHeld;
+    std::map<std::string, MonoTime> m_loadedAt;
+    std::map<std::string, Use, std::less<>> m_adapterUses;
+    std::vector<Unloading> m_unloads; //!< ordered, and not yet known to be done
+    std::string m_retiring;           //!< model that is about to make way, or empty
+    MonoTime m_retiringSince;
+};
+
+} // namespace coursehead::sidecar
+
+#endif // COURSEHEAD_SIDECAR_ENGINE_VIEW_HPP_INCLUDED
--- /dev/null
+++ b/src/sidecar/orders.cpp
@@ -0,0 +1,256 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/orders.hpp"
+
+#include "coursehead/kernel/log.hpp"
+#include "gateway/store_objects.hpp"
+#include "platform/store_client.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace coursehead::sidecar {
+
+namespace {
+
+using gateway::EnsureOutcome;
+
+//! A want without room is answered after this, so that the request can go elsewhere.
+constexpr Millis roomLimit{ 400 };
+//! An adapter loads within some ten milliseconds; where it takes longer another engine is asked.
+constexpr Millis adapterLimit{ 500 };
+//! Earlier starts of the engine that are remembered.
+constexpr std::size_t maxFormer = 4;
+constexpr Millis storeLimit{ 1000 };
+constexpr Millis storeRetry{ 300 };
+//! A kind of the project's own without objects: listing it reads the store's revision.
+constexpr std::string_view fenceKind = "fences";
+
+//! The answer that a want gets now, if it gets one.
+std::optional<EnsureOutcome> outcomeOf( StepKind step, Millis waited, Millis limit ) {
+    switch( step ) {
+    case StepKind::ready:
+        return EnsureOutcome::ready;
+    case StepKind::needStore:
+        return EnsureOutcome::needStore;
+    case StepKind::unknown:
+        return EnsureOutcome::failed;
+    case StepKind::leaving:
+        return EnsureOutcome::noRoom;
+    case StepKind::noRoom:
+        return waited > roomLimit ? std::optional( EnsureOutcome::noRoom ) : std::nullopt;
+    case StepKind::wait:
+    case StepKind::load:
+    case StepKind::unload:
+    case StepKind::retire:
+        break;
+    }
+    return waited > limit ? std::optional( EnsureOutcome::failed ) : std::nullopt;
+}
+
+Millis limitOf( const Question& question, const Holdings& held ) {
+    const bool adapterOnly = held.models.contains( question.want.model );
+    return adapterOnly ? std::min( question.limit, adapterLimit ) : question.limit;
+}
+
+} // namespace
+
+Orders::Orders( net::asio::io_context& context, const platform::NodeSettings& settings,
+                EngineClient& engine, EngineView& view, RandomSource& random,
+                metrics::Metrics& metrics, Host host )
+    : m_context( context ), m_settings( settings ), m_engine( engine ), m_view( view ),
+      m_random( random ), m_metrics( metrics ), m_host( std::move( host ) ) {}
+
+void Orders::start() {
+    net::start( m_context, obtainFence(), "fence" );
+}
+
+//! A number that only rises over this VM's lives, and that no other VM is given for an engine.
+net::Task<> Orders::obtainFence() {
+    platform::StoreClient store( m_context, m_settings.store );
+    for( ;; ) {
+        const auto result = co_await store.list( fenceKind, storeLimit );
+        if( result.status == platform::StoreStatus::ok ) {
+            m_fence = result.listing.revision;
+            log::info( "fence", { { "fence", static_cast<std::int64_t>( m_fence ) } } );
+            co_return;
+        }
+        co_await net::pause( m_context, storeRetry );
+    }
+}
+
+void Orders::add( Question question ) {
+    question.loaded = true;
+    m_wants.push_back( std::move( question ) );
+}
+
+void Orders::forget( std::uint64_t key ) {
+    m_wants.remove_if( [key]( const auto& it ) { return it.key == key; } );
+}
+
+void Orders::forgetPeer( const Peer& peer ) {
+    m_wants.remove_if(
+        [&peer]( const Question& it ) { return it.key == keyOf( peer, it.number ); } );
+}
+
+void Orders::fail( const std::function<bool( const Question& question )>& which ) {
+    m_wants.remove_if( [&]( const Question& it ) {
+        const bool fails = which( it );
+        if( fails ) {
+            m_host.answer( it, EnsureOutcome::failed );
+        }
+        return fails;
+    } );
+}
+
+void Orders::dropOld() {
+    const auto now = std::chrono::steady_clock::now();
+    fail( [now]( const Question& it ) { return now - it.since > roomLimit; } );
+}
+
+void Orders::recall( std::vector<decide::FormerModel> lost ) {
+    m_recall = { std::move( lost ), false };
+    log::info( "recall", { { "models", static_cast<std::int64_t>( m_recall.models.size() ) },
+                           { "from", "memory" } } );
+}
+
+void Orders::recallFromStore() {
+    net::start( m_context, readFormer(), "recall" );
+}
+
+//! After a loss of power the store's list still names what engines held before; a copy of it that
+//! is seconds old does so longest.
+net::Task<> Orders::readFormer() {
+    platform::StoreClient store( m_context, m_settings.store );
+    const auto result =
+        co_await store.list( platform::upstreamKind, storeLimit, platform::ListAge::secondsOld );
+    std::map<std::string, int> copies;
+    std::set<std::string> mine;
+    for( const auto& object : result.listing.objects ) {
+        const auto upstream = gateway::upstreamOf( object );
+        if( !upstream ) {
+            continue;
+        }
+        const auto& engine = m_settings.engine;
+        const bool here = upstream->ip == engine.ip && upstream->port == engine.port;
+        for( const auto& it : upstream->residents ) {
+            ++copies[it.model];
+            if( here ) {
+                mine.insert( it.model );
+            }
+        }
+    }
+    m_recall.everywhere = true;
+    for( const auto& it : mine ) {
+        m_recall.models.push_back( { it, copies[it] } );
+    }
+    log::info( "recall",
+               { { "models", static_cast<std::int64_t>( mine.size() ) }, { "from", "store" } } );
+}
+
+//! A load of what the engine held before it started anew; only into free room.
+std::optional<Step> Orders::recallStep( const Holdings& held, MonoTime now ) {
+    const auto isNear = [this]( std::string_view model ) {
+        return m_view.hasWeights( model );
+    };
+    while( const auto model = decide::takeNext( m_recall, isNear, m_random.unit() ) ) {
+        const auto step = nextStep( held, { *model, "", false }, now );
+        if( step.kind == StepKind::load ) {
+            return step;
+        }
+    }
+    return std::nullopt;
+}
+
+net::Task<> Orders::serve() {
+    std::optional<Step> order;
+    std::string upstreamId;
+    std::string retire;
+    const auto now = std::chrono::steady_clock::now();
+    const auto held = m_view.holdings();
+    for( auto it = m_wants.begin(); it != m_wants.end(); ) {
+        const auto step = nextStep( held, it->want, now );
+        const auto waited = remaining( it->since, now );
+        if( const auto outcome = outcomeOf( step.kind, waited, limitOf( *it, held ) ) ) {
+            Question question = std::move( *it );
+            it = m_wants.erase( it );
+            if( *outcome == EnsureOutcome::ready ) {
+                m_host.ready( std::move( question ) );
+            } else {
+                m_host.answer( question, *outcome );
+            }
+            continue;
+        }
+        if( step.kind == StepKind::retire ) {
+            retire = step.model;
+        }
+        const bool orders = step.kind == StepKind::load || step.kind == StepKind::unload;
+        // Adapters first: they take milliseconds.
+        if( orders && ( !order || ( order->adapter.empty() && !step.adapter.empty() ) ) ) {
+            order = step;
+            upstreamId = it->upstreamId;
+        }
+        ++it;
+    }
+    if( m_view.setRetiring( retire, now ) ) {
+        m_host.changed();
+    }
+    if( m_fence == 0 ) {
+        co_return;
+    }
+    if( !order && !held.report->ordering ) {
+        order = recallStep( held, now );
+        upstreamId = m_engineId;
+    }
+    if( order ) {
+        const Step step = *order;
+        co_await give( step, upstreamId );
+    }
+}
+
+net::Task<> Orders::give( Step step, std::string upstreamId ) {
+    platform::Order order;
+    order.kind =
+        step.kind == StepKind::load ? platform::OrderKind::load : platform::OrderKind::unload;
+    order.model = step.model;
+    order.adapter = step.adapter;
+    order.expectedSequence = m_view.report().sequence;
+    order.holder = m_settings.vm;
+    order.fence = m_fence;
+    const auto given = co_await m_engine.give( order, upstreamId );
+    const auto verdict = given.verdict;
+    if( verdict == platform::OrderVerdict::moved ) {
+        noteMoved( upstreamId, given.actualUpstream );
+    }
+    const bool mayBeTaken = verdict == platform::OrderVerdict::underWay ||
+                            verdict == platform::OrderVerdict::holds ||
+                            verdict == platform::OrderVerdict::unknown;
+    if( step.kind == StepKind::unload && mayBeTaken ) {
+        m_view.noteUnload( step, std::chrono::steady_clock::now() );
+        m_host.changed();
+    }
+    m_metrics.count( "orders", platform::nameOf( verdict ) );
+    log::info( "order", { { "kind", step.kind == StepKind::load ? "load" : "unload" },
+                          { "model", step.model },
+                          { "adapter", step.adapter },
+                          { "upstream", upstreamId },
+                          { "sequence", static_cast<std::int64_t>( order.expectedSequence ) },
+                          { "verdict", platform::nameOf( verdict ) } } );
+}
+
+//! The engine has restarted: what waits for its former start never comes.
+void Orders::noteMoved( const std::string& meant, const std::string& actual ) {
+    log::info( "engine_restarted", { { "before", meant }, { "now", actual } } );
+    if( !actual.empty() ) {
+        m_engineId = actual;
+    }
+    m_former.push_back( meant );
+    if( m_former.size() > maxFormer ) {
+        m_former.erase( m_former.begin() );
+    }
+    m_host.changed();
+    fail( [&meant]( const Question& it ) { return it.upstreamId == meant; } );
+}
+
+} // namespace coursehead::sidecar
