Quotas: a gateway that asks belongs to its holder; a stranger is told that nothing is known

Cause (found by reading): a holder that had not heard a gateway's news for a second counted none of its part, and answered its questions as beyond a limit of nought. On a VM of 0.09 of a core a tick may come that late. Change: a question is news of its gateway too; one that had ceased to belong is told that the limit is not known there, and belongs again. Test: "A gateway whose news are late is no stranger to its holder".

--- a/src/decide/quota_holder.cpp
+++ b/src/decide/quota_holder.cpp
@@ -78,11 +78,25 @@
     }
 }
 
-QuotaAnswer QuotaHolder::ask( const QuotaAsk& ask, MonoTime now ) {
+QuotaAnswer QuotaHolder::ask( const std::string& gateway, const QuotaAsk& ask, MonoTime now ) {
     QuotaAnswer out;
     out.number = ask.number;
     const auto it = m_accounts.find( ask.organisation );
-    if( it == m_accounts.end() ) {
+    const auto member = m_members.find( gateway );
+    if( it == m_accounts.end() || member == m_members.end() ) {
+        return out;
+    }
+    const auto& listed = member->second.organisations;
+    if( std::find( listed.begin(), listed.end(), ask.organisation ) == listed.end() ) {
+        return out;
+    }
+    const bool belongs = now - member->second.heard <= quotaMembership;
+    if( !belongs ) {
+        refillAll( listed, now );
+    }
+    member->second.heard = now;
+    if( !belongs ) {
+        // Its part was not counted, so what it would be told now is no word on the limit.
         return out;
     }
     out.known = true;
--- a/src/decide/quota_holder.hpp
+++ b/src/decide/quota_holder.hpp
@@ -21,7 +21,9 @@
     void setRule( const QuotaRule& rule ) { m_rule = rule; }
     //! A gateway says what it obtains here; replaces what it said before.
     void takeNews( const QuotaNews& news, MonoTime now );
-    QuotaAnswer ask( const QuotaAsk& ask, MonoTime now );
+    //! A gateway that asks holds to this process, however late its news are. One that did not say
+    //! so lately is told that nothing is known here; from then on it belongs again.
+    QuotaAnswer ask( const std::string& gateway, const QuotaAsk& ask, MonoTime now );
     void takeBack( const QuotaReturn& back, MonoTime now );
 
     //! The part of an organisation's limit that is granted here.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -132,7 +132,7 @@
         } else if( const auto* back = std::get_if<decide::QuotaReturn>( &message ) ) {
             m_quota.takeBack( *back, now );
         } else if( const auto* ask = std::get_if<decide::QuotaAsk>( &message ) ) {
-            const auto answer = m_quota.ask( *ask, now );
+            const auto answer = m_quota.ask( peer->gateway, *ask, now );
             m_metrics.count( "quota_asks", answer.granted > 0 ? "granted" : "refused" );
             peer->channel->send( gateway::encode( gateway::Message( answer ) ) );
         }
--- a/tests/replay/quota_world.cpp
+++ b/tests/replay/quota_world.cpp
@@ -164,7 +164,7 @@
         if( const auto* news = std::get_if<QuotaNews>( &message.body ) ) {
             holder.kept->takeNews( *news, m_now );
         } else if( const auto* ask = std::get_if<QuotaAsk>( &message.body ) ) {
-            const auto answer = holder.kept->ask( *ask, m_now );
+            const auto answer = holder.kept->ask( gateway.name, *ask, m_now );
             send( message.gateway, message.holder, false, answer );
         } else if( const auto* back = std::get_if<QuotaReturn>( &message.body ) ) {
             holder.kept->takeBack( *back, m_now );
--- a/tests/replay/quotas.tests.cpp
+++ b/tests/replay/quotas.tests.cpp
@@ -98,3 +98,27 @@
         RC_ASSERT( got.worstWindow <= quotaBound( load, rule ) );
     } ) );
 }
+
+TEST_CASE( "A gateway whose news are late is no stranger to its holder, and a stranger is told so",
+           "[quota]" ) {
+    const MonoTime now{ 1000s };
+    QuotaHolder holder;
+    holder.setRule( rule );
+    QuotaNews news;
+    news.gateway = "g1";
+    news.rates = { { "o", 29000, 29000 } };
+    holder.takeNews( news, now );
+    QuotaAsk ask;
+    ask.organisation = "o";
+    ask.needed = 200;
+    ask.wished = 200;
+    CHECK( holder.ask( "g1", ask, now + 900ms ).granted >= 200 );
+    CHECK( holder.ask( "g1", ask, now + 1800ms ).granted >= 200 );
+    // Too late to belong: no word on the limit, and then it belongs again.
+    CHECK_FALSE( holder.ask( "g1", ask, now + 5s ).known );
+    CHECK( holder.partOf( "o", now + 5s ) == 1.0 );
+    CHECK( holder.ask( "g1", ask, now + 5100ms ).granted >= 200 );
+    CHECK_FALSE( holder.ask( "g2", ask, now + 5s ).known );
+    ask.organisation = "other";
+    CHECK_FALSE( holder.ask( "g1", ask, now + 5s ).known );
+}
