A watch of the store ends before its process counts as in touch again

A watch that hung since an outage waited 1.1 x contactMs and 0.6 s of slack: 5.0 s with a contactMs of 4 s, so for a second a process could answer by a configuration that was no longer in force. Ruled out: relayed changes (a relay that falls silent is left after 0.65 of drainMs, but its own watch hung likewise). Change: wait and slack together stay below contactMs, in one function for gateways and relays (it stood twice). Test: wait and slack against contactMs from 1 to 10 s; it fails on the old wait (1.1 x contact + 0.6 s).

--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -13,9 +13,6 @@
 //! Upstreams' entries change all the time; changes are taken in batches, since each watch call is
 //! paid for. The wait is this part of the time there is to stop sending to one that leaves.
 constexpr double batchPart = 0.4;
-//! How long a watch call waits, as a part of the time after which the platform judges again: a call
-//! that hangs since an outage must have ended, and another begun, soon after that time.
-constexpr double watchPart = 1.1;
 //! A relay that failed is not asked again for this long.
 constexpr Millis relayAvoided{ 3000 };
 //! How often a gateway looks whether the relay that all should use is another one.
@@ -24,7 +21,7 @@
 FollowSettings followSettings( const platform::NodeSettings& settings, std::string_view kind ) {
     FollowSettings out;
     out.kind = std::string( kind );
-    out.wait = partOf( settings.bounds.contact, watchPart );
+    out.wait = watchWait( settings.bounds );
     return out;
 }
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -7,8 +7,6 @@
 
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusGone = 410;
-//! How much longer than asked a watch may take before its connection is taken for dead.
-constexpr Millis watchSlack{ 600 };
 
 StoreStatus statusOf( const net::JsonAnswer& answer ) {
     if( answer.end != net::CallEnd::answered ) {
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -9,6 +9,9 @@
 
 namespace coursehead::platform {
 
+//! How much longer than asked a watch may take before its connection is taken for dead.
+inline constexpr Millis watchSlack{ 600 };
+
 enum class StoreStatus {
     ok,
     expired,     //!< the watch's revision lies behind the store's history: list again
--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -25,12 +25,6 @@
            a.remaining != b.remaining;
 }
 
-//! How long a watch on the configuration waits: changes end it at once.
-Millis configurationWait( const platform::Bounds& bounds ) {
-    constexpr double part = 1.1; // as a gateway's own watch
-    return gateway::partOf( bounds.contact, part );
-}
-
 } // namespace
 
 Relay::Relay( net::asio::io_context& context, const platform::NodeSettings& settings,
@@ -75,7 +69,7 @@
         settings.pause = gateway::relayPause( m_settings.bounds );
     } else {
         settings.kind = std::string( platform::configurationKind );
-        settings.wait = configurationWait( m_settings.bounds );
+        settings.wait = gateway::watchWait( m_settings.bounds );
     }
     part->follower = std::make_unique<gateway::Follower>(
         m_context, m_settings.store, std::move( settings ), m_random, handlersFor( part ) );
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -231,3 +231,15 @@
     CHECK_FALSE( follower.relayed( store.revision() - 1, MonoTime::max() ) );
     follower.stop();
 }
+
+TEST_CASE( "A watch that hangs since an outage has ended before its process counts as in touch",
+           "[relay]" ) {
+    for( const auto contact : { 1000ms, 2000ms, 3000ms, 4000ms, 10000ms } ) {
+        platform::Bounds bounds;
+        bounds.contact = contact;
+        const auto wait = gateway::watchWait( bounds );
+        INFO( contact.count() );
+        CHECK( wait > 0ms );
+        CHECK( wait + platform::watchSlack < contact );
+    }
+}
