Replay: a fleet of 115 gateways and 185 holders starts anew, links coming up over three seconds

Hypothesis: at 300 machines serving took 8 s after everything was killed since gateways that know different holders get parts of the limit only.

--- a/tests/replay/quota_world.cpp
+++ b/tests/replay/quota_world.cpp
@@ -43,6 +43,7 @@
     std::string name;
     std::unique_ptr<decide::QuotaBook> book;
     std::vector<MonoTime> heard; //!< by holder
+    std::vector<MonoTime> up;    //!< when it reaches each holder
     std::set<int> told;
     std::deque<Request> waiting;
     std::uint64_t lastNumber = 0;
@@ -96,6 +97,7 @@
         // Fleets stand for a while before traffic comes.
         constexpr Millis lead{ 3000 };
         const auto begin = m_now + lead;
+        m_begin = begin;
         for( ; m_now < begin + m_load.length; m_now += step ) {
             const auto since = std::chrono::duration_cast<Millis>( m_now - begin );
             trouble( since );
@@ -108,6 +110,7 @@
             speak();
         }
         m_out.worstWindow = worstWindow();
+        m_out.back = timeBack();
         m_out.waitedMs = m_served > 0 ? m_out.waitedMs / m_served : 0;
         return m_out;
     }
@@ -118,7 +121,13 @@
         holder.kept->setRule( m_rule );
     }
 
-    void startGateway( Gateway& gateway ) const {
+    void startGateway( Gateway& gateway ) {
+        gateway.up.clear();
+        for( std::size_t n = 0; n < m_holders.size(); ++n ) {
+            const double after =
+                m_random.unit() * static_cast<double>( m_load.connectOver.count() );
+            gateway.up.push_back( m_now + Millis( static_cast<std::int64_t>( after ) ) );
+        }
         gateway.book = std::make_unique<decide::QuotaBook>( m_rule );
         gateway.book->setRates( 1, std::vector{ m_rate } );
         gateway.heard.assign( m_holders.size(), MonoTime{} );
@@ -129,7 +138,8 @@
 
     bool reaches( const Gateway& gateway, int holder ) const {
         const bool half = holder < m_load.holders / 2;
-        return !gateway.cut && !( gateway.split && half );
+        const bool connected = m_now >= gateway.up[static_cast<std::size_t>( holder )];
+        return connected && !gateway.cut && !( gateway.split && half );
     }
 
     void send( int gateway, int holder, bool toHolder, Body body ) {
@@ -246,6 +256,7 @@
             return;
         }
         m_out.asked += units;
+        m_asked.push_back( { m_now, units } );
         QuotaAsk whole;
         whole.needed = units;
         whole.wished = units;
@@ -381,6 +392,31 @@
         }
     }
 
+    Millis timeBack() const {
+        for( const auto& event : m_events ) {
+            if( event.kind != QuotaTrouble::killAll ) {
+                continue;
+            }
+            constexpr Millis look{ 100 };
+            for( Millis after{ 0 }; after + look < m_load.length - event.from; after += look ) {
+                const auto from = m_begin + event.from + after;
+                double asked = 0;
+                double served = 0;
+                for( const auto& it : m_asked ) {
+                    asked += it.at >= from && it.at < from + look * 5 ? it.units : 0;
+                }
+                for( const auto& it : m_spent ) {
+                    served += it.at >= from && it.at < from + look * 5 ? it.units : 0;
+                }
+                if( asked > 0 && served >= 0.9 * asked ) {
+                    return after;
+                }
+            }
+            return m_load.length;
+        }
+        return Millis{ 0 };
+    }
+
     double worstWindow() {
         std::sort( m_spent.begin(), m_spent.end(),
                    []( const Spent& a, const Spent& b ) { return a.at < b.at; } );
@@ -409,6 +445,8 @@
     std::vector<Holder> m_holders;
     std::deque<Message> m_messages;
     std::vector<Spent> m_spent;
+    std::vector<Spent> m_asked;
+    MonoTime m_begin;
     decide::QuotaBucket m_ideal;
     QuotaOutcome m_out;
     int m_served = 0;
--- a/tests/replay/quota_world.hpp
+++ b/tests/replay/quota_world.hpp
@@ -32,6 +32,9 @@
     Millis hotTo{ 0 };
     double skew = 1; //!< the gateway with most requests has this many times the mean
     Millis length{ 20000 };
+    //! Gateways that start reach their holders one after the other, in an order of their own,
+    //! within this time.
+    Millis connectOver{ 0 };
     bool large = true; //!< reviews of 9,190 tokens beside chats; else chats alone
 };
 
@@ -58,6 +61,9 @@
     double messages = 0;    //!< questions to holders
     double waitedMs = 0;    //!< in the mean, of what was served
     int unknown = 0;        //!< requests refused since nobody could be asked
+    //! After everything was killed: until nine tenths of what is asked for are served, in steps of
+    //! 100 ms.
+    Millis back{ 0 };
 };
 
 //! What the rule allows in its window.
--- a/tests/replay/quotas.tests.cpp
+++ b/tests/replay/quotas.tests.cpp
@@ -122,3 +122,18 @@
     ask.organisation = "other";
     CHECK_FALSE( holder.ask( "g1", ask, now + 5s ).known );
 }
+
+TEST_CASE( "A large fleet that starts anew is back as soon as its gateways reach the holders",
+           "[replay][quota]" ) {
+    QuotaLoad load;
+    load.gateways = 115;
+    load.holders = 185;
+    load.connectOver = 3000ms;
+    load.length = 16000ms;
+    const auto got = playQuota( load, { { QuotaTrouble::killAll, 6000ms, 6100ms, 1 } },
+                                QuotaWay::holder, rule, 5 );
+    show( "all killed, 115 gateways and 185 holders", load, got );
+    std::printf( "back after %lld ms\n", static_cast<long long>( got.back.count() ) );
+    CHECK( got.worstWindow <= quotaBound( load, rule ) );
+    CHECK( got.back <= load.connectOver + 500ms );
+}
