--- a/src/decide/quota_holder.cpp
+++ b/src/decide/quota_holder.cpp
@@ -103,6 +103,13 @@
     const auto grant = take( it->second.bucket, rateOf( it->second, now ), ask, now );
     out.granted = grant.units;
     out.waitMs = grant.wait.count();
+    if( grant.units <= 0 ) {
+        // While the links of a fleet that starts come up, a holder has a part of a hundredth or so,
+        // and by that part a review would be told to come back after half a minute. By the time the
+        // client is back the part is whole again, or the client asks elsewhere.
+        const double part = partOf( ask.organisation, now );
+        out.waitMs = static_cast<std::int64_t>( static_cast<double>( out.waitMs ) * part );
+    }
     return out;
 }
 
--- a/tests/replay/quotas.tests.cpp
+++ b/tests/replay/quotas.tests.cpp
@@ -137,3 +137,24 @@
     CHECK( got.worstWindow <= quotaBound( load, rule ) );
     CHECK( got.back <= load.connectOver + 500ms );
 }
+
+TEST_CASE( "A holder of one gateway among many tells a time by the whole limit", "[quota]" ) {
+    const MonoTime now{ 1000s };
+    QuotaHolder holder;
+    holder.setRule( rule );
+    QuotaNews news;
+    news.gateway = "g1";
+    news.gateways = 115;
+    news.rates = { { "o", 29000, 29000 } };
+    holder.takeNews( news, now );
+    QuotaAsk ask;
+    ask.organisation = "o";
+    ask.needed = 9190;
+    ask.wished = 9190;
+    // The first takes what there is, and a debt with it.
+    holder.ask( "g1", ask, now + 10ms );
+    const auto refused = holder.ask( "g1", ask, now + 20ms );
+    CHECK( refused.known );
+    CHECK( refused.granted == 0 );
+    CHECK( refused.waitMs < 1000 );
+}
