Weight store: a load begins within a second of its grant, or not at all

Change: a question's leave for the weight store ages after a second at the sidecar, which then says that it needs it again; the gateway takes the old grant back and asks anew; grants count over the window and that second. Two waits that were there stay: a grant that is used, and the first window of a gateway's life.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -26,8 +26,9 @@
 
 Fleet::Fleet( net::asio::io_context& context, RandomSource& random, FleetSettings settings )
     : m_context( context ), m_random( random ), m_settings( std::move( settings ) ),
-      m_grants( m_settings.ceilingWindow ), m_started( std::chrono::steady_clock::now() ),
-      m_lastTick( m_started ), m_gateways( assumedGateways ) {}
+      m_grants( m_settings.ceilingWindow + storeGrantLife ),
+      m_started( std::chrono::steady_clock::now() ), m_lastTick( m_started ),
+      m_gateways( assumedGateways ) {}
 
 Fleet::~Fleet() {
     for( auto& it : m_nodes ) {
@@ -284,12 +285,17 @@
     request.fromStore = !near && node->engine && mayUseStore( *node, request.model, now );
     const bool loads = !node->holdsModel( request.model, now ) && ( near || request.fromStore );
     const std::string name = request.model;
+    const bool granted = request.fromStore;
     const bool held = node->holdsModel( name, now );
     const bool first = loads && node->loading.emplace( name, now ).second;
     const auto answer = co_await link->ensure( std::move( request ) );
     if( first ) {
         node->loading.erase( name );
     }
+    if( granted && answer.outcome == EnsureOutcome::needStore ) {
+        // Its engine was busy until the grant was too old.
+        m_grants.release( node->upstream.id, name );
+    }
     const auto answered = std::chrono::steady_clock::now();
     node->takeReadingWait( static_cast<double>( answer.waitMs ), answered );
     const auto demand = m_demand.find( name );
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -117,7 +117,7 @@
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, Demand> m_demand; //!< by model
     ModelPace m_pace;
-    StoreGrants m_grants;
+    StoreGrants m_grants; //!< over the rate's window and a grant's life: it counts when loads begin
     StoreNewsHandler m_onStoreNews;
     MonoTime m_started;
     MonoTime m_lastTick;
--- a/src/gateway/store_grants.cpp
+++ b/src/gateway/store_grants.cpp
@@ -23,6 +23,12 @@
     return true;
 }
 
+void StoreGrants::release( const std::string& upstreamId, const std::string& model ) {
+    std::erase_if( m_loads, [&]( const auto& it ) {
+        return it.upstreamId == upstreamId && it.model == model;
+    } );
+}
+
 int storeShare( double loadsPerS, Millis window, int gateways ) {
     const double seconds = std::chrono::duration<double>( window ).count();
     return std::max( static_cast<int>( loadsPerS * seconds / std::max( gateways, 1 ) ), 1 );
--- a/src/gateway/store_grants.hpp
+++ b/src/gateway/store_grants.hpp
@@ -9,6 +9,11 @@
 
 namespace coursehead::gateway {
 
+//! A load from the weight store begins this long after it was allowed at the latest, or not at all:
+//! one that waited for its engine began in another window than it was counted in, and twelve loads
+//! began where eleven may.
+inline constexpr Millis storeGrantLife{ 1000 };
+
 //! Loads from the weight store that one gateway allowed within a window of time.
 class StoreGrants {
 public:
@@ -17,6 +22,8 @@
     //! Allows a load unless `most` are in the window. Requests that wait for the same load share
     //! it.
     bool take( const std::string& upstreamId, const std::string& model, int most, MonoTime now );
+    //! A load that was allowed did not begin, and will not.
+    void release( const std::string& upstreamId, const std::string& model );
 
 private:
     struct Load {
--- a/src/sidecar/orders.cpp
+++ b/src/sidecar/orders.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/orders.hpp"
 
 #include "coursehead/kernel/log.hpp"
+#include "gateway/store_grants.hpp"
 #include "gateway/store_objects.hpp"
 #include "platform/store_client.hpp"
 
@@ -170,8 +171,10 @@
     const auto now = std::chrono::steady_clock::now();
     const auto held = m_view.holdings();
     for( auto it = m_wants.begin(); it != m_wants.end(); ) {
-        const auto step = nextStep( held, it->want, now );
         const auto waited = remaining( it->since, now );
+        Want want = it->want;
+        want.fromStore = want.fromStore && waited <= gateway::storeGrantLife;
+        const auto step = nextStep( held, want, now );
         if( const auto outcome = outcomeOf( step.kind, waited, limitOf( *it, held ) ) ) {
             Question question = std::move( *it );
             it = m_wants.erase( it );
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
+#include "coursehead/kernel/random.hpp"
 #include "gateway/event_stream.hpp"
 #include "gateway/health.hpp"
 #include "gateway/http_text.hpp"
@@ -199,6 +200,77 @@
     CHECK( grants.take( "u1", "b", 2, start + 5001ms ) );
 }
 
+namespace {
+
+//! The most loads that begin within five seconds, when engines are busy for up to eight seconds
+//! before they can begin with one.
+int mostBegun( bool grantsAge, std::uint64_t seed ) {
+    constexpr int gateways = 5;
+    constexpr Millis window{ 5000 };
+    constexpr Millis step{ 50 };
+    RandomSource random( seed );
+    struct Waiting {
+        MonoTime granted;
+        MonoTime engineFree;
+        std::string upstream;
+    };
+    std::vector<StoreGrants> grants( gateways,
+                                     StoreGrants( grantsAge ? window + storeGrantLife : window ) );
+    std::vector<std::optional<Waiting>> waiting( gateways );
+    std::vector<MonoTime> begun;
+    int serial = 0;
+    int worst = 0;
+    for( auto now = start; now < start + 60s; now += step ) {
+        for( std::size_t n = 0; n < grants.size(); ++n ) {
+            auto& it = waiting[n];
+            if( !it ) {
+                const auto upstream = std::to_string( ++serial );
+                if( grants[n].take( upstream, "m", 1, now ) ) {
+                    const auto busy = Millis( static_cast<int>( random.unit() * 8000 ) );
+                    it = Waiting{ now, now + busy, upstream };
+                }
+            }
+            if( it && grantsAge && now - it->granted > storeGrantLife ) {
+                grants[n].release( it->upstream, "m" );
+                it.reset();
+            }
+            if( it && now >= it->engineFree ) {
+                begun.push_back( now );
+                it.reset();
+            }
+        }
+        const auto recent = std::count_if( begun.begin(), begun.end(),
+                                           [&]( MonoTime at ) { return now - at <= window; } );
+        worst = std::max( worst, static_cast<int>( recent ) );
+    }
+    return worst;
+}
+
+} // namespace
+
+TEST_CASE(
+    "Loads from the weight store keep its rate though engines are busy when they are allowed",
+    "[gateway][store]" ) {
+    int worst = 0;
+    int worstBefore = 0;
+    for( std::uint64_t seed = 1; seed <= 40; ++seed ) {
+        worst = std::max( worst, mostBegun( true, seed ) );
+        worstBefore = std::max( worstBefore, mostBegun( false, seed ) );
+    }
+    // Five gateways, a load each.
+    CHECK( worst <= 5 );
+    CHECK( worstBefore > 5 );
+}
+
+TEST_CASE( "A load that was allowed and did not begin makes room for another",
+           "[gateway][store]" ) {
+    StoreGrants grants( 5000ms );
+    CHECK( grants.take( "u1", "a", 1, start ) );
+    CHECK_FALSE( grants.take( "u2", "b", 1, start + 10ms ) );
+    grants.release( "u1", "a" );
+    CHECK( grants.take( "u2", "b", 1, start + 20ms ) );
+}
+
 TEST_CASE( "Gateways share the weight store's rate, and none is left without a load",
            "[gateway][store]" ) {
     CHECK( storeShare( 1.6, 5000ms, 4 ) == 2 );
