Sight: what joins the tries of one request, and what an engine ran when it went

Change: a fingerprint of organisation, method, host, path and body in send, send_failed and request_end; duration and events of a broken send; runs and the last order's age in engine_lost; a metrics port of our own, named in the deploy file. No logic changed. Ruled out: a client's address as part of it (four contents came from two or three). Conclusion: the tries can be joined now. millisBetween stood twice, and stands once.

--- a/include/coursehead/kernel/clock.hpp
+++ b/include/coursehead/kernel/clock.hpp
@@ -30,6 +30,11 @@
     return left.count() > 0 ? left : Millis{ 0 };
 }
 
+//! Milliseconds from `from` to `to`; negative when `to` is the earlier.
+inline std::int64_t millisBetween( MonoTime from, MonoTime to ) noexcept {
+    return std::chrono::duration_cast<Millis>( to - from ).count();
+}
+
 } // namespace coursehead
 
 #endif // COURSEHEAD_KERNEL_CLOCK_HPP_INCLUDED
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 #include "gateway/exchange.hpp"
 
 #include "coursehead/kernel/log.hpp"
+#include "gateway/fingerprint.hpp"
 #include "gateway/http_text.hpp"
 #include "gateway/status.hpp"
 
@@ -23,8 +24,11 @@
 //! Pause until the weight store's rate is asked for again.
 constexpr Millis storePoll{ 150 };
 
-std::int64_t millisBetween( MonoTime from, MonoTime to ) {
-    return std::chrono::duration_cast<Millis>( to - from ).count();
+//! The IP number at the other end; empty once the connection is closed.
+std::string addressOf( const net::Socket& socket ) {
+    net::ErrorCode ec;
+    const auto end = socket.remote_endpoint( ec );
+    return ec ? std::string{} : end.address().to_string();
 }
 
 } // namespace
@@ -52,6 +56,7 @@
     if( !admitted ) {
         co_return ExchangeResult{ m_keepAlive };
     }
+    m_fingerprint = fingerprint();
     const bool charged = co_await charge();
     if( !charged ) {
         co_return ExchangeResult{ m_keepAlive };
@@ -77,6 +82,19 @@
     co_return ExchangeResult{ m_keepAlive && m_answered };
 }
 
+std::uint64_t Exchange::fingerprint() const {
+    RequestContent content;
+    if( m_organisation != nullptr ) {
+        content.organisation = m_organisation->name;
+    }
+    const auto host = m_request.fields[http::field::host];
+    content.method = m_request.method;
+    content.host = { host.data(), host.size() };
+    content.target = m_request.target;
+    content.body = m_request.body;
+    return fingerprintOf( content );
+}
+
 net::Task<> Exchange::forward() {
     bool counted = false;
     for( int round = 0; round < m_route->attempts + extraSends; ++round ) {
@@ -341,6 +359,8 @@
     log::info( "request_end", { { "id", m_request.head.requestId },
                                 { "route", m_route != nullptr ? m_route->name : "" },
                                 { "organisation", m_organisation ? m_organisation->name : "" },
+                                { "fingerprint", fingerprintText( m_fingerprint ) },
+                                { "client", addressOf( m_client->socket ) },
                                 { "outcome", outcome },
                                 { "status", static_cast<std::int64_t>( m_status ) },
                                 { "sends", static_cast<std::int64_t>( m_sends ) },
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -128,6 +128,7 @@
     net::Task<bool> admit();
     //! Takes what it counts from its organisation's quota, or refuses.
     net::Task<bool> charge();
+    std::uint64_t fingerprint() const;
     net::Task<> forward();
     //! Obtains what the request needs at the chosen upstream.
     net::Task<Next> prepare( Choice& choice );
@@ -170,6 +171,7 @@
     const Route* m_route = nullptr;
     const Organisation* m_organisation = nullptr; //!< null where no key is needed
     double m_charged = 0;                         //!< units of its quota
+    std::uint64_t m_fingerprint = 0;              //!< of its content; the same in each try
     std::string m_service;
     Need m_need;
     std::vector<std::uint64_t> m_prefix;
@@ -179,6 +181,8 @@
     int m_refusals = 0;                  //!< sidecars that could not let it in before its goal
     std::optional<ReadingLeave> m_leave; //!< to send its prompt to the chosen upstream
     int m_sends = 0;                     //!< that reached an upstream
+    MonoTime m_sentAt;                   //!< the last of them
+    std::optional<MonoTime> m_heardAt;   //!< that one's first event
     int m_runs = 0;                      //!< of these, may have run
     bool m_mayHaveRun = false;
     std::string m_lastWhy;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,7 +48,7 @@
         m_front = std::make_unique<net::Acceptor>(
             net::listen( m_context, m_settings.front.ip, m_settings.front.port ) );
         auto ready = net::listen( m_context, m_settings.ready.ip, m_settings.ready.port );
-        auto metrics = net::listen( m_context, m_settings.ip, m_settings.lastPort );
+        auto metrics = net::listen( m_context, m_settings.ip, m_settings.metricsPort );
         net::start( m_context, acceptClients(), "accept" );
         net::start(
             m_context,
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -2,6 +2,7 @@
 // One send of a request to an upstream, and the passing on of its answer.
 #include "coursehead/kernel/log.hpp"
 #include "gateway/exchange.hpp"
+#include "gateway/fingerprint.hpp"
 #include "gateway/http_text.hpp"
 #include "gateway/status.hpp"
 #include "gateway/transfer.hpp"
@@ -32,10 +33,6 @@
 constexpr std::uint64_t maxWholeAnswer = 16U << 20U;
 constexpr std::string_view chunkedFraming = "Transfer-Encoding: chunked\r\n";
 
-std::int64_t millisBetween( MonoTime from, MonoTime to ) {
-    return std::chrono::duration_cast<Millis>( to - from ).count();
-}
-
 bool upstreamFailed( unsigned status ) {
     return status >= firstServerError;
 }
@@ -108,6 +105,7 @@
 void Exchange::logSend( const Node& node, const Choice& choice, MonoTime now ) const {
     log::info( "send",
                { { "id", m_request.head.requestId },
+                 { "fingerprint", fingerprintText( m_fingerprint ) },
                  { "route", m_route->name },
                  { "config", static_cast<std::int64_t>( m_table->configuration().version ) },
                  { "upstream", node.upstream.id },
@@ -142,6 +140,8 @@
     ++m_sends;
     m_expectedMs = choice.expectedMs;
     m_client->upstream = connection;
+    m_sentAt = now;
+    m_heardAt.reset();
     logSend( *node, choice, now );
     if( generates ) {
         node->notePrompt( m_prefix, *m_need.generation );
@@ -160,11 +160,16 @@
     }
     if( out.end == SendEnd::lost || out.end == SendEnd::streamCut ) {
         noteFailure( node->health, 1.0, now );
-        log::info( "send_failed", { { "id", m_request.head.requestId },
-                                    { "upstream", node->upstream.id },
-                                    { "why", out.why },
-                                    { "cut_stream", out.end == SendEnd::streamCut ? "yes" : "no" },
-                                    { "after_ms", millisBetween( m_request.arrived, now ) } } );
+        log::info( "send_failed",
+                   { { "id", m_request.head.requestId },
+                     { "fingerprint", fingerprintText( m_fingerprint ) },
+                     { "upstream", node->upstream.id },
+                     { "why", out.why },
+                     { "sent_ms", millisBetween( m_sentAt, now ) },
+                     { "events_ms", m_heardAt ? millisBetween( *m_heardAt, now ) : -1 },
+                     { "beside", node->inFlight },
+                     { "cut_stream", out.end == SendEnd::streamCut ? "yes" : "no" },
+                     { "after_ms", millisBetween( m_request.arrived, now ) } } );
     }
     if( out.end == SendEnd::notRun ) {
         noteFailure( node->health, refusalWeight, now );
@@ -329,6 +334,7 @@
     transfer.node.lastHeard = now;
     if( !transfer.heardEvents ) {
         transfer.heardEvents = true;
+        m_heardAt = now;
         transfer.inFlight.prefillDone();
         const auto measured = static_cast<double>( millisBetween( transfer.sentAt, now ) );
         if( m_need.generation != nullptr ) {
--- a/src/kernel/platform_role.cpp
+++ b/src/kernel/platform_role.cpp
@@ -14,8 +14,12 @@
 
 namespace {
 
-constexpr std::array<settings::Spec, 1> specs{ {
+constexpr std::int64_t highestPort = 65535;
+
+constexpr std::array<settings::Spec, 2> specs{ {
     { "log-level", settings::Kind::logLevel, "info", "debug, info, warn or error" },
+    { "metrics-port", settings::Kind::number, "0",
+      "port of the process's own figures; 0: the last internal port", 0, highestPort },
 } };
 
 } // namespace
@@ -30,7 +34,7 @@
         return exitOk;
     }
     auto problems = own.problems;
-    const auto read = platform::readNodeSettings( platform::settingsPath() );
+    auto read = platform::readNodeSettings( platform::settingsPath() );
     problems.insert( problems.end(), read.problems.begin(), read.problems.end() );
     for( const auto& it : problems ) {
         std::cerr << "coursehead " << role << ": " << it << "\n";
@@ -38,6 +42,9 @@
     if( !problems.empty() ) {
         return exitUsage;
     }
+    if( const auto port = own.settings.number( "metrics-port" ); port > 0 ) {
+        read.settings.metricsPort = static_cast<int>( port );
+    }
     std::signal( SIGPIPE, SIG_IGN );
     log::setUpBounded( own.settings.text( "log-level" ), role, read.settings.vm );
     try {
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -122,6 +122,7 @@
     if( pair ) {
         out.firstPort = ( *it )[0].get<int>();
         out.lastPort = ( *it )[1].get<int>();
+        out.metricsPort = out.lastPort;
     }
     if( !pair || out.firstPort <= 0 || out.lastPort < out.firstPort || out.lastPort > maxPort ) {
         in.complain( "internalPorts", it, "expected [first, last] port" );
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -56,6 +56,7 @@
     std::string ip;    //!< of this VM
     int firstPort = 0; //!< first of the ports free for the project's own traffic
     int lastPort = 0;
+    int metricsPort = 0; //!< where the process's own figures are served
     Endpoint engine;     //!< the engine on this VM; invalid on fronts
     std::string service; //!< of that engine
     Endpoint store;      //!< the platform's object store
--- a/src/sidecar/orders.cpp
+++ b/src/sidecar/orders.cpp
@@ -221,6 +221,7 @@
     order.expectedSequence = m_view.report().sequence;
     order.holder = m_settings.vm;
     order.fence = m_fence;
+    m_orderAt = std::chrono::steady_clock::now();
     const auto given = co_await m_engine.give( order, upstreamId );
     const auto verdict = given.verdict;
     if( verdict == platform::OrderVerdict::moved ) {
--- a/src/sidecar/orders.hpp
+++ b/src/sidecar/orders.hpp
@@ -53,6 +53,10 @@
 
     //! Earlier starts of the engine, oldest first.
     const std::vector<std::string>& former() const noexcept { return m_former; }
+    //! Milliseconds since the last order was given; -1 before the first.
+    std::int64_t lastOrderAge( MonoTime now ) const {
+        return m_orderAt ? millisBetween( *m_orderAt, now ) : -1;
+    }
 
 private:
     net::Task<> obtainFence();
@@ -73,6 +77,7 @@
     std::uint64_t m_fence = 0; //!< 0: none yet
     std::string m_engineId;    //!< the engine's present start, as far as known
     std::vector<std::string> m_former;
+    std::optional<MonoTime> m_orderAt; //!< when the last order was given
     decide::Recall m_recall;
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -23,6 +23,7 @@
 #include <algorithm>
 #include <csignal>
 #include <set>
+#include <span>
 
 namespace coursehead::sidecar {
 
@@ -44,6 +45,18 @@
 constexpr int failuresToLost = 2;
 //! Gateways for which the pause between reports grows by another poll.
 constexpr int gatewaysPerPause = 8;
+//! Requests that a line names as running at an engine: as many as an engine has places.
+constexpr std::size_t mostRunsLogged = 64;
+
+//! ID:EVENTS of each request that the engine ran, separated by commas.
+std::string runsText( std::span<const gateway::EngineRun> runs ) {
+    std::string out;
+    for( const auto& it : runs.first( std::min( runs.size(), mostRunsLogged ) ) ) {
+        out += ( out.empty() ? "" : "," ) + it.id + ":" + std::to_string( it.events );
+    }
+    return out;
+}
+
 class Sidecar {
 public:
     explicit Sidecar( platform::NodeSettings settings )
@@ -58,7 +71,7 @@
         m_quota.setRule( platform::quotaRule( m_settings.bounds ) );
         auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
         net::start( m_context, acceptPeers( std::move( acceptor ) ), "accept" );
-        auto metrics = net::listen( m_context, m_settings.ip, m_settings.lastPort );
+        auto metrics = net::listen( m_context, m_settings.ip, m_settings.metricsPort );
         gateway::ProbeHandler scraped = [this]( std::string_view path ) {
             return gateway::metricsAnswer( m_metrics, path );
         };
@@ -307,7 +320,7 @@
     void setReachable( bool answered, int failures ) {
         const bool now = answered || ( m_reachable && failures < failuresToLost );
         if( now != m_reachable ) {
-            log::info( now ? "engine_regained" : "engine_lost", {} );
+            logEngine( now );
             m_reachable = now;
             m_changed = true;
             if( !now ) {
@@ -316,6 +329,18 @@
         }
     }
 
+    //! With what ran, and whether an order was under way, when the engine was heard last.
+    void logEngine( bool reachable ) const {
+        const auto& last = m_view.report();
+        log::info(
+            reachable ? "engine_regained" : "engine_lost",
+            { { "running", static_cast<std::int64_t>( last.running ) },
+              { "queued", static_cast<std::int64_t>( last.queued ) },
+              { "runs", runsText( last.runs ) },
+              { "ordering", last.ordering ? "yes" : "no" },
+              { "order_age_ms", m_orders.lastOrderAge( std::chrono::steady_clock::now() ) } } );
+    }
+
     void answer( const Question& question, EnsureOutcome outcome, Millis wait = Millis{ 0 },
                  double workMs = 0 ) {
         const auto peer = question.peer.lock();
