Test that fails: a request that ends every upstream that runs it stops being sent

Cause (shown here): what a request ends is counted by nobody over its tries and gateways. Real gateways and sidecars; upstreams that end under a request and are back after 1.2 s. Ruled out: the budget of retries (no retry was denied) and orders (none near the ends). The soak's upstreams can now end under a request too; its record counts the sends that follow.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -236,7 +236,7 @@
         tend( *it );
     }
     for( auto& it : m_upstreams ) {
-        if( !it.runner->alive() && !it.starting ) {
+        if( !it.runner->alive() && !it.starting && now >= it.runner->backAt() ) {
             it.runner->start();
         }
     }
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -25,7 +25,7 @@
 };
 
 //! Bounds that the settings give, and that the checks hold the processes to.
-inline constexpr Millis contactBound{ 1500 };
+inline constexpr Millis contactBound = knowledgeBound;
 inline constexpr Millis drainBound{ 1500 };
 inline constexpr Millis configurationBound{ 1500 };
 inline constexpr int graceS = 5;
--- a/tests/soak/record.cpp
+++ b/tests/soak/record.cpp
@@ -58,6 +58,27 @@
     return it == m_requests.end() ? 0 : it->second.runs;
 }
 
+void Record::began( const std::string& content ) {
+    constexpr int known = 3; // upstreams after which everybody has to know
+    constexpr int most = 3;  // retries beyond
+    const auto now = std::chrono::steady_clock::now();
+    auto& poison = m_poison[content];
+    if( ++poison.endings == known ) {
+        poison.third = now;
+    }
+    count( "upstreams ended by requests" );
+    const bool due =
+        poison.endings > known && now - poison.third > knowledgeBound && calmSince( poison.third );
+    if( due && ++poison.afterThird == most + 1 ) {
+        breach( "a request that ends what runs it stops being sent", content );
+    }
+}
+
+int Record::endings( const std::string& content ) const {
+    const auto it = m_poison.find( content );
+    return it == m_poison.end() ? 0 : it->second.endings;
+}
+
 void Record::disturbed( MonoTime until ) {
     m_disturbedUntil = std::max( m_disturbedUntil, until );
 }
--- a/tests/soak/record.hpp
+++ b/tests/soak/record.hpp
@@ -19,6 +19,10 @@
     fragile, //!< a stream that may not
 };
 inline constexpr int kinds = 4;
+//! Requests whose path holds this end the upstream that begins to run them.
+inline constexpr std::string_view endsUpstream = "ends-upstream";
+//! What three upstreams have shown everybody knows after this.
+inline constexpr Millis knowledgeBound{ 1500 };
 std::string_view nameOf( Kind kind );
 
 //! What callers and upstreams have seen, and the promises that it breaks.
@@ -32,6 +36,12 @@
     void toldNotRun( const std::string& id );
     int runs( const std::string& id ) const;
 
+    //! An upstream begins to run a request that ends it. `content` is what its tries have in
+    //! common.
+    void began( const std::string& content );
+    //! Upstreams that ended under it.
+    int endings( const std::string& content ) const;
+
     //! Something happened from which on bounds in time hold again only after a while.
     void disturbed( MonoTime until );
     //! True when nothing disturbed the time since `from`.
@@ -49,10 +59,18 @@
         int runs = 0;
         bool toldNotRun = false;
     };
+    //! A request that ends what runs it.
+    struct Poison {
+        int endings = 0;
+        MonoTime third;     //!< when the third upstream ended
+        int afterThird = 0; //!< begun by others once everybody had to know
+    };
+
     bool mayRunAgain( const Request& request ) const;
     void checkPromise( const std::string& id, const Request& request );
 
     std::map<std::string, Request> m_requests;
+    std::map<std::string, Poison> m_poison; //!< by content
     std::map<std::string, int> m_counts;
     std::vector<std::string> m_breaches;
     MonoTime m_disturbedUntil;
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -28,6 +28,8 @@
 constexpr int pieceMs = 40;
 constexpr int prefillMs = 60;
 constexpr Millis hang{ 20000 };
+//! Until an upstream that a request has ended begins its next life.
+constexpr Millis restartTime{ 1200 };
 constexpr double perSecond = 1000;
 
 std::string field( const http::fields& fields, const char* name ) {
@@ -256,6 +258,12 @@
     }
     m_record.ran( id );
     ++life->runs[id];
+    const std::string target( request.target() );
+    if( target.find( endsUpstream ) != std::string::npos ) {
+        std::string content = target + " " + request.body();
+        co_await endUnder( life, std::move( content ) );
+        co_return false;
+    }
     const auto last = field( request, "Last-Event-Id" );
     const int after = last.empty() ? 0 : std::stoi( last );
     bool more = false;
@@ -269,6 +277,15 @@
     co_return more;
 }
 
+net::Task<> Runner::endUnder( LifePtr life, std::string content ) {
+    m_record.began( content );
+    co_await net::pause( m_context, work( prefillMs ) );
+    if( m_life == life ) {
+        m_backAt = std::chrono::steady_clock::now() + restartTime;
+        crash();
+    }
+}
+
 net::Task<bool> Runner::runPlain( std::shared_ptr<net::Socket> socket, std::string id ) {
     co_await net::pause( m_context, work( plainMs ) );
     const auto body = bodyFor( id );
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -56,6 +56,8 @@
     void leave();
     void setMode( RunnerMode mode ) { m_mode = mode; }
     bool alive() const { return m_life != nullptr; }
+    //! When a new life may begin, after an end that a request has caused.
+    MonoTime backAt() const { return m_backAt; }
 
     //! What callers must find in a whole answer.
     static std::string bodyFor( const std::string& id );
@@ -86,6 +88,7 @@
     net::Task<> serve( LifePtr life, std::shared_ptr<net::Socket> socket );
     net::Task<bool> answer( LifePtr life, std::shared_ptr<net::Socket> socket, Request request );
     net::Task<bool> run( LifePtr life, std::shared_ptr<net::Socket> socket, Request request );
+    net::Task<> endUnder( LifePtr life, std::string content );
     net::Task<bool> runPlain( std::shared_ptr<net::Socket> socket, std::string id );
     net::Task<bool> runStream( LifePtr life, std::shared_ptr<net::Socket> socket, std::string id,
                                int after );
@@ -108,6 +111,7 @@
     RunnerSettings m_settings;
     RunnerMode m_mode = RunnerMode::well;
     LifePtr m_life;
+    MonoTime m_backAt;
     std::shared_ptr<net::Acceptor> m_acceptor;
     int m_lives = 0;
 };
