--- a/src/decide/poison_book.cpp
+++ b/src/decide/poison_book.cpp
@@ -51,7 +51,7 @@
     found.ends.push_back( { upstream, now } );
     found.weight += run.weight;
     // After a quarantine one end shows that it is poison still.
-    if( found.weight < enoughEnds && run.quarantines == 0 ) {
+    if( found.weight < m_enough && run.quarantines == 0 ) {
         return std::nullopt;
     }
     const int times = run.quarantines + 1;
--- a/src/decide/poison_book.hpp
+++ b/src/decide/poison_book.hpp
@@ -13,6 +13,9 @@
 //! The upstreams that ended under each content, as one process was told.
 class PoisonBook {
 public:
+    //! `enough` ends of weight 1 have a content quarantined.
+    explicit PoisonBook( double enough = enoughEnds ) : m_enough( enough ) {}
+
     //! Counts an upstream's end under a content; the quarantine that it is enough for, if so. Of
     //! one end several gateways may tell, and several requests of the same content.
     std::optional<Quarantine> note( const BrokenRun& run, std::string_view upstreamId,
@@ -35,6 +38,7 @@
 
     Case& caseOf( Fingerprint fingerprint );
 
+    double m_enough;
     std::unordered_map<Fingerprint, Case> m_cases;
     std::list<Fingerprint> m_oldestFirst; //!< by their last end
 };
