--- a/include/coursehead/kernel/clock.hpp
+++ b/include/coursehead/kernel/clock.hpp
@@ -10,8 +10,23 @@
 namespace coursehead {
 
 using Millis = std::chrono::milliseconds;
-//! A point on the process's monotonic clock; never compared between processes.
-using MonoTime = std::chrono::steady_clock::time_point;
+
+/**
+ * The process's monotonic clock. It goes on while the VM is suspended, as the steady clock does
+ * not: what was true for seconds before is judged by its true age when the process wakes, be it a
+ * lease, a grant, a configuration or a window of a rate.
+ */
+struct MonoClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<MonoClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+//! A point on that clock; never compared between processes.
+using MonoTime = MonoClock::time_point;
 //! Milliseconds since the Unix epoch, as published in UUIDv7 keys and leases.
 using WallMillis = std::int64_t;
 
--- a/src/agent/places.cpp
+++ b/src/agent/places.cpp
@@ -25,8 +25,8 @@
         return m_running < m_capacity && m_line.begin() == at;
     };
     bool got = myTurn();
-    while( !got && std::chrono::steady_clock::now() < deadline && !abandoned() ) {
-        const auto limit = std::min( deadline, std::chrono::steady_clock::now() + lookInterval );
+    while( !got && MonoClock::now() < deadline && !abandoned() ) {
+        const auto limit = std::min( deadline, MonoClock::now() + lookInterval );
         got = m_changed.wait_until( lock, limit, myTurn );
     }
     m_line.erase( at );
--- a/src/gateway/admit.cpp
+++ b/src/gateway/admit.cpp
@@ -27,7 +27,7 @@
     ++m_shared.starting;
     const auto until = startWaitEnd( m_request.arrived, m_shared.started );
     while( ( !m_shared.table || !m_shared.listed ) && !m_client->left &&
-           std::chrono::steady_clock::now() < until ) {
+           MonoClock::now() < until ) {
         co_await net::pause( m_shared.context, startLook );
     }
     --m_shared.starting;
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -52,7 +52,7 @@
     socket.shutdown( net::Socket::shutdown_send, ec );
     // Unread bytes would turn the close into a reset that may overtake the answer.
     constexpr Millis drainTime{ 300 };
-    net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + drainTime );
+    net::SocketDeadline deadline( socket, MonoClock::now() + drainTime );
     std::string rest( 4096, '\0' );
     for( ;; ) {
         const auto space = net::asio::buffer( rest );
@@ -85,7 +85,7 @@
     if( buf.size() > 0 ) {
         co_return true;
     }
-    net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + idle );
+    net::SocketDeadline deadline( socket, MonoClock::now() + idle );
     const auto [ec] = co_await socket.async_wait( net::Socket::wait_read, net::tupled );
     co_return !ec && !deadline.expired();
 }
@@ -107,7 +107,7 @@
 net::Task<ReadRequest> readRequest( net::Socket& socket, boost::beast::flat_buffer& buf,
                                     const ClientLimits& limits, const Shared& shared ) {
     ReadRequest out;
-    const auto arrived = std::chrono::steady_clock::now();
+    const auto arrived = MonoClock::now();
     http::request_parser<http::string_body> parser;
     parser.header_limit( limits.headerBytes );
     parser.body_limit( limits.bodyBytes );
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -82,7 +82,7 @@
     if( !m_answered && !m_client->left && !m_client->broken ) {
         co_await finishFailed();
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const auto spent = static_cast<double>( millisBetween( m_request.arrived, now ) );
     m_shared.metrics.observe( metrics::Series::request, m_route->name, m_service, spent );
     logEnd( m_client->left ? "client_left" : m_answered ? "answered" : "cut" );
@@ -105,7 +105,7 @@
 net::Task<> Exchange::forward() {
     bool counted = false;
     for( int round = 0; round < m_route->attempts + extraSends; ++round ) {
-        auto now = std::chrono::steady_clock::now();
+        auto now = MonoClock::now();
         if( hasLeft( *m_client ) || m_shared.sendsEnded || !timeLeft( now ) ) {
             break;
         }
@@ -132,7 +132,7 @@
             m_excluded.insert( choice.node->upstream.id );
             continue;
         }
-        now = std::chrono::steady_clock::now();
+        now = MonoClock::now();
         if( m_client->left || m_shared.sendsEnded || !timeLeft( now ) || !maySend() ) {
             break;
         }
@@ -181,7 +181,7 @@
     if( m_need.generation == nullptr || !choice.node->engine ) {
         co_return Next::send;
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const bool holds = choice.holdsModel && choice.holdsAdapter;
     if( !holds && choice.node->awaitsReport( now ) && timeLeft( now ) ) {
         co_await net::pause( m_shared.context, startLook );
@@ -220,7 +220,7 @@
 }
 
 net::Task<Exchange::Next> Exchange::askSidecar( Choice& choice ) {
-    const auto asked = std::chrono::steady_clock::now();
+    const auto asked = MonoClock::now();
     auto request = question( choice, asked );
     const bool late = request.prompt.late;
     NodePtr node = choice.node;
@@ -260,7 +260,7 @@
 }
 
 void Exchange::logAsk( const Choice& choice, const EnsureAnswer& answer, MonoTime since ) const {
-    const auto took = millisBetween( since, std::chrono::steady_clock::now() );
+    const auto took = millisBetween( since, MonoClock::now() );
     log::info( "ask", { { "id", m_request.head.requestId },
                         { "upstream", choice.node->upstream.id },
                         { "model", m_need.generation->model },
@@ -353,7 +353,7 @@
         m_client->socket.close( ec );
         co_return;
     }
-    const bool late = !timeLeft( std::chrono::steady_clock::now() + answerMargin );
+    const bool late = !timeLeft( MonoClock::now() + answerMargin );
     std::string reason = m_lastWhy.empty() ? "out of time" : m_lastWhy;
     if( !m_mayHaveRun ) {
         const auto after = m_retryAfter.count() > 0 ? m_retryAfter : usualRetryAfter;
@@ -365,7 +365,7 @@
 }
 
 void Exchange::logEnd( std::string_view outcome ) const {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     log::info( "request_end", { { "id", m_request.head.requestId },
                                 { "route", m_route != nullptr ? m_route->name : "" },
                                 { "organisation", m_organisation ? m_organisation->name : "" },
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -37,12 +37,12 @@
     std::shared_ptr<const RouteTable> table;    //!< null until a configuration is known
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
-    QuotaClient* quota = nullptr;                        //!< null: nobody's requests are counted
-    PoisonGuard* poison = nullptr;                       //!< null: nothing is quarantined
-    MonoTime started = std::chrono::steady_clock::now(); //!< this process
-    bool listed = true;                                  //!< the upstreams are known
-    int starting = 0;    //!< requests that wait for configuration and upstreams
-    bool current = true; //!< changes of the configuration are heard of
+    QuotaClient* quota = nullptr;        //!< null: nobody's requests are counted
+    PoisonGuard* poison = nullptr;       //!< null: nothing is quarantined
+    MonoTime started = MonoClock::now(); //!< this process
+    bool listed = true;                  //!< the upstreams are known
+    int starting = 0;                    //!< requests that wait for configuration and upstreams
+    bool current = true;                 //!< changes of the configuration are heard of
     bool draining = false;
     MonoTime stopAt{};                    //!< when draining: nothing may be in flight any more
     bool pastHandover = false;            //!< when draining: clients had time to go elsewhere
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -26,9 +26,8 @@
 
 Fleet::Fleet( net::asio::io_context& context, RandomSource& random, FleetSettings settings )
     : m_context( context ), m_random( random ), m_settings( std::move( settings ) ),
-      m_grants( m_settings.ceilingWindow + storeGrantLife ),
-      m_started( std::chrono::steady_clock::now() ), m_lastTick( m_started ),
-      m_gateways( assumedGateways ) {}
+      m_grants( m_settings.ceilingWindow + storeGrantLife ), m_started( MonoClock::now() ),
+      m_lastTick( m_started ), m_gateways( assumedGateways ) {}
 
 Fleet::~Fleet() {
     for( auto& it : m_nodes ) {
@@ -136,7 +135,7 @@
     };
     out.load = [find]( const EngineLoad& load ) {
         if( auto* node = find() ) {
-            node->takeLoad( load, std::chrono::steady_clock::now() );
+            node->takeLoad( load, MonoClock::now() );
         }
     };
     out.quarantines = [this]( const decide::QuarantineNews& news ) {
@@ -157,7 +156,7 @@
         log::info( report.reachable ? "engine_regained" : "engine_lost",
                    { { "upstream", node.upstream.id } } );
     }
-    node.takeReport( report, std::chrono::steady_clock::now() );
+    node.takeReport( report, MonoClock::now() );
     m_gateways = std::max( report.gateways, 1 );
 }
 
@@ -284,7 +283,7 @@
     if( !link ) {
         co_return EnsureAnswer{};
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     request.upstreamId = node->upstream.id;
     const bool near = node->holdsModel( request.model, now ) || hasWeights( *node, request.model );
     request.fromStore = !near && node->engine && mayUseStore( *node, request.model, now );
@@ -301,7 +300,7 @@
         // Its engine was busy until the grant was too old.
         m_grants.release( node->upstream.id, name );
     }
-    const auto answered = std::chrono::steady_clock::now();
+    const auto answered = MonoClock::now();
     node->takeReadingWait( static_cast<double>( answer.waitMs ), answered );
     const auto demand = m_demand.find( name );
     if( held && answer.modelWorkPerS >= 0 && demand != m_demand.end() ) {
--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -50,7 +50,7 @@
         return;
     }
     m_reachable = reachable;
-    m_eagerUntil = std::chrono::steady_clock::now() + eagerTime;
+    m_eagerUntil = MonoClock::now() + eagerTime;
     log::info( reachable ? "store_regained" : "store_lost",
                { { "kind", m_settings.kind },
                  { "status", status },
@@ -104,14 +104,14 @@
 }
 
 net::Task<StoreStatus> Follower::callStore() {
-    const auto began = std::chrono::steady_clock::now();
+    const auto began = MonoClock::now();
     StoreStatus status = StoreStatus::ok;
     if( m_listed ) {
         status = co_await watch();
     } else {
         status = co_await list();
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const bool up = status == StoreStatus::ok || status == StoreStatus::expired;
     if( up || now >= m_relayedUntil ) {
         setReachable( up, nameOf( status ) );
@@ -135,14 +135,14 @@
 
 net::Task<> Follower::run() {
     while( !m_stopped ) {
-        if( std::chrono::steady_clock::now() < m_relayedUntil ) {
+        if( MonoClock::now() < m_relayedUntil ) {
             co_await net::pause( m_context, relayLook );
             continue;
         }
         const auto status = co_await callStore();
         Millis delay{ 0 };
         if( status == StoreStatus::ok ) {
-            const bool eager = std::chrono::steady_clock::now() < m_eagerUntil;
+            const bool eager = MonoClock::now() < m_eagerUntil;
             delay = eager ? std::min( m_settings.pause, eagerPause ) : m_settings.pause;
         } else if( status != StoreStatus::expired ) {
             delay = retryDelay();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -136,19 +136,19 @@
                      { "before", static_cast<std::int64_t>( held ) },
                      { "routes", static_cast<std::int64_t>( read->routes.size() ) } } );
         m_shared.table = std::make_shared<RouteTable>( std::move( *read ) );
-        m_fleet.setConfiguration( m_shared.table, std::chrono::steady_clock::now() );
+        m_fleet.setConfiguration( m_shared.table, MonoClock::now() );
         m_quota.setConfiguration( m_shared.table->configuration() );
     }
 
     void syncFleet() {
         m_shared.listed = m_feed.upstreamsListed();
-        m_fleet.sync( m_registry.members(), std::chrono::steady_clock::now() );
+        m_fleet.sync( m_registry.members(), MonoClock::now() );
     }
 
     net::Task<> ticks() {
         for( ;; ) {
             co_await net::pause( m_context, tickInterval );
-            const auto now = std::chrono::steady_clock::now();
+            const auto now = MonoClock::now();
             const auto before = m_registry.members().size();
             m_registry.expire( now );
             if( m_registry.members().size() != before ) {
@@ -183,7 +183,7 @@
         }
         m_shared.draining = true;
         log::info( "leaving", { { "in_flight", static_cast<std::int64_t>( m_shared.inFlight ) } } );
-        const auto start = std::chrono::steady_clock::now();
+        const auto start = MonoClock::now();
         const auto limit = start + m_settings.bounds.grace - exitMargin;
         m_shared.stopAt = limit;
         closeIdleClients();
@@ -191,10 +191,9 @@
         // Clients that come all the same, where every gateway leaves, get what fits the time left.
         m_shared.pastHandover = true;
         closeIdleClients();
-        while( m_shared.inFlight > 0 && std::chrono::steady_clock::now() < limit ) {
+        while( m_shared.inFlight > 0 && MonoClock::now() < limit ) {
             constexpr Millis step{ 20 };
-            if( !m_shared.sendsEnded &&
-                std::chrono::steady_clock::now() >= limit - lastSendMargin ) {
+            if( !m_shared.sendsEnded && MonoClock::now() >= limit - lastSendMargin ) {
                 m_shared.sendsEnded = true;
                 m_fleet.abandonWaits();
             }
--- a/src/gateway/poison_guard.cpp
+++ b/src/gateway/poison_guard.cpp
@@ -40,7 +40,7 @@
     // Of an upstream that was about to leave nothing can be concluded.
     const bool leaving = node->upstream.state != UpstreamState::ready || node->leavesAt;
     // Sends that were under way when their content was quarantined show nothing new.
-    const bool known = holdLeft( fingerprint, std::chrono::steady_clock::now() ).count() > 0;
+    const bool known = holdLeft( fingerprint, MonoClock::now() ).count() > 0;
     if( leaving || known || m_whole.contains( fingerprint ) ) {
         return;
     }
@@ -63,7 +63,7 @@
     m_quarantines.clear( fingerprint );
     log::info( "poison_cleared", { { "fingerprint", decide::fingerprintText( fingerprint ) },
                                    { "quarantined", quarantined ? "yes" : "no" } } );
-    for( const auto& it : holders( fingerprint, std::chrono::steady_clock::now() ) ) {
+    for( const auto& it : holders( fingerprint, MonoClock::now() ) ) {
         it->send( Message( decide::PoisonCleared{ fingerprint } ) );
     }
 }
@@ -76,15 +76,14 @@
     if( ec ) {
         co_return true;
     }
-    net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + probeStays,
-                                  net::WhenDue::cancel );
+    net::SocketDeadline deadline( socket, MonoClock::now() + probeStays, net::WhenDue::cancel );
     co_await socket.async_wait( net::Socket::wait_read, net::tupled );
     if( !deadline.expired() ) {
         co_return true;
     }
     // Something listens there: the same start, or already the next one.
-    const auto until = std::chrono::steady_clock::now() + othersSee;
-    while( std::chrono::steady_clock::now() < until ) {
+    const auto until = MonoClock::now() + othersSee;
+    while( MonoClock::now() < until ) {
         if( node.gone || node.replaced || !node.engineReachable ) {
             co_return true;
         }
@@ -125,7 +124,7 @@
 }
 
 void PoisonGuard::tell( const std::string& upstreamId, std::vector<decide::BrokenRun> runs ) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     std::map<std::shared_ptr<SidecarLink>, decide::PoisonEvidence> told;
     std::vector<decide::Quarantine> own;
     for( const auto& it : runs ) {
@@ -145,7 +144,7 @@
 }
 
 void PoisonGuard::take( std::span<const decide::Quarantine> entries, std::string_view from ) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     for( const auto& it : entries ) {
         if( !m_quarantines.put( it, now ) ) {
             continue;
--- a/src/gateway/probe_server.cpp
+++ b/src/gateway/probe_server.cpp
@@ -19,7 +19,7 @@
 net::Task<> serveOne( net::Socket socket, ProbeHandler answer ) {
     boost::beast::flat_buffer buf;
     for( ;; ) {
-        net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + idleLimit );
+        net::SocketDeadline deadline( socket, MonoClock::now() + idleLimit );
         http::request<http::empty_body> request;
         auto [readError, got] = co_await http::async_read( socket, buf, request, net::tupled );
         if( readError ) {
--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -17,7 +17,7 @@
     if( m_shared.poison == nullptr ) {
         co_return false;
     }
-    const auto left = m_shared.poison->holdLeft( m_fingerprint, std::chrono::steady_clock::now() );
+    const auto left = m_shared.poison->holdLeft( m_fingerprint, MonoClock::now() );
     if( left.count() == 0 ) {
         co_return false;
     }
@@ -33,7 +33,7 @@
     if( m_shared.poison == nullptr ) {
         return true;
     }
-    const auto left = m_shared.poison->holdLeft( m_fingerprint, std::chrono::steady_clock::now() );
+    const auto left = m_shared.poison->holdLeft( m_fingerprint, MonoClock::now() );
     const bool tried = m_sends > 0 && m_shared.poison->onTrial( m_fingerprint );
     if( left.count() == 0 && !tried ) {
         return true;
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -108,7 +108,7 @@
 
 net::Task<std::optional<QuotaDecision>> QuotaClient::ask( std::string organisation, double units,
                                                           MonoTime until ) {
-    const auto asked = std::chrono::steady_clock::now();
+    const auto asked = MonoClock::now();
     const auto link = m_links.find( m_book.holderOf( organisation, asked ) );
     if( link == m_links.end() ) {
         co_return std::nullopt;
@@ -136,7 +136,7 @@
 
 net::Task<QuotaDecision> QuotaClient::obtain( std::string organisation, double units,
                                               Millis patience ) {
-    auto now = std::chrono::steady_clock::now();
+    auto now = MonoClock::now();
     const auto until = now + patience;
     if( m_book.spend( organisation, units, now ) ) {
         co_return QuotaDecision{};
@@ -147,7 +147,7 @@
         if( decision ) {
             co_return *decision;
         }
-        now = std::chrono::steady_clock::now();
+        now = MonoClock::now();
         if( m_book.spendReserve( organisation, units, now ) ) {
             co_return QuotaDecision{};
         }
@@ -159,7 +159,7 @@
 }
 
 void QuotaClient::giveBack( const std::string& organisation, double units ) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const auto link = m_links.find( m_book.holderOf( organisation, now ) );
     if( link != m_links.end() ) {
         link->second->send( Message( decide::QuotaReturn{ organisation, units } ) );
--- a/src/gateway/reading_budget.cpp
+++ b/src/gateway/reading_budget.cpp
@@ -19,14 +19,14 @@
 constexpr double shareTimeS = 1.0;
 constexpr double millisPerSecond = 1000.0;
 
-double millisBetween( MonoTime from, MonoTime to ) {
+double exactMillis( MonoTime from, MonoTime to ) {
     return std::chrono::duration<double, std::milli>( to - from ).count();
 }
 
 } // namespace
 
 double ReadingBudget::usedAt( const Limits& limits, MonoTime now ) const {
-    return std::max( m_usedMs - millisBetween( m_at, now ) * limits.share, 0.0 );
+    return std::max( m_usedMs - exactMillis( m_at, now ) * limits.share, 0.0 );
 }
 
 Millis ReadingBudget::wait( double workMs, const Limits& limits, MonoTime now ) const {
@@ -47,7 +47,7 @@
 
 double ReadingBudget::ownShare( MonoTime now ) const {
     return m_share *
-           std::exp( -millisBetween( m_shareAt, now ) / ( shareTimeS * millisPerSecond ) );
+           std::exp( -exactMillis( m_shareAt, now ) / ( shareTimeS * millisPerSecond ) );
 }
 
 ReadingBudget::Limits readingLimits( Millis gapTarget, double othersShare ) {
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -59,7 +59,7 @@
         head.organisation = m_organisation->name;
     }
     head.upstreamId = node.upstream.id;
-    head.deadline = remaining( std::chrono::steady_clock::now(), m_deadline );
+    head.deadline = remaining( MonoClock::now(), m_deadline );
     if( m_need.generation != nullptr ) {
         head.urgency = urgency();
     }
@@ -81,7 +81,7 @@
 }
 
 net::Task<ConnectionPtr> Exchange::connectionTo( Node& node ) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     auto kept = node.pool.take( now );
     if( kept ) {
         co_return kept;
@@ -121,7 +121,7 @@
     Sent out;
     const bool generates = m_need.generation != nullptr && node->engine != nullptr;
     auto connection = co_await connectionTo( *node );
-    auto now = std::chrono::steady_clock::now();
+    auto now = MonoClock::now();
     if( hasLeft( *m_client ) || !timeLeft( now ) ) {
         out.end = SendEnd::stopped;
         co_return out;
@@ -148,7 +148,7 @@
         node->reading.take( choice.workMs, node->readingLimits( now ), now );
     }
     out = co_await receive( *node, connection, choice );
-    now = std::chrono::steady_clock::now();
+    now = MonoClock::now();
     m_client->upstream.reset();
     if( out.end != SendEnd::notRun ) {
         ++m_runs;
@@ -199,7 +199,7 @@
         transfer.close();
         co_return out;
     }
-    node.lastHeard = std::chrono::steady_clock::now();
+    node.lastHeard = MonoClock::now();
     const auto status = parser.get().result_int();
     transfer.head = platform::readAnswerHead( status, parser.get() );
     const bool ran = transfer.head.answerClass == AnswerClass::complete;
@@ -327,14 +327,14 @@
         const bool again = m_route->idempotent() && m_runs + 1 < m_route->attempts;
         return again ? SendEnd::lost : SendEnd::answered;
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     noteSuccess( transfer.node.health, static_cast<double>( millisBetween( transfer.sentAt, now ) ),
                  transfer.choice.expectedMs + overheadMs, now );
     return SendEnd::answered;
 }
 
 void Exchange::noteEvents( Transfer& transfer ) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     transfer.node.lastHeard = now;
     if( !transfer.heardEvents ) {
         transfer.heardEvents = true;
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -56,7 +56,7 @@
     if( !m_channel ) {
         return;
     }
-    if( std::chrono::steady_clock::now() - m_channel->lastHeard() > silence ) {
+    if( MonoClock::now() - m_channel->lastHeard() > silence ) {
         log::info( "sidecar_silent", { { "ip", m_ip } } );
         m_channel->close();
         return;
@@ -85,11 +85,11 @@
     const auto waiter = std::make_shared<Waiter>( m_context );
     m_waiters.emplace( number, waiter );
     m_channel->send( question );
-    auto now = std::chrono::steady_clock::now();
+    auto now = MonoClock::now();
     while( !waiter->ended && now < until && answers( now ) ) {
         waiter->timer.expires_after( std::min( silenceLook, remaining( now, until ) ) );
         co_await waiter->timer.async_wait( net::tupled );
-        now = std::chrono::steady_clock::now();
+        now = MonoClock::now();
     }
     m_waiters.erase( number );
     co_return std::move( waiter->answer );
@@ -101,7 +101,7 @@
         co_return out;
     }
     const auto number = m_nextNumber++;
-    const auto until = std::chrono::steady_clock::now() + Millis( request.limitMs ) + answerDelay;
+    const auto until = MonoClock::now() + Millis( request.limitMs ) + answerDelay;
     request.number = number;
     const Message message( std::move( request ) );
     auto question = encode( message );
@@ -121,7 +121,7 @@
     }
     const auto number = m_nextNumber++;
     ask.number = number;
-    const auto until = std::chrono::steady_clock::now() + limit;
+    const auto until = MonoClock::now() + limit;
     const Message message( std::move( ask ) );
     auto question = encode( message );
     const auto answer = co_await askFor( number, std::move( question ), until );
--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -114,7 +114,7 @@
         takeListing( std::move( upstreams ) );
     };
     out.event = [this]( const platform::StoreEvent& event ) {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = MonoClock::now();
         if( event.removed ) {
             m_registry.remove( event.object.name, now );
         } else if( auto upstream = upstreamOf( event.object ) ) {
@@ -123,14 +123,14 @@
         m_handlers.upstreams();
     };
     out.reachable = [this]( bool reachable ) {
-        m_registry.storeReachable( reachable, std::chrono::steady_clock::now() );
+        m_registry.storeReachable( reachable, MonoClock::now() );
     };
     return out;
 }
 
 void StoreFeed::takeListing( std::vector<Upstream> upstreams ) {
     m_listed = true;
-    m_registry.list( std::move( upstreams ), std::chrono::steady_clock::now() );
+    m_registry.list( std::move( upstreams ), MonoClock::now() );
     m_handlers.upstreams();
 }
 
@@ -138,7 +138,7 @@
     if( upstreamId != m_relay ) {
         return;
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     if( !news.reachable ) {
         leaveRelay( "without the store", now );
         return;
@@ -167,7 +167,7 @@
         return;
     }
     m_gotWhole = true;
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const auto until = now + relaySilence( m_settings.bounds );
     // Changes that were dropped here, because this gateway knew them, are no gap: later ones build
     // on what it knows.
--- a/src/gateway/transfer.cpp
+++ b/src/gateway/transfer.cpp
@@ -48,8 +48,7 @@
 
 Transfer::Transfer( Node& to, ConnectionPtr over, const Choice& by, const Generation* generation,
                     MonoTime until )
-    : node( to ), connection( std::move( over ) ), choice( by ),
-      sentAt( std::chrono::steady_clock::now() ),
+    : node( to ), connection( std::move( over ) ), choice( by ), sentAt( MonoClock::now() ),
       inFlight( to, generation != nullptr ? by.workMs : 0, generation ),
       deadline( connection->socket, until ), buf( readBytes, '\0' ) {}
 
@@ -92,7 +91,7 @@
         return;
     }
     deadline.cancel();
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     connection->goodUntil = reuseUntil( parser.get().base(), now );
     node.pool.put( connection );
 }
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -3,11 +3,20 @@
 
 #include "coursehead/kernel/clock.hpp"
 
+#include <ctime>
+
 namespace coursehead {
 
+MonoClock::time_point MonoClock::now() noexcept {
+    timespec read{};
+    ::clock_gettime( CLOCK_BOOTTIME, &read );
+    return time_point( std::chrono::seconds( read.tv_sec ) +
+                       std::chrono::nanoseconds( read.tv_nsec ) );
+}
+
 Clock systemClock() {
     return Clock{
-        [] { return std::chrono::steady_clock::now(); },
+        [] { return MonoClock::now(); },
         [] {
             const auto since = std::chrono::system_clock::now().time_since_epoch();
             return std::chrono::duration_cast<Millis>( since ).count();
--- a/src/net/frame_channel.cpp
+++ b/src/net/frame_channel.cpp
@@ -33,8 +33,7 @@
 } // namespace
 
 FrameChannel::FrameChannel( Socket socket, ChannelSide side )
-    : m_socket( std::move( socket ) ), m_side( side ),
-      m_lastHeard( std::chrono::steady_clock::now() ) {}
+    : m_socket( std::move( socket ) ), m_side( side ), m_lastHeard( MonoClock::now() ) {}
 
 FrameChannel::~FrameChannel() {
     nghttp2_session_del( m_session );
@@ -181,7 +180,7 @@
         if( ec ) {
             break;
         }
-        m_lastHeard = std::chrono::steady_clock::now();
+        m_lastHeard = MonoClock::now();
         m_receiving = true;
         const auto taken = nghttp2_session_mem_recv( m_session, buf.data(), n );
         m_receiving = false;
--- a/src/net/json_client.cpp
+++ b/src/net/json_client.cpp
@@ -49,7 +49,7 @@
     if( ec ) {
         co_return false;
     }
-    const auto left = remaining( std::chrono::steady_clock::now(), deadline );
+    const auto left = remaining( MonoClock::now(), deadline );
     ec = co_await connect( *socket, to, std::min( left, connectLimit ) );
     if( ec ) {
         co_return false;
@@ -95,11 +95,11 @@
 }
 
 Task<JsonAnswer> JsonClient::call( const JsonCall& call ) {
-    const auto deadline = std::chrono::steady_clock::now() + call.limit;
+    const auto deadline = MonoClock::now() + call.limit;
     const bool kept = m_socket != nullptr;
     auto out = co_await callOnce( call, deadline );
-    const bool again = kept && out.end == CallEnd::unknown && call.method == "GET" &&
-                       std::chrono::steady_clock::now() < deadline;
+    const bool again =
+        kept && out.end == CallEnd::unknown && call.method == "GET" && MonoClock::now() < deadline;
     if( again ) {
         out = co_await callOnce( call, deadline );
     }
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -65,7 +65,7 @@
 }
 
 Task<ErrorCode> connect( Socket& socket, tcp::endpoint to, Millis limit ) {
-    SocketDeadline deadline( socket, std::chrono::steady_clock::now() + limit );
+    SocketDeadline deadline( socket, MonoClock::now() + limit );
     const auto [ec] = co_await socket.async_connect( to, tupled );
     co_return deadline.expired() ? ErrorCode( asio::error::timed_out ) : ec;
 }
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -6,9 +6,9 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <memory>
@@ -32,8 +32,7 @@
 
 using Socket = asio::basic_stream_socket<tcp, asio::io_context::executor_type>;
 using Acceptor = asio::basic_socket_acceptor<tcp, asio::io_context::executor_type>;
-using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
-                                         asio::wait_traits<std::chrono::steady_clock>,
+using Timer = asio::basic_waitable_timer<MonoClock, asio::wait_traits<MonoClock>,
                                          asio::io_context::executor_type>;
 
 //! Turns Nagle off, and gives a peer up that has not acknowledged bytes for `silence`.
--- a/src/peer/loop_core.cpp
+++ b/src/peer/loop_core.cpp
@@ -22,7 +22,7 @@
 constexpr int maxBackoffFactor = 16;
 
 MonoTime now() {
-    return std::chrono::steady_clock::now();
+    return MonoClock::now();
 }
 
 bool makeAddress( const std::string& host, int port, sockaddr_in& out ) {
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -47,7 +47,7 @@
         m_host.answer( question, EnsureOutcome::ready, Millis{ 0 }, 0 );
         return;
     }
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const PromptAsk ask{ question.key,    question.want.model, question.want.adapter,
                          question.prompt, question.since,      question.limit };
     const auto verdict = m_gate.ask( ask, now );
@@ -61,7 +61,7 @@
 
 //! Gives leave to the prompts whose time has come, and waits for the next one.
 void Admission::letThrough() {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     for( const auto& leave : m_gate.takeDue( now ) ) {
         auto node = m_waiting.extract( leave.key );
         if( node.empty() ) {
@@ -107,12 +107,12 @@
 
 void Admission::forget( std::uint64_t key ) {
     m_waiting.erase( key );
-    m_gate.withdraw( key, std::chrono::steady_clock::now() );
+    m_gate.withdraw( key, MonoClock::now() );
     letThrough();
 }
 
 void Admission::forgetPeer( const Peer& peer ) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     std::erase_if( m_waiting, [&]( const auto& it ) {
         const bool gone = it.first == keyOf( peer, it.second.number );
         if( gone ) {
--- a/src/sidecar/orders.cpp
+++ b/src/sidecar/orders.cpp
@@ -106,7 +106,7 @@
 }
 
 void Orders::dropOld() {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     fail( [now]( const Question& it ) { return now - it.since > roomLimit; } );
 }
 
@@ -168,7 +168,7 @@
     std::optional<Step> order;
     std::string upstreamId;
     std::string retire;
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const auto held = m_view.holdings();
     for( auto it = m_wants.begin(); it != m_wants.end(); ) {
         const auto waited = remaining( it->since, now );
@@ -221,7 +221,7 @@
     order.expectedSequence = m_view.report().sequence;
     order.holder = m_settings.vm;
     order.fence = m_fence;
-    m_orderAt = std::chrono::steady_clock::now();
+    m_orderAt = MonoClock::now();
     const auto given = co_await m_engine.give( order, upstreamId );
     const auto verdict = given.verdict;
     if( verdict == platform::OrderVerdict::moved ) {
@@ -231,7 +231,7 @@
                             verdict == platform::OrderVerdict::holds ||
                             verdict == platform::OrderVerdict::unknown;
     if( step.kind == StepKind::unload && mayBeTaken ) {
-        m_view.noteUnload( step, std::chrono::steady_clock::now() );
+        m_view.noteUnload( step, MonoClock::now() );
         m_host.changed();
     }
     m_metrics.count( "orders", platform::nameOf( verdict ) );
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -143,7 +143,7 @@
 
     //! What gateways saw of upstreams' ends; false when the message is about something else.
     bool takePoison( const gateway::Message& message ) {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = MonoClock::now();
         if( const auto* evidence = std::get_if<decide::PoisonEvidence>( &message ) ) {
             m_quarantines.take( *evidence, now );
             return true;
@@ -165,14 +165,14 @@
 
     //! A gateway that has just connected may have started after a quarantine was told.
     void sendQuarantines( Peer& peer ) {
-        decide::QuarantineNews news{ m_quarantines.all( std::chrono::steady_clock::now() ) };
+        decide::QuarantineNews news{ m_quarantines.all( MonoClock::now() ) };
         if( !news.entries.empty() ) {
             peer.channel->send( gateway::encode( gateway::Message( std::move( news ) ) ) );
         }
     }
 
     void takeQuota( const PeerPtr& peer, const gateway::Message& message ) {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = MonoClock::now();
         if( const auto* news = std::get_if<decide::QuotaNews>( &message ) ) {
             m_quota.takeNews( *news, now );
         } else if( const auto* back = std::get_if<decide::QuotaReturn>( &message ) ) {
@@ -219,7 +219,7 @@
 
     void takeDemand( Peer& peer, const gateway::DemandNews& news ) {
         m_sentParts.add( news.sentParts );
-        m_view.noteDemand( news, std::chrono::steady_clock::now() );
+        m_view.noteDemand( news, MonoClock::now() );
         peer.demand.clear();
         peer.reading = news.reading;
         for( const auto& it : news.models ) {
@@ -235,7 +235,7 @@
         question.number = ensure.number;
         question.key = keyOf( *peer, ensure.number );
         question.prompt = ensure.prompt;
-        question.since = std::chrono::steady_clock::now();
+        question.since = MonoClock::now();
         question.limit = std::min( Millis( ensure.limitMs ), wantLimit );
         m_view.noteUse( question.want, question.since );
         if( m_view.spec() && m_reachable && m_view.isThere( question.want, question.since ) ) {
@@ -261,7 +261,7 @@
     Admission::Host admissionHost() {
         Admission::Host out;
         out.isThere = [this]( const Want& want ) {
-            return m_view.isThere( want, std::chrono::steady_clock::now() );
+            return m_view.isThere( want, MonoClock::now() );
         };
         out.answer = [this]( const Question& question, EnsureOutcome outcome, Millis wait,
                              double workMs ) {
@@ -271,7 +271,7 @@
             waitForWant( std::move( question ) );
         };
         out.given = [this]( const Question& question ) {
-            m_view.noteUse( question.want, std::chrono::steady_clock::now() );
+            m_view.noteUse( question.want, MonoClock::now() );
             noteParts( question );
         };
         return out;
@@ -328,7 +328,7 @@
     }
 
     void takeReport( gateway::EngineReport report ) {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = MonoClock::now();
         auto news = m_view.take( std::move( report ), now );
         for( const auto& it : news.dropped ) {
             m_admission.dropModel( it );
@@ -348,7 +348,7 @@
         if( m_orders.waiting() ) {
             return wantPoll;
         }
-        return m_admission.busy( std::chrono::steady_clock::now() ) ? readingPoll : idlePoll;
+        return m_admission.busy( MonoClock::now() ) ? readingPoll : idlePoll;
     }
 
     void setReachable( bool answered, int failures ) {
@@ -366,13 +366,12 @@
     //! With what ran, and whether an order was under way, when the engine was heard last.
     void logEngine( bool reachable ) const {
         const auto& last = m_view.report();
-        log::info(
-            reachable ? "engine_regained" : "engine_lost",
-            { { "running", static_cast<std::int64_t>( last.running ) },
-              { "queued", static_cast<std::int64_t>( last.queued ) },
-              { "runs", runsText( last.runs ) },
-              { "ordering", last.ordering ? "yes" : "no" },
-              { "order_age_ms", m_orders.lastOrderAge( std::chrono::steady_clock::now() ) } } );
+        log::info( reachable ? "engine_regained" : "engine_lost",
+                   { { "running", static_cast<std::int64_t>( last.running ) },
+                     { "queued", static_cast<std::int64_t>( last.queued ) },
+                     { "runs", runsText( last.runs ) },
+                     { "ordering", last.ordering ? "yes" : "no" },
+                     { "order_age_ms", m_orders.lastOrderAge( MonoClock::now() ) } } );
     }
 
     void answer( const Question& question, EnsureOutcome outcome, Millis wait = Millis{ 0 },
@@ -398,7 +397,7 @@
     }
 
     gateway::EngineLoad load() const {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = MonoClock::now();
         gateway::EngineLoad out;
         const auto& engine = m_view.report();
         out.ordering = engine.ordering;
@@ -438,7 +437,7 @@
     }
 
     void publish() {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = MonoClock::now();
         const bool due = now - m_published >= reportEvery;
         const bool soon = now - m_published >= publishPause();
         const bool whole = m_changed || shapeDiffers( m_view.report(), m_lastPublished ) ||
--- a/tests/promise/hostile.tests.cpp
+++ b/tests/promise/hostile.tests.cpp
@@ -151,7 +151,7 @@
     fleet::waitUntil( "the connection", [&] { return loop.isUp( link ); } );
     const auto stream = loop.open( link, peer::runPath );
     REQUIRE( stream );
-    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds( 10 );
+    const auto limit = MonoClock::now() + std::chrono::seconds( 10 );
     stream->send( "x", limit );
     const auto got = stream->receive( limit );
     CHECK( got.status != peer::ReceiveStatus::frame );
@@ -171,7 +171,7 @@
     loop.start();
     const auto link = loop.connect( "127.0.0.1", desk.agent().port );
     fleet::waitUntil( "the connection", [&] { return loop.isUp( link ); } );
-    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds( 10 );
+    const auto limit = MonoClock::now() + std::chrono::seconds( 10 );
     for( const char* path : { peer::runPath, peer::joinPath, peer::barPath, peer::claimPath,
                               peer::controlPath, "/nothing" } ) {
         const auto stream = loop.open( link, path );
--- a/tests/promise/leaving.tests.cpp
+++ b/tests/promise/leaving.tests.cpp
@@ -169,7 +169,7 @@
     loop.start();
     const auto link = loop.connect( "127.0.0.1", agent.port );
     fleet::waitUntil( "the connection", [&] { return loop.isUp( link ); } );
-    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds( 10 );
+    const auto limit = MonoClock::now() + std::chrono::seconds( 10 );
     const auto ask = [&]( const std::string& id ) {
         peer::RunRequest request;
         request.requestId = id;
--- a/tests/promise/reach.tests.cpp
+++ b/tests/promise/reach.tests.cpp
@@ -104,10 +104,10 @@
             return one.get<int>() + two.get<int>() == n + 1;
         } );
     }
-    const auto begin = std::chrono::steady_clock::now();
+    const auto begin = MonoClock::now();
     const auto got = desk.ask( 5 );
     // Far below the deadline of 120 s: it was not held back.
-    CHECK( std::chrono::steady_clock::now() - begin < std::chrono::seconds( 10 ) );
+    CHECK( MonoClock::now() - begin < std::chrono::seconds( 10 ) );
     CHECK( got.status == 503 );
     CHECK( got.error["outcome"] == "not-run" );
     CHECK( got.error["retry_after_ms"] > 0 );
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -104,7 +104,7 @@
     asked.id = id.str();
     asked.kind = static_cast<Kind>( random.below( kinds ) );
     asked.leaves = random.below( 100 ) < leavesOf100;
-    asked.sentAt = std::chrono::steady_clock::now();
+    asked.sentAt = MonoClock::now();
     m_deployment.record().asked( asked.id, asked.kind );
     ++m_tally.asked;
     const auto text = requestFor( asked );
@@ -148,7 +148,7 @@
 void Callers::judgeCut( const Asked& asked ) {
     auto& record = m_deployment.record();
     record.count( "cut" );
-    const auto took = std::chrono::steady_clock::now() - asked.sentAt;
+    const auto took = MonoClock::now() - asked.sentAt;
     const bool passedOn = record.runs( asked.id ) > 0;
     const bool counts = record.calmSince( asked.sentAt - excused ) && took < requestDeadline &&
                         ( passedOn || took > crossing );
@@ -246,7 +246,7 @@
             gateway.seenConfig = 0;
         }
         const auto since = m_deployment.changedAt();
-        const auto age = std::chrono::steady_clock::now() - since;
+        const auto age = MonoClock::now() - since;
         const bool due = age > configurationBound + configurationSlack &&
                          record.calmSince( since - contactBound ) && gateway.misses == 0 &&
                          gateway.stopAsked == MonoTime{};
@@ -278,7 +278,7 @@
     co_await net::asio::async_write( socket, bytes, net::tupled );
     boost::beast::flat_buffer buf;
     http::response<http::string_body> response;
-    net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + patience );
+    net::SocketDeadline deadline( socket, MonoClock::now() + patience );
     const auto [cut, n] = co_await http::async_read( socket, buf, response, net::tupled );
     if( cut || gateway.child->lives() != life ) {
         co_return;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -204,11 +204,11 @@
         { { "name", "models" }, { "connectionLimit", 100 }, { "engine", engineSpec() } } );
     m_store.put( "config", "main",
                  { { "version", m_version }, { "routes", routes }, { "services", services } } );
-    m_changedAt = std::chrono::steady_clock::now();
+    m_changedAt = MonoClock::now();
 }
 
 void Deployment::look() {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const auto tend = [&]( Process& process ) {
         if( process.child->running() ) {
             const bool overdue = process.stopAsked != MonoTime{} && !process.held &&
@@ -248,7 +248,7 @@
         net::Socket socket( m_context );
         net::ErrorCode ec;
         const auto to = net::endpointOf( process.ip, readyPort, ec );
-        net::SocketDeadline deadline( socket, std::chrono::steady_clock::now() + readinessLimit );
+        net::SocketDeadline deadline( socket, MonoClock::now() + readinessLimit );
         const auto [failed] = co_await socket.async_connect( to, net::tupled );
         bool ready = false;
         if( !failed ) {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -71,7 +71,7 @@
 
 private:
     net::Task<> play() {
-        m_record.disturbed( std::chrono::steady_clock::now() + startLimit );
+        m_record.disturbed( MonoClock::now() + startLimit );
         m_deployment.start();
         net::start( m_context, tend(), "tend" );
         co_await waitUntilReady( startLimit, "after the start" );
@@ -102,9 +102,9 @@
     }
 
     net::Task<> waitUntilReady( Millis limit, std::string when ) {
-        const auto until = std::chrono::steady_clock::now() + limit;
+        const auto until = MonoClock::now() + limit;
         while( !allReady() ) {
-            if( std::chrono::steady_clock::now() > until ) {
+            if( MonoClock::now() > until ) {
                 m_record.breach( "ready again", "not all gateways are ready " + when );
                 co_return;
             }
--- a/tests/soak/record.cpp
+++ b/tests/soak/record.cpp
@@ -61,7 +61,7 @@
 void Record::began( const std::string& content ) {
     constexpr int known = 3; // upstreams after which everybody has to know
     constexpr int most = 3;  // retries beyond
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     auto& poison = m_poison[content];
     if( ++poison.endings == known ) {
         poison.third = now;
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -123,7 +123,7 @@
     if( !m_life || m_life->leavingSince ) {
         return;
     }
-    m_life->leavingSince = std::chrono::steady_clock::now();
+    m_life->leavingSince = MonoClock::now();
     writeEntry( *m_life );
     net::start( m_context, end( m_life, m_settings.drain + linger, Millis{ 0 } ), "leave" );
 }
@@ -229,7 +229,7 @@
         return;
     }
     const auto since = *life.leavingSince;
-    const auto late = std::chrono::steady_clock::now() - since;
+    const auto late = MonoClock::now() - since;
     if( late > m_settings.drain + drainSlack && m_record.calmSince( since ) ) {
         m_record.breach( "leaving upstreams get no new work",
                          id + " comes " +
@@ -281,7 +281,7 @@
     m_record.began( content );
     co_await net::pause( m_context, work( prefillMs ) );
     if( m_life == life ) {
-        m_backAt = std::chrono::steady_clock::now() + restartTime;
+        m_backAt = MonoClock::now() + restartTime;
         crash();
     }
 }
@@ -377,7 +377,7 @@
 }
 
 void Runner::checkOrder( Life& life, const Json& order ) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = MonoClock::now();
     const auto holder = order.value( "holder", "" );
     if( !life.holder.empty() && holder != life.holder && now - life.orderedAt < leaseTime ) {
         m_record.breach( "one giver of orders",
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -46,7 +46,7 @@
         "SIGTERM", "SIGKILL",    "SIGSTOP", "SIGTERM",       "SIGKILL",       "SIGSTOP",
         "SIGHUP",  "crash",      "leave",   "mode",          "link",          "link",
         "link",    "store link", "store",   "configuration", "SIGKILL to all" };
-    const auto at = std::chrono::duration<double>( std::chrono::steady_clock::now() - m_start );
+    const auto at = std::chrono::duration<double>( MonoClock::now() - m_start );
     std::cout << at.count() << " s: " << names[static_cast<std::size_t>( fault )] << " " << what
               << std::endl;
 }
@@ -97,7 +97,7 @@
     const Millis length( shortestFaultMs +
                          static_cast<std::int64_t>( random.below( faultSpanMs ) ) );
     if( !isPlanned( fault ) ) {
-        m_deployment.record().disturbed( std::chrono::steady_clock::now() + length + settling );
+        m_deployment.record().disturbed( MonoClock::now() + length + settling );
     }
     switch( fault ) {
     case Fault::gatewayTerm:
@@ -145,7 +145,7 @@
     }
     say( fault, process.name );
     if( stops ) {
-        process.stopAsked = std::chrono::steady_clock::now();
+        process.stopAsked = MonoClock::now();
         process.child->signal( SIGTERM );
     } else if( fault == Fault::gatewayKill || fault == Fault::sidecarKill ) {
         kill( process );
@@ -216,10 +216,10 @@
 }
 
 net::Task<> Schedule::run( Millis length ) {
-    m_start = std::chrono::steady_clock::now();
+    m_start = MonoClock::now();
     auto& random = m_deployment.random();
     int turn = 0;
-    while( std::chrono::steady_clock::now() - m_start < length ) {
+    while( MonoClock::now() - m_start < length ) {
         const Millis pause( static_cast<std::int64_t>( random.below( betweenMs ) ) );
         co_await net::pause( m_deployment.context(), pause );
         const bool calm = turn % ( faultsInSeries + plannedInSeries ) >= faultsInSeries;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -3,6 +3,7 @@
 
 #include "coursehead/claims/key.hpp"
 #include "coursehead/engine/engine.hpp"
+#include "coursehead/kernel/clock.hpp"
 #include "standin/answer.hpp"
 
 #include <catch2/catch.hpp>
@@ -131,9 +132,9 @@
 }
 
 void waitUntil( const char* what, const std::function<bool()>& condition, int seconds ) {
-    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds( seconds );
+    const auto limit = coursehead::MonoClock::now() + std::chrono::seconds( seconds );
     while( !condition() ) {
-        if( std::chrono::steady_clock::now() > limit ) {
+        if( coursehead::MonoClock::now() > limit ) {
             FAIL( "timed out waiting for: " << what );
         }
         std::this_thread::sleep_for( Millis( 10 ) );
--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -189,13 +189,13 @@
 
 net::Task<ObjectStore::Answer> ObjectStore::watch( std::string kind, std::uint64_t from,
                                                    Millis wait ) {
-    const auto until = std::chrono::steady_clock::now() + wait;
+    const auto until = MonoClock::now() + wait;
     for( ;; ) {
         if( from < m_oldest ) {
             co_return Answer{ statusGone, Json::object() };
         }
         auto got = events( kind, from );
-        const bool over = std::chrono::steady_clock::now() >= until || m_mode != StoreMode::up;
+        const bool over = MonoClock::now() >= until || m_mode != StoreMode::up;
         if( !got.body["events"].empty() || over ) {
             co_return got;
         }
--- a/tests/unit/admission.tests.cpp
+++ b/tests/unit/admission.tests.cpp
@@ -52,7 +52,7 @@
         out.prompt.tokens = 4000;
         out.prompt.msPerToken = 0.1;
         out.prompt.goalMs = goal.count();
-        out.since = std::chrono::steady_clock::now();
+        out.since = MonoClock::now();
         out.limit = goal;
         return out;
     }
@@ -85,7 +85,7 @@
     REQUIRE( f.answers.size() == 2 );
     CHECK( f.answers[1].key == 2 );
     CHECK( f.answers[1].outcome == EnsureOutcome::failed );
-    CHECK_FALSE( f.admission.busy( std::chrono::steady_clock::now() ) );
+    CHECK_FALSE( f.admission.busy( MonoClock::now() ) );
 }
 
 TEST_CASE( "A model that made way meanwhile is wanted again, and no leave is given",
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -71,7 +71,7 @@
     net::Acceptor front = net::listen( context, "127.0.0.1", 0 );
 
     Path() {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = MonoClock::now();
         shared.table = std::make_shared<RouteTable>( configuration() );
         fleet.setConfiguration( shared.table, now );
         std::map<std::string, Member> members;
@@ -201,7 +201,7 @@
     std::map<std::string, Member> members;
     members.emplace( "u1",
                      Member{ Path::listed( "u1", still.local_endpoint().port(), "hall" ), false } );
-    path.fleet.sync( members, std::chrono::steady_clock::now() );
+    path.fleet.sync( members, MonoClock::now() );
     net::Socket client( outside );
     client.connect( path.front.local_endpoint() );
     const std::string request = "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
@@ -344,7 +344,7 @@
     auto leaving = Path::listed( "u1", path.first.port(), "hall" );
     leaving.state = UpstreamState::draining;
     members.emplace( "u1", Member{ leaving, false } );
-    path.fleet.sync( members, std::chrono::steady_clock::now() );
+    path.fleet.sync( members, MonoClock::now() );
     const auto got = path.ask( "GET", "/safe/a" );
     CHECK( startsWith( got, "HTTP/1.1 503" ) );
     CHECK( path.first.requests().empty() );
@@ -539,7 +539,7 @@
     Path path;
     path.shared.draining = true;
     path.shared.pastHandover = true;
-    path.shared.stopAt = std::chrono::steady_clock::now() + 1000ms;
+    path.shared.stopAt = MonoClock::now() + 1000ms;
     const auto late = path.ask( "GET", "/safe/a" );
     CHECK( startsWith( late, "HTTP/1.1 503" ) );
     CHECK( late.find( "Retry-After" ) != std::string::npos );
--- a/tests/unit/kernel.tests.cpp
+++ b/tests/unit/kernel.tests.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "coursehead/kernel/kernel.hpp"
+#include "coursehead/kernel/clock.hpp"
 #include "coursehead/kernel/elastic_pool.hpp"
 #include "coursehead/kernel/log.hpp"
 #include "coursehead/kernel/settings.hpp"
@@ -8,6 +9,8 @@
 
 #include <array>
 #include <atomic>
+#include <ctime>
+#include <type_traits>
 
 using namespace coursehead;
 
@@ -118,3 +121,16 @@
     pool.shutdown();
     CHECK( done == 2 );
 }
+
+TEST_CASE( "Ages and leases count the time in which the VM was suspended", "[kernel][clock]" ) {
+    const auto bootTime = [] {
+        timespec read{};
+        ::clock_gettime( CLOCK_BOOTTIME, &read );
+        return std::chrono::seconds( read.tv_sec ) + std::chrono::nanoseconds( read.tv_nsec );
+    };
+    const auto before = bootTime();
+    const auto now = MonoClock::now().time_since_epoch();
+    CHECK( before <= now );
+    CHECK( now <= bootTime() );
+    STATIC_REQUIRE_FALSE( std::is_same_v<MonoTime, std::chrono::steady_clock::time_point> );
+}
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -22,9 +22,9 @@
 
 //! Runs the loop until a condition holds; false when it does not within some seconds.
 bool runUntil( net::asio::io_context& context, const std::function<bool()>& condition ) {
-    const auto limit = std::chrono::steady_clock::now() + patience;
+    const auto limit = MonoClock::now() + patience;
     while( !condition() ) {
-        if( std::chrono::steady_clock::now() > limit ) {
+        if( MonoClock::now() > limit ) {
             return false;
         }
         context.run_one_for( 10ms );
@@ -186,11 +186,11 @@
     REQUIRE( f.comes( []( const auto& it ) { return it.whole; } ) );
     f.relay.unsubscribe( &f );
     // What is under way may still end; then there is silence.
-    const auto settled = std::chrono::steady_clock::now() + 2 * relaySilence( f.settings.bounds );
-    runUntil( f.context, [&] { return std::chrono::steady_clock::now() > settled; } );
+    const auto settled = MonoClock::now() + 2 * relaySilence( f.settings.bounds );
+    runUntil( f.context, [&] { return MonoClock::now() > settled; } );
     const auto calls = f.store.calls();
-    const auto later = std::chrono::steady_clock::now() + 2 * relaySilence( f.settings.bounds );
-    runUntil( f.context, [&] { return std::chrono::steady_clock::now() > later; } );
+    const auto later = MonoClock::now() + 2 * relaySilence( f.settings.bounds );
+    runUntil( f.context, [&] { return MonoClock::now() > later; } );
     CHECK( f.store.calls() == calls );
 }
 
@@ -222,8 +222,8 @@
     REQUIRE( follower.relayed( store.revision(), MonoTime::max() ) );
     auto task = follower.run();
     net::start( context, std::move( task ), "follower" );
-    const auto quiet = std::chrono::steady_clock::now() + 300ms;
-    runUntil( context, [&] { return std::chrono::steady_clock::now() > quiet; } );
+    const auto quiet = MonoClock::now() + 300ms;
+    runUntil( context, [&] { return MonoClock::now() > quiet; } );
     CHECK( store.calls() == 0U );
     store.put( "servers", "u2", entry( "ready" ) );
     follower.relayLost();
