An upstream that starts again under its id: nothing of its earlier start is believed any more

Change: born travels with entries, reports and gateways' news; what is older is dropped, what is newer clears the upstream's state in one place (Node::beginAnew, EngineView::forgetStart). Ruled out: the store's revision of the entry (it stays when a runner writes on). After: lists of three starts in any order, lost and repeated, end on the newest.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -64,16 +64,33 @@
             continue;
         }
         Node& node = *it->second;
+        if( isFormer( member.upstream.born, node.upstream.born ) ) {
+            continue;
+        }
+        const bool anew = isFormer( node.upstream.born, member.upstream.born );
+        if( anew ) {
+            restart( node, member.upstream.born, now );
+        }
         if( node.upstream.state != member.upstream.state ) {
             log::info( "upstream_leaving", { { "upstream", id } } );
         }
         node.upstream = member.upstream;
+        if( anew ) {
+            setEngine( node );
+        }
         if( node.upstream.remaining && !node.leavesAt ) {
             node.leavesAt = now + *node.upstream.remaining;
         }
     }
 }
 
+void Fleet::restart( Node& node, Born born, MonoTime now ) {
+    log::info(
+        "upstream_restarted",
+        { { "upstream", node.upstream.id }, { "born", born }, { "before", node.upstream.born } } );
+    node.beginAnew( born, now );
+}
+
 void Fleet::add( const Upstream& upstream, MonoTime now ) {
     log::info( "upstream_added",
                { { "upstream", upstream.id },
@@ -96,7 +113,8 @@
     const auto engine = service != nullptr ? service->engine : nullptr;
     const auto gapTarget = m_table ? m_table->gapTarget( node.upstream.service ) : Millis{ 0 };
     const bool same = node.engine && engine && *node.engine == *engine &&
-                      node.gapTarget == gapTarget && node.sidecar;
+                      node.gapTarget == gapTarget && node.sidecar &&
+                      node.toldBorn == node.upstream.born;
     if( same ) {
         // Most configurations change routes only: sidecars need not hear of them.
         return;
@@ -117,6 +135,8 @@
     news.gateway = m_settings.vm;
     news.configVersion = m_table->configuration().version;
     news.upstreamId = node.upstream.id;
+    news.born = node.upstream.born;
+    node.toldBorn = node.upstream.born;
     news.engine = *node.engine;
     news.gapTargetMs = gapTarget.count();
     node.sidecar->setNews( std::move( news ) );
@@ -152,6 +172,13 @@
 }
 
 void Fleet::takeReport( Node& node, const SidecarReport& report ) {
+    if( isFormer( report.born, node.upstream.born ) ) {
+        return;
+    }
+    if( isFormer( node.upstream.born, report.born ) ) {
+        restart( node, report.born, MonoClock::now() );
+        setEngine( node );
+    }
     if( report.reachable != node.engineReachable ) {
         log::info( report.reachable ? "engine_regained" : "engine_lost",
                    { { "upstream", node.upstream.id } } );
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -105,6 +105,7 @@
     void addReplica( const std::string& service, const std::string& model, double load,
                      MonoTime now );
     void add( const Upstream& upstream, MonoTime now );
+    static void restart( Node& node, Born born, MonoTime now );
     static void drop( Node& node );
     static void stopSidecar( Node& node );
     void setEngine( Node& node );
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -175,7 +175,7 @@
 
 void to_json( Json& out, const SidecarReport& in ) {
     out = Json::array( { in.reachable, in.gateways, in.formerUpstreams, in.residents, in.coming,
-                         in.onDisk, in.inMemory, in.load } );
+                         in.onDisk, in.inMemory, in.load, in.born } );
 }
 
 void from_json( const Json& in, SidecarReport& out ) {
@@ -187,6 +187,7 @@
     out.onDisk = in.at( 5 ).get<std::vector<std::string>>();
     out.inMemory = in.at( 6 ).get<std::vector<std::string>>();
     out.load = in.at( 7 ).get<EngineLoad>();
+    out.born = in.at( 8 ).get<Born>();
 }
 
 void to_json( Json& out, const LoadReport& in ) {
@@ -266,13 +267,13 @@
 
 // clang-format off
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineSpec, slots, cacheTokens, weightsMb, adapterSlots, storeLoadsPerS, models )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineNews, gateway, configVersion, upstreamId, gapTargetMs, engine )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineNews, gateway, configVersion, upstreamId, born, gapTargetMs, engine )
 // clang-format on
 
 void to_json( Json& out, const Upstream& in ) {
     const auto left = in.remaining ? in.remaining->count() : std::int64_t{ -1 };
     out = Json::array( { in.id, in.created, in.service, in.ip, in.port, in.hall, in.slots,
-                         in.state == UpstreamState::draining, left, in.residents } );
+                         in.state == UpstreamState::draining, left, in.residents, in.born } );
 }
 
 void from_json( const Json& in, Upstream& out ) {
@@ -289,6 +290,7 @@
         out.remaining = Millis( left );
     }
     out.residents = in.at( 9 ).get<std::vector<Resident>>();
+    out.born = in.at( 10 ).get<Born>();
 }
 
 // clang-format off
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -21,6 +21,7 @@
     std::string gateway;
     std::uint64_t configVersion = 0;
     std::string upstreamId;       //!< the engine's present start
+    Born born = 0;                //!< the same
     std::int64_t gapTargetMs = 0; //!< longest pause that keeps a stream in time; 0: none is set
     EngineSpec engine;
 };
@@ -125,6 +126,7 @@
     std::vector<std::string> onDisk;
     std::vector<std::string> inMemory;
     EngineLoad load;
+    Born born = 0; //!< the engine's present start
 };
 
 //! The load alone, regularly: most reports differ in nothing else.
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -105,9 +105,19 @@
     bool operator==( const Resident& ) const = default;
 };
 
-//! An upstream as the platform lists it. `id` names one start of it and is never used again.
+//! When a start of an upstream began, in Unix milliseconds by its own clock; 0: not told. Compared
+//! between starts of one upstream only.
+using Born = std::int64_t;
+
+//! True when something about one start is older than what is known: it comes too late.
+inline bool isFormer( Born told, Born known ) noexcept {
+    return told != 0 && told < known;
+}
+
+//! An upstream as the platform lists it. It may start again under its id, and knows nothing then.
 struct Upstream {
     std::string id;
+    Born born = 0;
     std::uint64_t created = 0; //!< revision of the store at which it was first listed
     std::string service;
     std::string ip;
@@ -129,6 +139,7 @@
 
 //! What an engine tells about itself.
 struct EngineReport {
+    Born born = 0;
     std::vector<Resident> residents;
     std::vector<std::string> coming; //!< adapters on their way: MODEL/NAME
     std::vector<std::string> onDisk;
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -53,6 +53,24 @@
                                              adapter ) != resident->adapters.end();
 }
 
+void Node::beginAnew( Born born, MonoTime now ) {
+    upstream.born = born;
+    upstream.residents.clear();
+    addedAt = now;
+    pool = {};
+    health = {};
+    reading = {};
+    prefixes.clear();
+    report.reset();
+    engineReachable = true;
+    replaced = false;
+    leavesAt.reset();
+    readingWaitMs = 0;
+    loading.clear();
+    sentParts.clear();
+    adaptersUsed.clear();
+}
+
 void Node::notePrompt( std::span<const std::uint64_t> keys, const Generation& generation ) {
     prefixes.insert( keys, generation );
     if( !generation.adapter.empty() ) {
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -27,6 +27,7 @@
 
     Upstream upstream;
     MonoTime addedAt;                         //!< when this gateway first heard of it
+    Born toldBorn = 0;                        //!< start that its sidecar was told of
     std::shared_ptr<const EngineSpec> engine; //!< null for plain services
     Millis gapTarget{ 0 };                    //!< of the service's streams; 0: none
     ConnectionPool pool;
@@ -52,6 +53,9 @@
     std::set<std::string> adaptersUsed; //!< MODEL/NAME sent there since the last demand message
     std::map<std::string, int, std::less<>> running; //!< in flight, by MODEL and by MODEL/NAME
 
+    //! It has started again under its id: nothing that was known of the earlier start holds. What
+    //! is in flight goes on counting until it ends.
+    void beginAnew( Born born, MonoTime now );
     //! True while new requests may go there.
     bool takesRequests() const {
         return !gone && !replaced && upstream.state == UpstreamState::ready;
--- a/src/gateway/poison_guard.cpp
+++ b/src/gateway/poison_guard.cpp
@@ -69,6 +69,7 @@
 }
 
 net::Task<bool> PoisonGuard::hasEnded( const Node& node ) {
+    const auto born = node.upstream.born;
     net::Socket socket( m_context );
     net::ErrorCode ec;
     const auto to = net::endpointOf( node.upstream.ip, node.upstream.port, ec );
@@ -84,7 +85,8 @@
     // Something listens there: the same start, or already the next one.
     const auto until = MonoClock::now() + othersSee;
     while( MonoClock::now() < until ) {
-        if( node.gone || node.replaced || !node.engineReachable ) {
+        const bool another = node.upstream.born != born;
+        if( node.gone || node.replaced || another || !node.engineReachable ) {
             co_return true;
         }
         co_await net::pause( m_context, probeStays );
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -27,6 +27,10 @@
 }
 
 void Registry::put( Upstream upstream, MonoTime ) {
+    const auto known = m_members.find( upstream.id );
+    if( known != m_members.end() && isFormer( upstream.born, known->second.upstream.born ) ) {
+        return;
+    }
     // Entries of former starts live on for some heartbeats: of two at one address the one that was
     // made later holds.
     const auto sameAddress = [&upstream]( const Upstream& other ) {
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -75,8 +75,15 @@
     return out;
 }
 
+//! Always a whole number, where it is told.
+gateway::Born bornOf( const Json& in ) {
+    const auto it = in.find( "born" );
+    return it == in.end() ? gateway::Born{ 0 } : it->get<gateway::Born>();
+}
+
 EngineReport reportOf( const Json& in ) {
     EngineReport out;
+    out.born = bornOf( in );
     out.residents = readResidents( in.value( "models", Json::array() ) );
     out.coming = readComing( in.value( "coming", Json::array() ) );
     const auto available = in.value( "available", Json::object() );
@@ -140,6 +147,11 @@
             return std::nullopt;
         }
         out.state = *state;
+        if( in.contains( "born" ) && !in["born"].is_number_integer() ) {
+            problem = "born = " + in["born"].dump() + ": expected a whole number";
+            return std::nullopt;
+        }
+        out.born = bornOf( in );
         if( in.contains( "remainingMs" ) && in["remainingMs"].is_number() ) {
             out.remaining = Millis( in["remainingMs"].get<std::int64_t>() );
         }
--- a/src/sidecar/engine_view.cpp
+++ b/src/sidecar/engine_view.cpp
@@ -23,6 +23,10 @@
 
 EngineView::News EngineView::take( gateway::EngineReport report, MonoTime now ) {
     News out;
+    out.restarted = gateway::isFormer( m_report.born, report.born );
+    if( out.restarted ) {
+        forgetStart();
+    }
     for( const auto& it : report.residents ) {
         if( !holds( m_report, it.model ) ) {
             m_loadedAt[it.model] = m_report.residents.empty() ? MonoTime{} : now;
@@ -48,6 +52,13 @@
     return out;
 }
 
+void EngineView::forgetStart() {
+    m_loadedAt.clear();
+    m_adapterUses.clear();
+    m_unloads.clear();
+    m_retiring.clear();
+}
+
 Use EngineView::useOf( const std::string& model ) const {
     Use out;
     for( const auto& peer : m_peers ) {
--- a/src/sidecar/engine_view.hpp
+++ b/src/sidecar/engine_view.hpp
@@ -28,6 +28,7 @@
     struct News {
         std::vector<std::string> dropped; //!< models that are no longer there
         bool startedEmpty = false;        //!< the first report, and the engine holds nothing
+        bool restarted = false;           //!< it is another start, under the same id or not
         //! What the engine held before it came back empty.
         std::vector<decide::FormerModel> lost;
     };
@@ -53,6 +54,9 @@
     std::vector<gateway::Resident> offered() const;
 
 private:
+    //! Nothing that was ordered of, or used at, the engine's earlier start holds.
+    void forgetStart();
+
     const std::set<PeerPtr>& m_peers;
     std::optional<gateway::EngineSpec> m_spec;
     gateway::EngineReport m_report;
--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -19,8 +19,8 @@
 
 //! True when gateways have to hear of it: what an engine holds its own sidecar tells them.
 bool differs( const Upstream& a, const Upstream& b ) {
-    return a.created != b.created || a.service != b.service || a.ip != b.ip || a.port != b.port ||
-           a.hall != b.hall || a.slots != b.slots || a.state != b.state ||
+    return a.created != b.created || a.born != b.born || a.service != b.service || a.ip != b.ip ||
+           a.port != b.port || a.hall != b.hall || a.slots != b.slots || a.state != b.state ||
            a.remaining != b.remaining;
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -191,12 +191,11 @@
             sendQuarantines( peer );
         }
         peer.gateway = news.gateway;
-        if( news.upstreamId != m_upstreamId ) {
-            // Another start of the engine: it keeps nothing of what was sent before.
+        const bool former = gateway::isFormer( news.born, m_view.report().born );
+        if( news.upstreamId != m_upstreamId && !former ) {
             m_upstreamId = news.upstreamId;
             m_orders.setEngine( news.upstreamId );
-            m_sentParts.clear();
-            m_admission.failAll();
+            startAnew();
         }
         if( news.configVersion >= m_configVersion ) {
             m_configVersion = news.configVersion;
@@ -207,6 +206,13 @@
         sendReport( peer, first ? m_sentParts.all() : std::vector<gateway::SentPart>{} );
     }
 
+    //! Another start of the engine: it keeps nothing of what was sent before.
+    void startAnew() {
+        m_sentParts.clear();
+        m_admission.failAll();
+        m_changed = true;
+    }
+
     void takeRelayAsk( const PeerPtr& peer, const gateway::RelayAsk& ask ) {
         if( !ask.wanted ) {
             m_relay.unsubscribe( peer.get() );
@@ -333,6 +339,10 @@
         for( const auto& it : news.dropped ) {
             m_admission.dropModel( it );
         }
+        if( news.restarted ) {
+            log::info( "engine_restarted", { { "born", m_view.report().born } } );
+            startAnew();
+        }
         if( news.startedEmpty ) {
             m_orders.recallFromStore();
         } else if( !news.lost.empty() ) {
@@ -419,6 +429,7 @@
     gateway::SidecarReport report() const {
         gateway::SidecarReport out;
         out.reachable = m_reachable;
+        out.born = m_view.report().born;
         out.gateways = static_cast<int>( m_peers.size() );
         out.formerUpstreams = m_orders.former();
         out.residents = m_view.offered();
--- /dev/null
+++ b/tests/unit/restart.tests.cpp
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/fleet.hpp"
+#include "platform/wire.hpp"
+#include "sidecar/engine_view.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace coursehead;
+using namespace coursehead::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MonoTime start{ 1000s };
+constexpr Born first = 1790000000000;
+
+Upstream entry( Born born, UpstreamState state = UpstreamState::ready ) {
+    Upstream out;
+    out.id = "u";
+    out.born = born;
+    out.service = "s";
+    out.ip = "127.0.0.1";
+    out.port = 9;
+    out.hall = "hall";
+    out.state = state;
+    return out;
+}
+
+//! A gateway's upstreams, fed from the store's list.
+struct Gateway {
+    net::asio::io_context context{ 1 };
+    RandomSource random{ 1 };
+    Fleet fleet{ context, random, FleetSettings{ "vm", "hall", 1, 5000ms } };
+    Registry registry{ Registry::Settings{} };
+
+    void list( Born born, MonoTime now ) {
+        registry.list( { entry( born ) }, now );
+        fleet.sync( registry.members(), now );
+    }
+    Node& node() { return *fleet.nodes().at( "u" ); }
+};
+
+} // namespace
+
+TEST_CASE( "Of several starts under one id the newest holds, however late the others are told",
+           "[gateway][restart]" ) {
+    rc::prop( "lists of three starts in any order, lost and repeated", [] {
+        Gateway gateway;
+        const auto told = *rc::gen::container<std::vector<int>>( rc::gen::inRange( 0, 3 ) );
+        Born newest = 0;
+        auto now = start;
+        for( const int it : told ) {
+            const Born born = first + it * 5000;
+            gateway.list( born, now += 300ms );
+            newest = std::max( newest, born );
+            RC_ASSERT( gateway.node().upstream.born == newest );
+        }
+    } );
+}
+
+TEST_CASE( "What was known of an upstream's earlier start does not outlive it",
+           "[gateway][restart]" ) {
+    Gateway gateway;
+    gateway.list( first, start );
+    Node& node = gateway.node();
+    noteUnreachable( node.health, start );
+    node.replaced = true;
+    node.engineReachable = false;
+    node.leavesAt = start + 1s;
+    node.loading["m"] = start;
+    node.adaptersUsed.insert( "m/a" );
+    node.sentParts.push_back( { 1, 100, "m" } );
+    node.takeReadingWait( 5000, start );
+    Generation generation;
+    generation.model = "m";
+    generation.parts = { { 1, 100 }, { 2, 100 } };
+    const std::vector<std::uint64_t> keys{ 11, 12 };
+    node.prefixes.setCapacity( 100000 );
+    node.notePrompt( keys, generation );
+    REQUIRE( node.prefixes.kept( keys, generation ) > 0 );
+    node.inFlight = 3;
+    gateway.list( first + 1, start + 1s );
+    CHECK( node.takesRequests() );
+    CHECK( node.engineReachable );
+    CHECK( node.health.avoidUntil == MonoTime{} );
+    CHECK_FALSE( node.leavesAt );
+    CHECK( node.loading.empty() );
+    CHECK( node.adaptersUsed.empty() );
+    CHECK( node.sentParts.empty() );
+    CHECK( node.readingWait( start + 1s ) == 0 );
+    CHECK( node.prefixes.kept( keys, generation ) == 0 );
+    // Requests to the earlier start are still on their way back.
+    CHECK( node.inFlight == 3 );
+    CHECK( node.addedAt == start + 1s );
+}
+
+TEST_CASE( "An engine that starts again under its id has none of its orders under way",
+           "[sidecar][restart]" ) {
+    const std::set<sidecar::PeerPtr> peers;
+    sidecar::EngineView view( peers );
+    EngineSpec spec;
+    spec.weightsMb = 100;
+    view.setSpec( spec );
+    EngineReport report;
+    report.born = first;
+    report.residents = { { "m", {} } };
+    CHECK_FALSE( view.take( report, start ).restarted );
+    view.noteUnload( { sidecar::StepKind::unload, "m", "" }, start );
+    view.setRetiring( "m", start );
+    CHECK( view.offered().empty() );
+    report.born = first + 4000;
+    const auto news = view.take( report, start + 100ms );
+    CHECK( news.restarted );
+    CHECK( view.offered().size() == 1 );
+    CHECK_FALSE( view.take( report, start + 200ms ).restarted );
+}
+
+TEST_CASE( "When an upstream was born is read where it is a whole number", "[platform][restart]" ) {
+    const std::string head = R"({"service":"s","address":"10.0.0.1:80","zone":"h","slots":4,)"
+                             R"("state":"ready","born":)";
+    std::string problem;
+    const auto read = platform::readUpstream( "u", head + "1790000000123}", problem );
+    REQUIRE( read );
+    CHECK( read->born == 1790000000123 );
+    for( const auto* it : { "\"1790000000123\"", "1.5", "null", "[]" } ) {
+        INFO( it );
+        CHECK_FALSE( platform::readUpstream( "u", head + it + "}", problem ) );
+        CHECK( problem.starts_with( "born = " ) );
+    }
+    const auto report = platform::readEngineReport( R"({"born":1790000000123,"models":[]})" );
+    REQUIRE( report );
+    CHECK( report->born == 1790000000123 );
+}
+
+TEST_CASE( "A relay's word and a sidecar's tell which start they are about",
+           "[gateway][restart]" ) {
+    StoreNews news;
+    news.upstreams = { entry( first ) };
+    const auto relayed = decode( encode( Message( news ) ) );
+    REQUIRE( relayed );
+    CHECK( std::get<StoreNews>( *relayed ).upstreams[0].born == first );
+    SidecarReport report;
+    report.born = first;
+    const auto reported = decode( encode( Message( report ) ) );
+    REQUIRE( reported );
+    CHECK( std::get<SidecarReport>( *reported ).born == first );
+}
