--- a/src/gateway/estimate.cpp
+++ b/src/gateway/estimate.cpp
@@ -28,6 +28,9 @@
 constexpr double plainCrossHallMs = 15;
 //! A load also makes another model give way; it is chosen only when it wins this much.
 constexpr double evictionMs = 150;
+//! What is held elsewhere too leaves a hall that is emptied at once; what only it holds is still
+//! sent there until a copy has come from a disk or the weight store, which takes longer than this.
+constexpr double leavingHallMs = 350;
 constexpr double percent = 100;
 
 bool contains( const std::vector<std::string>& names, std::string_view name ) {
@@ -74,6 +77,7 @@
     out.slowness = slownessNow( node.health, now );
     out.otherHall = node.upstream.hall != hall;
     out.crossHallMs = crossHallMs;
+    out.leavingMs = node.stopAt ? leavingHallMs : 0;
     out.avoided = node.health.avoidUntil > now || !node.engineReachable;
     if( need.generation == nullptr || !node.engine ) {
         out.workMs = usualWorkMs;
--- a/src/gateway/estimate.hpp
+++ b/src/gateway/estimate.hpp
@@ -6,7 +6,9 @@
 #include "gateway/pace.hpp"
 #include "gateway/selection.hpp"
 
+#include "decide/homes.hpp"
 #include <span>
+
 #include <string>
 #include <string_view>
 
@@ -17,6 +19,7 @@
     std::string service;
     const Generation* generation = nullptr; //!< null for plain services
     std::span<const std::uint64_t> prefix;  //!< keys of the prompt's parts
+    decide::Homes homes{};                  //!< regions in which it may be served
     Millis goal{ 0 };
     std::size_t requestBytes = 0;
 };
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -75,6 +75,10 @@
         m_need.prefix = m_prefix;
     }
     m_need.service = m_service;
+    m_need.homes.route = m_route->homeRegions;
+    if( m_organisation != nullptr ) {
+        m_need.homes.organisation = m_organisation->homeRegions;
+    }
     m_need.goal = m_route->goal;
     m_need.requestBytes = m_request.body.size();
     m_lastEvent = m_request.head.lastEventId;
@@ -136,7 +140,7 @@
         if( m_client->left || m_shared.sendsEnded || !timeLeft( now ) || !maySend() ) {
             break;
         }
-        if( !choice.node->takesRequests() ) {
+        if( !choice.node->takesRequests( now ) ) {
             m_leave.reset();
             m_excluded.insert( choice.node->upstream.id );
             continue;
@@ -179,7 +183,7 @@
 
 net::Task<Exchange::Next> Exchange::prepare( Choice& choice ) {
     if( m_need.generation == nullptr || !choice.node->engine ) {
-        co_return Next::send;
+        co_return sendUnasked( *choice.node );
     }
     const auto now = MonoClock::now();
     const bool holds = choice.holdsModel && choice.holdsAdapter;
@@ -200,7 +204,25 @@
         co_return Next::again;
     }
     m_lastWhy = holds ? m_lastWhy : "model not ready";
-    co_return holds ? Next::send : Next::elsewhere;
+    co_return holds ? sendUnasked( *choice.node ) : Next::elsewhere;
+}
+
+//! Where nobody beside the upstream counts for all gateways, each has its part of what a cold one
+//! bears. Half of it: parts that each let through by itself come together now and then.
+Exchange::Next Exchange::sendUnasked( Node& node ) {
+    constexpr double unaskedPart = 0.5;
+    const auto now = MonoClock::now();
+    const auto share = unaskedPart * node.coldPerS / std::max( m_shared.fleet.gateways(), 1 );
+    const auto wait = node.cold.wait( share, now );
+    if( wait.count() > 0 ) {
+        m_lastWhy = "upstreams are cold";
+        m_retryAfter = std::max( m_retryAfter, std::min( wait, modelRetryAfter ) );
+        return Next::elsewhere;
+    }
+    if( node.cold.isCold( now ) ) {
+        node.cold.take( now );
+    }
+    return Next::send;
 }
 
 EnsureRequest Exchange::question( const Choice& choice, MonoTime now ) const {
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -141,6 +141,7 @@
     net::Task<> forward();
     //! Obtains what the request needs at the chosen upstream.
     net::Task<Next> prepare( Choice& choice );
+    Next sendUnasked( Node& node );
     net::Task<Next> askSidecar( Choice& choice );
     EnsureRequest question( const Choice& choice, MonoTime now ) const;
     Next followAnswer( Choice& choice, const EnsureAnswer& answer, bool late );
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -21,6 +21,7 @@
 constexpr Millis replicaLimit{ 10000 };
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
+constexpr int hashBits = 64;
 
 } // namespace
 
@@ -74,10 +75,14 @@
         if( node.upstream.state != member.upstream.state ) {
             log::info( "upstream_leaving", { { "upstream", id } } );
         }
+        const bool turnedCold = member.upstream.cold > node.upstream.cold;
         node.upstream = member.upstream;
         if( anew ) {
             setEngine( node );
         }
+        if( anew || turnedCold ) {
+            node.noteCold( node.upstream.cold, now );
+        }
         if( node.upstream.remaining && !node.leavesAt ) {
             node.leavesAt = now + *node.upstream.remaining;
         }
@@ -97,8 +102,88 @@
                  { "service", upstream.service },
                  { "address", upstream.ip + ":" + std::to_string( upstream.port ) } } );
     const auto node = std::make_shared<Node>( upstream, now );
+    node->stopAt = m_evacuations.stopAt( upstream.hall );
+    node->cold = decide::ColdGate(
+        std::ldexp( static_cast<double>( hash64( upstream.id, m_settings.vm ) ), -hashBits ) );
     m_nodes.emplace( upstream.id, node );
     setEngine( *node );
+    node->noteCold( upstream.cold, now );
+}
+
+void Fleet::setEvacuations( const std::set<std::string>& halls, MonoTime now ) {
+    for( const auto& it : m_evacuations.missingFrom( halls ) ) {
+        endEvacuation( it, now );
+    }
+    for( const auto& it : halls ) {
+        beginEvacuation( it, false, now );
+    }
+}
+
+void Fleet::setEvacuation( const std::string& hall, bool emptied, MonoTime now ) {
+    if( emptied ) {
+        beginEvacuation( hall, true, now );
+    } else {
+        endEvacuation( hall, now );
+    }
+}
+
+void Fleet::beginEvacuation( const std::string& hall, bool justOrdered, MonoTime now ) {
+    if( !m_evacuations.begin( hall, justOrdered, m_settings.evacuation, now ) ) {
+        return;
+    }
+    const auto stop = m_evacuations.stopAt( hall );
+    std::int64_t upstreams = 0;
+    for( const auto& it : m_nodes ) {
+        if( it.second->upstream.hall == hall ) {
+            it.second->stopAt = stop;
+            ++upstreams;
+        }
+    }
+    log::info( "evacuation_begins",
+               { { "hall", hall },
+                 { "known", m_settings.regions.contains( hall ) ? "yes" : "no" },
+                 { "upstreams", upstreams },
+                 { "stop_in_ms", millisBetween( now, *stop ) } } );
+    copyFrom( hall, now );
+}
+
+void Fleet::endEvacuation( const std::string& hall, MonoTime now ) {
+    if( !m_evacuations.end( hall ) ) {
+        return;
+    }
+    log::info( "evacuation_ends", { { "hall", hall } } );
+    for( const auto& it : m_nodes ) {
+        if( it.second->upstream.hall == hall ) {
+            it.second->stopAt.reset();
+            it.second->noteCold( it.second->coldTime, now );
+        }
+    }
+}
+
+void Fleet::copyFrom( const std::string& hall, MonoTime now ) {
+    std::set<std::string> inside;
+    std::set<std::string> elsewhere;
+    for( const auto& it : m_nodes ) {
+        const bool leaves = it.second->stopAt.has_value();
+        for( const auto& resident : it.second->residents( now ) ) {
+            ( leaves ? inside : elsewhere ).insert( resident.model );
+        }
+    }
+    // Most asked for first: the weight store's rate does not let all begin at once.
+    std::vector<std::pair<double, std::string>> wanted;
+    for( const auto& [model, demand] : m_demand ) {
+        const bool lost = inside.contains( model ) && !elsewhere.contains( model );
+        if( lost && demand.perS > 0 ) {
+            wanted.emplace_back( -demand.perS, model );
+        }
+    }
+    std::sort( wanted.begin(), wanted.end() );
+    for( const auto& [order, model] : wanted ) {
+        const auto& demand = m_demand.at( model );
+        addReplica( demand.service, model, decide::copyLoad( demand.fleet ), now );
+    }
+    log::info( "evacuation_copies",
+               { { "hall", hall }, { "models", static_cast<std::int64_t>( wanted.size() ) } } );
 }
 
 void Fleet::setConfiguration( std::shared_ptr<const RouteTable> table, MonoTime ) {
@@ -111,6 +196,10 @@
 void Fleet::setEngine( Node& node ) {
     const auto* service = m_table ? m_table->service( node.upstream.service ) : nullptr;
     const auto engine = service != nullptr ? service->engine : nullptr;
+    if( service != nullptr && m_settings.cold.inForce() ) {
+        node.coldPerS = decide::coldAllowance( m_settings.cold, service->coldPerS );
+        node.coldTime = service->coldTime;
+    }
     const auto gapTarget = m_table ? m_table->gapTarget( node.upstream.service ) : Millis{ 0 };
     const bool same = node.engine && engine && *node.engine == *engine &&
                       node.gapTarget == gapTarget && node.sidecar &&
@@ -233,13 +322,19 @@
     addReplicas( held, now );
 }
 
+std::string_view Fleet::regionOf( const Node& node ) const {
+    const auto it = m_settings.regions.find( node.upstream.hall );
+    return it == m_settings.regions.end() ? std::string_view{} : std::string_view( it->second );
+}
+
 Choice Fleet::choose( const Need& need, const std::set<std::string>& excluded,
                       MonoTime now ) const {
     std::vector<Candidate> candidates;
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
-        const bool usable = node->upstream.service == need.service && node->takesRequests() &&
-                            !excluded.contains( id );
+        const bool usable = node->upstream.service == need.service && node->takesRequests( now ) &&
+                            !excluded.contains( id ) &&
+                            decide::mayServe( need.homes, regionOf( *node ) );
         if( !usable ) {
             continue;
         }
@@ -312,6 +407,8 @@
     }
     const auto now = MonoClock::now();
     request.upstreamId = node->upstream.id;
+    request.coldMs = node->cold.left( now ).count();
+    request.coldPerS = node->coldPerS;
     const bool near = node->holdsModel( request.model, now ) || hasWeights( *node, request.model );
     request.fromStore = !near && node->engine && mayUseStore( *node, request.model, now );
     const bool loads = !node->holdsModel( request.model, now ) && ( near || request.fromStore );
@@ -376,7 +473,7 @@
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
         const bool fit = node->upstream.service == service && node->engine &&
-                         node->takesRequests() && !node->holdsModel( model, now );
+                         node->takesRequests() && !node->stopAt && !node->holdsModel( model, now );
         if( fit ) {
             auto it = estimate( *node, need, m_pace, m_settings.hall, now );
             it.affinity = hash64( id, model );
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
+#include "decide/evacuation.hpp"
 #include "decide/replica_rule.hpp"
 #include "gateway/estimate.hpp"
 #include "gateway/node.hpp"
@@ -28,6 +29,9 @@
     std::string hall;
     int sidecarPort = 0;
     Millis ceilingWindow{ 5000 };
+    decide::EvacuationRule evacuation{};
+    decide::ColdRule cold{};
+    std::map<std::string, std::string> regions{}; //!< of each hall
 };
 
 //! An upstream chosen for a request, with what the choice rests on.
@@ -56,6 +60,10 @@
     //! Brings the nodes in line with the registry.
     void sync( const std::map<std::string, Member>& members, MonoTime now );
     void setConfiguration( std::shared_ptr<const RouteTable> table, MonoTime now );
+    //! All halls that are emptied, by a list that may be older than now.
+    void setEvacuations( const std::set<std::string>& halls, MonoTime now );
+    //! A hall is emptied from now on, or no longer.
+    void setEvacuation( const std::string& hall, bool emptied, MonoTime now );
     //! Regular work: demand to the sidecars.
     void tick( MonoTime now );
 
@@ -101,10 +109,16 @@
         decide::ModelLoad fleet; //!< over all gateways, as sidecars said last
     };
 
+    void beginEvacuation( const std::string& hall, bool justOrdered, MonoTime now );
+    void endEvacuation( const std::string& hall, MonoTime now );
+    //! Has copies made elsewhere of what only a hall holds.
+    void copyFrom( const std::string& hall, MonoTime now );
     void addReplicas( const std::map<std::string, int>& held, MonoTime now );
     void addReplica( const std::string& service, const std::string& model, double load,
                      MonoTime now );
     void add( const Upstream& upstream, MonoTime now );
+    //! Region of an upstream; empty when its hall is not known.
+    std::string_view regionOf( const Node& node ) const;
     static void restart( Node& node, Born born, MonoTime now );
     static void drop( Node& node );
     static void stopSidecar( Node& node );
@@ -120,6 +134,7 @@
     std::shared_ptr<const RouteTable> m_table;
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, Demand> m_demand; //!< by model
+    decide::Evacuations m_evacuations;
     ModelPace m_pace;
     StoreGrants m_grants; //!< over the rate's window and a grant's life: it counts when loads begin
     StoreNewsHandler m_onStoreNews;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,6 +80,9 @@
         out.hall = m_settings.hall;
         out.sidecarPort = m_settings.firstPort;
         out.ceilingWindow = m_settings.bounds.ceilingWindow;
+        out.evacuation = platform::evacuationRule( m_settings.bounds );
+        out.cold = platform::coldRule( m_settings.bounds );
+        out.regions = m_settings.regions;
         return out;
     }
 
@@ -117,6 +120,12 @@
         out.quarantines = [this]( std::span<const decide::Quarantine> entries ) {
             m_poison.take( entries, "store" );
         };
+        out.evacuations = [this]( const std::set<std::string>& halls ) {
+            m_fleet.setEvacuations( halls, MonoClock::now() );
+        };
+        out.evacuation = [this]( const std::string& hall, bool emptied ) {
+            m_fleet.setEvacuation( hall, emptied, MonoClock::now() );
+        };
         return out;
     }
 
@@ -135,11 +144,35 @@
                    { { "version", static_cast<std::int64_t>( read->version ) },
                      { "before", static_cast<std::int64_t>( held ) },
                      { "routes", static_cast<std::int64_t>( read->routes.size() ) } } );
+        noteUnknownHomes( *read );
         m_shared.table = std::make_shared<RouteTable>( std::move( *read ) );
         m_fleet.setConfiguration( m_shared.table, MonoClock::now() );
         m_quota.setConfiguration( m_shared.table->configuration() );
     }
 
+    //! Homes that name no region leave nobody to serve a request there.
+    void noteUnknownHomes( const Configuration& configuration ) const {
+        std::set<std::string> known;
+        for( const auto& it : m_settings.regions ) {
+            known.insert( it.second );
+        }
+        const auto look = [&known]( std::string_view kind, const std::string& name,
+                                    std::span<const std::string> homes ) {
+            for( const auto& it : homes ) {
+                if( !known.contains( it ) ) {
+                    log::warn( "home_unknown",
+                               { { "kind", kind }, { "name", name }, { "home_region", it } } );
+                }
+            }
+        };
+        for( const auto& it : configuration.routes ) {
+            look( "route", it.name, it.homeRegions );
+        }
+        for( const auto& it : configuration.organisations ) {
+            look( "organisation", it.name, it.homeRegions );
+        }
+    }
+
     void syncFleet() {
         m_shared.listed = m_feed.upstreamsListed();
         m_fleet.sync( m_registry.members(), MonoClock::now() );
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -220,8 +220,8 @@
 }
 
 void to_json( Json& out, const EnsureRequest& in ) {
-    out = Json::array(
-        { in.number, in.upstreamId, in.model, in.adapter, in.fromStore, in.limitMs, in.prompt } );
+    out = Json::array( { in.number, in.upstreamId, in.model, in.adapter, in.fromStore, in.limitMs,
+                         in.prompt, in.coldMs, in.coldPerS } );
 }
 
 void from_json( const Json& in, EnsureRequest& out ) {
@@ -232,6 +232,8 @@
     out.fromStore = in.at( 4 ).get<bool>();
     out.limitMs = in.at( 5 ).get<std::int64_t>();
     out.prompt = in.at( 6 ).get<AskedPrompt>();
+    out.coldMs = in.at( 7 ).get<std::int64_t>();
+    out.coldPerS = in.at( 8 ).get<double>();
 }
 
 void to_json( Json& out, const EnsureAnswer& in ) {
@@ -273,7 +275,8 @@
 void to_json( Json& out, const Upstream& in ) {
     const auto left = in.remaining ? in.remaining->count() : std::int64_t{ -1 };
     out = Json::array( { in.id, in.created, in.service, in.ip, in.port, in.hall, in.slots,
-                         in.state == UpstreamState::draining, left, in.residents, in.born } );
+                         in.state == UpstreamState::draining, left, in.residents, in.born,
+                         in.cold.count() } );
 }
 
 void from_json( const Json& in, Upstream& out ) {
@@ -291,11 +294,12 @@
     }
     out.residents = in.at( 9 ).get<std::vector<Resident>>();
     out.born = in.at( 10 ).get<Born>();
+    out.cold = Millis( in.at( 11 ).get<std::int64_t>() );
 }
 
 // clang-format off
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( RelayAsk, wanted )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( StoreNews, part, revision, reachable, whole, upstreams, gone, configuration, quarantines )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( StoreNews, part, revision, reachable, whole, upstreams, gone, configuration, quarantines, emptied )
 // clang-format on
 
 namespace {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -50,6 +50,8 @@
     bool fromStore = false;   //!< the weight store may be used
     std::int64_t limitMs = 0; //!< the gateway waits no longer for the answer
     AskedPrompt prompt;       //!< without tokens: none is to be sent
+    std::int64_t coldMs = 0;  //!< the engine stays cold for this much longer, as the gateway knows
+    double coldPerS = 0;      //!< prompts a second that it is sent while cold; 0: no rule
 };
 
 //! The gateway has no use for an answer to this question, or for the leave that it was given.
@@ -144,6 +146,7 @@
     upstreams,
     configuration,
     quarantines,
+    evacuations,
 };
 
 //! What has changed in the store up to a revision; sent after every answer of the store.
@@ -153,9 +156,10 @@
     bool reachable = true;           //!< the store answered; otherwise nothing else is set
     bool whole = false;              //!< all that exists, not only the changes
     std::vector<Upstream> upstreams; //!< added or changed in more than what they hold
-    std::vector<std::string> gone;   //!< ids of upstreams
+    std::vector<std::string> gone;   //!< ids of upstreams, or halls no longer emptied
     std::string configuration;       //!< as the operator wrote it; empty: unchanged
     std::vector<decide::Quarantine> quarantines; //!< added
+    std::vector<std::string> emptied;            //!< halls
 };
 
 using Message = std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport,
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -45,6 +45,8 @@
 struct Service {
     std::string name;
     int connectionLimit = 0; //!< connections an upstream accepts from all callers together
+    Millis coldTime{ 0 };    //!< an upstream is cold for so long after its start
+    double coldPerS = 0;     //!< requests a second that one bears while it is cold
     std::shared_ptr<const EngineSpec> engine; //!< null for plain services
 };
 
@@ -71,7 +73,8 @@
     int priority = 0;      //!< 0 is the highest
     int attempts = 1;      //!< upstreams that one request may go to
     bool resumable = false;
-    bool keyless = false; //!< needs no key
+    bool keyless = false;                 //!< needs no key
+    std::vector<std::string> homeRegions; //!< served in these only; empty: anywhere
     std::vector<Split> splits;
 
     //! True when a second run does no harm.
@@ -126,6 +129,7 @@
     int slots = 1;
     UpstreamState state = UpstreamState::ready;
     std::optional<Millis> remaining; //!< given when it leaves at short notice
+    Millis cold{ 0 };                //!< it stays cold for so much longer, by its entry
     std::vector<Resident> residents;
 };
 
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -60,6 +60,7 @@
     pool = {};
     health = {};
     reading = {};
+    cold = decide::ColdGate( cold.phase() );
     prefixes.clear();
     report.reset();
     engineReachable = true;
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
 
+#include "decide/cold_gate.hpp"
 #include "gateway/connection_pool.hpp"
 #include "gateway/health.hpp"
 #include "gateway/messages.hpp"
@@ -38,9 +39,13 @@
     std::optional<SidecarReport> report;  //!< the sidecar's last
     MonoTime reportAt;
     bool engineReachable = true;      //!< as the sidecar says
+    decide::ColdGate cold;            //!< what it bears after a start
+    double coldPerS = 0;              //!< requests a second that it is sent while cold; 0: no rule
+    Millis coldTime{ 0 };             //!< how long upstreams of its service stay cold
     bool replaced = false;            //!< another start has the address; the entry is about to go
     bool gone = false;                //!< no longer in the fleet
     std::optional<MonoTime> leavesAt; //!< it was announced to be gone by then
+    std::optional<MonoTime> stopAt;   //!< its hall is emptied: nothing is sent from then on
     int inFlight = 0;
     int prefilling = 0;       //!< of those, without a first event yet
     double prefillMs = 0;     //!< their estimated prompt reading time
@@ -60,6 +65,10 @@
     bool takesRequests() const {
         return !gone && !replaced && upstream.state == UpstreamState::ready;
     }
+    //! The same, and its hall is not emptied.
+    bool takesRequests( MonoTime now ) const {
+        return takesRequests() && ( !stopAt || now < *stopAt );
+    }
     bool reportFresh( MonoTime now ) const;
     //! True while its sidecar has had little time to report: what it holds is not known yet.
     bool awaitsReport( MonoTime now ) const;
@@ -73,6 +82,12 @@
     std::set<std::string> modelsOfInterest( MonoTime now ) const;
     //! Notes a prompt that is sent there.
     void notePrompt( std::span<const std::uint64_t> keys, const Generation& generation );
+    //! It stays cold for this much longer, as far as is told.
+    void noteCold( Millis left, MonoTime now ) {
+        if( coldPerS > 0 ) {
+            cold.noteCold( left, now );
+        }
+    }
     //! Takes the sidecar's word on the engine: all of it, or the load alone.
     void takeReport( const SidecarReport& next, MonoTime now );
     void takeLoad( const EngineLoad& load, MonoTime now );
--- a/src/gateway/organisation.hpp
+++ b/src/gateway/organisation.hpp
@@ -57,6 +57,8 @@
     std::vector<KeyDigest> keys;
     std::optional<int> priority; //!< takes the place of the routes' own; 0 is the highest
     QuotaLimit limit;
+    std::vector<std::string>
+        homeRegions; //!< its requests are served in these only; empty: anywhere
 };
 
 } // namespace coursehead::gateway
--- a/src/gateway/selection.cpp
+++ b/src/gateway/selection.cpp
@@ -38,7 +38,7 @@
 double costOf( const Candidate& candidate ) {
     return interference( candidate ) + candidate.latePauses * latePauseMs +
            ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
-           candidate.paceMs + candidate.failures * failureMs +
+           candidate.paceMs + candidate.leavingMs + candidate.failures * failureMs +
            ( candidate.otherHall ? candidate.crossHallMs : 0 );
 }
 
--- a/src/gateway/selection.hpp
+++ b/src/gateway/selection.hpp
@@ -23,6 +23,7 @@
     double latePauses = 0;        //!< part of the recent streams there that paused too long
     bool otherHall = false;
     double crossHallMs = 0;     //!< what leaving the hall counts for
+    double leavingMs = 0;       //!< what speaks against a hall that is being emptied
     std::uint64_t affinity = 0; //!< rendezvous hash: the highest is preferred among equals
 };
 
--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -44,7 +44,9 @@
       m_upstreams( context, settings.store, upstreamSettings( settings ), random,
                    upstreamHandlers() ),
       m_quarantines( context, settings.store, followSettings( settings, platform::quarantineKind ),
-                     random, quarantineHandlers() ) {}
+                     random, quarantineHandlers() ),
+      m_evacuations( context, settings.store, followSettings( settings, platform::evacuationKind ),
+                     random, evacuationHandlers() ) {}
 
 void StoreFeed::start() {
     m_fleet.onStoreNews( [this]( const std::string& upstreamId, const StoreNews& news ) {
@@ -53,6 +55,7 @@
     net::start( m_context, m_configuration.run(), "configuration" );
     net::start( m_context, m_upstreams.run(), "upstreams" );
     net::start( m_context, m_quarantines.run(), "quarantines" );
+    net::start( m_context, m_evacuations.run(), "evacuations" );
 }
 
 FollowHandlers StoreFeed::configurationHandlers() {
@@ -95,6 +98,36 @@
     return out;
 }
 
+FollowHandlers StoreFeed::evacuationHandlers() {
+    FollowHandlers out;
+    out.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
+        std::set<std::string> halls;
+        for( const auto& it : objects ) {
+            halls.insert( it.name );
+        }
+        m_handlers.evacuations( halls );
+    };
+    out.event = [this]( const platform::StoreEvent& event ) {
+        m_handlers.evacuation( event.object.name, !event.removed );
+    };
+    out.reachable = []( bool ) {
+    };
+    return out;
+}
+
+void StoreFeed::takeEvacuations( const StoreNews& news ) {
+    if( news.whole ) {
+        m_handlers.evacuations( { news.emptied.begin(), news.emptied.end() } );
+        return;
+    }
+    for( const auto& it : news.emptied ) {
+        m_handlers.evacuation( it, true );
+    }
+    for( const auto& it : news.gone ) {
+        m_handlers.evacuation( it, false );
+    }
+}
+
 void StoreFeed::takeQuarantine( const platform::StoreObject& object ) {
     const auto quarantine = m_reader.quarantine( object );
     if( quarantine && quarantine->holdMs > 0 ) {
@@ -159,6 +192,12 @@
         }
         return;
     }
+    if( news.part == StorePart::evacuations ) {
+        if( m_evacuations.relayed( news.revision, until ) ) {
+            takeEvacuations( news );
+        }
+        return;
+    }
     if( m_configuration.relayed( news.revision, until ) && !news.configuration.empty() ) {
         m_handlers.configuration( news.configuration );
     }
@@ -202,6 +241,7 @@
     m_upstreams.relayLost();
     m_configuration.relayLost();
     m_quarantines.relayLost();
+    m_evacuations.relayLost();
 }
 
 void StoreFeed::seekRelay( MonoTime now ) {
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace coursehead::gateway {
@@ -22,6 +23,10 @@
     std::function<void()> upstreams;
     //! Contents that are not to be sent; some may be known already.
     std::function<void( std::span<const decide::Quarantine> entries )> quarantines;
+    //! All halls that are emptied.
+    std::function<void( const std::set<std::string>& halls )> evacuations;
+    //! A hall is emptied from now on, or no longer.
+    std::function<void( const std::string& hall, bool emptied )> evacuation;
 };
 
 /**
@@ -47,6 +52,8 @@
     FollowHandlers configurationHandlers();
     FollowHandlers upstreamHandlers();
     FollowHandlers quarantineHandlers();
+    FollowHandlers evacuationHandlers();
+    void takeEvacuations( const StoreNews& news );
     void takeQuarantine( const platform::StoreObject& object );
     void takeObject( const platform::StoreObject& object ) const;
     void takeListing( std::vector<Upstream> upstreams );
@@ -64,6 +71,7 @@
     Follower m_configuration;
     Follower m_upstreams;
     Follower m_quarantines;
+    Follower m_evacuations;
     bool m_listed = false;
     std::string m_relay;                       //!< upstream id; empty: none
     MonoTime m_relayHeard;                     //!< its last word on upstreams
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -40,6 +40,31 @@
     return word == "streaming" ? RequestKind::stream : RequestKind::once;
 }
 
+double readAmount( const Json& in, const char* name, const std::string& path ) {
+    const auto it = in.find( name );
+    if( it == in.end() || it->is_null() ) {
+        return 0;
+    }
+    if( !it->is_number() || it->get<double>() < 0 ) {
+        throw BadField( path + name + " = " + it->dump() + ": expected a number, 0 or more" );
+    }
+    return it->get<double>();
+}
+
+std::vector<std::string> readHomes( const Json& in, const std::string& path ) {
+    const auto it = in.find( "homeRegions" );
+    if( it == in.end() || it->is_null() ) {
+        return {};
+    }
+    const auto isText = []( const Json& value ) {
+        return value.is_string();
+    };
+    if( !it->is_array() || !std::all_of( it->begin(), it->end(), isText ) ) {
+        throw BadField( path + "homeRegions = " + it->dump() + ": expected names of regions" );
+    }
+    return it->get<std::vector<std::string>>();
+}
+
 Route readRoute( const Json& in ) {
     Route out;
     out.name = in.at( "name" ).get<std::string>();
@@ -53,6 +78,7 @@
     out.attempts = in.value( "attempts", 1 );
     out.resumable = in.value( "resumable", false );
     out.keyless = in.value( "keyless", false );
+    out.homeRegions = readHomes( in, "routes." + out.name + "." );
     if( in.contains( "split" ) && in["split"].is_array() ) {
         for( const auto& it : in["split"] ) {
             out.splits.push_back(
@@ -89,6 +115,10 @@
     Service out;
     out.name = in.at( "name" ).get<std::string>();
     out.connectionLimit = in.value( "connectionLimit", 0 );
+    const auto path = "services." + out.name + ".";
+    out.coldTime =
+        Millis( static_cast<std::int64_t>( readAmount( in, "coldS", path ) * millisPerSecond ) );
+    out.coldPerS = readAmount( in, "coldPerS", path );
     if( in.contains( "engine" ) && in["engine"].is_object() ) {
         out.engine = readEngine( in["engine"] );
     }
@@ -104,17 +134,6 @@
     return out;
 }
 
-double readAmount( const Json& in, const char* name, const std::string& path ) {
-    const auto it = in.find( name );
-    if( it == in.end() || it->is_null() ) {
-        return 0;
-    }
-    if( !it->is_number() || it->get<double>() < 0 ) {
-        throw BadField( path + name + " = " + it->dump() + ": expected a number, 0 or more" );
-    }
-    return it->get<double>();
-}
-
 QuotaUnit readUnit( const Json& in, const std::string& path ) {
     const auto it = in.find( "unit" );
     if( it == in.end() || *it == "requests" ) {
@@ -143,6 +162,7 @@
     limit.burst = readAmount( in, "burst", path );
     limit.unit = readUnit( in, path );
     limit.plainTokens = static_cast<std::int64_t>( readAmount( in, "plainTokens", path ) );
+    out.homeRegions = readHomes( in, path );
     return out;
 }
 
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -111,6 +111,9 @@
     out.quotaWindow = in.seconds( "quotaWindowS", out.quotaWindow );
     out.quotaOver = in.number( "quotaOver", out.quotaOver );
     out.quotaSlack = in.number( "quotaSlack", out.quotaSlack );
+    out.evacuation = in.millis( "evacuationMs", out.evacuation );
+    out.coldOver = in.number( "coldOver", out.coldOver );
+    out.coldSlack = in.number( "coldSlack", out.coldSlack );
     out.fencingRequired = in.flag( "fencingRequired", out.fencingRequired );
     return out;
 }
@@ -162,6 +165,13 @@
     settings.vm = top.text( "nodeName" );
     settings.hall = top.text( "zone" );
     settings.ip = top.text( "ip" );
+    for( const auto& [hall, region] : top.table( "zones" ).items() ) {
+        if( region.is_string() ) {
+            settings.regions[hall] = region.get<std::string>();
+        } else {
+            top.complain( "zones", &region, "expected the name of a region for " + hall );
+        }
+    }
     readPorts( top, settings );
     const Reader listen( top.table( "listen" ), "listen.", out.problems );
     settings.front = listen.endpoint( "front" );
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -3,9 +3,12 @@
 #define COURSEHEAD_PLATFORM_NODE_SETTINGS_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
+#include "decide/cold_gate.hpp"
+#include "decide/evacuation.hpp"
 #include "decide/quota.hpp"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +43,9 @@
     double quotaOver = 0;         //!< part of a quota that may be passed
     double quotaSlack = 0;        //!< units that may be spent on top
     bool fencingRequired = false; //!< upstreams check fencing tokens
+    Millis evacuation{ 0 }; //!< time to send nothing more to a hall that is emptied; 0: none is
+    double coldOver = 0;    //!< factor on what a cold upstream says it bears
+    double coldSlack = 0;   //!< requests a second on top
 };
 
 //! The rule by which organisations' quotas are judged.
@@ -47,10 +53,21 @@
     return { bounds.quotaWindow, bounds.quotaOver, bounds.quotaSlack };
 }
 
+//! The rule by which halls are emptied.
+inline decide::EvacuationRule evacuationRule( const Bounds& bounds ) {
+    return { bounds.evacuation, bounds.contact };
+}
+
+//! The rule by which cold upstreams are spared.
+inline decide::ColdRule coldRule( const Bounds& bounds ) {
+    return { bounds.coldOver, bounds.coldSlack };
+}
+
 //! The settings that the platform lays down for a process.
 struct NodeSettings {
     std::string vm;
     std::string hall;
+    std::map<std::string, std::string> regions; //!< of each hall
     Endpoint front;    //!< where clients are accepted; invalid on VMs beside an engine
     Endpoint ready;    //!< where readiness is asked for
     std::string ip;    //!< of this VM
--- a/src/platform/store_wire.hpp
+++ b/src/platform/store_wire.hpp
@@ -34,6 +34,9 @@
     std::vector<StoreEvent> events;
     std::uint64_t revision = 0; //!< where the next watch goes on
 };
+//! Halls that are emptied: an object each, named like the hall. The operator's.
+inline constexpr std::string_view evacuationKind = "evacuations";
+
 // Quarantined contents, objects of the product's own.
 
 inline constexpr std::string_view quarantineKind = "quarantines";
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -155,6 +155,14 @@
         if( in.contains( "remainingMs" ) && in["remainingMs"].is_number() ) {
             out.remaining = Millis( in["remainingMs"].get<std::int64_t>() );
         }
+        const auto cold = in.find( "coldMs" );
+        if( cold != in.end() && ( !cold->is_number() || cold->get<double>() < 0 ) ) {
+            problem = "coldMs = " + cold->dump() + ": expected a number, 0 or more";
+            return std::nullopt;
+        }
+        if( cold != in.end() ) {
+            out.cold = Millis( static_cast<std::int64_t>( cold->get<double>() ) );
+        }
         out.residents = readResidents( in.value( "models", Json::array() ) );
         return out;
     } catch( const Json::exception& ex ) {
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -48,6 +48,11 @@
         return;
     }
     const auto now = MonoClock::now();
+    const auto cold = m_cold.wait( m_coldPerS, now );
+    if( cold.count() > 0 ) {
+        m_host.answer( question, EnsureOutcome::later, cold, 0 );
+        return;
+    }
     const PromptAsk ask{ question.key,    question.want.model, question.want.adapter,
                          question.prompt, question.since,      question.limit };
     const auto verdict = m_gate.ask( ask, now );
@@ -73,6 +78,15 @@
             m_host.missing( std::move( question ) );
             continue;
         }
+        const auto cold = m_cold.wait( m_coldPerS, now );
+        if( cold.count() > 0 ) {
+            m_gate.withdraw( leave.key, now );
+            m_host.answer( question, EnsureOutcome::later, cold, 0 );
+            continue;
+        }
+        if( m_cold.isCold( now ) ) {
+            m_cold.take( now );
+        }
         m_host.given( question );
         m_host.answer( question, EnsureOutcome::ready, m_gate.usualWait( now ), leave.workMs );
     }
--- a/src/sidecar/admission.hpp
+++ b/src/sidecar/admission.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_SIDECAR_ADMISSION_HPP_INCLUDED
 #define COURSEHEAD_SIDECAR_ADMISSION_HPP_INCLUDED
 
+#include "decide/cold_gate.hpp"
 #include "decide/event_pace.hpp"
 #include "net/net.hpp"
 #include "sidecar/prompt_gate.hpp"
@@ -31,6 +32,11 @@
     Admission( net::asio::io_context& context, Host host );
 
     void setEngine( std::int64_t cacheTokens, Millis gapTarget );
+    //! What a gateway knows of the engine's coldness, and what it is sent meanwhile.
+    void noteCold( Millis left, double perS, MonoTime now ) {
+        m_cold.noteCold( left, now );
+        m_coldPerS = perS;
+    }
     //! Queues a question's prompt, or answers at once.
     void admit( Question question );
     //! What the engine's report says of its prompts and streams.
@@ -56,6 +62,8 @@
     PromptGate m_gate;
     decide::EventPace m_eventPace;
     std::map<std::uint64_t, Question> m_waiting; //!< by key
+    decide::ColdGate m_cold;
+    double m_coldPerS = 0; //!< prompts a second while it is cold; 0: no rule
     std::int64_t m_cacheTokens = 0;
     Millis m_gapTarget{ 0 };
     bool m_readsFreely = false; //!< streams are in time however much is read
--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -17,15 +17,39 @@
 
 namespace {
 
+//! A coldness that only runs down is no news.
+bool turnsCold( const Upstream& before, const Upstream& now ) {
+    return now.cold > before.cold;
+}
+
 //! True when gateways have to hear of it: what an engine holds its own sidecar tells them.
 bool differs( const Upstream& a, const Upstream& b ) {
     return a.created != b.created || a.born != b.born || a.service != b.service || a.ip != b.ip ||
            a.port != b.port || a.hall != b.hall || a.slots != b.slots || a.state != b.state ||
-           a.remaining != b.remaining;
+           a.remaining != b.remaining || turnsCold( a, b );
+}
+
+//! The kind of object in the store that a part is.
+std::string_view kindOf( StorePart part ) {
+    switch( part ) {
+    case StorePart::upstreams:
+        return platform::upstreamKind;
+    case StorePart::configuration:
+        return platform::configurationKind;
+    case StorePart::quarantines:
+        return platform::quarantineKind;
+    case StorePart::evacuations:
+        return platform::evacuationKind;
+    }
+    return {};
 }
 
-//! What is left of a quarantine counts from when it is told.
-void addQuarantine( StoreNews& news, const platform::StoreObject& object ) {
+//! Adds an object of a part that is told by its names, or by what is left of it now.
+void addObject( StoreNews& news, const platform::StoreObject& object ) {
+    if( news.part == StorePart::evacuations ) {
+        news.emptied.push_back( object.name );
+        return;
+    }
     std::string problem;
     const auto quarantine = platform::readQuarantine( object, systemClock().wall(), problem );
     if( quarantine && quarantine->holdMs > 0 ) {
@@ -47,6 +71,7 @@
         startPart( StorePart::upstreams );
         startPart( StorePart::configuration );
         startPart( StorePart::quarantines );
+        startPart( StorePart::evacuations );
         return;
     }
     for( const auto& it : m_parts ) {
@@ -72,14 +97,11 @@
     const auto part = std::make_shared<Part>();
     part->part = kind;
     gateway::FollowSettings settings;
+    settings.kind = std::string( kindOf( kind ) );
     if( kind == StorePart::upstreams ) {
-        settings.kind = std::string( platform::upstreamKind );
         settings.wait = gateway::relayWait( m_settings.bounds );
         settings.pause = gateway::relayPause( m_settings.bounds );
     } else {
-        const bool configuration = kind == StorePart::configuration;
-        settings.kind =
-            std::string( configuration ? platform::configurationKind : platform::quarantineKind );
         settings.wait = gateway::watchWait( m_settings.bounds );
     }
     part->follower = std::make_unique<gateway::Follower>(
@@ -107,8 +129,11 @@
             return;
         }
         std::set<std::string> missing;
-        for( const auto& [name, upstream] : it->upstreams ) {
-            missing.insert( name );
+        for( const auto& known : it->upstreams ) {
+            missing.insert( known.first );
+        }
+        for( const auto& known : it->objects ) {
+            missing.insert( known.first );
         }
         for( const auto& object : objects ) {
             missing.erase( object.name );
@@ -154,11 +179,10 @@
         }
         return;
     }
-    if( part.part == StorePart::quarantines ) {
-        if( part.reader.quarantine( object ) ) {
-            part.quarantines[object.name] = object;
-            part.changed.insert( object.name );
-        }
+    if( part.part != StorePart::upstreams ) {
+        part.objects[object.name] = object;
+        part.changed.insert( object.name );
+        part.gone.erase( object.name );
         return;
     }
     auto upstream = part.reader.upstream( object );
@@ -176,10 +200,7 @@
 }
 
 void Relay::remove( Part& part, const std::string& name ) {
-    if( part.quarantines.erase( name ) > 0 ) {
-        part.changed.erase( name );
-    }
-    if( part.upstreams.erase( name ) > 0 ) {
+    if( part.upstreams.erase( name ) + part.objects.erase( name ) > 0 ) {
         part.changed.erase( name );
         part.gone.insert( name );
     }
@@ -193,8 +214,8 @@
     for( const auto& it : part.upstreams ) {
         out.upstreams.push_back( it.second );
     }
-    for( const auto& it : part.quarantines ) {
-        addQuarantine( out, it.second );
+    for( const auto& it : part.objects ) {
+        addObject( out, it.second );
     }
     out.configuration = part.configuration;
     return out;
@@ -205,8 +226,8 @@
     out.part = part.part;
     out.revision = part.revision;
     for( const auto& it : part.changed ) {
-        if( part.part == StorePart::quarantines ) {
-            addQuarantine( out, part.quarantines.at( it ) );
+        if( part.part != StorePart::upstreams ) {
+            addObject( out, part.objects.at( it ) );
         } else {
             out.upstreams.push_back( part.upstreams.at( it ) );
         }
--- a/src/sidecar/relay.hpp
+++ b/src/sidecar/relay.hpp
@@ -40,7 +40,7 @@
         std::uint64_t revision = 0;
         std::map<std::string, gateway::Upstream> upstreams;
         std::string configuration;
-        std::map<std::string, platform::StoreObject> quarantines;
+        std::map<std::string, platform::StoreObject> objects; //!< of other parts than upstreams
         gateway::ObjectReader reader;
         std::set<std::string> changed; //!< names of objects since the last message
         std::set<std::string> gone;    //!< likewise
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -242,6 +242,7 @@
         question.key = keyOf( *peer, ensure.number );
         question.prompt = ensure.prompt;
         question.since = MonoClock::now();
+        m_admission.noteCold( Millis( ensure.coldMs ), ensure.coldPerS, question.since );
         question.limit = std::min( Millis( ensure.limitMs ), wantLimit );
         m_view.noteUse( question.want, question.since );
         if( m_view.spec() && m_reachable && m_view.isThere( question.want, question.since ) ) {
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -144,8 +144,12 @@
         { "listen",
           { { "front", process.ip + ":" + std::to_string( frontPort ) },
             { "ready", process.ip + ":" + std::to_string( readyPort ) } } },
+        { "zones", { { "hall-0", "region-0" }, { "hall-1", "region-1" } } },
         { "bounds",
-          { { "contactMs", contactBound.count() },
+          { { "evacuationMs", evacuationBound.count() },
+            { "coldOver", 1.5 },
+            { "coldSlack", 5 },
+            { "contactMs", contactBound.count() },
             { "drainMs", drainBound.count() },
             { "graceS", graceS },
             { "configurationMs", configurationBound.count() },
@@ -191,6 +195,9 @@
     routes.push_back( route( "once", "/once/", "unsafe", "plain" ) );
     auto stream = route( "stream", "/stream/", "streaming", "models" );
     stream["resumable"] = true;
+    if( !m_homes.empty() ) {
+        stream["homeRegions"] = m_homes;
+    }
     routes.push_back( stream );
     routes.push_back( route( "fragile", "/fragile/", "streaming", "models" ) );
     const auto oldest = m_version > keptVersions ? m_version - keptVersions : 1;
@@ -200,8 +207,11 @@
     }
     Json services = Json::array();
     services.push_back( { { "name", "plain" }, { "connectionLimit", 100 } } );
-    services.push_back(
-        { { "name", "models" }, { "connectionLimit", 100 }, { "engine", engineSpec() } } );
+    services.push_back( { { "name", "models" },
+                          { "connectionLimit", 100 },
+                          { "coldS", 1.0 },
+                          { "coldPerS", 20.0 },
+                          { "engine", engineSpec() } } );
     m_store.put( "config", "main",
                  { { "version", m_version }, { "routes", routes }, { "services", services } } );
     m_changedAt = MonoClock::now();
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -28,6 +28,7 @@
 inline constexpr Millis contactBound = knowledgeBound;
 inline constexpr Millis drainBound{ 1500 };
 inline constexpr Millis configurationBound{ 1500 };
+inline constexpr Millis evacuationBound{ 1500 };
 inline constexpr int graceS = 5;
 
 inline constexpr int frontPort = 7001;
@@ -75,6 +76,8 @@
     void start();
     //! Writes a new configuration: the newest versions' own routes come and go.
     void changeConfiguration();
+    //! Regions that streams which may be resumed are served in, from the next change on.
+    void setHomes( std::vector<std::string> homes ) { m_homes = std::move( homes ); }
     std::uint64_t version() const { return m_version; }
     MonoTime changedAt() const { return m_changedAt; }
     //! Writes a gateway's settings anew, with other figures where that does no harm.
@@ -103,6 +106,7 @@
     std::vector<std::unique_ptr<Process>> m_sidecars;
     std::vector<Upstream> m_upstreams;
     std::uint64_t m_version = 0;
+    std::vector<std::string> m_homes;
     MonoTime m_changedAt;
 };
 
--- a/tests/soak/record.hpp
+++ b/tests/soak/record.hpp
@@ -35,6 +35,9 @@
     //! The caller was told that it has not run and never will.
     void toldNotRun( const std::string& id );
     int runs( const std::string& id ) const;
+    //! An upstream of a hall begins to run a request.
+    void ranIn( const std::string& hall ) { ++m_runsIn[hall]; }
+    int runsIn( const std::string& hall ) { return m_runsIn[hall]; }
 
     //! An upstream begins to run a request that ends it. `content` is what its tries have in
     //! common.
@@ -72,6 +75,7 @@
     std::map<std::string, Request> m_requests;
     std::map<std::string, Poison> m_poison; //!< by content
     std::map<std::string, int> m_counts;
+    std::map<std::string, int> m_runsIn; //!< by hall
     std::vector<std::string> m_breaches;
     MonoTime m_disturbedUntil;
 };
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -257,6 +257,7 @@
         co_return co_await send( socket, std::move( bytes ) );
     }
     m_record.ran( id );
+    m_record.ranIn( m_settings.hall );
     ++life->runs[id];
     const std::string target( request.target() );
     if( target.find( endsUpstream ) != std::string::npos ) {
--- /dev/null
+++ b/tests/support/world.hpp
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_SUPPORT_WORLD_HPP_INCLUDED
+#define COURSEHEAD_SUPPORT_WORLD_HPP_INCLUDED
+
+#include "soak/deployment.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+
+namespace coursehead::support {
+
+using soak::Deployment;
+using soak::frontPort;
+using soak::hostName;
+using soak::Kind;
+using soak::Process;
+using soak::Record;
+using soak::SoakOptions;
+
+inline constexpr int tries = 10;
+inline constexpr Millis limit{ 60000 };
+inline constexpr Millis look{ 50 };
+
+//! Three gateways before six engines and three plain upstreams, all real but for the upstreams.
+struct World {
+    net::asio::io_context context{ 1 };
+    Record record;
+    RandomSource random{ 7 };
+    std::string folder = std::filesystem::temp_directory_path() /
+                         ( "coursehead-world-" + std::to_string( ::getpid() ) );
+    std::unique_ptr<Deployment> deployment;
+    int sent = 0;
+    bool samePrompts = true; //!< prompts share their first part, and so prefer one engine
+    bool finished = false;
+
+    World() {
+        std::filesystem::create_directories( folder );
+        SoakOptions options;
+        options.gateways = 3;
+        options.engines = 6;
+        options.services = 3;
+        options.binary = COURSEHEAD_BINARY;
+        options.folder = folder;
+        deployment = std::make_unique<Deployment>( context, record, random, options );
+    }
+    ~World() {
+        deployment.reset();
+        std::filesystem::remove_all( folder );
+    }
+
+    net::Task<> tend() {
+        for( ;; ) {
+            deployment->look();
+            co_await net::pause( context, look );
+        }
+    }
+
+    bool settled() {
+        const auto ready = []( const auto& it ) {
+            return it->misses == 0 && !it->down;
+        };
+        const auto alive = []( const auto& it ) {
+            return it.runner->alive();
+        };
+        auto& gateways = deployment->gateways();
+        auto& upstreams = deployment->upstreams();
+        return std::all_of( gateways.begin(), gateways.end(), ready ) &&
+               std::all_of( upstreams.begin(), upstreams.end(), alive );
+    }
+
+    net::Task<> waitUntilSettled() {
+        while( !settled() ) {
+            co_await net::pause( context, look );
+        }
+    }
+
+    //! One request to the next gateway in turn; the status, 0 when the connection was cut.
+    net::Task<unsigned> ask( std::string method, std::string path, std::string body ) {
+        auto& gateways = deployment->gateways();
+        auto& gateway = *gateways[static_cast<std::size_t>( sent ) % gateways.size()];
+        const auto id = "r" + std::to_string( ++sent );
+        record.asked( id, path.starts_with( "/safe" ) ? Kind::safe : Kind::stream );
+        net::Socket socket( context );
+        net::ErrorCode ec;
+        const auto to = net::endpointOf( gateway.reachedIp, frontPort, ec );
+        co_await socket.async_connect( to, net::tupled );
+        const std::string text =
+            method + " " + path + " HTTP/1.1\r\nHost: " + hostName + "\r\nX-Request-Id: " + id +
+            "\r\nX-Deadline-Ms: 3500\r\nX-Model: m0\r\n"
+            "X-Token-Counts: 2000,100\r\nX-Prompt-Prefix: " +
+            ( samePrompts ? "a" : std::to_string( sent ) ) +
+            ":1500,b:500\r\nContent-Length: " + std::to_string( body.size() ) + "\r\n\r\n" + body;
+        const auto bytes = net::asio::buffer( text );
+        co_await net::asio::async_write( socket, bytes, net::tupled );
+        boost::beast::flat_buffer buf;
+        boost::beast::http::response<boost::beast::http::string_body> response;
+        const auto [cut, n] =
+            co_await boost::beast::http::async_read( socket, buf, response, net::tupled );
+        co_return cut ? 0 : response.result_int();
+    }
+
+    net::Task<> askAgainAndAgain( std::string method, std::string path, std::string body ) {
+        for( int n = 0; n < tries; ++n ) {
+            co_await waitUntilSettled();
+            std::string m = method;
+            std::string p = path;
+            std::string b = body;
+            co_await ask( std::move( m ), std::move( p ), std::move( b ) );
+        }
+    }
+
+    void restartAll() {
+        const auto kill = []( Process& process ) {
+            process.down = true;
+            process.misses = 2;
+            process.child->signal( SIGKILL );
+        };
+        for( auto& it : deployment->gateways() ) {
+            kill( *it );
+        }
+        for( auto& it : deployment->sidecars() ) {
+            kill( *it );
+        }
+    }
+
+    template <typename Play>
+    void play( Play scenario ) {
+        auto all = [this, scenario]() -> net::Task<> {
+            deployment->start();
+            net::start( context, tend(), "tend" );
+            co_await waitUntilSettled();
+            co_await scenario();
+            finished = true;
+            context.stop();
+        };
+        net::asio::co_spawn( context, all, net::asio::detached );
+        context.run_for( limit );
+        REQUIRE( finished );
+    }
+};
+
+} // namespace coursehead::support
+
+#endif // COURSEHEAD_SUPPORT_WORLD_HPP_INCLUDED
--- /dev/null
+++ b/tests/unit/halls.tests.cpp
@@ -0,0 +1,246 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "decide/cold_gate.hpp"
+#include "decide/evacuation.hpp"
+#include "decide/homes.hpp"
+#include "gateway/fleet.hpp"
+#include "platform/wire.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+using namespace coursehead;
+using namespace coursehead::gateway;
+using namespace std::chrono_literals;
+using decide::ColdGate;
+using decide::ColdRule;
+using decide::EvacuationRule;
+using decide::Evacuations;
+
+namespace {
+
+constexpr MonoTime start{ 1000s };
+constexpr EvacuationRule rule{ 5000ms, 4000ms };
+
+Upstream listed( std::string id, std::string hall, Millis cold = 0ms ) {
+    Upstream out;
+    out.id = std::move( id );
+    out.service = "s";
+    out.ip = "127.0.0.1";
+    out.port = 9;
+    out.hall = std::move( hall );
+    out.cold = cold;
+    return out;
+}
+
+//! A fleet of one upstream in each of two halls.
+struct TwoHalls {
+    net::asio::io_context context{ 1 };
+    RandomSource random{ 1 };
+    Fleet fleet{ context, random, settings() };
+
+    static FleetSettings settings() {
+        FleetSettings out{ "vm", "a", 1, 5000ms };
+        out.evacuation = rule;
+        out.cold = { 1.5, 5 };
+        out.regions = { { "a", "south" }, { "b", "north" } };
+        return out;
+    }
+    TwoHalls() {
+        Configuration configuration;
+        Service service;
+        service.name = "s";
+        service.coldTime = 3000ms;
+        service.coldPerS = 6.5;
+        configuration.services.emplace( "s", service );
+        fleet.setConfiguration( std::make_shared<RouteTable>( std::move( configuration ) ), start );
+        std::map<std::string, Member> members;
+        members.emplace( "ua", Member{ listed( "ua", "a" ), false } );
+        members.emplace( "ub", Member{ listed( "ub", "b" ), false } );
+        fleet.sync( members, start );
+    }
+    std::string chosen( MonoTime now, decide::Homes homes = {} ) {
+        Need need;
+        need.service = "s";
+        need.homes = homes;
+        const auto choice = fleet.choose( need, {}, now );
+        return choice.node ? choice.node->upstream.id : "";
+    }
+};
+
+} // namespace
+
+TEST_CASE( "Who heard of an emptied hall as it happened may send there a little longer",
+           "[halls]" ) {
+    Evacuations known;
+    CHECK( known.begin( "a", true, rule, start ) );
+    CHECK_FALSE( known.begin( "a", true, rule, start + 1s ) );
+    CHECK( known.stopAt( "a" ) == start + 2s );
+    // Found in a list it may be any age.
+    CHECK( known.begin( "b", false, rule, start ) );
+    CHECK( known.stopAt( "b" ) == start );
+    CHECK( known.missingFrom( std::set<std::string>{ "b", "c" } ) ==
+           std::vector<std::string>{ "a" } );
+    CHECK( known.end( "a" ) );
+    CHECK_FALSE( known.end( "a" ) );
+    CHECK_FALSE( known.stopAt( "a" ) );
+    // Within both bounds, whichever is the shorter one.
+    CHECK( decide::graceOf( { 5000ms, 1000ms } ) == 500ms );
+    CHECK( decide::graceOf( { 0ms, 4000ms } ) == 0ms );
+}
+
+TEST_CASE( "Requests leave a hall that is emptied at once where they can, and for good at its stop",
+           "[gateway][halls]" ) {
+    TwoHalls f;
+    CHECK( f.chosen( start ) == "ua" );
+    f.fleet.setEvacuation( "a", true, start );
+    CHECK( f.chosen( start + 1ms ) == "ub" );
+    std::map<std::string, Member> onlyA;
+    onlyA.emplace( "ua", Member{ listed( "ua", "a" ), false } );
+    f.fleet.sync( onlyA, start + 2ms );
+    CHECK( f.chosen( start + 1s ) == "ua" );
+    CHECK( f.chosen( start + 2s ) == "" );
+    // One that joins the hall later is no exception.
+    onlyA.emplace( "uc", Member{ listed( "uc", "a" ), false } );
+    f.fleet.sync( onlyA, start + 3s );
+    CHECK( f.chosen( start + 3s ) == "" );
+    f.fleet.setEvacuation( "a", false, start + 4s );
+    CHECK_FALSE( f.chosen( start + 4s ).empty() );
+}
+
+TEST_CASE( "Two halls that are emptied one over the other each wait for their own end",
+           "[gateway][halls]" ) {
+    TwoHalls f;
+    f.fleet.setEvacuations( { "a" }, start );
+    CHECK( f.chosen( start ) == "ub" );
+    f.fleet.setEvacuations( { "a", "b" }, start + 1s );
+    CHECK( f.chosen( start + 1s ) == "" );
+    f.fleet.setEvacuations( { "b" }, start + 2s );
+    CHECK( f.chosen( start + 2s ) == "ua" );
+    f.fleet.setEvacuations( {}, start + 3s );
+    CHECK_FALSE( f.chosen( start + 3s ).empty() );
+}
+
+TEST_CASE( "A hall that is taken back counts as cold until its entries say otherwise",
+           "[gateway][halls][cold]" ) {
+    TwoHalls f;
+    f.fleet.setEvacuation( "a", true, start );
+    f.fleet.setEvacuation( "a", false, start + 9s );
+    const auto& node = *f.fleet.nodes().at( "ua" );
+    CHECK( node.cold.isCold( start + 10s ) );
+    CHECK_FALSE( node.cold.isCold( start + 13s ) );
+    CHECK_FALSE( f.fleet.nodes().at( "ub" )->cold.isCold( start + 10s ) );
+}
+
+TEST_CASE( "An entry that turns cold makes its upstream cold; one that only runs down does not",
+           "[gateway][cold]" ) {
+    TwoHalls f;
+    std::map<std::string, Member> members;
+    members.emplace( "ua", Member{ listed( "ua", "a", 3000ms ), false } );
+    f.fleet.sync( members, start + 1s );
+    CHECK( f.fleet.nodes().at( "ua" )->cold.left( start + 1s ) == 3000ms );
+    members.at( "ua" ).upstream.cold = 2000ms;
+    f.fleet.sync( members, start + 3s );
+    CHECK( f.fleet.nodes().at( "ua" )->cold.left( start + 3s ) == 1000ms );
+}
+
+TEST_CASE( "A cold upstream is sent no more within any second than it bears, by all together",
+           "[cold]" ) {
+    const ColdRule bounds{ 1.5, 5 };
+    const double most = 6.5 * bounds.over + bounds.slack;
+    const double allowed = decide::coldAllowance( bounds, 6.5 );
+    CHECK( allowed < most );
+    ColdGate gate;
+    gate.noteCold( 3000ms, start );
+    std::vector<MonoTime> sent;
+    for( auto now = start; now < start + 3s; now += 1ms ) {
+        if( gate.wait( allowed, now ).count() == 0 ) {
+            gate.take( now );
+            sent.push_back( now );
+        }
+    }
+    CHECK( sent.size() >= 3 * 10 );
+    for( const auto& first : sent ) {
+        const auto within = std::count_if( sent.begin(), sent.end(), [&]( const auto& it ) {
+            return it >= first && it < first + 1s;
+        } );
+        CHECK( static_cast<double>( within ) <= allowed );
+    }
+    CHECK( gate.wait( allowed, start + 3s ).count() == 0 );
+}
+
+TEST_CASE( "Many gateways that count alone send no more together than a cold upstream bears",
+           "[cold]" ) {
+    constexpr int gateways = 24;
+    const double share = decide::coldAllowance( { 1.5, 5 }, 6.5 ) / 2 / gateways;
+    std::vector<MonoTime> sent;
+    for( int gateway = 0; gateway < gateways; ++gateway ) {
+        // In turn, as hashes would spread them.
+        ColdGate gate( std::fmod( 0.618 * gateway, 1.0 ) );
+        gate.noteCold( 10000ms, start );
+        for( auto now = start; now < start + 10s; now += 10ms ) {
+            if( gate.wait( share, now ).count() == 0 ) {
+                gate.take( now );
+                sent.push_back( now );
+            }
+        }
+    }
+    CHECK( sent.size() > 30 );
+    constexpr double most = 6.5 * 1.5 + 5;
+    for( const auto& first : sent ) {
+        const auto within = std::count_if( sent.begin(), sent.end(), [&]( const auto& it ) {
+            return it >= first && it < first + 1s;
+        } );
+        CHECK( static_cast<double>( within ) <= most );
+    }
+}
+
+TEST_CASE( "A service that says nothing of its cold upstreams bears what the rule has on top",
+           "[cold]" ) {
+    CHECK( decide::coldAllowance( { 1.5, 5 }, 0 ) == Approx( 3.5 ) );
+    // Where no rule is in force nothing is held back.
+    CHECK( decide::coldAllowance( {}, 6.5 ) == 0 );
+    ColdGate gate;
+    gate.noteCold( 3000ms, start );
+    for( int n = 0; n < 100; ++n ) {
+        gate.take( start );
+    }
+    CHECK( gate.wait( 0, start ).count() == 0 );
+}
+
+TEST_CASE( "Homes of route and organisation both bind", "[halls][homes]" ) {
+    const std::vector<std::string> south{ "south" };
+    const std::vector<std::string> both{ "south", "north" };
+    CHECK( decide::mayServe( {}, "" ) );
+    CHECK( decide::mayServe( { south, {} }, "south" ) );
+    CHECK_FALSE( decide::mayServe( { south, {} }, "north" ) );
+    CHECK_FALSE( decide::mayServe( { both, south }, "north" ) );
+    CHECK_FALSE( decide::mayServe( { {}, south }, "" ) );
+    TwoHalls f;
+    const std::vector<std::string> north{ "north" };
+    CHECK( f.chosen( start, { north, {} } ) == "ub" );
+    CHECK( f.chosen( start, { north, south } ) == "" );
+}
+
+TEST_CASE( "Homes and coldness of a configuration are read, and refused with field and value",
+           "[platform][homes][cold]" ) {
+    const auto configured = []( const std::string& route, const std::string& service ) {
+        return R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"safe",)"
+               R"("timeoutMs":1,"service":"s")" +
+               route + R"(}],"services":[{"name":"s")" + service + "}]}";
+    };
+    std::string problem;
+    const auto read = platform::readConfiguration(
+        configured( R"(,"homeRegions":["north"])", R"(,"coldS":3.0,"coldPerS":6.5)" ), problem );
+    REQUIRE( read );
+    CHECK( read->routes[0].homeRegions == std::vector<std::string>{ "north" } );
+    CHECK( read->services.at( "s" ).coldTime == 3000ms );
+    CHECK( read->services.at( "s" ).coldPerS == 6.5 );
+    CHECK_FALSE( platform::readConfiguration( configured( "", R"(,"coldPerS":-1)" ), problem ) );
+    CHECK( problem.find( "services.s.coldPerS = -1" ) == 0 );
+    CHECK_FALSE(
+        platform::readConfiguration( configured( R"(,"homeRegions":[5])", "" ), problem ) );
+    CHECK( problem.find( "routes.r.homeRegions = [5]" ) == 0 );
+}
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -135,8 +135,9 @@
     REQUIRE( f.comes( []( const auto& it ) {
         return it.part == StorePart::configuration && it.configuration == R"({"version":1})";
     } ) );
-    REQUIRE(
-        f.comes( []( const auto& it ) { return it.part == StorePart::quarantines && it.whole; } ) );
+    for( const auto part : { StorePart::quarantines, StorePart::evacuations } ) {
+        REQUIRE( f.comes( [part]( const auto& it ) { return it.part == part && it.whole; } ) );
+    }
     f.news.clear();
     f.store.put( "servers", "u1", entry( "draining" ) );
     f.store.remove( "servers", "u2" );
