--- a/include/coursehead/kernel/clock.hpp
+++ b/include/coursehead/kernel/clock.hpp
@@ -21,7 +21,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<MonoClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the standard's
 
     static time_point now() noexcept;
 };
--- a/src/gateway/poison_guard.cpp
+++ b/src/gateway/poison_guard.cpp
@@ -104,7 +104,7 @@
                  { "fingerprints", namesOf( runs ) } } );
     if( ended ) {
         m_metrics.count( "upstreams_ended" );
-        tell( node->upstream.id, std::move( runs ) );
+        tell( node->upstream.id, runs );
     }
 }
 
@@ -125,7 +125,7 @@
     return out;
 }
 
-void PoisonGuard::tell( const std::string& upstreamId, std::vector<decide::BrokenRun> runs ) {
+void PoisonGuard::tell( const std::string& upstreamId, std::span<const decide::BrokenRun> runs ) {
     const auto now = MonoClock::now();
     std::map<std::shared_ptr<SidecarLink>, decide::PoisonEvidence> told;
     std::vector<decide::Quarantine> own;
--- a/src/gateway/poison_guard.hpp
+++ b/src/gateway/poison_guard.hpp
@@ -43,7 +43,7 @@
     //! Finds out whether the upstream of broken runs has ended, and tells of it.
     net::Task<> settle( NodePtr node );
     net::Task<bool> hasEnded( const Node& node );
-    void tell( const std::string& upstreamId, std::vector<decide::BrokenRun> runs );
+    void tell( const std::string& upstreamId, std::span<const decide::BrokenRun> runs );
     //! Links to the processes that count a content's ends.
     std::vector<std::shared_ptr<SidecarLink>> holders( decide::Fingerprint fingerprint,
                                                        MonoTime now ) const;
--- a/src/gateway/reading_budget.cpp
+++ b/src/gateway/reading_budget.cpp
@@ -46,8 +46,7 @@
 }
 
 double ReadingBudget::ownShare( MonoTime now ) const {
-    return m_share *
-           std::exp( -exactMillis( m_shareAt, now ) / ( shareTimeS * millisPerSecond ) );
+    return m_share * std::exp( -exactMillis( m_shareAt, now ) / ( shareTimeS * millisPerSecond ) );
 }
 
 ReadingBudget::Limits readingLimits( Millis gapTarget, double othersShare ) {
--- a/src/platform/store_wire.cpp
+++ b/src/platform/store_wire.cpp
@@ -61,11 +61,12 @@
 std::string cleaned( std::string_view text ) {
     std::string out( text );
     for( std::size_t n = 0; n < out.size(); ++n ) {
-        if( static_cast<unsigned char>( out[n] ) >= firstNonAscii ) {
+        const bool escapes = out[n] == '\\';
+        const bool sound = escapes ? isPlainEscape( std::string_view( out ).substr( n ) )
+                                   : static_cast<unsigned char>( out[n] ) < firstNonAscii;
+        if( !sound ) {
             out[n] = '?';
-        } else if( out[n] == '\\' && !isPlainEscape( std::string_view( out ).substr( n ) ) ) {
-            out[n] = '?';
-        } else if( out[n] == '\\' ) {
+        } else if( escapes ) {
             ++n;
         }
     }
--- a/tests/fuzz/objects.cpp
+++ b/tests/fuzz/objects.cpp
@@ -5,8 +5,8 @@
 #include <cstddef>
 #include <cstdint>
 
-// libFuzzer target: what the store answers, whoever wrote it. Nothing ends the process, and what is read is
-// within bounds.
+// libFuzzer target: what the store answers, whoever wrote it. Nothing ends the process, and what is
+// read is within bounds.
 extern "C" int LLVMFuzzerTestOneInput( const std::uint8_t* data, std::size_t size ) {
     using namespace coursehead;
     const std::string_view text( reinterpret_cast<const char*>( data ), size );
