--- a/src/gateway/estimate.cpp
+++ b/src/gateway/estimate.cpp
@@ -26,6 +26,11 @@
 constexpr double crossHallMs = 4;
 //! The same for plain services, which keep nothing that makes one better than the other.
 constexpr double plainCrossHallMs = 15;
+//! Leaving the region: a question to the engine's sidecar and the send take a round trip each, of
+//! tens of milliseconds; as much again for the bytes, on links that are narrow.
+constexpr double crossRegionMs = 240;
+//! One round trip, and as much for the bytes.
+constexpr double plainCrossRegionMs = 120;
 //! A load also makes another model give way; it is chosen only when it wins this much.
 constexpr double evictionMs = 150;
 //! What is held elsewhere too leaves a hall that is emptied at once; what only it holds is still
@@ -70,18 +75,21 @@
 
 } // namespace
 
-Candidate estimate( const Node& node, const Need& need, const ModelPace& pace,
-                    std::string_view hall, MonoTime now ) {
+Candidate estimate( const Node& node, const Need& need, const ModelPace& pace, Distance distance,
+                    MonoTime now ) {
     Candidate out;
     out.failures = recentFailures( node.health, now );
     out.slowness = slownessNow( node.health, now );
-    out.otherHall = node.upstream.hall != hall;
+    out.otherHall = distance.otherHall;
+    out.otherRegion = distance.otherRegion;
+    out.crossRegionMs = crossRegionMs;
     out.crossHallMs = crossHallMs;
     out.leavingMs = node.stopAt ? leavingHallMs : 0;
     out.avoided = node.health.avoidUntil > now || !node.engineReachable;
     if( need.generation == nullptr || !node.engine ) {
         out.workMs = usualWorkMs;
         out.crossHallMs = plainCrossHallMs;
+        out.crossRegionMs = plainCrossRegionMs;
         out.backlogMs = usualWorkMs * node.inFlight / std::max( node.upstream.slots, 1 ) +
                         ( node.inFlight >= node.upstream.slots ? usualWorkMs : 0 );
         out.affinity = hash64( node.upstream.id, std::to_string( now.time_since_epoch().count() ) );
--- a/src/gateway/estimate.hpp
+++ b/src/gateway/estimate.hpp
@@ -24,9 +24,15 @@
     std::size_t requestBytes = 0;
 };
 
-//! What sending a request to a node would take, from a gateway in `hall`.
-Candidate estimate( const Node& node, const Need& need, const ModelPace& pace,
-                    std::string_view hall, MonoTime now );
+//! Where a gateway stands, as seen from an upstream.
+struct Distance {
+    bool otherHall = false;
+    bool otherRegion = false;
+};
+
+//! What sending a request to a node would take, from that far.
+Candidate estimate( const Node& node, const Need& need, const ModelPace& pace, Distance distance,
+                    MonoTime now );
 
 //! True when a load of the model there needs nothing from the weight store.
 bool hasWeights( const Node& node, const std::string& model );
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -18,7 +18,6 @@
 //! Demand is smoothed over about two seconds, to follow shifts that take four to six.
 constexpr double demandSmoothing = 0.2;
 constexpr Millis demandInterval{ 400 };
-constexpr Millis replicaLimit{ 10000 };
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
 constexpr int hashBits = 64;
@@ -110,82 +109,6 @@
     node->noteCold( upstream.cold, now );
 }
 
-void Fleet::setEvacuations( const std::set<std::string>& halls, MonoTime now ) {
-    for( const auto& it : m_evacuations.missingFrom( halls ) ) {
-        endEvacuation( it, now );
-    }
-    for( const auto& it : halls ) {
-        beginEvacuation( it, false, now );
-    }
-}
-
-void Fleet::setEvacuation( const std::string& hall, bool emptied, MonoTime now ) {
-    if( emptied ) {
-        beginEvacuation( hall, true, now );
-    } else {
-        endEvacuation( hall, now );
-    }
-}
-
-void Fleet::beginEvacuation( const std::string& hall, bool justOrdered, MonoTime now ) {
-    if( !m_evacuations.begin( hall, justOrdered, m_settings.evacuation, now ) ) {
-        return;
-    }
-    const auto stop = m_evacuations.stopAt( hall );
-    std::int64_t upstreams = 0;
-    for( const auto& it : m_nodes ) {
-        if( it.second->upstream.hall == hall ) {
-            it.second->stopAt = stop;
-            ++upstreams;
-        }
-    }
-    log::info( "evacuation_begins",
-               { { "hall", hall },
-                 { "known", m_settings.regions.contains( hall ) ? "yes" : "no" },
-                 { "upstreams", upstreams },
-                 { "stop_in_ms", millisBetween( now, *stop ) } } );
-    copyFrom( hall, now );
-}
-
-void Fleet::endEvacuation( const std::string& hall, MonoTime now ) {
-    if( !m_evacuations.end( hall ) ) {
-        return;
-    }
-    log::info( "evacuation_ends", { { "hall", hall } } );
-    for( const auto& it : m_nodes ) {
-        if( it.second->upstream.hall == hall ) {
-            it.second->stopAt.reset();
-            it.second->noteCold( it.second->coldTime, now );
-        }
-    }
-}
-
-void Fleet::copyFrom( const std::string& hall, MonoTime now ) {
-    std::set<std::string> inside;
-    std::set<std::string> elsewhere;
-    for( const auto& it : m_nodes ) {
-        const bool leaves = it.second->stopAt.has_value();
-        for( const auto& resident : it.second->residents( now ) ) {
-            ( leaves ? inside : elsewhere ).insert( resident.model );
-        }
-    }
-    // Most asked for first: the weight store's rate does not let all begin at once.
-    std::vector<std::pair<double, std::string>> wanted;
-    for( const auto& [model, demand] : m_demand ) {
-        const bool lost = inside.contains( model ) && !elsewhere.contains( model );
-        if( lost && demand.perS > 0 ) {
-            wanted.emplace_back( -demand.perS, model );
-        }
-    }
-    std::sort( wanted.begin(), wanted.end() );
-    for( const auto& [order, model] : wanted ) {
-        const auto& demand = m_demand.at( model );
-        addReplica( demand.service, model, decide::copyLoad( demand.fleet ), now );
-    }
-    log::info( "evacuation_copies",
-               { { "hall", hall }, { "models", static_cast<std::int64_t>( wanted.size() ) } } );
-}
-
 void Fleet::setConfiguration( std::shared_ptr<const RouteTable> table, MonoTime ) {
     m_table = std::move( table );
     for( auto& it : m_nodes ) {
@@ -327,6 +250,13 @@
     return it == m_settings.regions.end() ? std::string_view{} : std::string_view( it->second );
 }
 
+Distance Fleet::distanceTo( const Node& node ) const {
+    const auto own = m_settings.regions.find( m_settings.hall );
+    const auto region = regionOf( node );
+    const bool known = own != m_settings.regions.end() && !region.empty();
+    return { node.upstream.hall != m_settings.hall, known && region != own->second };
+}
+
 Choice Fleet::choose( const Need& need, const std::set<std::string>& excluded,
                       MonoTime now ) const {
     std::vector<Candidate> candidates;
@@ -338,7 +268,7 @@
         if( !usable ) {
             continue;
         }
-        candidates.push_back( estimate( *node, need, m_pace, m_settings.hall, now ) );
+        candidates.push_back( estimate( *node, need, m_pace, distanceTo( *node ), now ) );
         nodes.push_back( node );
     }
     Choice out;
@@ -451,59 +381,4 @@
     demand.arrivedWork += choice.workMs;
 }
 
-void Fleet::addReplicas( const std::map<std::string, int>& held, MonoTime now ) {
-    for( auto& [model, demand] : m_demand ) {
-        const auto it = held.find( model );
-        demand.fleet.copies = it == held.end() ? 0 : it->second;
-        if( decide::wantsReplica( demand.fleet, m_gateways, m_random.unit(), now ) ) {
-            demand.fleet.lastReplica = now;
-            addReplica( demand.service, model, decide::copyLoad( demand.fleet ), now );
-        }
-    }
-}
-
-void Fleet::addReplica( const std::string& service, const std::string& model, double load,
-                        MonoTime now ) {
-    Generation generation;
-    generation.model = model;
-    Need need;
-    need.service = service;
-    need.generation = &generation;
-    std::vector<Candidate> candidates;
-    std::vector<NodePtr> nodes;
-    for( const auto& [id, node] : m_nodes ) {
-        const bool fit = node->upstream.service == service && node->engine &&
-                         node->takesRequests() && !node->stopAt && !node->holdsModel( model, now );
-        if( fit ) {
-            auto it = estimate( *node, need, m_pace, m_settings.hall, now );
-            it.affinity = hash64( id, model );
-            candidates.push_back( it );
-            nodes.push_back( node );
-        }
-    }
-    const auto best = gateway::choose( candidates );
-    if( !best || candidates[*best].avoided ) {
-        return;
-    }
-    const auto node = nodes[*best];
-    log::info( "replica_wanted", { { "model", model },
-                                   { "upstream", node->upstream.id },
-                                   { "load_percent", static_cast<std::int64_t>( load * 100 ) } } );
-    startLoad( node, model );
-}
-
-void Fleet::startLoad( const NodePtr& node, const std::string& model ) {
-    if( node->loading.contains( model ) ) {
-        return;
-    }
-    auto task = [this, node, name = model]() -> net::Task<> {
-        EnsureRequest request;
-        request.model = name;
-        request.limitMs = replicaLimit.count();
-        NodePtr at = node;
-        co_await ensure( std::move( at ), std::move( request ) );
-    };
-    net::asio::co_spawn( m_context, std::move( task ), net::asio::detached );
-}
-
 } // namespace coursehead::gateway
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -119,6 +119,7 @@
     void add( const Upstream& upstream, MonoTime now );
     //! Region of an upstream; empty when its hall is not known.
     std::string_view regionOf( const Node& node ) const;
+    Distance distanceTo( const Node& node ) const;
     static void restart( Node& node, Born born, MonoTime now );
     static void drop( Node& node );
     static void stopSidecar( Node& node );
--- /dev/null
+++ b/src/gateway/fleet_copies.cpp
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: BSL-1.0
+// Which models get another copy, and halls that are emptied, whose models need one elsewhere.
+#include "coursehead/kernel/log.hpp"
+#include "gateway/fleet.hpp"
+#include "kernel/hash.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace coursehead::gateway {
+
+namespace {
+
+//! A load that nobody waits for: the longest takes half of this from the weight store.
+constexpr Millis replicaLimit{ 10000 };
+
+} // namespace
+
+void Fleet::setEvacuations( const std::set<std::string>& halls, MonoTime now ) {
+    for( const auto& it : m_evacuations.missingFrom( halls ) ) {
+        endEvacuation( it, now );
+    }
+    for( const auto& it : halls ) {
+        beginEvacuation( it, false, now );
+    }
+}
+
+void Fleet::setEvacuation( const std::string& hall, bool emptied, MonoTime now ) {
+    if( emptied ) {
+        beginEvacuation( hall, true, now );
+    } else {
+        endEvacuation( hall, now );
+    }
+}
+
+void Fleet::beginEvacuation( const std::string& hall, bool justOrdered, MonoTime now ) {
+    if( !m_evacuations.begin( hall, justOrdered, m_settings.evacuation, now ) ) {
+        return;
+    }
+    const auto stop = m_evacuations.stopAt( hall );
+    std::int64_t upstreams = 0;
+    for( const auto& it : m_nodes ) {
+        if( it.second->upstream.hall == hall ) {
+            it.second->stopAt = stop;
+            ++upstreams;
+        }
+    }
+    log::info( "evacuation_begins",
+               { { "hall", hall },
+                 { "known", m_settings.regions.contains( hall ) ? "yes" : "no" },
+                 { "upstreams", upstreams },
+                 { "stop_in_ms", millisBetween( now, *stop ) } } );
+    copyFrom( hall, now );
+}
+
+void Fleet::endEvacuation( const std::string& hall, MonoTime now ) {
+    if( !m_evacuations.end( hall ) ) {
+        return;
+    }
+    log::info( "evacuation_ends", { { "hall", hall } } );
+    for( const auto& it : m_nodes ) {
+        if( it.second->upstream.hall == hall ) {
+            it.second->stopAt.reset();
+            it.second->noteCold( it.second->coldTime, now );
+        }
+    }
+}
+
+void Fleet::copyFrom( const std::string& hall, MonoTime now ) {
+    std::set<std::string> inside;
+    std::set<std::string> elsewhere;
+    for( const auto& it : m_nodes ) {
+        const bool leaves = it.second->stopAt.has_value();
+        for( const auto& resident : it.second->residents( now ) ) {
+            ( leaves ? inside : elsewhere ).insert( resident.model );
+        }
+    }
+    // Most asked for first: the weight store's rate does not let all begin at once.
+    std::vector<std::pair<double, std::string>> wanted;
+    for( const auto& [model, demand] : m_demand ) {
+        const bool lost = inside.contains( model ) && !elsewhere.contains( model );
+        if( lost && demand.perS > 0 ) {
+            wanted.emplace_back( -demand.perS, model );
+        }
+    }
+    std::sort( wanted.begin(), wanted.end() );
+    for( const auto& [order, model] : wanted ) {
+        const auto& demand = m_demand.at( model );
+        addReplica( demand.service, model, decide::copyLoad( demand.fleet ), now );
+    }
+    log::info( "evacuation_copies",
+               { { "hall", hall }, { "models", static_cast<std::int64_t>( wanted.size() ) } } );
+}
+
+void Fleet::addReplicas( const std::map<std::string, int>& held, MonoTime now ) {
+    for( auto& [model, demand] : m_demand ) {
+        const auto it = held.find( model );
+        demand.fleet.copies = it == held.end() ? 0 : it->second;
+        if( decide::wantsReplica( demand.fleet, m_gateways, m_random.unit(), now ) ) {
+            demand.fleet.lastReplica = now;
+            addReplica( demand.service, model, decide::copyLoad( demand.fleet ), now );
+        }
+    }
+}
+
+void Fleet::addReplica( const std::string& service, const std::string& model, double load,
+                        MonoTime now ) {
+    Generation generation;
+    generation.model = model;
+    Need need;
+    need.service = service;
+    need.generation = &generation;
+    std::vector<Candidate> candidates;
+    std::vector<NodePtr> nodes;
+    for( const auto& [id, node] : m_nodes ) {
+        const bool fit = node->upstream.service == service && node->engine &&
+                         node->takesRequests() && !node->stopAt && !node->holdsModel( model, now );
+        if( fit ) {
+            auto it = estimate( *node, need, m_pace, distanceTo( *node ), now );
+            it.affinity = hash64( id, model );
+            candidates.push_back( it );
+            nodes.push_back( node );
+        }
+    }
+    const auto best = gateway::choose( candidates );
+    if( !best || candidates[*best].avoided ) {
+        return;
+    }
+    const auto node = nodes[*best];
+    log::info( "replica_wanted", { { "model", model },
+                                   { "upstream", node->upstream.id },
+                                   { "load_percent", static_cast<std::int64_t>( load * 100 ) } } );
+    startLoad( node, model );
+}
+
+void Fleet::startLoad( const NodePtr& node, const std::string& model ) {
+    if( node->loading.contains( model ) ) {
+        return;
+    }
+    auto task = [this, node, name = model]() -> net::Task<> {
+        EnsureRequest request;
+        request.model = name;
+        request.limitMs = replicaLimit.count();
+        NodePtr at = node;
+        co_await ensure( std::move( at ), std::move( request ) );
+    };
+    net::asio::co_spawn( m_context, std::move( task ), net::asio::detached );
+}
+
+} // namespace coursehead::gateway
--- a/src/gateway/selection.cpp
+++ b/src/gateway/selection.cpp
@@ -39,7 +39,8 @@
     return interference( candidate ) + candidate.latePauses * latePauseMs +
            ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
            candidate.paceMs + candidate.leavingMs + candidate.failures * failureMs +
-           ( candidate.otherHall ? candidate.crossHallMs : 0 );
+           ( candidate.otherHall ? candidate.crossHallMs : 0 ) +
+           ( candidate.otherRegion ? candidate.crossRegionMs : 0 );
 }
 
 std::optional<std::size_t> choose( std::span<const Candidate> candidates ) {
--- a/src/gateway/selection.hpp
+++ b/src/gateway/selection.hpp
@@ -22,7 +22,9 @@
     std::uint32_t decoding = 0;   //!< requests whose events pause while prompts are read there
     double latePauses = 0;        //!< part of the recent streams there that paused too long
     bool otherHall = false;
-    double crossHallMs = 0;     //!< what leaving the hall counts for
+    double crossHallMs = 0; //!< what leaving the hall counts for
+    bool otherRegion = false;
+    double crossRegionMs = 0;   //!< what leaving the region counts for
     double leavingMs = 0;       //!< what speaks against a hall that is being emptied
     std::uint64_t affinity = 0; //!< rendezvous hash: the highest is preferred among equals
 };
--- /dev/null
+++ b/src/sidecar/publisher.cpp
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/publisher.hpp"
+
+#include "sidecar/report_news.hpp"
+
+#include <algorithm>
+
+namespace coursehead::sidecar {
+
+namespace {
+
+//! Reports are repeated at the latest after this, so that gateways know the sidecar lives.
+constexpr Millis reportEvery{ 450 };
+//! Between reports to a few gateways.
+constexpr Millis leastPause{ 150 };
+//! Gateways for which the pause grows by another of the same length.
+constexpr int gatewaysPerPause = 8;
+
+} // namespace
+
+void Publisher::setReachable( bool reachable ) {
+    m_reachable = reachable;
+    m_changed = true;
+}
+
+//! What all gateways together take stays the same as their number grows.
+Millis Publisher::pause() const {
+    const auto rounds = 1 + static_cast<int>( m_parts.peers.size() ) / gatewaysPerPause;
+    return std::min( leastPause * rounds, reportEvery );
+}
+
+gateway::EngineLoad Publisher::load() const {
+    const auto now = MonoClock::now();
+    gateway::EngineLoad out;
+    const auto& engine = m_parts.view.report();
+    out.ordering = engine.ordering;
+    out.queued = engine.queued;
+    out.running = engine.running;
+    out.prefilling = engine.prefilling;
+    out.adapterRoom = !m_parts.view.spec() || adapterRoom( m_parts.view.holdings(), now );
+    constexpr double percent = 100;
+    double reading = 0;
+    for( const auto& it : m_parts.peers ) {
+        reading += it->reading;
+    }
+    out.readingPercent = static_cast<int>( reading * percent );
+    out.readingWaitMs = m_parts.admission.usualWait( now ).count();
+    out.latePausesPercent = static_cast<int>( m_parts.pauses.lateShare( now ) * percent );
+    return out;
+}
+
+gateway::SidecarReport Publisher::report() const {
+    const auto& engine = m_parts.view.report();
+    gateway::SidecarReport out;
+    out.reachable = m_reachable;
+    out.born = engine.born;
+    out.gateways = static_cast<int>( m_parts.peers.size() );
+    out.formerUpstreams = m_parts.orders.former();
+    out.residents = m_parts.view.offered();
+    out.coming = engine.coming;
+    out.onDisk = engine.onDisk;
+    out.inMemory = engine.inMemory;
+    out.load = load();
+    return out;
+}
+
+void Publisher::sendReport( Peer& peer, std::vector<gateway::SentPart> sentParts ) const {
+    auto out = report();
+    out.load.sentParts = std::move( sentParts );
+    const gateway::Message message( std::move( out ) );
+    peer.channel->send( gateway::encode( message ) );
+}
+
+void Publisher::publish( MonoTime now ) {
+    const auto& engine = m_parts.view.report();
+    const bool due = now - m_published >= reportEvery;
+    const bool soon = now - m_published >= pause();
+    const bool whole = m_changed || shapeDiffers( engine, m_lastPublished ) ||
+                       m_publishedTo != m_parts.peers.size();
+    const bool news = whole || loadDiffers( engine, m_lastPublished );
+    if( !due && !( soon && news ) ) {
+        return;
+    }
+    m_changed = false;
+    m_published = now;
+    m_lastPublished = engine;
+    m_publishedTo = m_parts.peers.size();
+    const auto encoded = whole ? encodedReport() : encodedLoad();
+    for( const auto& it : m_parts.peers ) {
+        it->channel->send( encoded );
+    }
+}
+
+std::string Publisher::encodedReport() {
+    auto out = report();
+    out.load.sentParts = m_parts.sentParts.takeNew();
+    return gateway::encode( gateway::Message( std::move( out ) ) );
+}
+
+std::string Publisher::encodedLoad() {
+    gateway::LoadReport out{ load() };
+    out.load.sentParts = m_parts.sentParts.takeNew();
+    return gateway::encode( gateway::Message( std::move( out ) ) );
+}
+
+} // namespace coursehead::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -13,10 +13,10 @@
 #include "sidecar/engine_view.hpp"
 #include "sidecar/orders.hpp"
 #include "sidecar/pause_meter.hpp"
+#include "sidecar/publisher.hpp"
 #include "sidecar/quarantine_keeper.hpp"
 #include "sidecar/question.hpp"
 #include "sidecar/relay.hpp"
-#include "sidecar/report_news.hpp"
 #include "sidecar/sent_parts.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -38,14 +38,10 @@
 constexpr Millis readingPoll{ 40 };
 //! While a want waits: adapters load within some ten milliseconds, models within seconds.
 constexpr Millis wantPoll{ 12 };
-//! Reports are repeated at the latest after this, so that gateways know the sidecar lives.
-constexpr Millis reportEvery{ 450 };
 //! A want that can't be met within this is answered as failed; its request goes elsewhere.
 constexpr Millis wantLimit{ 9000 };
 //! Failed reports in a row after which the engine counts as unreachable.
 constexpr int failuresToLost = 2;
-//! Gateways for which the pause between reports grows by another poll.
-constexpr int gatewaysPerPause = 8;
 //! Requests that a line names as running at an engine: as many as an engine has places.
 constexpr std::size_t mostRunsLogged = 64;
 
@@ -66,6 +62,7 @@
           m_view( m_peers ),
           m_orders( m_context, m_settings, m_engine, m_view, m_random, m_metrics, ordersHost() ),
           m_admission( m_context, admissionHost() ),
+          m_publisher( { m_peers, m_view, m_orders, m_admission, m_sentParts, m_pauses } ),
           m_quarantines( m_context, m_settings.store, m_metrics,
                          [this]( const decide::Quarantine& it ) { tellQuarantine( it ); } ),
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
@@ -203,14 +200,15 @@
             m_admission.setEngine( news.engine.cacheTokens, m_gapTarget );
             m_view.setSpec( std::move( news.engine ) );
         }
-        sendReport( peer, first ? m_sentParts.all() : std::vector<gateway::SentPart>{} );
+        m_publisher.sendReport( peer,
+                                first ? m_sentParts.all() : std::vector<gateway::SentPart>{} );
     }
 
     //! Another start of the engine: it keeps nothing of what was sent before.
     void startAnew() {
         m_sentParts.clear();
         m_admission.failAll();
-        m_changed = true;
+        m_publisher.noteChange();
     }
 
     void takeRelayAsk( const PeerPtr& peer, const gateway::RelayAsk& ask ) {
@@ -293,7 +291,7 @@
             m_admission.admit( std::move( question ) );
         };
         out.changed = [this] {
-            m_changed = true;
+            m_publisher.noteChange();
         };
         return out;
     }
@@ -323,7 +321,7 @@
                 takeReport( std::move( *report ) );
             }
             setReachable( answered, failures );
-            publish();
+            m_publisher.publish( MonoClock::now() );
             if( answered && m_view.spec() ) {
                 co_await m_orders.serve();
             } else {
@@ -367,7 +365,7 @@
         if( now != m_reachable ) {
             logEngine( now );
             m_reachable = now;
-            m_changed = true;
+            m_publisher.setReachable( now );
             if( !now ) {
                 m_admission.failAll();
             }
@@ -392,7 +390,7 @@
             return;
         }
         if( question.loaded ) {
-            sendReport( *peer, {} );
+            m_publisher.sendReport( *peer, {} );
         }
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
         const gateway::Message message(
@@ -401,85 +399,6 @@
         peer->channel->send( gateway::encode( message ) );
     }
 
-    //! Between reports: what all gateways together take stays the same as their number grows.
-    Millis publishPause() const {
-        const auto rounds = 1 + static_cast<int>( m_peers.size() ) / gatewaysPerPause;
-        return std::min( idlePoll * rounds, reportEvery );
-    }
-
-    gateway::EngineLoad load() const {
-        const auto now = MonoClock::now();
-        gateway::EngineLoad out;
-        const auto& engine = m_view.report();
-        out.ordering = engine.ordering;
-        out.queued = engine.queued;
-        out.running = engine.running;
-        out.prefilling = engine.prefilling;
-        out.adapterRoom = !m_view.spec() || adapterRoom( m_view.holdings(), now );
-        constexpr double percent = 100;
-        double reading = 0;
-        for( const auto& it : m_peers ) {
-            reading += it->reading;
-        }
-        out.readingPercent = static_cast<int>( reading * percent );
-        out.readingWaitMs = m_admission.usualWait( now ).count();
-        out.latePausesPercent = static_cast<int>( m_pauses.lateShare( now ) * percent );
-        return out;
-    }
-
-    gateway::SidecarReport report() const {
-        gateway::SidecarReport out;
-        out.reachable = m_reachable;
-        out.born = m_view.report().born;
-        out.gateways = static_cast<int>( m_peers.size() );
-        out.formerUpstreams = m_orders.former();
-        out.residents = m_view.offered();
-        out.coming = m_view.report().coming;
-        out.onDisk = m_view.report().onDisk;
-        out.inMemory = m_view.report().inMemory;
-        out.load = load();
-        return out;
-    }
-
-    void sendReport( Peer& peer, std::vector<gateway::SentPart> sentParts ) {
-        auto out = report();
-        out.load.sentParts = std::move( sentParts );
-        const gateway::Message message( std::move( out ) );
-        peer.channel->send( gateway::encode( message ) );
-    }
-
-    void publish() {
-        const auto now = MonoClock::now();
-        const bool due = now - m_published >= reportEvery;
-        const bool soon = now - m_published >= publishPause();
-        const bool whole = m_changed || shapeDiffers( m_view.report(), m_lastPublished ) ||
-                           m_publishedTo != m_peers.size();
-        const bool news = whole || loadDiffers( m_view.report(), m_lastPublished );
-        if( !due && !( soon && news ) ) {
-            return;
-        }
-        m_changed = false;
-        m_published = now;
-        m_lastPublished = m_view.report();
-        m_publishedTo = m_peers.size();
-        const auto encoded = whole ? encodedReport() : encodedLoad();
-        for( const auto& it : m_peers ) {
-            it->channel->send( encoded );
-        }
-    }
-
-    std::string encodedReport() {
-        auto out = report();
-        out.load.sentParts = m_sentParts.takeNew();
-        return gateway::encode( gateway::Message( std::move( out ) ) );
-    }
-
-    std::string encodedLoad() {
-        gateway::LoadReport out{ load() };
-        out.load.sentParts = m_sentParts.takeNew();
-        return gateway::encode( gateway::Message( std::move( out ) ) );
-    }
-
     net::Task<> handleSignals() {
         for( ;; ) {
             const auto [ec, number] = co_await m_signals.async_wait( net::tupled );
@@ -506,19 +425,16 @@
     Orders m_orders;
     decide::QuotaHolder m_quota;
     Admission m_admission;
+    SentParts m_sentParts;
+    PauseMeter m_pauses;
+    Publisher m_publisher;
     QuarantineKeeper m_quarantines;
     net::asio::signal_set m_signals;
     std::uint64_t m_lastSerial = 0;
     std::uint64_t m_configVersion = 0;
-    gateway::EngineReport m_lastPublished;
     std::string m_upstreamId; //!< the engine's present start, as gateways know it
-    SentParts m_sentParts;
-    PauseMeter m_pauses;
     Millis m_gapTarget{ 0 };
     bool m_reachable = false;
-    bool m_changed = false;
-    MonoTime m_published;
-    std::size_t m_publishedTo = 0; //!< gateways
 };
 
 } // namespace
--- a/tests/unit/halls.tests.cpp
+++ b/tests/unit/halls.tests.cpp
@@ -224,6 +224,27 @@
     CHECK( f.chosen( start, { north, south } ) == "" );
 }
 
+TEST_CASE( "A request leaves its region only for what saves more than the way there costs",
+           "[gateway][halls]" ) {
+    TwoHalls f;
+    Node& near = *f.fleet.nodes().at( "ua" );
+    near.inFlight = 3;
+    CHECK( f.chosen( start ) == "ua" );
+    near.inFlight = 12;
+    CHECK( f.chosen( start ) == "ub" );
+    // Halls of one region are as near as before.
+    Candidate here;
+    here.workMs = 20;
+    Candidate next = here;
+    next.otherHall = true;
+    next.crossHallMs = 15;
+    Candidate far = next;
+    far.otherRegion = true;
+    far.crossRegionMs = 120;
+    CHECK( costOf( next ) - costOf( here ) == Approx( 15 ) );
+    CHECK( costOf( far ) - costOf( next ) == Approx( 120 ) );
+}
+
 TEST_CASE( "Homes and coldness of a configuration are read, and refused with field and value",
            "[platform][homes][cold]" ) {
     const auto configured = []( const std::string& route, const std::string& service ) {
