--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -180,6 +180,9 @@
         return;
     }
     if( part.part != StorePart::upstreams ) {
+        if( part.part == StorePart::quarantines && !part.reader.quarantine( object ) ) {
+            return;
+        }
         part.objects[object.name] = object;
         part.changed.insert( object.name );
         part.gone.erase( object.name );
