--- a/tests/replay/poison.tests.cpp
+++ b/tests/replay/poison.tests.cpp
@@ -49,8 +49,9 @@
 
 } // namespace
 
-TEST_CASE( "Counted by holders, poison ends three engines; by each gateway alone, many times that",
-           "[replay][poison]" ) {
+TEST_CASE(
+    "Counted by holders, poison ends three engines, and many times that by each gateway alone",
+    "[replay][poison]" ) {
     const auto none = playAll( counted( PoisonWay::none ), "nobody counts" );
     const auto alone = playAll( counted( PoisonWay::alone ), "each of 5 gateways alone" );
     const auto shared = playAll( counted( PoisonWay::shared ), "holders, 5 gateways" );
--- a/tests/unit/halls.tests.cpp
+++ b/tests/unit/halls.tests.cpp
@@ -134,7 +134,7 @@
     CHECK_FALSE( f.fleet.nodes().at( "ub" )->cold.isCold( start + 10s ) );
 }
 
-TEST_CASE( "An entry that turns cold makes its upstream cold; one that only runs down does not",
+TEST_CASE( "An entry that turns cold makes its upstream cold, and one that only runs down does not",
            "[gateway][cold]" ) {
     TwoHalls f;
     std::map<std::string, Member> members;
