Coldness is noted before the configuration is known

Cause, found by reading the diff: an upstream listed before its service's configuration had come was not noted as cold (its rate was not known yet), so a gateway that starts after a loss of power would not have spared engines that start cold with it. Test first: 0 ms of coldness left where 2,000 are. After: 2,000. Ruled out: the sidecar's own view (it learns coldness from gateways only).

--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -83,11 +83,7 @@
     //! Notes a prompt that is sent there.
     void notePrompt( std::span<const std::uint64_t> keys, const Generation& generation );
     //! It stays cold for this much longer, as far as is told.
-    void noteCold( Millis left, MonoTime now ) {
-        if( coldPerS > 0 ) {
-            cold.noteCold( left, now );
-        }
-    }
+    void noteCold( Millis left, MonoTime now ) { cold.noteCold( left, now ); }
     //! Takes the sidecar's word on the engine: all of it, or the load alone.
     void takeReport( const SidecarReport& next, MonoTime now );
     void takeLoad( const EngineLoad& load, MonoTime now );
--- a/tests/unit/halls.tests.cpp
+++ b/tests/unit/halls.tests.cpp
@@ -146,6 +146,17 @@
     CHECK( f.fleet.nodes().at( "ua" )->cold.left( start + 3s ) == 1000ms );
 }
 
+TEST_CASE( "An upstream that is listed before the configuration is known is cold all the same",
+           "[gateway][cold]" ) {
+    net::asio::io_context context{ 1 };
+    RandomSource random{ 1 };
+    Fleet fleet{ context, random, TwoHalls::settings() };
+    std::map<std::string, Member> members;
+    members.emplace( "ua", Member{ listed( "ua", "a", 3000ms ), false } );
+    fleet.sync( members, start );
+    CHECK( fleet.nodes().at( "ua" )->cold.left( start + 1s ) == 2000ms );
+}
+
 TEST_CASE( "A cold upstream is sent no more within any second than it bears, by all together",
            "[cold]" ) {
     const ColdRule bounds{ 1.5, 5 };
