Sight: what upstreams announce in their answers is read and logged

Cause looked for: requests reach upstreams that asked a gateway for rest. The logs could not tell whether a refusal asked for it. Retry-After of refusals and Server-Leaving are read at the platform's boundary, kept by upstream and start, and logged: upstream_backoff, upstream_says_it_leaves, backoff_unreadable; send says backoff_left_ms and leaving. No choice depends on them yet.

--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -152,6 +152,8 @@
     net::Task<Sent> passStream( Transfer& transfer );
     net::Task<Sent> takeWhole( Transfer& transfer );
     SendEnd judge( Transfer& transfer, unsigned status );
+    //! Notes what an answer says of the upstream that gave it.
+    void hearAnnouncement( const Transfer& transfer );
     bool ended( const Transfer& transfer ) const;
     std::string streamText( std::string_view events, bool finished );
     net::Task<bool> writeClient( std::string bytes );
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -59,6 +59,7 @@
     addedAt = now;
     pool = {};
     health = {};
+    announced = {};
     reading = {};
     cold = decide::ColdGate( cold.phase() );
     prefixes.clear();
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
 
+#include "decide/announcement.hpp"
 #include "decide/cold_gate.hpp"
 #include "gateway/connection_pool.hpp"
 #include "gateway/health.hpp"
@@ -39,6 +40,7 @@
     std::optional<SidecarReport> report;  //!< the sidecar's last
     MonoTime reportAt;
     bool engineReachable = true;      //!< as the sidecar says
+    decide::Announcements announced;  //!< what it has said of itself in its answers
     decide::ColdGate cold;            //!< what it bears after a start
     double coldPerS = 0;              //!< requests a second that it is sent while cold; 0: no rule
     Millis coldTime{ 0 };             //!< how long upstreams of its service stay cold
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -114,6 +114,8 @@
                  { "cost_ms", static_cast<std::int64_t>( choice.bestCost ) },
                  { "work_ms", static_cast<std::int64_t>( choice.workMs ) },
                  { "report_age_ms", node.report ? millisBetween( node.reportAt, now ) : -1 },
+                 { "backoff_left_ms", node.announced.backoffLeft( now ).count() },
+                 { "leaving", node.announced.leaving() ? "yes" : "no" },
                  { "left_ms", millisBetween( now, m_deadline ) } } );
 }
 
@@ -202,6 +204,7 @@
     node.lastHeard = MonoClock::now();
     const auto status = parser.get().result_int();
     transfer.head = platform::readAnswerHead( status, parser.get() );
+    hearAnnouncement( transfer );
     const bool ran = transfer.head.answerClass == AnswerClass::complete;
     if( ran && transfer.head.requestId != m_request.head.requestId ) {
         // An answer to an earlier request: what follows on this connection can't be trusted.
@@ -217,6 +220,32 @@
     co_return co_await takeWhole( transfer );
 }
 
+void Exchange::hearAnnouncement( const Transfer& transfer ) {
+    const auto& head = transfer.head;
+    Node& node = transfer.node;
+    if( head.badBackoff ) {
+        log::warn( "backoff_unreadable",
+                   { { "upstream", node.upstream.id }, { "retry_after", *head.badBackoff } } );
+    }
+    const bool byAnother =
+        !head.actualUpstream.empty() && head.actualUpstream != node.upstream.id;
+    if( byAnother ) {
+        return;
+    }
+    const auto& said = head.announcement;
+    if( said.backoff ) {
+        m_shared.metrics.count( "upstream_backoffs" );
+        log::info( "upstream_backoff", { { "id", m_request.head.requestId },
+                                         { "upstream", node.upstream.id },
+                                         { "backoff_ms", said.backoff->count() } } );
+    }
+    if( said.leaving && !node.announced.leaving() ) {
+        log::info( "upstream_says_it_leaves",
+                   { { "id", m_request.head.requestId }, { "upstream", node.upstream.id } } );
+    }
+    node.announced.take( said, MonoClock::now() );
+}
+
 bool Exchange::ended( const Transfer& transfer ) const {
     return transfer.deadline.expired() || m_client->left;
 }
--- a/src/platform/headers.cpp
+++ b/src/platform/headers.cpp
@@ -3,8 +3,10 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace coursehead::platform {
@@ -39,17 +41,22 @@
 };
 constexpr std::string_view actualInstanceName = "X-Instance-Id";
 constexpr std::string_view sealName = "X-Response-Seal";
+constexpr std::string_view leavingName = "Server-Leaving";
+constexpr std::string_view leavingValue = "1";
+constexpr unsigned statusTooMany = 429;
+constexpr unsigned statusUnavailable = 503;
 
 std::string_view field( const http::fields& fields, std::string_view name ) {
     const auto it = fields.find( name );
     return it == fields.end() ? std::string_view{} : std::string_view( it->value() );
 }
 
-template <typename T>
-std::optional<T> readNumber( std::string_view text, int base = 10 ) {
+//! The whole of `text` as a number; `format` is a base, or for fractions their notation.
+template <typename T, typename Format = int>
+std::optional<T> readNumber( std::string_view text, Format format = Format( 10 ) ) {
     T out{};
     const auto* end = text.data() + text.size();
-    const auto [ptr, ec] = std::from_chars( text.data(), end, out, base );
+    const auto [ptr, ec] = std::from_chars( text.data(), end, out, format );
     if( ec != std::errc() || ptr != end || text.empty() ) {
         return std::nullopt;
     }
@@ -101,6 +108,32 @@
     return out;
 }
 
+//! Seconds, fractions allowed; nullopt for a date, anything else, and less than nothing.
+std::optional<Millis> readSeconds( std::string_view text ) {
+    const auto seconds = readNumber<double>( text, std::chars_format::general );
+    if( !seconds || !std::isfinite( *seconds ) || *seconds < 0 ) {
+        return std::nullopt;
+    }
+    const auto longest = static_cast<double>( decide::longestBackoff.count() );
+    const auto ms = std::min( std::ceil( *seconds * millisPerSecond ), longest );
+    return Millis( static_cast<std::int64_t>( ms ) );
+}
+
+//! The longest back-off that an answer asks for; one that can't be read is kept for the log.
+void readBackoff( const http::fields& fields, AnswerHead& out ) {
+    const auto [begin, end] = fields.equal_range( http::field::retry_after );
+    for( auto it = begin; it != end; ++it ) {
+        const std::string_view text( it->value() );
+        const auto backoff = readSeconds( text );
+        auto& known = out.announcement.backoff;
+        if( !backoff ) {
+            out.badBackoff = std::string( text );
+        } else if( !known || *known < *backoff ) {
+            known = backoff;
+        }
+    }
+}
+
 std::string numbered( std::int64_t n ) {
     return std::to_string( n );
 }
@@ -190,6 +223,14 @@
     } else if( fields.find( notRunName ) != fields.end() ) {
         out.answerClass = AnswerClass::notRun;
     }
+    // A 429 of an answer that was run is about its client, not about the upstream.
+    const bool turnedAway =
+        status == statusUnavailable ||
+        ( status == statusTooMany && out.answerClass == AnswerClass::notRun );
+    if( turnedAway ) {
+        readBackoff( fields, out );
+    }
+    out.announcement.leaving = field( fields, leavingName ) == leavingValue;
     return out;
 }
 
--- a/src/platform/headers.hpp
+++ b/src/platform/headers.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_PLATFORM_HEADERS_HPP_INCLUDED
 #define COURSEHEAD_PLATFORM_HEADERS_HPP_INCLUDED
 
+#include "decide/announcement.hpp"
 #include "gateway/model.hpp"
 
 #include <boost/beast/http/fields.hpp>
@@ -56,6 +57,8 @@
     AnswerClass answerClass = AnswerClass::complete;
     bool sealed = false;        //!< carries the upstream's signature
     std::string actualUpstream; //!< who has the address, when it is not the one that was meant
+    decide::Announcement announcement;
+    std::optional<std::string> badBackoff; //!< one that can't be read, as it stood there
 };
 AnswerHead readAnswerHead( unsigned status, const http::fields& fields );
 
