Tests that fail: back-offs that upstreams ask for, and that they leave, are not heeded

Seen on the code as it is: 105 requests of one gateway come to a plain upstream within the 2.5 s that it asked for, 6 to an engine, 18 to an upstream long after it said in its answers that it leaves (2, 2 and 0 are borne). The soak's upstreams gain a back-off, say that they leave, and count what comes all the same.

--- a/tests/soak/record.hpp
+++ b/tests/soak/record.hpp
@@ -4,6 +4,7 @@
 
 #include "coursehead/kernel/clock.hpp"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,6 +25,10 @@
 //! What three upstreams have shown everybody knows after this.
 inline constexpr Millis knowledgeBound{ 1500 };
 std::string_view nameOf( Kind kind );
+//! What upstreams count: wishes in their answers, and what came against them.
+inline constexpr std::string_view askedForBackoff = "back-offs asked for";
+inline constexpr std::string_view saidItLeaves = "upstreams that said in an answer that they leave";
+inline constexpr std::string_view cameAfterLeaving = "requests long after such an answer";
 
 //! What callers and upstreams have seen, and the promises that it breaks.
 class Record {
@@ -45,6 +50,12 @@
     //! Upstreams that ended under it.
     int endings( const std::string& content ) const;
 
+    //! Requests that came to one upstream while it had asked to be sent nothing, so far.
+    void arrivedInBackoff( int requests ) {
+        m_mostInBackoff = std::max( m_mostInBackoff, requests );
+    }
+    int mostInBackoff() const { return m_mostInBackoff; }
+
     //! Something happened from which on bounds in time hold again only after a while.
     void disturbed( MonoTime until );
     //! True when nothing disturbed the time since `from`.
@@ -55,6 +66,10 @@
 
     void count( const std::string& what ) { ++m_counts[what]; }
     const std::map<std::string, int>& counts() const { return m_counts; }
+    int countOf( std::string_view what ) const {
+        const auto it = m_counts.find( std::string( what ) );
+        return it == m_counts.end() ? 0 : it->second;
+    }
 
 private:
     struct Request {
@@ -76,6 +91,7 @@
     std::map<std::string, Poison> m_poison; //!< by content
     std::map<std::string, int> m_counts;
     std::map<std::string, int> m_runsIn; //!< by hall
+    int m_mostInBackoff = 0;
     std::vector<std::string> m_breaches;
     MonoTime m_disturbedUntil;
 };
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -31,6 +31,8 @@
 //! Until an upstream that a request has ended begins its next life.
 constexpr Millis restartTime{ 1200 };
 constexpr double perSecond = 1000;
+//! Requests that come so soon after they were asked not to were under way.
+constexpr Millis crossing{ 500 };
 
 std::string field( const http::fields& fields, const char* name ) {
     const auto it = fields.find( name );
@@ -224,7 +226,48 @@
     co_return co_await run( life, socket, std::move( moved ) );
 }
 
-void Runner::noteArrival( const Life& life, const std::string& id ) {
+void Runner::turnAway( int requests, Millis backoff ) {
+    m_turnsAway = requests;
+    m_backoff = backoff;
+}
+
+void Runner::noteUnheard( Life& life ) {
+    const auto now = MonoClock::now();
+    if( life.saidLeavingAt && now - *life.saidLeavingAt > m_settings.drain + drainSlack ) {
+        m_record.count( std::string( cameAfterLeaving ) );
+    }
+    for( auto& it : life.backoffs ) {
+        if( now > it.since + crossing && now < it.since + it.length ) {
+            m_record.arrivedInBackoff( ++it.arrived );
+        }
+    }
+}
+
+std::string Runner::refusal( Life& life, const std::string& id ) {
+    std::string fields = idField( id ) + leavingField( life ) + "X-Not-Run: 1\r\n";
+    if( m_turnsAway > 0 ) {
+        --m_turnsAway;
+        const auto seconds = static_cast<double>( m_backoff.count() ) / perSecond;
+        fields += "Retry-After: " + std::to_string( seconds ) + "\r\n";
+        life.backoffs.push_back( { MonoClock::now(), m_backoff } );
+        m_record.count( std::string( askedForBackoff ) );
+    }
+    return whole( 503, fields, "" );
+}
+
+std::string Runner::leavingField( Life& life ) {
+    if( !life.leavingSince ) {
+        return "";
+    }
+    if( !life.saidLeavingAt ) {
+        life.saidLeavingAt = MonoClock::now();
+        m_record.count( std::string( saidItLeaves ) );
+    }
+    return "Server-Leaving: 1\r\n";
+}
+
+void Runner::noteArrival( Life& life, const std::string& id ) {
+    noteUnheard( life );
     if( !life.leavingSince ) {
         return;
     }
@@ -252,8 +295,8 @@
             co_return co_await send( socket, std::move( bytes ) );
         }
     }
-    if( m_mode == RunnerMode::full || life->runs.size() >= engineSlots ) {
-        auto bytes = whole( 503, idField( id ) + "X-Not-Run: 1\r\n", "" );
+    if( m_mode == RunnerMode::full || m_turnsAway > 0 || life->runs.size() >= engineSlots ) {
+        auto bytes = refusal( *life, id );
         co_return co_await send( socket, std::move( bytes ) );
     }
     m_record.ran( id );
@@ -271,7 +314,7 @@
     if( m_settings.engine ) {
         more = co_await runStream( life, socket, id, after );
     } else {
-        more = co_await runPlain( socket, id );
+        more = co_await runPlain( life, socket, id );
     }
     life->runs.erase( id );
     life->runEvents.erase( id );
@@ -287,10 +330,11 @@
     }
 }
 
-net::Task<bool> Runner::runPlain( std::shared_ptr<net::Socket> socket, std::string id ) {
+net::Task<bool> Runner::runPlain( LifePtr life, std::shared_ptr<net::Socket> socket,
+                                  std::string id ) {
     co_await net::pause( m_context, work( plainMs ) );
     const auto body = bodyFor( id );
-    const auto seal = "X-Response-Seal: " + sealFor( id, body ) + "\r\n";
+    const auto seal = leavingField( *life ) + "X-Response-Seal: " + sealFor( id, body ) + "\r\n";
     auto bytes = whole( 200, idField( id ) + seal, body );
     switch( m_mode ) {
     case RunnerMode::mute:
@@ -323,7 +367,7 @@
         co_return false;
     }
     const auto run = std::to_string( m_random.below( 1000000 ) );
-    std::string head = "HTTP/1.1 200 OK\r\n" + idField( id ) +
+    std::string head = "HTTP/1.1 200 OK\r\n" + idField( id ) + leavingField( *life ) +
                        "X-Response-Seal: " + sealFor( id, "stream" ) +
                        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     const int all = eventsFor( id );
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace coursehead::soak {
 
@@ -55,7 +56,10 @@
     //! Says that it leaves, serves on, and ends.
     void leave();
     void setMode( RunnerMode mode ) { m_mode = mode; }
+    //! Turns the next requests away and asks whoever sent them to send nothing for `backoff`.
+    void turnAway( int requests, Millis backoff );
     bool alive() const { return m_life != nullptr; }
+    bool isEngine() const { return m_settings.engine; }
     //! When a new life may begin, after an end that a request has caused.
     MonoTime backAt() const { return m_backAt; }
 
@@ -66,11 +70,18 @@
     static int eventsFor( const std::string& id );
 
 private:
+    //! It asked to be sent nothing for a while.
+    struct Backoff {
+        MonoTime since;
+        Millis length{ 0 };
+        int arrived = 0; //!< meanwhile, but for what was under way
+    };
     //! One start.
     struct Life {
         std::string id;
         bool over = false;
         std::optional<MonoTime> leavingSince;
+        std::optional<MonoTime> saidLeavingAt; //!< in an answer, for the first time
         std::set<std::shared_ptr<net::Socket>> sockets;
         std::map<std::string, std::set<std::string>> models; //!< with adapters
         std::map<std::string, int> runs;                     //!< by request id
@@ -80,6 +91,7 @@
         std::string holder;
         MonoTime orderedAt;
         std::uint64_t beats = 0;
+        std::vector<Backoff> backoffs;
     };
     using LifePtr = std::shared_ptr<Life>;
     using Request = request<string_body>;
@@ -89,7 +101,7 @@
     net::Task<bool> answer( LifePtr life, std::shared_ptr<net::Socket> socket, Request request );
     net::Task<bool> run( LifePtr life, std::shared_ptr<net::Socket> socket, Request request );
     net::Task<> endUnder( LifePtr life, std::string content );
-    net::Task<bool> runPlain( std::shared_ptr<net::Socket> socket, std::string id );
+    net::Task<bool> runPlain( LifePtr life, std::shared_ptr<net::Socket> socket, std::string id );
     net::Task<bool> runStream( LifePtr life, std::shared_ptr<net::Socket> socket, std::string id,
                                int after );
     net::Task<bool> send( std::shared_ptr<net::Socket> socket, std::string bytes );
@@ -97,7 +109,11 @@
     net::Task<> carryOut( LifePtr life, nlohmann::json order );
     void checkOrder( Life& life, const nlohmann::json& order );
     std::string report( const Life& life ) const;
-    void noteArrival( const Life& life, const std::string& id );
+    void noteArrival( Life& life, const std::string& id );
+    //! Counts what comes against what it said in its answers, as if all came from one gateway.
+    void noteUnheard( Life& life );
+    std::string refusal( Life& life, const std::string& id );
+    std::string leavingField( Life& life );
     void writeEntry( const Life& life );
     net::Task<> beat( LifePtr life );
     net::Task<> end( LifePtr life, Millis after, Millis lapse );
@@ -110,6 +126,8 @@
     RandomSource& m_random;
     RunnerSettings m_settings;
     RunnerMode m_mode = RunnerMode::well;
+    int m_turnsAway = 0;
+    Millis m_backoff{ 0 };
     LifePtr m_life;
     MonoTime m_backAt;
     std::shared_ptr<net::Acceptor> m_acceptor;
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -42,6 +42,7 @@
     std::unique_ptr<Deployment> deployment;
     int sent = 0;
     bool samePrompts = true; //!< prompts share their first part, and so prefer one engine
+    bool oneGateway = false; //!< all is asked of the first
     bool finished = false;
 
     World() {
@@ -88,7 +89,8 @@
     //! One request to the next gateway in turn; the status, 0 when the connection was cut.
     net::Task<unsigned> ask( std::string method, std::string path, std::string body ) {
         auto& gateways = deployment->gateways();
-        auto& gateway = *gateways[static_cast<std::size_t>( sent ) % gateways.size()];
+        const auto turn = oneGateway ? 0 : static_cast<std::size_t>( sent ) % gateways.size();
+        auto& gateway = *gateways[turn];
         const auto id = "r" + std::to_string( ++sent );
         record.asked( id, path.starts_with( "/safe" ) ? Kind::safe : Kind::stream );
         net::Socket socket( context );
--- /dev/null
+++ b/tests/unit/announcement.tests.cpp
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "decide/announcement.hpp"
+#include "platform/headers.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace coursehead;
+using namespace coursehead::decide;
+using namespace std::chrono_literals;
+using platform::http::fields;
+
+namespace {
+
+//! What a refusal with these Retry-After headers says.
+platform::AnswerHead refusal( std::initializer_list<const char*> backoffs, unsigned status = 503,
+                              bool ran = false ) {
+    fields head;
+    if( !ran ) {
+        head.set( "X-Not-Run", "1" );
+    }
+    for( const auto* it : backoffs ) {
+        head.insert( "Retry-After", it );
+    }
+    return platform::readAnswerHead( status, head );
+}
+
+constexpr MonoTime start{ 1000s };
+
+} // namespace
+
+TEST_CASE( "A refusal's back-off is read in seconds, fractions allowed, the longest of several",
+           "[announcement][platform]" ) {
+    CHECK( refusal( { "3" } ).announcement.backoff == 3000ms );
+    CHECK( refusal( { "0.25" } ).announcement.backoff == 250ms );
+    CHECK( refusal( { "0" } ).announcement.backoff == 0ms );
+    CHECK( refusal( { "2", "5", "1" } ).announcement.backoff == 5000ms );
+    CHECK( refusal( { "3" }, 429 ).announcement.backoff == 3000ms );
+    CHECK( refusal( { "3" }, 503, true ).announcement.backoff == 3000ms );
+    CHECK( refusal( { "1000000000" } ).announcement.backoff == longestBackoff );
+    CHECK( refusal( {} ).announcement.backoff == std::nullopt );
+}
+
+TEST_CASE( "A back-off in an answer that did not turn the request away is its client's",
+           "[announcement][platform]" ) {
+    CHECK( refusal( { "3" }, 200, true ).announcement.backoff == std::nullopt );
+    CHECK( refusal( { "3" }, 429, true ).announcement.backoff == std::nullopt );
+}
+
+TEST_CASE( "A back-off that can't be read changes nothing, and is kept for the log",
+           "[announcement][platform]" ) {
+    for( const auto* it : { "-1", "soon", "", "nan", "inf", "3 s", "0x3",
+                            "Wed, 21 Oct 2026 07:28:00 GMT" } ) {
+        INFO( it );
+        const auto head = refusal( { it } );
+        CHECK( head.announcement.backoff == std::nullopt );
+        CHECK( head.badBackoff == std::string( it ) );
+    }
+    CHECK( refusal( { "soon", "2" } ).announcement.backoff == 2000ms );
+}
+
+TEST_CASE( "An upstream that leaves says so in answers of any kind", "[announcement][platform]" ) {
+    fields head;
+    head.set( "Server-Leaving", "1" );
+    CHECK( platform::readAnswerHead( 200, head ).announcement.leaving );
+    CHECK( platform::readAnswerHead( 503, head ).announcement.leaving );
+    head.set( "Server-Leaving", "0" );
+    CHECK_FALSE( platform::readAnswerHead( 200, head ).announcement.leaving );
+    CHECK_FALSE( platform::readAnswerHead( 200, {} ).announcement.leaving );
+}
+
+TEST_CASE( "A back-off lasts until its end, whatever answers that crossed it say",
+           "[announcement]" ) {
+    Announcements known;
+    CHECK( known.backoffLeft( start ) == 0ms );
+    known.take( { 3000ms, false }, start );
+    CHECK( known.backoffLeft( start + 1s ) == 2000ms );
+    known.take( { 1000ms, false }, start + 1s );
+    known.take( { 0ms, false }, start + 1s );
+    known.take( {}, start + 1s );
+    CHECK( known.backoffLeft( start + 1s ) == 2000ms );
+    CHECK( known.backoffLeft( start + 3s ) == 0ms );
+    known.take( { 3000ms, false }, start + 2s );
+    CHECK( known.backoffLeft( start + 3s ) == 2000ms );
+}
+
+TEST_CASE( "Time that the VM was suspended counts as time of a back-off", "[announcement]" ) {
+    Announcements known;
+    known.take( { 3000ms, false }, start );
+    CHECK( known.backoffLeft( start + 30s ) == 0ms );
+}
+
+TEST_CASE( "What has said that it leaves does not stay", "[announcement]" ) {
+    Announcements known;
+    known.take( { {}, true }, start );
+    known.take( {}, start + 1h );
+    CHECK( known.leaving() );
+}
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -558,3 +558,63 @@
     CHECK( startsWith( got, "HTTP/1.1 504" ) );
     CHECK( path.first.abandoned() == 1 );
 }
+
+namespace {
+
+constexpr const char* longBackoff = "X-Not-Run: 1\r\nRetry-After: 30\r\n";
+
+} // namespace
+
+TEST_CASE( "An upstream that turned a request away and asked for a back-off gets nothing meanwhile",
+           "[gateway][exchange][announcement]" ) {
+    Path path;
+    path.first.then( { wholeAnswer( 503, longBackoff, "" ) } );
+    for( int n = 0; n < 6; ++n ) {
+        path.second.then( { wholeAnswer( 500, sealed, "" ) } );
+    }
+    for( int n = 0; n < 6; ++n ) {
+        path.ask( "GET", "/safe/a" );
+    }
+    CHECK( path.first.requests().size() == 1 );
+    CHECK( path.second.requests().size() == 6 );
+}
+
+TEST_CASE( "While all upstreams ask for a back-off requests are told when the first one ends",
+           "[gateway][exchange][announcement]" ) {
+    Path path;
+    path.first.then( { wholeAnswer( 503, longBackoff, "" ) } );
+    path.second.then( { wholeAnswer( 503, "X-Not-Run: 1\r\nRetry-After: 60\r\n", "" ) } );
+    path.ask( "GET", "/safe/a" );
+    const auto got = path.ask( "GET", "/safe/b" );
+    CHECK( startsWith( got, "HTTP/1.1 503" ) );
+    const auto at = got.find( "Retry-After: " );
+    REQUIRE( at != std::string::npos );
+    const auto seconds = std::stod( got.substr( at + 13 ) );
+    CHECK( seconds > 10 );
+    CHECK( seconds <= 30 );
+    CHECK( path.first.requests().size() == 1 );
+    CHECK( path.second.requests().size() == 1 );
+}
+
+TEST_CASE( "An upstream that says in an answer that it leaves gets no further request",
+           "[gateway][exchange][announcement]" ) {
+    Path path;
+    path.first.then( { wholeAnswer( 200, "X-Response-Seal: s\r\nServer-Leaving: 1\r\n", "one" ) } );
+    path.first.then( { wholeAnswer( 200, sealed, "three" ) } );
+    path.second.then( { wholeAnswer( 200, sealed, "two" ) } );
+    CHECK( path.ask( "GET", "/safe/a" ).find( "one" ) != std::string::npos );
+    CHECK( path.ask( "GET", "/safe/b" ).find( "two" ) != std::string::npos );
+}
+
+TEST_CASE( "The head of a stream tells that its upstream leaves, and the stream ends whole",
+           "[gateway][exchange][announcement]" ) {
+    Path path;
+    auto head = streamHead();
+    head.insert( head.find( "Content-Type" ), "Server-Leaving: 1\r\n" );
+    path.first.then( { head + chunk( "id: 0\ndata: a\n\n" ) + "0\r\n\r\n" } );
+    path.first.then( { wholeAnswer( 200, sealed, "three" ) } );
+    path.second.then( { wholeAnswer( 200, sealed, "two" ) } );
+    const auto got = path.ask( "POST", "/stream/a", "Content-Length: 0\r\n" );
+    CHECK( got.substr( got.size() - 5 ) == "0\r\n\r\n" );
+    CHECK( path.ask( "GET", "/safe/b" ).find( "two" ) != std::string::npos );
+}
