Gateways count each other by the most that any sidecar has seen lately

Cause: shares of what all gateways may do together (the weight store's rate, retries, replicas) were taken from the last report of any sidecar. One that has just started has seen one gateway when it first speaks: a load followed 9 ms after the first of four had connected. Ruled out: four gateways with a part each can't allow twelve loads in 5 s.

Before (the last word counts): 7 loads allowed to one gateway where 1 is its part, in the test; after: 1. The quota's client had a count of its own; both use one now.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -27,7 +27,8 @@
 Fleet::Fleet( net::asio::io_context& context, RandomSource& random, FleetSettings settings )
     : m_context( context ), m_random( random ), m_settings( std::move( settings ) ),
       m_grants( m_settings.ceilingWindow + storeGrantLife ), m_started( MonoClock::now() ),
-      m_lastTick( m_started ), m_gateways( assumedGateways ) {}
+      m_lastTick( m_started ),
+      m_gateways( assumedGateways, m_settings.ceilingWindow + storeGrantLife ) {}
 
 Fleet::~Fleet() {
     for( auto& it : m_nodes ) {
@@ -195,8 +196,13 @@
         log::info( report.reachable ? "engine_regained" : "engine_lost",
                    { { "upstream", node.upstream.id } } );
     }
-    node.takeReport( report, MonoClock::now() );
-    m_gateways = std::max( report.gateways, 1 );
+    const auto now = MonoClock::now();
+    node.takeReport( report, now );
+    if( m_gateways.note( report.gateways, now ) ) {
+        log::info( "gateways_counted", { { "gateways", m_gateways.count() },
+                                         { "upstream", node.upstream.id },
+                                         { "seen", report.gateways } } );
+    }
 }
 
 void Fleet::tick( MonoTime now ) {
@@ -321,7 +327,7 @@
         return false;
     }
     const int share =
-        storeShare( node.engine->storeLoadsPerS, m_settings.ceilingWindow, m_gateways );
+        storeShare( node.engine->storeLoadsPerS, m_settings.ceilingWindow, gateways() );
     return m_grants.take( node.upstream.id, model, share, now );
 }
 
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -4,6 +4,7 @@
 
 #include "coursehead/kernel/random.hpp"
 #include "decide/evacuation.hpp"
+#include "decide/gateway_count.hpp"
 #include "decide/replica_rule.hpp"
 #include "gateway/estimate.hpp"
 #include "gateway/node.hpp"
@@ -97,7 +98,7 @@
     void abandonWaits();
 
     //! Gateways that share budgets, this one included.
-    int gateways() const noexcept { return m_gateways; }
+    int gateways() const noexcept { return m_gateways.count(); }
     std::size_t size() const noexcept { return m_nodes.size(); }
 
 private:
@@ -143,7 +144,7 @@
     QuarantineHandler m_onQuarantines;
     MonoTime m_started;
     MonoTime m_lastTick;
-    int m_gateways = 1;
+    decide::GatewayCount m_gateways;
 };
 
 } // namespace coursehead::gateway
--- a/src/gateway/fleet_copies.cpp
+++ b/src/gateway/fleet_copies.cpp
@@ -99,7 +99,7 @@
     for( auto& [model, demand] : m_demand ) {
         const auto it = held.find( model );
         demand.fleet.copies = it == held.end() ? 0 : it->second;
-        if( decide::wantsReplica( demand.fleet, m_gateways, m_random.unit(), now ) ) {
+        if( decide::wantsReplica( demand.fleet, gateways(), m_random.unit(), now ) ) {
             demand.fleet.lastReplica = now;
             addReplica( demand.service, model, decide::copyLoad( demand.fleet ), now );
         }
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -23,11 +23,11 @@
 QuotaClient::QuotaClient( net::asio::io_context& context, Fleet& fleet, std::string vm,
                           const platform::Bounds& bounds )
     : m_context( context ), m_fleet( fleet ), m_vm( std::move( vm ) ),
-      m_book( platform::quotaRule( bounds ) ), m_window( bounds.quotaWindow ) {}
+      m_book( platform::quotaRule( bounds ) ), m_gateways( 1, bounds.quotaWindow ) {}
 
 void QuotaClient::setBounds( const platform::Bounds& bounds ) {
     m_book.setRule( platform::quotaRule( bounds ) );
-    m_window = bounds.quotaWindow;
+    m_gateways.setHold( bounds.quotaWindow );
 }
 
 void QuotaClient::setConfiguration( const Configuration& configuration ) {
@@ -71,18 +71,15 @@
         }
         gateways = std::max( gateways, node->report ? node->report->gateways : 1 );
     }
-    if( gateways >= m_gateways || now - m_gatewaysAt > m_window ) {
-        m_gateways = gateways;
-        m_gatewaysAt = now;
-    }
+    m_gateways.note( gateways, now );
     std::vector<decide::HolderCandidate> candidates;
     for( const auto& [ip, link] : m_links ) {
         candidates.push_back( { ip, link->answers( now ) } );
     }
-    if( m_book.setCandidates( candidates, m_gateways, now ) ) {
+    if( m_book.setCandidates( candidates, m_gateways.count(), now ) ) {
         log::info( "quota_holders_changed",
                    { { "links", static_cast<std::int64_t>( m_links.size() ) },
-                     { "gateways", m_gateways } } );
+                     { "gateways", m_gateways.count() } } );
         tellHolders( now );
     }
 }
--- a/src/gateway/quota_client.hpp
+++ b/src/gateway/quota_client.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_GATEWAY_QUOTA_CLIENT_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_QUOTA_CLIENT_HPP_INCLUDED
 
+#include "decide/gateway_count.hpp"
 #include "decide/quota_book.hpp"
 #include "gateway/fleet.hpp"
 #include "platform/node_settings.hpp"
@@ -52,11 +53,9 @@
     Fleet& m_fleet;
     std::string m_vm;
     decide::QuotaBook m_book;
-    Millis m_window;
     std::map<std::string, std::shared_ptr<SidecarLink>> m_links; //!< by address
     std::set<std::string> m_told; //!< addresses that count this gateway
-    int m_gateways = 1;           //!< the most that any sidecar saw within the window
-    MonoTime m_gatewaysAt;
+    decide::GatewayCount m_gateways;
     MonoTime m_toldAt;
     bool m_anyLimit = false;
 };
