--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -75,6 +75,8 @@
 //! When a client is to come back where a model has to be loaded first, or no configuration is known
 //! yet: about the time that a load, or an outage of the store, takes.
 inline constexpr Millis modelRetryAfter{ 1000 };
+//! When a refused client is to come back, unless the upstream said when.
+inline constexpr Millis usualRetryAfter{ 300 };
 //! Pause until it is looked again whether a process that has just started knows enough.
 inline constexpr Millis startLook{ 10 };
 
--- /dev/null
+++ b/src/gateway/fleet_demand.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: BSL-1.0
+// What is asked for, by model: counted here, told to the sidecars.
+#include "gateway/fleet.hpp"
+
+#include <utility>
+
+namespace coursehead::gateway {
+
+namespace {
+
+//! Demand is smoothed over about two seconds, to follow shifts that take four to six.
+constexpr double demandSmoothing = 0.2;
+constexpr Millis demandInterval{ 400 };
+
+} // namespace
+
+void Fleet::tick( MonoTime now ) {
+    if( now - m_lastTick < demandInterval ) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>( now - m_lastTick ).count();
+    m_lastTick = now;
+    DemandNews common;
+    for( auto& [model, demand] : m_demand ) {
+        demand.perS += demandSmoothing * ( demand.arrivals / seconds - demand.perS );
+        demand.workPerS += demandSmoothing * ( demand.arrivedWork / seconds - demand.workPerS );
+        demand.arrivals = 0;
+        demand.arrivedWork = 0;
+    }
+    std::map<std::string, int> held;
+    for( const auto& it : m_nodes ) {
+        for( const auto& resident : it.second->residents( now ) ) {
+            ++held[resident.model];
+        }
+    }
+    for( auto& it : m_nodes ) {
+        Node& node = *it.second;
+        if( !node.sidecar ) {
+            continue;
+        }
+        DemandNews news;
+        for( const auto& model : node.modelsOfInterest( now ) ) {
+            ModelDemand entry;
+            entry.model = model;
+            const auto demand = m_demand.find( model );
+            if( demand != m_demand.end() ) {
+                entry.perS = demand->second.perS;
+                entry.workPerS = demand->second.workPerS;
+            }
+            entry.copies = held[model];
+            entry.running = node.runningOf( model );
+            entry.adaptersUsed = node.adaptersInUse( model );
+            news.models.push_back( std::move( entry ) );
+        }
+        node.adaptersUsed.clear();
+        news.sentParts = std::exchange( node.sentParts, {} );
+        news.reading = node.reading.ownShare( now );
+        node.sidecar->send( news );
+    }
+    addReplicas( held, now );
+}
+
+void Fleet::noteFirstEvent( const Generation& generation, const Choice& choice,
+                            double measuredMs ) {
+    if( choice.unqueued ) {
+        m_pace.note( generation.model, static_cast<double>( choice.freshTokens ), measuredMs );
+    }
+}
+
+void Fleet::countDemand( const Need& need, const Choice& choice ) {
+    if( need.generation == nullptr || !choice.node || !choice.node->engine ) {
+        return;
+    }
+    auto& demand = m_demand[need.generation->model];
+    demand.service = need.service;
+    demand.arrivals += 1;
+    demand.arrivedWork += choice.workMs;
+}
+
+} // namespace coursehead::gateway
