--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -190,6 +190,7 @@
     if( lost && part.part == StorePart::quarantines ) {
         // Nobody else writes them: what the copy lacks is still in force.
         std::vector<platform::StoreObject> again;
+        again.reserve( missing.size() );
         for( const auto& name : missing ) {
             again.push_back( part.objects.at( name ) );
         }
