--- a/tests/promise/halls.tests.cpp
+++ b/tests/promise/halls.tests.cpp
@@ -16,23 +16,9 @@
 //! Behind a bound: what was sent within it has arrived.
 constexpr Millis arrival{ 200 };
 
-//! Asks for streams, one after the other, of all gateways in turn; how many were served.
-net::Task<int> askMany( World& world, int count ) {
-    int served = 0;
-    for( int n = 0; n < count; ++n ) {
-        std::string method = "POST";
-        std::string path = "/stream/a";
-        std::string body = "b" + std::to_string( world.sent );
-        const auto status =
-            co_await world.ask( std::move( method ), std::move( path ), std::move( body ) );
-        served += status == 200 ? 1 : 0;
-    }
-    co_return served;
-}
-
 net::Task<> askUntil( World& world, std::function<bool()> condition ) {
     while( !condition() ) {
-        co_await askMany( world, 1 );
+        co_await world.askStreams( 1 );
     }
 }
 
@@ -52,11 +38,11 @@
         store.put( "evacuations", "hall-0", nlohmann::json::object() );
         co_await net::pause( world.context, evacuationBound + arrival );
         const int before = record.runsIn( "hall-0" );
-        servedEmptied = co_await askMany( world, asks );
+        servedEmptied = co_await world.askStreams( asks );
         sentEmptied = record.runsIn( "hall-0" ) - before;
         world.restartAll();
         co_await world.waitUntilSettled();
-        co_await askMany( world, asks );
+        co_await world.askStreams( asks );
         sentByNew = record.runsIn( "hall-0" ) - before - sentEmptied;
         store.remove( "evacuations", "hall-0" );
         co_await askUntil( world, [&] { return record.runsIn( "hall-0" ) > before + 1; } );
@@ -73,7 +59,7 @@
         world.deployment->store().put( "evacuations", "nowhere", 5 );
         world.deployment->store().put( "evacuations", "", nullptr );
         co_await net::pause( world.context, evacuationBound );
-        served = co_await askMany( world, asks );
+        served = co_await world.askStreams( asks );
     } );
     CHECK( served == asks );
 }
@@ -92,7 +78,7 @@
         world.deployment->changeConfiguration();
         co_await net::pause( world.context, configurationBound + arrival );
         const int before = record.runsIn( "hall-0" );
-        served = co_await askMany( world, asks );
+        served = co_await world.askStreams( asks );
         elsewhere = record.runsIn( "hall-0" ) - before;
         world.deployment->setHomes( { "region-9" } );
         world.deployment->changeConfiguration();
--- a/tests/promise/store_copy.tests.cpp
+++ b/tests/promise/store_copy.tests.cpp
@@ -25,19 +25,6 @@
 //! Writes that the copy does not have.
 constexpr int lostWrites = 200;
 
-net::Task<int> askMany( World& world, int count ) {
-    int served = 0;
-    for( int n = 0; n < count; ++n ) {
-        std::string method = "POST";
-        std::string path = "/stream/a";
-        std::string body = "b" + std::to_string( world.sent );
-        const auto status =
-            co_await world.ask( std::move( method ), std::move( path ), std::move( body ) );
-        served += status == 200 ? 1 : 0;
-    }
-    co_return served;
-}
-
 //! The store is away for so long and comes back from its copy.
 net::Task<> restore( World& world, Millis away ) {
     auto& store = world.deployment->store();
@@ -64,13 +51,13 @@
         for( int n = 0; n < lostWrites; ++n ) {
             store.put( "config", "lost-" + std::to_string( n ), n );
         }
-        co_await askMany( world, asks );
+        co_await world.askStreams( asks );
         co_await restore( world, away );
         co_await net::pause( world.context, contactBound );
         store.put( "evacuations", "hall-0", nlohmann::json::object() );
         co_await net::pause( world.context, evacuationBound + arrival );
         const int before = world.record.runsIn( "hall-0" );
-        served = co_await askMany( world, asks );
+        served = co_await world.askStreams( asks );
         sentEmptied = world.record.runsIn( "hall-0" ) - before;
     } );
     CHECK( sentEmptied == 0 );
@@ -89,9 +76,9 @@
         co_await net::pause( world.context, evacuationBound + arrival );
         const int before = world.record.runsIn( "hall-0" );
         co_await restore( world, outage );
-        co_await askMany( world, asks );
+        co_await world.askStreams( asks );
         store.put( "evacuations", "hall-0", nlohmann::json::object() );
-        co_await askMany( world, asks );
+        co_await world.askStreams( asks );
         sentEmptied = world.record.runsIn( "hall-0" ) - before;
     } );
     CHECK( sentEmptied == 0 );
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -112,6 +112,20 @@
         co_return cut ? 0 : response.result_int();
     }
 
+    //! Asks for streams, one after the other, of all gateways in turn; how many were served.
+    net::Task<int> askStreams( int count ) {
+        int served = 0;
+        for( int n = 0; n < count; ++n ) {
+            std::string method = "POST";
+            std::string path = "/stream/a";
+            std::string body = "b" + std::to_string( sent );
+            const auto status =
+                co_await ask( std::move( method ), std::move( path ), std::move( body ) );
+            served += status == 200 ? 1 : 0;
+        }
+        co_return served;
+    }
+
     net::Task<> askAgainAndAgain( std::string method, std::string path, std::string body ) {
         for( int n = 0; n < tries; ++n ) {
             co_await waitUntilSettled();
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -4,6 +4,7 @@
 #include "gateway/relay_times.hpp"
 #include "gateway/store_feed.hpp"
 #include "support/object_store.hpp"
+#include "support/run_until.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -13,25 +14,12 @@
 using namespace coursehead::gateway;
 using namespace std::chrono_literals;
 using support::ObjectStore;
+using support::runUntil;
 using support::StoreMode;
 using Json = nlohmann::json;
 
 namespace {
 
-constexpr Millis patience{ 10000 };
-
-//! Runs the loop until a condition holds; false when it does not within some seconds.
-bool runUntil( net::asio::io_context& context, const std::function<bool()>& condition ) {
-    const auto limit = MonoClock::now() + patience;
-    while( !condition() ) {
-        if( MonoClock::now() > limit ) {
-            return false;
-        }
-        context.run_one_for( 10ms );
-    }
-    return true;
-}
-
 Json entry( const std::string& state ) {
     return { { "service", "s" },
              { "address", "127.0.0.9:9" },
--- a/tests/unit/store_copy.tests.cpp
+++ b/tests/unit/store_copy.tests.cpp
@@ -4,6 +4,7 @@
 #include "gateway/store_feed.hpp"
 #include "platform/store_wire.hpp"
 #include "support/object_store.hpp"
+#include "support/run_until.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -21,7 +22,6 @@
 namespace {
 
 constexpr MonoTime start{ 1000s };
-constexpr Millis patience{ 10000 };
 
 Upstream listed( const std::string& id, UpstreamState state, StorePosition created,
                  Born born = 0 ) {
@@ -75,14 +75,7 @@
     }
 
     bool runUntil( const std::function<bool()>& condition ) {
-        const auto limit = MonoClock::now() + patience;
-        while( !condition() ) {
-            if( MonoClock::now() > limit ) {
-                return false;
-            }
-            context.run_one_for( 10ms );
-        }
-        return true;
+        return support::runUntil( context, condition );
     }
 };
 
