Sight: limits that upstreams name in their answers are read and logged

Cause of the change: the logs can't tell which answers named a limit, so not whether a gateway that sends knows of one. Hypothesis 1 (nobody hears it) and 2 (each counts for itself) look alike from outside.

`Server-Limit` is read as requests a second, the lowest of several; what can't be read is logged with its value and neither names a limit nor ends one. UpstreamLimit keeps what is known by upstream and start: only an answer to a request sent after the limit was last named shows that it has ended, since others may have crossed; an answer left over from another request shows nothing. `send` says the limit that its gateway held. Nothing decides by it yet.

--- a/include/coursehead/kernel/log.hpp
+++ b/include/coursehead/kernel/log.hpp
@@ -21,6 +21,9 @@
     std::string value;
 };
 
+//! A number that may have a fraction, as a field's text.
+std::string decimal( double number );
+
 //! Sets the level (debug, info, warn, error) and the fields that open every line.
 void setUp( std::string_view level, std::string_view role, std::string_view vm );
 
--- a/src/decide/announcement.hpp
+++ b/src/decide/announcement.hpp
@@ -9,11 +9,20 @@
 //! What upstreams announce of themselves in their answers, whatever the request's outcome.
 namespace coursehead::decide {
 
+//! What an answer says of a limit on requests.
+enum class LimitSaid {
+    none,  //!< nothing: its upstream takes what comes
+    named, //!< so many requests a second, from all gateways together
+    unreadable,
+};
+
 //! What one answer says of the upstream that gave it.
 struct Announcement {
     std::optional<Millis> backoff; //!< this gateway is to send it nothing for so long
     bool leaving = false;          //!< it is about to end
     std::optional<Millis> cold;    //!< it stays slow from its start for so much longer
+    LimitSaid limit = LimitSaid::none;
+    double limitPerS = 0; //!< requests a second, where one is named
 
     bool operator==( const Announcement& ) const = default;
 };
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -159,6 +159,7 @@
     SendEnd judge( Transfer& transfer, unsigned status );
     //! Notes what an answer says of the upstream that gave it.
     void hearAnnouncement( const Transfer& transfer );
+    void hearLimit( const Transfer& transfer, MonoTime now );
     bool ended( const Transfer& transfer ) const;
     std::string streamText( std::string_view events, bool finished );
     net::Task<bool> writeClient( std::string bytes );
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -60,6 +60,7 @@
     pool = {};
     health = {};
     announced = {};
+    limit = {};
     slowStart = {};
     reading = {};
     cold = decide::ColdGate( cold.phase() );
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -116,6 +116,7 @@
                  { "report_age_ms", node.report ? millisBetween( node.reportAt, now ) : -1 },
                  { "backoff_left_ms", node.announced.backoffLeft( now ).count() },
                  { "leaving", node.announced.leaving() ? "yes" : "no" },
+                 { "limit_per_s", log::decimal( node.limit.perS().value_or( -1 ) ) },
                  { "left_ms", millisBetween( now, m_deadline ) } } );
 }
 
@@ -251,7 +252,30 @@
         log::info( "upstream_says_it_leaves",
                    { { "id", m_request.head.requestId }, { "upstream", node.upstream.id } } );
     }
-    node.hear( said, m_shared.fleet.gateways(), MonoClock::now() );
+    const auto now = MonoClock::now();
+    node.hear( said, m_shared.fleet.gateways(), now );
+    hearLimit( transfer, now );
+}
+
+void Exchange::hearLimit( const Transfer& transfer, MonoTime now ) {
+    const auto& said = transfer.head.announcement;
+    Node& node = transfer.node;
+    if( said.limit == decide::LimitSaid::named ) {
+        m_shared.metrics.count( "upstream_limits" );
+        if( node.limit.noteNamed( said.limitPerS, now ) ) {
+            log::info( "upstream_limit", { { "id", m_request.head.requestId },
+                                           { "upstream", node.upstream.id },
+                                           { "limit_per_s", log::decimal( said.limitPerS ) } } );
+        }
+        return;
+    }
+    // An answer that is left over from another request may be of any age.
+    const bool own = transfer.head.requestId == m_request.head.requestId;
+    const bool none = own && said.limit == decide::LimitSaid::none;
+    if( none && node.limit.noteNone( transfer.sentAt ) ) {
+        log::info( "upstream_limit_ended",
+                   { { "id", m_request.head.requestId }, { "upstream", node.upstream.id } } );
+    }
 }
 
 bool Exchange::ended( const Transfer& transfer ) const {
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -67,6 +67,10 @@
     install( std::move( logger ), level, role, vm );
 }
 
+std::string decimal( double number ) {
+    return spdlog::fmt_lib::format( "{:.6g}", number );
+}
+
 std::string formatLine( std::string_view event, std::initializer_list<Field> fields ) {
     std::string line = "event=";
     line.append( event );
--- a/src/platform/headers.cpp
+++ b/src/platform/headers.cpp
@@ -43,6 +43,7 @@
 constexpr std::string_view sealName = "X-Response-Seal";
 constexpr std::string_view backoffName = "Retry-After";
 constexpr std::string_view coldName = "X-Cold-Ms";
+constexpr std::string_view limitName = "Server-Limit";
 constexpr std::string_view leavingName = "Server-Leaving";
 constexpr std::string_view leavingValue = "1";
 constexpr unsigned statusTooMany = 429;
@@ -155,6 +156,26 @@
     out.announcement.cold = std::min( Millis( *ms ), decide::longestCold );
 }
 
+//! The limit that an answer names; the lowest of several.
+void readLimit( const http::fields& fields, AnswerHead& out ) {
+    auto& said = out.announcement;
+    const auto [begin, end] = fields.equal_range( { limitName.data(), limitName.size() } );
+    for( auto it = begin; it != end; ++it ) {
+        const std::string_view text( it->value() );
+        const auto perS = readNumber<double>( text, std::chars_format::general );
+        const bool usable = perS && std::isfinite( *perS ) && *perS >= 0;
+        if( !usable ) {
+            out.badField = badField( limitName, text );
+            const bool named = said.limit == decide::LimitSaid::named;
+            said.limit = named ? said.limit : decide::LimitSaid::unreadable;
+            continue;
+        }
+        const bool first = said.limit != decide::LimitSaid::named;
+        said.limitPerS = first ? *perS : std::min( said.limitPerS, *perS );
+        said.limit = decide::LimitSaid::named;
+    }
+}
+
 std::string numbered( std::int64_t n ) {
     return std::to_string( n );
 }
@@ -251,6 +272,7 @@
         readBackoff( fields, out );
     }
     readCold( fields, out );
+    readLimit( fields, out );
     out.announcement.leaving = field( fields, leavingName ) == leavingValue;
     return out;
 }
--- a/tests/unit/announcement.tests.cpp
+++ b/tests/unit/announcement.tests.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "decide/announcement.hpp"
 #include "decide/backoff.hpp"
+#include "decide/upstream_limit.hpp"
 #include "platform/headers.hpp"
 
 #include <catch2/catch.hpp>
@@ -82,6 +83,72 @@
     }
 }
 
+namespace {
+
+platform::AnswerHead limited( std::initializer_list<const char*> limits ) {
+    fields head;
+    for( const auto* it : limits ) {
+        head.insert( "Server-Limit", it );
+    }
+    return platform::readAnswerHead( 200, head );
+}
+
+} // namespace
+
+TEST_CASE( "A limit is read in requests a second, the lowest of several",
+           "[announcement][limit][platform]" ) {
+    const auto perS = []( std::initializer_list<const char*> limits ) {
+        const auto said = limited( limits ).announcement;
+        CHECK( said.limit == LimitSaid::named );
+        return said.limitPerS;
+    };
+    CHECK( perS( { "1.4" } ) == 1.4 );
+    CHECK( perS( { "0" } ) == 0 );
+    CHECK( perS( { "12" } ) == 12 );
+    CHECK( perS( { "1e308" } ) == 1e308 );
+    CHECK( perS( { "3", "1.5", "2" } ) == 1.5 );
+    CHECK( perS( { "many", "2" } ) == 2 );
+    CHECK( perS( { "2", "many" } ) == 2 );
+    CHECK( limited( {} ).announcement.limit == LimitSaid::none );
+}
+
+TEST_CASE( "A limit that can't be read is none that is named, and none that has ended",
+           "[announcement][limit][platform]" ) {
+    for( const auto* it : { "-1", "few", "", "nan", "inf", "1.4 a second", "0x3", "1e999" } ) {
+        INFO( it );
+        const auto head = limited( { it } );
+        CHECK( head.announcement.limit == LimitSaid::unreadable );
+        CHECK( head.badField == std::string( "Server-Limit: " ) + it );
+    }
+}
+
+TEST_CASE( "A limit holds until an answer to a later request names none", "[limit]" ) {
+    UpstreamLimit known;
+    CHECK_FALSE( known.perS() );
+    CHECK_FALSE( known.noteNone( start ) );
+    CHECK( known.noteNamed( 1.4, start + 1s ) );
+    CHECK( known.perS() == 1.4 );
+    // An answer to a request that was sent before: it may have crossed.
+    CHECK_FALSE( known.noteNone( start + 900ms ) );
+    CHECK( known.perS() == 1.4 );
+    CHECK_FALSE( known.noteNamed( 1.4, start + 2s ) );
+    CHECK_FALSE( known.noteNone( start + 1500ms ) );
+    CHECK( known.noteNone( start + 2500ms ) );
+    CHECK_FALSE( known.perS() );
+    CHECK( known.noteNamed( 0.7, start + 3s ) );
+    CHECK( known.perS() == 0.7 );
+}
+
+TEST_CASE( "Of two limits the one that was named later holds, higher or lower", "[limit]" ) {
+    UpstreamLimit known;
+    known.noteNamed( 2, start );
+    CHECK( known.noteNamed( 0.5, start + 1s ) );
+    CHECK( known.perS() == 0.5 );
+    CHECK( known.noteNamed( 3, start + 2s ) );
+    CHECK_FALSE( known.noteNamed( 9, start + 1s ) );
+    CHECK( known.perS() == 3. );
+}
+
 TEST_CASE( "An upstream that leaves says so in answers of any kind", "[announcement][platform]" ) {
     fields head;
     head.set( "Server-Leaving", "1" );
