--- a/tests/promise/announcement.tests.cpp
+++ b/tests/promise/announcement.tests.cpp
@@ -27,30 +27,6 @@
 //! Behind the bound it still serves what comes for this long, and counts it.
 constexpr Millis servesOn{ 1000 };
 
-net::Task<unsigned> askPlain( World& world ) {
-    std::string method = "GET";
-    std::string path = "/safe/a" + std::to_string( world.sent );
-    std::string body;
-    co_return co_await world.ask( std::move( method ), std::move( path ), std::move( body ) );
-}
-
-net::Task<unsigned> askStream( World& world ) {
-    std::string method = "POST";
-    std::string path = "/stream/a";
-    std::string body = "b" + std::to_string( world.sent );
-    co_return co_await world.ask( std::move( method ), std::move( path ), std::move( body ) );
-}
-
-std::vector<Runner*> runnersOf( World& world, bool engines ) {
-    std::vector<Runner*> out;
-    for( auto& it : world.deployment->upstreams() ) {
-        if( it.runner->isEngine() == engines ) {
-            out.push_back( it.runner.get() );
-        }
-    }
-    return out;
-}
-
 } // namespace
 
 TEST_CASE( "An upstream that asked for a back-off gets it, though all others fail",
@@ -58,16 +34,16 @@
     World world;
     world.oneGateway = true;
     world.play( [&]() -> net::Task<> {
-        const auto runners = runnersOf( world, false );
+        const auto runners = world.runners( false );
         runners[0]->turnAway( 1, backoff );
         while( world.record.countOf( askedForBackoff ) == 0 ) {
-            co_await askPlain( world );
+            co_await world.askPlain();
         }
         runners[1]->setMode( RunnerMode::failing );
         runners[2]->setMode( RunnerMode::failing );
         const auto until = MonoClock::now() + backoff;
         while( MonoClock::now() < until ) {
-            co_await askPlain( world );
+            co_await world.askPlain();
         }
     } );
     CHECK( world.record.mostInBackoff() <= mostCrossing );
@@ -80,16 +56,16 @@
     int refused = 0;
     bool servedAgain = false;
     world.play( [&]() -> net::Task<> {
-        for( auto* it : runnersOf( world, true ) ) {
+        for( auto* it : world.runners( true ) ) {
             it->turnAway( 1, backoff );
         }
         const auto until = MonoClock::now() + backoff;
         while( MonoClock::now() < until ) {
-            const auto status = co_await askStream( world );
+            const auto status = co_await world.askStream();
             refused += status == 503 ? 1 : 0;
         }
         while( !servedAgain ) {
-            const auto status = co_await askStream( world );
+            const auto status = co_await world.askStream();
             servedAgain = status == 200;
         }
     } );
@@ -108,14 +84,14 @@
         for( auto& it : world.deployment->sidecars() ) {
             it->toStore->setMode( LinkMode::silent );
         }
-        auto* leaving = runnersOf( world, false )[0];
+        auto* leaving = world.runners( false )[0];
         leaving->leave();
         while( world.record.countOf( saidItLeaves ) == 0 ) {
-            co_await askPlain( world );
+            co_await world.askPlain();
         }
         const auto until = MonoClock::now() + drainBound + servesOn;
         while( MonoClock::now() < until ) {
-            co_await askPlain( world );
+            co_await world.askPlain();
         }
     } );
     CHECK( world.record.countOf( saidItLeaves ) == 1 );
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -244,7 +244,7 @@
 }
 
 std::string Runner::refusal( Life& life, const std::string& id ) {
-    std::string fields = idField( id ) + leavingField( life ) + "X-Not-Run: 1\r\n";
+    std::string fields = idField( id ) + announcedFields( life ) + "X-Not-Run: 1\r\n";
     if( m_turnsAway > 0 ) {
         --m_turnsAway;
         const auto seconds = static_cast<double>( m_backoff.count() ) / perSecond;
@@ -255,6 +255,12 @@
     return whole( 503, fields, "" );
 }
 
+std::string Runner::announcedFields( Life& life ) {
+    const auto perS = m_limit.perS();
+    const auto limit = perS ? "Server-Limit: " + std::to_string( *perS ) + "\r\n" : "";
+    return leavingField( life ) + limit;
+}
+
 std::string Runner::leavingField( Life& life ) {
     if( !life.leavingSince ) {
         return "";
@@ -268,6 +274,7 @@
 
 void Runner::noteArrival( Life& life, const std::string& id ) {
     noteUnheard( life );
+    m_limit.arrived( MonoClock::now() );
     if( !life.leavingSince ) {
         return;
     }
@@ -334,7 +341,7 @@
                                   std::string id ) {
     co_await net::pause( m_context, work( plainMs ) );
     const auto body = bodyFor( id );
-    const auto seal = leavingField( *life ) + "X-Response-Seal: " + sealFor( id, body ) + "\r\n";
+    const auto seal = announcedFields( *life ) + "X-Response-Seal: " + sealFor( id, body ) + "\r\n";
     auto bytes = whole( 200, idField( id ) + seal, body );
     switch( m_mode ) {
     case RunnerMode::mute:
@@ -343,7 +350,9 @@
     case RunnerMode::losing:
         co_return false;
     case RunnerMode::failing:
-        bytes = whole( 500, idField( id ) + "X-Response-Seal: failed\r\n", "failed" );
+        bytes =
+            whole( 500, idField( id ) + announcedFields( *life ) + "X-Response-Seal: failed\r\n",
+                   "failed" );
         break;
     case RunnerMode::cutting:
         bytes.resize( bytes.size() / 2 );
@@ -367,7 +376,7 @@
         co_return false;
     }
     const auto run = std::to_string( m_random.below( 1000000 ) );
-    std::string head = "HTTP/1.1 200 OK\r\n" + idField( id ) + leavingField( *life ) +
+    std::string head = "HTTP/1.1 200 OK\r\n" + idField( id ) + announcedFields( *life ) +
                        "X-Response-Seal: " + sealFor( id, "stream" ) +
                        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
     const int all = eventsFor( id );
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -4,6 +4,7 @@
 
 #include "coursehead/kernel/random.hpp"
 #include "soak/record.hpp"
+#include "support/limit_watch.hpp"
 #include "support/object_store.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -58,6 +59,9 @@
     void setMode( RunnerMode mode ) { m_mode = mode; }
     //! Turns the next requests away and asks whoever sent them to send nothing for `backoff`.
     void turnAway( int requests, Millis backoff );
+    //! Names a limit in all its answers from now on; nullopt: none any more.
+    void nameLimit( std::optional<double> perS ) { m_limit.name( perS, MonoClock::now() ); }
+    const support::LimitWatch& limit() const { return m_limit; }
     bool alive() const { return m_life != nullptr; }
     bool isEngine() const { return m_settings.engine; }
     //! When a new life may begin, after an end that a request has caused.
@@ -113,6 +117,8 @@
     //! Counts what comes against what it said in its answers, as if all came from one gateway.
     void noteUnheard( Life& life );
     std::string refusal( Life& life, const std::string& id );
+    //! What it says of itself in all its answers.
+    std::string announcedFields( Life& life );
     std::string leavingField( Life& life );
     void writeEntry( const Life& life );
     net::Task<> beat( LifePtr life );
@@ -128,6 +134,7 @@
     RunnerMode m_mode = RunnerMode::well;
     int m_turnsAway = 0;
     Millis m_backoff{ 0 };
+    support::LimitWatch m_limit{ knowledgeBound };
     LifePtr m_life;
     MonoTime m_backAt;
     std::shared_ptr<net::Acceptor> m_acceptor;
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -112,15 +112,38 @@
         co_return cut ? 0 : response.result_int();
     }
 
+    //! One plain request that may be repeated.
+    net::Task<unsigned> askPlain() {
+        std::string method = "GET";
+        std::string path = "/safe/a" + std::to_string( sent );
+        std::string body;
+        co_return co_await ask( std::move( method ), std::move( path ), std::move( body ) );
+    }
+
+    //! One stream.
+    net::Task<unsigned> askStream() {
+        std::string method = "POST";
+        std::string path = "/stream/a";
+        std::string body = "b" + std::to_string( sent );
+        co_return co_await ask( std::move( method ), std::move( path ), std::move( body ) );
+    }
+
+    //! All engines, or all plain upstreams.
+    std::vector<soak::Runner*> runners( bool engines ) {
+        std::vector<soak::Runner*> out;
+        for( auto& it : deployment->upstreams() ) {
+            if( it.runner->isEngine() == engines ) {
+                out.push_back( it.runner.get() );
+            }
+        }
+        return out;
+    }
+
     //! Asks for streams, one after the other, of all gateways in turn; how many were served.
     net::Task<int> askStreams( int count ) {
         int served = 0;
         for( int n = 0; n < count; ++n ) {
-            std::string method = "POST";
-            std::string path = "/stream/a";
-            std::string body = "b" + std::to_string( sent );
-            const auto status =
-                co_await ask( std::move( method ), std::move( path ), std::move( body ) );
+            const auto status = co_await askStream();
             served += status == 200 ? 1 : 0;
         }
         co_return served;
