Upstreams' limits are kept by all gateways together

What callers saw: an upstream in need that names how many requests a second it takes from all gateways got as many as before, and answered late or fell over under them.

Cause: nobody read the limit. And reading it at each gateway would not have helped: of five gateways none sent more than four in four seconds at a limit of 1.4 a second, all together 14. A bound on the sum was nobody's to keep.

Why this holds: for each limit one sidecar counts, chosen as for organisations' quotas, and is asked just before each send, first ones, retries and resumed streams alike; of a split fleet each half gets its part. While nobody can be asked a gateway sends in turns of its own, of half its part. The holder tells all gateways what one has heard. Without room elsewhere a request is refused at once with when.

The quota's client and this one share their view of the links (HolderLinks); the sidecar's counts for all gateways stand in a file of their own. Questions to a sidecar that have a number and an answer are asked by one function.

--- a/src/decide/quota.hpp
+++ b/src/decide/quota.hpp
@@ -67,6 +67,7 @@
     bool known = false;      //!< this holder knows the organisation's limit
     double granted = 0;      //!< 0: beyond the limit
     std::int64_t waitMs = 0; //!< until it may be spent; if not granted, until there is room
+    std::int64_t roomMs = 0; //!< not granted: until there is room, for whoever asks first
 };
 
 //! Units that were granted and not used.
--- a/src/decide/quota_bucket.cpp
+++ b/src/decide/quota_bucket.cpp
@@ -45,7 +45,8 @@
 QuotaGrant take( QuotaBucket& bucket, const QuotaRate& rate, const QuotaAsk& ask, MonoTime now ) {
     refill( bucket, rate, now );
     if( rate.perS <= 0 ) {
-        return { 0, timeFor( longestPromiseS, 1 ) };
+        const auto longest = timeFor( longestPromiseS, 1 );
+        return { 0, longest, longest };
     }
     const double missing = std::min( ask.needed, rate.burst ) - bucket.level;
     const Millis wait = missing <= 0 ? Millis{ 0 } : timeFor( missing, rate.perS );
@@ -54,7 +55,7 @@
         const auto told = timeFor( missing + bucket.promised, rate.perS );
         const double most = longestPromiseS * rate.perS;
         bucket.promised = std::min( bucket.promised + ask.needed, most );
-        return { 0, told };
+        return { 0, told, wait };
     }
     const double spare = bucket.level - ask.needed - keptPart * rate.burst;
     const double extra = std::clamp( ask.wished - ask.needed, 0.0, std::max( spare, 0.0 ) );
--- a/src/decide/quota_bucket.hpp
+++ b/src/decide/quota_bucket.hpp
@@ -17,7 +17,8 @@
 
 struct QuotaGrant {
     double units = 0; //!< 0: refused
-    Millis wait{ 0 }; //!< until they may be spent; if refused, until there is room
+    Millis wait{ 0 }; //!< until they may be spent; if refused, until there is room for this one
+    Millis room{ 0 }; //!< refused: until there is room, for whoever comes first
 };
 
 //! Counts a bucket up to `now`.
--- a/src/decide/quota_holder.cpp
+++ b/src/decide/quota_holder.cpp
@@ -103,16 +103,25 @@
     const auto grant = take( it->second.bucket, rateOf( it->second, now ), ask, now );
     out.granted = grant.units;
     out.waitMs = grant.wait.count();
+    out.roomMs = grant.room.count();
     if( grant.units <= 0 ) {
         // While the links of a fleet that starts come up, a holder has a part of a hundredth or so,
         // and by that part a review would be told to come back after half a minute. By the time the
         // client is back the part is whole again, or the client asks elsewhere.
         const double part = partOf( ask.organisation, now );
         out.waitMs = static_cast<std::int64_t>( static_cast<double>( out.waitMs ) * part );
+        out.roomMs = static_cast<std::int64_t>( static_cast<double>( out.roomMs ) * part );
     }
     return out;
 }
 
+void QuotaHolder::forget( std::string_view organisation ) {
+    const auto it = m_accounts.find( organisation );
+    if( it != m_accounts.end() ) {
+        m_accounts.erase( it );
+    }
+}
+
 void QuotaHolder::takeBack( const QuotaReturn& back, MonoTime now ) {
     const auto it = m_accounts.find( back.organisation );
     if( it != m_accounts.end() ) {
--- a/src/decide/quota_holder.hpp
+++ b/src/decide/quota_holder.hpp
@@ -25,6 +25,8 @@
     //! so lately is told that nothing is known here; from then on it belongs again.
     QuotaAnswer ask( const std::string& gateway, const QuotaAsk& ask, MonoTime now );
     void takeBack( const QuotaReturn& back, MonoTime now );
+    //! An account that nobody obtains from any more.
+    void forget( std::string_view organisation );
 
     //! The part of an organisation's limit that is granted here.
     double partOf( std::string_view organisation, MonoTime now ) const;
--- a/src/decide/upstream_limit.cpp
+++ b/src/decide/upstream_limit.cpp
@@ -15,10 +15,12 @@
     return before != this->perS();
 }
 
-bool UpstreamLimit::noteNone( MonoTime sent ) {
+bool UpstreamLimit::noteNone( MonoTime sent, MonoTime now ) {
     const bool inForce = perS().has_value();
     m_noneAt = std::max( m_noneAt, sent );
-    return inForce && !perS();
+    const bool ended = inForce && !perS();
+    m_endedAt = ended ? now : m_endedAt;
+    return ended;
 }
 
 std::optional<double> UpstreamLimit::perS() const {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -129,12 +129,20 @@
             m_excluded.insert( choice.node->upstream.id );
             continue;
         }
+        const bool room = co_await obtainRoom( choice );
+        if( !room ) {
+            // What others take is not known yet: each is asked once.
+            dropLeaves();
+            m_excluded.insert( choice.node->upstream.id );
+            --round;
+            continue;
+        }
         now = MonoClock::now();
         if( m_client->left || m_shared.sendsEnded || !timeLeft( now ) || !maySend() ) {
             break;
         }
         if( !choice.node->takesRequestsNow( now ) ) {
-            m_leave.reset();
+            dropLeaves();
             m_excluded.insert( choice.node->upstream.id );
             continue;
         }
@@ -147,7 +155,7 @@
             }
         }
         const auto sent = co_await sendTo( choice.node, choice );
-        m_leave.reset();
+        dropLeaves();
         if( sent.end == SendEnd::answered || sent.end == SendEnd::streamed ||
             sent.end == SendEnd::stopped || !mayTryAgain( sent ) ) {
             break;
@@ -164,9 +172,10 @@
 }
 
 void Exchange::noteNoChoice( const Choice& choice ) {
-    if( choice.backoff.count() > 0 ) {
-        m_lastWhy = "upstreams asked for a back-off";
-        m_retryAfter = choice.backoff;
+    if( choice.rest.count() > 0 ) {
+        m_lastWhy =
+            choice.atLimit ? "upstreams are at their limits" : "upstreams asked for a back-off";
+        m_retryAfter = choice.rest;
     } else if( choice.candidates == 0 && m_excluded.empty() ) {
         m_lastWhy = "no upstream";
     }
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -7,6 +7,7 @@
 #include "gateway/client_end.hpp"
 #include "gateway/event_stream.hpp"
 #include "gateway/fleet.hpp"
+#include "gateway/limit_client.hpp"
 #include "gateway/patience.hpp"
 #include "gateway/poison_guard.hpp"
 #include "gateway/quota_client.hpp"
@@ -38,6 +39,7 @@
     std::map<std::string, RetryWindow> retries; //!< by service
     std::size_t inFlight = 0;
     QuotaClient* quota = nullptr;        //!< null: nobody's requests are counted
+    LimitClient* limits = nullptr;       //!< null: upstreams' limits are not kept
     PoisonGuard* poison = nullptr;       //!< null: nothing is quarantined
     MonoTime started = MonoClock::now(); //!< this process
     bool listed = true;                  //!< the upstreams are known
@@ -151,6 +153,10 @@
     EnsureRequest question( const Choice& choice, MonoTime now ) const;
     Next followAnswer( Choice& choice, const EnsureAnswer& answer, bool late );
     void logAsk( const Choice& choice, const EnsureAnswer& answer, MonoTime since ) const;
+    //! Leave of the chosen upstream's limit, where it has named one.
+    net::Task<bool> obtainRoom( const Choice& choice );
+    //! What was obtained for the chosen upstream is of no use any more, if it was not used.
+    void dropLeaves();
     net::Task<Sent> sendTo( NodePtr node, const Choice& choice );
     net::Task<ConnectionPtr> connectionTo( Node& node );
     net::Task<Sent> receive( Node& node, ConnectionPtr connection, const Choice& choice );
@@ -198,6 +204,7 @@
     std::set<std::string> m_excluded;    //!< upstreams that this request does not go to any more
     int m_refusals = 0;                  //!< sidecars that could not let it in before its goal
     std::optional<ReadingLeave> m_leave; //!< to send its prompt to the chosen upstream
+    std::optional<LimitLeave> m_room;    //!< likewise, where the upstream has a limit
     int m_sends = 0;                     //!< that reached an upstream
     MonoTime m_sentAt;                   //!< the last of them
     std::optional<MonoTime> m_heardAt;   //!< that one's first event
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -99,8 +99,10 @@
                  { "address", upstream.ip + ":" + std::to_string( upstream.port ) } } );
     const auto node = std::make_shared<Node>( upstream, now );
     node->stopAt = m_evacuations.stopAt( upstream.hall );
-    node->cold = decide::ColdGate(
-        std::ldexp( static_cast<double>( hash64( upstream.id, m_settings.vm ) ), -hashBits ) );
+    const double phase =
+        std::ldexp( static_cast<double>( hash64( upstream.id, m_settings.vm ) ), -hashBits );
+    node->cold = decide::ColdGate( phase );
+    node->limit.turns = decide::Turns( phase );
     m_nodes.emplace( upstream.id, node );
     setEngine( *node );
     node->noteCold( upstream.cold, now );
@@ -172,6 +174,11 @@
             m_onQuarantines( news );
         }
     };
+    out.limits = [this]( const decide::LimitNews& news ) {
+        if( m_onLimits ) {
+            m_onLimits( news );
+        }
+    };
     out.news = [this, id]( const StoreNews& news ) {
         if( m_onStoreNews ) {
             m_onStoreNews( id, news );
@@ -220,6 +227,7 @@
     // When the first that has what it needs takes requests again, those that turned this one away
     // among them.
     std::optional<Millis> soonest;
+    bool atLimit = false;
     for( const auto& [id, node] : m_nodes ) {
         const bool usable = node->upstream.service == need.service && node->takesRequests( now ) &&
                             decide::mayServe( need.homes, regionOf( *node ) );
@@ -227,12 +235,18 @@
             continue;
         }
         const auto backoff = node->announced.backoffLeft( now );
-        if( backoff.count() > 0 ) {
+        const bool full = node->limit.fullLeft( now ).count() > 0;
+        if( backoff.count() > 0 || full ) {
+            const auto rest = full ? std::max( backoff, node->limit.comeBackLeft( now ) ) : backoff;
             const bool holds =
                 need.generation == nullptr || node->holdsModel( need.generation->model, now );
-            soonest = holds ? std::min( soonest.value_or( backoff ), backoff ) : soonest;
+            if( holds && ( !soonest || rest < *soonest ) ) {
+                soonest = rest;
+                atLimit = full && rest > backoff;
+            }
+            continue;
         }
-        if( backoff.count() > 0 || excluded.contains( id ) ) {
+        if( excluded.contains( id ) ) {
             continue;
         }
         candidates.push_back( estimate( *node, need, m_pace, distanceTo( *node ), now ) );
@@ -242,10 +256,11 @@
     out.candidates = candidates.size();
     const auto best = gateway::choose( candidates );
     // A load elsewhere that takes longer would only push another model out.
-    const bool backoffIsNearer =
+    const bool restIsNearer =
         soonest && ( !best || candidates[*best].loadMs > static_cast<double>( soonest->count() ) );
-    if( !best || backoffIsNearer ) {
-        out.backoff = soonest.value_or( Millis{ 0 } );
+    if( !best || restIsNearer ) {
+        out.rest = soonest.value_or( Millis{ 0 } );
+        out.atLimit = atLimit;
         return out;
     }
     const auto& it = candidates[*best];
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -37,13 +37,14 @@
 
 //! An upstream chosen for a request, with what the choice rests on.
 struct Choice {
-    NodePtr node; //!< null when none is left, or one that asked for a back-off is there earlier
-    double expectedMs = 0;        //!< until the first event, or the answer
-    double workMs = 0;            //!< of that, reading the prompt
-    double loadMs = 0;            //!< of that, until model and adapter are there
-    double paceMs = 0;            //!< until it should be sent, for the streams that run there
+    NodePtr node;          //!< null when none is left, or one that takes none now is there earlier
+    double expectedMs = 0; //!< until the first event, or the answer
+    double workMs = 0;     //!< of that, reading the prompt
+    double loadMs = 0;     //!< of that, until model and adapter are there
+    double paceMs = 0;     //!< until it should be sent, for the streams that run there
     std::int64_t freshTokens = 0; //!< of the prompt, to be read
-    Millis backoff{ 0 };          //!< no node: until the first takes requests again; 0: none does
+    Millis rest{ 0 };             //!< no node: until the first takes requests again; 0: none does
+    bool atLimit = false;         //!< that one has reached its limit; else it asked for a back-off
     bool unqueued = false;        //!< nothing was ahead of it, as far as known
     bool holdsModel = true;
     bool holdsAdapter = true;
@@ -92,6 +93,9 @@
     //! Called with what a sidecar knows to be quarantined.
     using QuarantineHandler = std::function<void( const decide::QuarantineNews& news )>;
     void onQuarantines( QuarantineHandler handler ) { m_onQuarantines = std::move( handler ); }
+    //! Called with what a sidecar has heard of upstreams' limits.
+    using LimitHandler = std::function<void( const decide::LimitNews& news )>;
+    void onLimits( LimitHandler handler ) { m_onLimits = std::move( handler ); }
     const std::map<std::string, NodePtr>& nodes() const noexcept { return m_nodes; }
 
     //! Ends every wait for a model: the process is about to stop.
@@ -142,6 +146,7 @@
     StoreGrants m_grants; //!< over the rate's window and a grant's life: it counts when loads begin
     StoreNewsHandler m_onStoreNews;
     QuarantineHandler m_onQuarantines;
+    LimitHandler m_onLimits;
     MonoTime m_started;
     MonoTime m_lastTick;
     decide::GatewayCount m_gateways;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,13 +39,16 @@
                                                         m_metrics, m_settings.bounds, nullptr,
                                                         {} },
           m_quota( m_context, m_fleet, m_settings.vm, m_settings.bounds ),
-          m_poison( m_context, m_fleet, m_metrics ),
+          m_limits( m_fleet, m_metrics, m_settings.vm ), m_poison( m_context, m_fleet, m_metrics ),
           m_feed( m_context, m_settings, m_random, m_fleet, m_registry, feedHandlers() ),
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
         m_shared.quota = &m_quota;
+        m_shared.limits = &m_limits;
         m_shared.poison = &m_poison;
+        m_fleet.onLimits(
+            [this]( const decide::LimitNews& news ) { m_limits.take( news, MonoClock::now() ); } );
         m_shared.listed = false;
         m_front = std::make_unique<net::Acceptor>(
             net::listen( m_context, m_settings.front.ip, m_settings.front.port ) );
@@ -190,6 +193,7 @@
             m_fleet.tick( now );
             m_feed.tick( now );
             m_quota.tick( now );
+            m_limits.tick( now );
             m_shared.listed = m_feed.upstreamsListed();
             m_shared.current = m_feed.configurationCurrent();
             if( now - m_settingsLook >= settingsInterval ) {
@@ -266,6 +270,7 @@
     Registry m_registry;
     Shared m_shared;
     QuotaClient m_quota;
+    LimitClient m_limits;
     PoisonGuard m_poison;
     StoreFeed m_feed;
     net::asio::signal_set m_signals;
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -69,6 +69,55 @@
     out.units = in.at( 1 ).get<double>();
 }
 
+void to_json( Json& out, const LimitWord& in ) {
+    out = Json::array( { in.start, in.perS, in.namedMs, in.noneMs } );
+}
+
+void from_json( const Json& in, LimitWord& out ) {
+    out.start = in.at( 0 ).get<std::string>();
+    out.perS = in.at( 1 ).get<double>();
+    out.namedMs = in.at( 2 ).get<std::int64_t>();
+    out.noneMs = in.at( 3 ).get<std::int64_t>();
+}
+
+void to_json( Json& out, const LimitNews& in ) {
+    out = Json::array( { in.gateway, in.gateways, in.words } );
+}
+
+void from_json( const Json& in, LimitNews& out ) {
+    out.gateway = in.at( 0 ).get<std::string>();
+    out.gateways = in.at( 1 ).get<int>();
+    out.words = in.at( 2 ).get<std::vector<LimitWord>>();
+}
+
+void to_json( Json& out, const LimitAsk& in ) {
+    out = Json::array( { in.number, in.word } );
+}
+
+void from_json( const Json& in, LimitAsk& out ) {
+    out.number = in.at( 0 ).get<std::uint64_t>();
+    out.word = in.at( 1 ).get<LimitWord>();
+}
+
+void to_json( Json& out, const LimitAnswer& in ) {
+    out = Json::array( { in.number, in.verdict, in.roomMs, in.waitMs } );
+}
+
+void from_json( const Json& in, LimitAnswer& out ) {
+    out.number = in.at( 0 ).get<std::uint64_t>();
+    out.verdict = in.at( 1 ).get<LimitVerdict>();
+    out.roomMs = in.at( 2 ).get<std::int64_t>();
+    out.waitMs = in.at( 3 ).get<std::int64_t>();
+}
+
+void to_json( Json& out, const LimitReturn& in ) {
+    out = Json::array( { in.start } );
+}
+
+void from_json( const Json& in, LimitReturn& out ) {
+    out.start = in.at( 0 ).get<std::string>();
+}
+
 void to_json( Json& out, const BrokenRun& in ) {
     out = Json::array( { in.fingerprint, in.weight, in.quarantines } );
 }
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
 
+#include "decide/limit.hpp"
 #include "decide/poison.hpp"
 #include "decide/quota.hpp"
 #include "gateway/model.hpp"
@@ -162,10 +163,12 @@
     std::vector<std::string> emptied;            //!< halls
 };
 
-using Message = std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport,
-                             LoadReport, RelayAsk, StoreNews, EnsureCancel, decide::QuotaNews,
-                             decide::QuotaAsk, decide::QuotaAnswer, decide::QuotaReturn,
-                             decide::PoisonEvidence, decide::PoisonCleared, decide::QuarantineNews>;
+using Message =
+    std::variant<EngineNews, EnsureRequest, EnsureAnswer, DemandNews, SidecarReport, LoadReport,
+                 RelayAsk, StoreNews, EnsureCancel, decide::QuotaNews, decide::QuotaAsk,
+                 decide::QuotaAnswer, decide::QuotaReturn, decide::PoisonEvidence,
+                 decide::PoisonCleared, decide::QuarantineNews, decide::LimitNews, decide::LimitAsk,
+                 decide::LimitAnswer, decide::LimitReturn>;
 
 std::string encode( const Message& message );
 //! Reads a message; nullopt when it is malformed.
--- a/src/gateway/node.cpp
+++ b/src/gateway/node.cpp
@@ -60,7 +60,7 @@
     pool = {};
     health = {};
     announced = {};
-    limit = {};
+    limit = { {}, decide::Turns( limit.turns.phase() ), {}, {} };
     slowStart = {};
     reading = {};
     cold = decide::ColdGate( cold.phase() );
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -5,7 +5,7 @@
 #include "decide/announcement.hpp"
 #include "decide/backoff.hpp"
 #include "decide/cold_gate.hpp"
-#include "decide/upstream_limit.hpp"
+#include "decide/limit_book.hpp"
 #include "gateway/connection_pool.hpp"
 #include "gateway/health.hpp"
 #include "gateway/messages.hpp"
@@ -43,7 +43,7 @@
     MonoTime reportAt;
     bool engineReachable = true;      //!< as the sidecar says
     decide::Announcements announced;  //!< what it has said of itself in its answers
-    decide::UpstreamLimit limit;      //!< what it takes from all gateways, by its answers
+    decide::LimitState limit;         //!< what it takes from all gateways together
     decide::SlowStart slowStart;      //!< what it is sent behind a back-off
     decide::ColdGate cold;            //!< what it bears after a start
     double coldPerS = 0;              //!< requests a second that it is sent while cold; 0: no rule
--- a/src/gateway/prepare.cpp
+++ b/src/gateway/prepare.cpp
@@ -66,6 +66,34 @@
     return Next::send;
 }
 
+//! Asked last, just before the send: what it grants is to arrive at the pace at which it is
+//! granted.
+net::Task<bool> Exchange::obtainRoom( const Choice& choice ) {
+    const bool limited = m_shared.limits != nullptr && choice.node->limit.known.perS();
+    if( !limited ) {
+        co_return true;
+    }
+    const auto asked = MonoClock::now();
+    NodePtr node = choice.node;
+    const auto decision = co_await m_shared.limits->obtain( std::move( node ) );
+    log::info( "limit_ask",
+               { { "id", m_request.head.requestId },
+                 { "upstream", choice.node->upstream.id },
+                 { "limit_per_s", log::decimal( choice.node->limit.known.perS().value_or( -1 ) ) },
+                 { "outcome", decide::nameOf( decision.outcome ) },
+                 { "wait_ms", decision.wait.count() },
+                 { "took_ms", millisBetween( asked, MonoClock::now() ) } } );
+    if( decision.outcome == decide::LimitOutcome::granted ) {
+        m_room.emplace( *m_shared.limits, choice.node );
+    }
+    co_return decision.maySend();
+}
+
+void Exchange::dropLeaves() {
+    m_leave.reset();
+    m_room.reset();
+}
+
 net::Task<Exchange::Next> Exchange::waitForTurn( const Choice& choice ) {
     if( MonoClock::now() + turnLook > waitLimit( choice ) ) {
         m_lastWhy = "upstreams are back from a back-off, and busy";
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -22,12 +22,12 @@
 
 QuotaClient::QuotaClient( net::asio::io_context& context, Fleet& fleet, std::string vm,
                           const platform::Bounds& bounds )
-    : m_context( context ), m_fleet( fleet ), m_vm( std::move( vm ) ),
-      m_book( platform::quotaRule( bounds ) ), m_gateways( 1, bounds.quotaWindow ) {}
+    : m_context( context ), m_vm( std::move( vm ) ), m_book( platform::quotaRule( bounds ) ),
+      m_links( fleet, bounds.quotaWindow ) {}
 
 void QuotaClient::setBounds( const platform::Bounds& bounds ) {
     m_book.setRule( platform::quotaRule( bounds ) );
-    m_gateways.setHold( bounds.quotaWindow );
+    m_links.setHold( bounds.quotaWindow );
 }
 
 void QuotaClient::setConfiguration( const Configuration& configuration ) {
@@ -49,8 +49,8 @@
     lookAtLinks( now );
     for( const auto& it : m_book.takeUnused( now ) ) {
         const auto link = m_links.find( it.holder );
-        if( link != m_links.end() ) {
-            link->second->send( Message( it.back ) );
+        if( link ) {
+            link->send( Message( it.back ) );
         }
     }
     if( now - m_toldAt >= tellEvery ) {
@@ -59,34 +59,18 @@
 }
 
 void QuotaClient::lookAtLinks( MonoTime now ) {
-    m_links.clear();
-    int gateways = 1;
-    for( const auto& [id, node] : m_fleet.nodes() ) {
-        if( !node->sidecar ) {
-            continue;
-        }
-        auto& link = m_links[node->upstream.ip];
-        if( !link || node->sidecar->answers( now ) ) {
-            link = node->sidecar;
-        }
-        gateways = std::max( gateways, node->report ? node->report->gateways : 1 );
-    }
-    m_gateways.note( gateways, now );
-    std::vector<decide::HolderCandidate> candidates;
-    for( const auto& [ip, link] : m_links ) {
-        candidates.push_back( { ip, link->answers( now ) } );
-    }
-    if( m_book.setCandidates( candidates, m_gateways.count(), now ) ) {
+    m_links.look( now );
+    if( m_book.setCandidates( m_links.candidates( now ), m_links.gateways(), now ) ) {
         log::info( "quota_holders_changed",
-                   { { "links", static_cast<std::int64_t>( m_links.size() ) },
-                     { "gateways", m_gateways.count() } } );
+                   { { "links", static_cast<std::int64_t>( m_links.all().size() ) },
+                     { "gateways", m_links.gateways() } } );
         tellHolders( now );
     }
 }
 
 void QuotaClient::tellHolders( MonoTime now ) {
     m_toldAt = now;
-    for( const auto& [ip, link] : m_links ) {
+    for( const auto& [ip, link] : m_links.all() ) {
         auto news = m_book.newsFor( ip );
         const bool concerns = !news.rates.empty() || m_told.contains( ip );
         if( !concerns || !link->answers( now ) ) {
@@ -106,11 +90,10 @@
 net::Task<std::optional<QuotaDecision>> QuotaClient::ask( std::string organisation, double units,
                                                           MonoTime until ) {
     const auto asked = MonoClock::now();
-    const auto link = m_links.find( m_book.holderOf( organisation, asked ) );
-    if( link == m_links.end() ) {
+    const auto holder = m_links.find( m_book.holderOf( organisation, asked ) );
+    if( !holder ) {
         co_return std::nullopt;
     }
-    const auto holder = link->second;
     decide::QuotaAsk question;
     question.organisation = organisation;
     question.needed = units;
@@ -158,8 +141,8 @@
 void QuotaClient::giveBack( const std::string& organisation, double units ) {
     const auto now = MonoClock::now();
     const auto link = m_links.find( m_book.holderOf( organisation, now ) );
-    if( link != m_links.end() ) {
-        link->second->send( Message( decide::QuotaReturn{ organisation, units } ) );
+    if( link ) {
+        link->send( Message( decide::QuotaReturn{ organisation, units } ) );
     }
 }
 
--- a/src/gateway/quota_client.hpp
+++ b/src/gateway/quota_client.hpp
@@ -2,13 +2,11 @@
 #ifndef COURSEHEAD_GATEWAY_QUOTA_CLIENT_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_QUOTA_CLIENT_HPP_INCLUDED
 
-#include "decide/gateway_count.hpp"
 #include "decide/quota_book.hpp"
-#include "gateway/fleet.hpp"
+#include "gateway/holder_links.hpp"
 #include "platform/node_settings.hpp"
 
-#include <map>
-#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -50,12 +48,10 @@
     void tellHolders( MonoTime now );
 
     net::asio::io_context& m_context;
-    Fleet& m_fleet;
     std::string m_vm;
     decide::QuotaBook m_book;
-    std::map<std::string, std::shared_ptr<SidecarLink>> m_links; //!< by address
+    HolderLinks m_links;
     std::set<std::string> m_told; //!< addresses that count this gateway
-    decide::GatewayCount m_gateways;
     MonoTime m_toldAt;
     bool m_anyLimit = false;
 };
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -116,7 +116,7 @@
                  { "report_age_ms", node.report ? millisBetween( node.reportAt, now ) : -1 },
                  { "backoff_left_ms", node.announced.backoffLeft( now ).count() },
                  { "leaving", node.announced.leaving() ? "yes" : "no" },
-                 { "limit_per_s", log::decimal( node.limit.perS().value_or( -1 ) ) },
+                 { "limit_per_s", log::decimal( node.limit.known.perS().value_or( -1 ) ) },
                  { "left_ms", millisBetween( now, m_deadline ) } } );
 }
 
@@ -149,6 +149,9 @@
     if( m_leave ) {
         m_leave->use();
     }
+    if( m_room ) {
+        m_room->use();
+    }
     ++m_sends;
     m_expectedMs = choice.expectedMs;
     m_client->upstream = connection;
@@ -262,7 +265,7 @@
     Node& node = transfer.node;
     if( said.limit == decide::LimitSaid::named ) {
         m_shared.metrics.count( "upstream_limits" );
-        if( node.limit.noteNamed( said.limitPerS, now ) ) {
+        if( node.limit.known.noteNamed( said.limitPerS, now ) ) {
             log::info( "upstream_limit", { { "id", m_request.head.requestId },
                                            { "upstream", node.upstream.id },
                                            { "limit_per_s", log::decimal( said.limitPerS ) } } );
@@ -272,7 +275,7 @@
     // An answer that is left over from another request may be of any age.
     const bool own = transfer.head.requestId == m_request.head.requestId;
     const bool none = own && said.limit == decide::LimitSaid::none;
-    if( none && node.limit.noteNone( transfer.sentAt ) ) {
+    if( none && node.limit.known.noteNone( transfer.sentAt, now ) ) {
         log::info( "upstream_limit_ended",
                    { { "id", m_request.head.requestId }, { "upstream", node.upstream.id } } );
     }
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -114,8 +114,8 @@
     co_return std::get<EnsureAnswer>( *answer );
 }
 
-net::Task<std::optional<decide::QuotaAnswer>> SidecarLink::askQuota( decide::QuotaAsk ask,
-                                                                     Millis limit ) {
+template <typename Answer, typename Ask>
+net::Task<std::optional<Answer>> SidecarLink::askAs( Ask ask, Millis limit ) {
     if( !m_channel ) {
         co_return std::nullopt;
     }
@@ -128,7 +128,17 @@
     if( !answer ) {
         co_return std::nullopt;
     }
-    co_return std::get<decide::QuotaAnswer>( *answer );
+    co_return std::get<Answer>( *answer );
+}
+
+net::Task<std::optional<decide::QuotaAnswer>> SidecarLink::askQuota( decide::QuotaAsk ask,
+                                                                     Millis limit ) {
+    return askAs<decide::QuotaAnswer>( std::move( ask ), limit );
+}
+
+net::Task<std::optional<decide::LimitAnswer>> SidecarLink::askLimit( decide::LimitAsk ask,
+                                                                     Millis limit ) {
+    return askAs<decide::LimitAnswer>( std::move( ask ), limit );
 }
 
 void SidecarLink::cancel( std::uint64_t number ) {
@@ -173,12 +183,19 @@
     if( quarantines != nullptr && m_handlers.quarantines ) {
         m_handlers.quarantines( *quarantines );
     }
+    const auto* limits = std::get_if<decide::LimitNews>( &*message );
+    if( limits != nullptr && m_handlers.limits ) {
+        m_handlers.limits( *limits );
+    }
     if( const auto* answer = std::get_if<EnsureAnswer>( &*message ) ) {
         takeAnswer( answer->number, *message );
     }
     if( const auto* answer = std::get_if<decide::QuotaAnswer>( &*message ) ) {
         takeAnswer( answer->number, *message );
     }
+    if( const auto* answer = std::get_if<decide::LimitAnswer>( &*message ) ) {
+        takeAnswer( answer->number, *message );
+    }
 }
 
 net::Task<> SidecarLink::keepConnected() {
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -22,6 +22,7 @@
         std::function<void( const EngineLoad& load )> load;
         std::function<void( const StoreNews& news )> news;
         std::function<void( const decide::QuarantineNews& news )> quarantines;
+        std::function<void( const decide::LimitNews& news )> limits;
     };
 
     SidecarLink( net::asio::io_context& context, std::string ip, int port );
@@ -43,6 +44,8 @@
     net::Task<EnsureAnswer> ensure( EnsureRequest request );
     //! Asks for units of an organisation's quota; nullopt when no answer came within `limit`.
     net::Task<std::optional<decide::QuotaAnswer>> askQuota( decide::QuotaAsk ask, Millis limit );
+    //! Asks for leave to send to an upstream with a limit; likewise.
+    net::Task<std::optional<decide::LimitAnswer>> askLimit( decide::LimitAsk ask, Millis limit );
     void send( const Message& message );
     //! Tells the sidecar that a question, or the leave given in answer to it, has no use any more.
     void cancel( std::uint64_t number );
@@ -60,6 +63,9 @@
     //! Sends a question and waits until `until`, unless the sidecar falls silent.
     net::Task<std::optional<Message>> askFor( std::uint64_t number, std::string question,
                                               MonoTime until );
+    //! The same with a question that has a number and an answer of its own kind.
+    template <typename Answer, typename Ask>
+    net::Task<std::optional<Answer>> askAs( Ask ask, Millis limit );
     void takeAnswer( std::uint64_t number, Message answer );
     net::Task<> keepConnected();
     void onFrame( std::string_view frame );
--- /dev/null
+++ b/src/sidecar/shared_counts.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "sidecar/shared_counts.hpp"
+
+#include "coursehead/kernel/log.hpp"
+
+namespace coursehead::sidecar {
+
+namespace {
+
+std::string_view nameOf( decide::LimitVerdict verdict ) {
+    switch( verdict ) {
+    case decide::LimitVerdict::unknown:
+        return "unknown";
+    case decide::LimitVerdict::granted:
+        return "granted";
+    case decide::LimitVerdict::full:
+        return "full";
+    case decide::LimitVerdict::ended:
+        return "ended";
+    }
+    return "unknown";
+}
+
+void send( const Peer& peer, gateway::Message message ) {
+    peer.channel->send( gateway::encode( message ) );
+}
+
+} // namespace
+
+bool SharedCounts::take( const Peer& peer, const gateway::Message& message ) {
+    return takeQuota( peer, message ) || takeLimit( peer, message );
+}
+
+bool SharedCounts::takeQuota( const Peer& peer, const gateway::Message& message ) {
+    const auto now = MonoClock::now();
+    if( const auto* news = std::get_if<decide::QuotaNews>( &message ) ) {
+        m_quotas.takeNews( *news, now );
+        return true;
+    }
+    if( const auto* back = std::get_if<decide::QuotaReturn>( &message ) ) {
+        m_quotas.takeBack( *back, now );
+        return true;
+    }
+    if( const auto* ask = std::get_if<decide::QuotaAsk>( &message ) ) {
+        const auto answer = m_quotas.ask( peer.gateway, *ask, now );
+        m_metrics.count( "quota_asks", answer.granted > 0 ? "granted" : "refused" );
+        send( peer, gateway::Message( answer ) );
+        return true;
+    }
+    return false;
+}
+
+bool SharedCounts::takeLimit( const Peer& peer, const gateway::Message& message ) {
+    const auto now = MonoClock::now();
+    if( const auto* news = std::get_if<decide::LimitNews>( &message ) ) {
+        m_limits.takeNews( *news, now );
+        spreadLimits( now );
+        return true;
+    }
+    if( const auto* back = std::get_if<decide::LimitReturn>( &message ) ) {
+        m_limits.takeBack( *back, now );
+        return true;
+    }
+    if( const auto* ask = std::get_if<decide::LimitAsk>( &message ) ) {
+        const auto answer = m_limits.ask( peer.gateway, *ask, now );
+        m_metrics.count( "limit_asks", nameOf( answer.verdict ) );
+        send( peer, gateway::Message( answer ) );
+        spreadLimits( now );
+        return true;
+    }
+    return false;
+}
+
+void SharedCounts::spreadLimits( MonoTime now ) {
+    auto words = m_limits.takeChanges( now );
+    if( words.empty() ) {
+        return;
+    }
+    for( const auto& it : words ) {
+        log::info( "upstream_limit_spread", { { "upstream", it.start },
+                                              { "limit_per_s", log::decimal( it.perS ) },
+                                              { "named_ms", it.namedMs },
+                                              { "none_ms", it.noneMs } } );
+    }
+    const auto encoded = gateway::encode( gateway::Message( decide::LimitNews{ "", 1, words } ) );
+    for( const auto& it : m_peers ) {
+        it->channel->send( encoded );
+    }
+}
+
+} // namespace coursehead::sidecar
--- /dev/null
+++ b/src/sidecar/shared_counts.hpp
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_SIDECAR_SHARED_COUNTS_HPP_INCLUDED
+#define COURSEHEAD_SIDECAR_SHARED_COUNTS_HPP_INCLUDED
+
+#include "coursehead/metrics/metrics.hpp"
+#include "decide/limit_holder.hpp"
+#include "decide/quota_holder.hpp"
+#include "sidecar/question.hpp"
+
+#include <set>
+
+namespace coursehead::sidecar {
+
+//! What this sidecar counts for all gateways: organisations' quotas and upstreams' limits.
+class SharedCounts {
+public:
+    SharedCounts( const std::set<PeerPtr>& peers, metrics::Metrics& metrics )
+        : m_peers( peers ), m_metrics( metrics ) {}
+
+    void setQuotaRule( const decide::QuotaRule& rule ) { m_quotas.setRule( rule ); }
+    //! Takes a message that is about them; false when it is about something else.
+    bool take( const Peer& peer, const gateway::Message& message );
+
+private:
+    bool takeQuota( const Peer& peer, const gateway::Message& message );
+    bool takeLimit( const Peer& peer, const gateway::Message& message );
+    void spreadLimits( MonoTime now );
+
+    const std::set<PeerPtr>& m_peers;
+    metrics::Metrics& m_metrics;
+    decide::QuotaHolder m_quotas;
+    decide::LimitHolder m_limits;
+};
+
+} // namespace coursehead::sidecar
+
+#endif // COURSEHEAD_SIDECAR_SHARED_COUNTS_HPP_INCLUDED
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -3,7 +3,6 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "coursehead/metrics/metrics.hpp"
-#include "decide/quota_holder.hpp"
 #include "gateway/messages.hpp"
 #include "gateway/probe_server.hpp"
 #include "kernel/platform_role.hpp"
@@ -18,6 +17,7 @@
 #include "sidecar/question.hpp"
 #include "sidecar/relay.hpp"
 #include "sidecar/sent_parts.hpp"
+#include "sidecar/shared_counts.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -68,7 +68,7 @@
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
-        m_quota.setRule( platform::quotaRule( m_settings.bounds ) );
+        m_counts.setQuotaRule( platform::quotaRule( m_settings.bounds ) );
         auto acceptor = net::listen( m_context, m_settings.ip, m_settings.firstPort );
         net::start( m_context, acceptPeers( std::move( acceptor ) ), "accept" );
         auto metrics = net::listen( m_context, m_settings.ip, m_settings.metricsPort );
@@ -134,7 +134,7 @@
         } else if( const auto* cancel = std::get_if<gateway::EnsureCancel>( &*message ) ) {
             forgetQuestion( keyOf( *peer, cancel->number ) );
         } else if( !takePoison( *message ) ) {
-            takeQuota( peer, *message );
+            m_counts.take( *peer, *message );
         }
     }
 
@@ -168,19 +168,6 @@
         }
     }
 
-    void takeQuota( const PeerPtr& peer, const gateway::Message& message ) {
-        const auto now = MonoClock::now();
-        if( const auto* news = std::get_if<decide::QuotaNews>( &message ) ) {
-            m_quota.takeNews( *news, now );
-        } else if( const auto* back = std::get_if<decide::QuotaReturn>( &message ) ) {
-            m_quota.takeBack( *back, now );
-        } else if( const auto* ask = std::get_if<decide::QuotaAsk>( &message ) ) {
-            const auto answer = m_quota.ask( peer->gateway, *ask, now );
-            m_metrics.count( "quota_asks", answer.granted > 0 ? "granted" : "refused" );
-            peer->channel->send( gateway::encode( gateway::Message( answer ) ) );
-        }
-    }
-
     void takeNews( Peer& peer, gateway::EngineNews news ) {
         const bool first = peer.gateway.empty();
         if( first ) {
@@ -423,7 +410,7 @@
     std::set<PeerPtr> m_peers;
     EngineView m_view;
     Orders m_orders;
-    decide::QuotaHolder m_quota;
+    SharedCounts m_counts{ m_peers, m_metrics };
     Admission m_admission;
     SentParts m_sentParts;
     PauseMeter m_pauses;
--- a/tests/promise/limit.tests.cpp
+++ b/tests/promise/limit.tests.cpp
@@ -9,6 +9,9 @@
 //     at 8.000) 9.548 front-thorndon-1 event=send upstream=i-a4f603 send=1 cost_ms=8 10.376
 //     front-thorndon-2 event=send upstream=i-a4f603 send=1 cost_ms=42 10.803 front-porirua-1
 //     event=send upstream=i-a4f603 send=1 cost_ms=10
+//
+// Nobody read the limit; and had each gateway kept to it by itself, the sum would have passed it
+// all the same, since none alone did. Now one process counts for all.
 
 using namespace coursehead;
 using namespace coursehead::soak;
--- a/tests/unit/announcement.tests.cpp
+++ b/tests/unit/announcement.tests.cpp
@@ -125,15 +125,15 @@
 TEST_CASE( "A limit holds until an answer to a later request names none", "[limit]" ) {
     UpstreamLimit known;
     CHECK_FALSE( known.perS() );
-    CHECK_FALSE( known.noteNone( start ) );
+    CHECK_FALSE( known.noteNone( start, start + 4s ) );
     CHECK( known.noteNamed( 1.4, start + 1s ) );
     CHECK( known.perS() == 1.4 );
     // An answer to a request that was sent before: it may have crossed.
-    CHECK_FALSE( known.noteNone( start + 900ms ) );
+    CHECK_FALSE( known.noteNone( start + 900ms, start + 4s ) );
     CHECK( known.perS() == 1.4 );
     CHECK_FALSE( known.noteNamed( 1.4, start + 2s ) );
-    CHECK_FALSE( known.noteNone( start + 1500ms ) );
-    CHECK( known.noteNone( start + 2500ms ) );
+    CHECK_FALSE( known.noteNone( start + 1500ms, start + 4s ) );
+    CHECK( known.noteNone( start + 2500ms, start + 4s ) );
     CHECK_FALSE( known.perS() );
     CHECK( known.noteNamed( 0.7, start + 3s ) );
     CHECK( known.perS() == 0.7 );
