Cold plain upstreams: what many gateways have not used is not sent at once

Found by looking for the incident's cause elsewhere: a bound on what all gateways do together, kept by each gateway's part of it.

What callers saw: nothing yet, from no deployment so far (most coldness is counted by an engine's sidecar). Cause: where nobody counts for all, a gateway's part of what a cold upstream bears is one request in a period that is as long as gateways are many, and it could be used at any moment of the period. After a quiet time all had theirs left. Of 400 gateways before an upstream that bears 2 a second, 9, 10 and 80 sent at one moment after 5, 10 and 50 quiet seconds.

Why this holds: the part is used in turns (decide/turns.hpp), as for limits: a second long at most, each gateway's at its own time. Test: at most 4 at one moment; it failed before. The test of 24 gateways over ten seconds passes unchanged.

Looked at as well: retry shares (a part of what is allowed for each window, from the count of gateways seen lately), the weight store's rate (likewise, at least one each: with more gateways than loads the minimum passes it, in limitations.md since it was built), adapters (priced, no bound), quotas (one holder). Nothing changed there.

--- a/src/decide/cold_gate.hpp
+++ b/src/decide/cold_gate.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_DECIDE_COLD_GATE_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
+#include "decide/turns.hpp"
 
 #include <deque>
 
@@ -28,9 +29,9 @@
 class ColdGate {
 public:
     //! `phase` in [0, 1) parts those who each let less than one request a second through.
-    explicit ColdGate( double phase = 0 ) : m_phase( phase ) {}
+    explicit ColdGate( double phase = 0 ) : m_turns( phase ) {}
 
-    double phase() const noexcept { return m_phase; }
+    double phase() const noexcept { return m_turns.phase(); }
     //! The upstream stays cold for this much longer; what was known to last longer holds.
     void noteCold( Millis left, MonoTime now );
     bool isCold( MonoTime now ) const { return now < m_until; }
@@ -39,13 +40,12 @@
     //! Until another request may be let through, at `perS` requests a second; 0: at once.
     Millis wait( double perS, MonoTime now );
     //! Counts a request that is let through.
-    void take( MonoTime now ) { m_taken.push_back( now ); }
+    void take( MonoTime now );
 
 private:
-    Millis waitForSlot( Millis window, MonoTime now ) const;
+    void forgetOld( MonoTime now );
 
-    double m_phase;
-    MonoTime m_since; //!< cold without a break since then
+    Turns m_turns; //!< at less than one request a second
     MonoTime m_until;
     std::deque<MonoTime> m_taken; //!< within the last window
 };
--- a/tests/unit/halls.tests.cpp
+++ b/tests/unit/halls.tests.cpp
@@ -208,6 +208,30 @@
     }
 }
 
+// What each of many gateways may send to a cold plain upstream is one request in minutes. It could
+// be used at any moment of such a period: after five, ten and fifty quiet seconds 9, 10 and 80 of
+// 400 gateways sent at one moment to an upstream that bears two requests a second.
+TEST_CASE( "What hundreds of gateways have not used of a cold upstream is not sent at once",
+           "[cold]" ) {
+    constexpr int gateways = 400;
+    constexpr double most = 2;
+    std::vector<ColdGate> gates;
+    for( int gateway = 0; gateway < gateways; ++gateway ) {
+        gates.emplace_back( std::fmod( 0.618 * gateway, 1.0 ) );
+        gates.back().noteCold( 60000ms, start );
+    }
+    for( const auto quiet : { 5s, 10s, 50s } ) {
+        int sent = 0;
+        for( auto& it : gates ) {
+            if( it.wait( most / gateways, start + quiet ).count() == 0 ) {
+                it.take( start + quiet );
+                ++sent;
+            }
+        }
+        CHECK( sent <= 2 * most );
+    }
+}
+
 TEST_CASE( "A service that says nothing of its cold upstreams bears what the rule has on top",
            "[cold]" ) {
     CHECK( decide::coldAllowance( { 1.5, 5 }, 0 ) == Approx( 3.5 ) );
