--- a/tests/fuzz/headers.cpp
+++ b/tests/fuzz/headers.cpp
@@ -1,11 +1,13 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "platform/headers.hpp"
 
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 
 // libFuzzer target: lines of a client's head. Whatever they say, a send shows an upstream neither
-// the key nor an organisation that the client claims.
+// the key nor an organisation that the client claims. Read as an answer's head, a limit is a
+// number.
 extern "C" int LLVMFuzzerTestOneInput( const std::uint8_t* data, std::size_t size ) {
     using namespace coursehead;
     std::string_view rest( reinterpret_cast<const char*>( data ), size );
@@ -25,6 +27,11 @@
         __builtin_trap();
     }
     static_cast<void>( platform::readRequestHead( fields ) );
+    const auto said = platform::readAnswerHead( 200, fields ).announcement;
+    if( said.limit == decide::LimitSaid::named &&
+        !( std::isfinite( said.limitPerS ) && said.limitPerS >= 0 ) ) {
+        __builtin_trap();
+    }
     platform::removeSystemHeaders( fields );
     platform::SendHead head;
     head.keyed = true;
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -274,7 +274,12 @@
 
 void Runner::noteArrival( Life& life, const std::string& id ) {
     noteUnheard( life );
-    m_limit.arrived( MonoClock::now() );
+    const auto now = MonoClock::now();
+    const int beyond = m_limit.arrived( now );
+    if( beyond > 0 && m_record.calmSince( now - support::limitWindow ) ) {
+        m_record.breach( "a limit is kept by all gateways together",
+                         life.id + " gets " + std::to_string( beyond ) + " requests too many" );
+    }
     if( !life.leavingSince ) {
         return;
     }
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -215,8 +215,36 @@
     }
 }
 
+net::Task<> Schedule::nameLimits( Millis length ) {
+    constexpr std::uint64_t stream = 0x11417;
+    constexpr std::uint64_t pauseMs = 4000;
+    constexpr std::uint64_t shortestMs = 2000;
+    constexpr std::uint64_t spanMs = 8000;
+    constexpr double highestPerS = 8;
+    RandomSource random( m_deployment.options().seed ^ stream );
+    const auto draw = [&random]( std::uint64_t most ) {
+        return Millis( static_cast<std::int64_t>( random.below( most ) ) );
+    };
+    const auto end = MonoClock::now() + length;
+    while( MonoClock::now() < end ) {
+        co_await net::pause( m_deployment.context(), draw( pauseMs ) );
+        auto& all = m_deployment.upstreams();
+        auto& runner = *all[random.below( all.size() )].runner;
+        const double perS = random.unit() * highestPerS;
+        const auto at = std::chrono::duration<double>( MonoClock::now() - m_start );
+        std::cout << at.count() << " s: an upstream names a limit of " << perS << " a second"
+                  << std::endl;
+        m_deployment.record().count( "limits named" );
+        runner.nameLimit( perS );
+        const Millis shortest( shortestMs );
+        co_await net::pause( m_deployment.context(), shortest + draw( spanMs ) );
+        runner.nameLimit( std::nullopt );
+    }
+}
+
 net::Task<> Schedule::run( Millis length ) {
     m_start = MonoClock::now();
+    net::start( m_deployment.context(), nameLimits( length ), "limits" );
     auto& random = m_deployment.random();
     int turn = 0;
     while( MonoClock::now() - m_start < length ) {
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -39,6 +39,8 @@
     };
     static constexpr int faults = 17;
 
+    //! Upstreams name limits now and then, beside all else and by draws of their own.
+    net::Task<> nameLimits( Millis length );
     net::Task<> strike( Fault fault );
     net::Task<> strikeProcess( Fault fault, Process& process, Millis length );
     net::Task<> strikeUpstream( Fault fault, Millis length );
--- a/tests/support/limit_watch.hpp
+++ b/tests/support/limit_watch.hpp
@@ -31,9 +31,10 @@
     }
     std::optional<double> perS() const { return m_perS; }
 
-    void arrived( MonoTime now ) {
+    //! A request came. By how many that is too much in the window that ends now.
+    int arrived( MonoTime now ) {
         if( !m_perS || now - m_since < m_grace ) {
-            return;
+            return 0;
         }
         m_arrived.push_back( now );
         while( now - m_arrived.front() > limitWindow ) {
@@ -41,7 +42,7 @@
         }
         const auto count = static_cast<int>( m_arrived.size() );
         m_most = std::max( m_most, count );
-        m_mostBeyond = std::max( m_mostBeyond, count - allowed() );
+        return std::max( count - allowed(), 0 );
     }
 
     int allowed() const {
@@ -49,9 +50,8 @@
         return static_cast<int>(
             std::floor( limitOver * m_perS.value_or( 0 ) * seconds + limitSlack ) );
     }
-    //! The most that came in one window, and by how many that was too much.
+    //! The most that came in one window.
     int most() const { return m_most; }
-    int mostBeyond() const { return m_mostBeyond; }
 
 private:
     Millis m_grace;
@@ -59,7 +59,6 @@
     MonoTime m_since;
     std::deque<MonoTime> m_arrived;
     int m_most = 0;
-    int m_mostBeyond = 0;
 };
 
 } // namespace coursehead::support
