Models that lie at engines with limits alone get a copy elsewhere

An engine that names 1.1 to 1.4 a second alone holds models that are asked for more often; engines with time to spare do not hold them, and a refused request was no demand that anybody counted.

Ruled out: loading elsewhere with the refused request itself (each such request would push another model out for a limit that may last a second). Tried: a copy once requests are refused and no copy is free of limits, by a rare draw of each gateway, five seconds apart.

--- a/tests/replay/replicas.tests.cpp
+++ b/tests/replay/replicas.tests.cpp
@@ -95,3 +95,54 @@
     load.copies = 0;
     CHECK_FALSE( wantsReplica( load, 1, 0, load.toldAt ) );
 }
+
+TEST_CASE( "A model that lies at upstreams at their limits alone soon gets a copy, and few",
+           "[replay][limit]" ) {
+    constexpr Millis loading{ 4500 };
+    for( const int count : { 5, 21, 400 } ) {
+        double firstMs = 0;
+        int acted = 0;
+        constexpr int seeds = 20;
+        for( int seed = 1; seed <= seeds; ++seed ) {
+            RandomSource random( static_cast<std::uint64_t>( seed ) );
+            std::vector<ModelLoad> loads( static_cast<std::size_t>( count ) );
+            Millis first{ -1 };
+            for( Millis since{ 0 }; since < length; since += tick ) {
+                const MonoTime now{ std::chrono::seconds( 100 ) + since };
+                const bool copied = first.count() >= 0 && since >= first + loading;
+                for( auto& it : loads ) {
+                    it.copies = copied ? 2 : 1;
+                    it.free = copied ? 1 : 0;
+                    it.refusedAt = copied ? it.refusedAt : now;
+                    if( wantsReplicaBesideLimits( it, count, random.unit(), now ) ) {
+                        it.lastReplica = now;
+                        ++acted;
+                        first = first.count() < 0 ? since : first;
+                    }
+                }
+            }
+            firstMs += static_cast<double>( first.count() ) / seeds;
+        }
+        INFO( count << " gateways: after " << firstMs << " ms, " << acted << " in " << seeds );
+        CHECK( firstMs < 1500 );
+        CHECK( acted < 8 * seeds );
+    }
+}
+
+TEST_CASE( "Limits add no copy where one is free, none is held, or nobody is refused", "[limit]" ) {
+    const MonoTime now{ std::chrono::seconds( 100 ) };
+    ModelLoad load;
+    load.copies = 1;
+    load.refusedAt = now;
+    CHECK( wantsReplicaBesideLimits( load, 5, 0, now ) );
+    CHECK_FALSE( wantsReplicaBesideLimits( load, 5, 0.5, now ) );
+    CHECK_FALSE( wantsReplicaBesideLimits( load, 5, 0, now + std::chrono::seconds( 2 ) ) );
+    load.free = 1;
+    CHECK_FALSE( wantsReplicaBesideLimits( load, 5, 0, now ) );
+    load.free = 0;
+    load.lastReplica = now - std::chrono::seconds( 1 );
+    CHECK_FALSE( wantsReplicaBesideLimits( load, 5, 0, now ) );
+    load = {};
+    load.refusedAt = now;
+    CHECK_FALSE( wantsReplicaBesideLimits( load, 5, 0, now ) );
+}
