What a limit leaves no room for is served elsewhere, and the limit is asked for before the sidecar

(2) The sidecar was asked first and loaded an adapter for a request that the limit then sent elsewhere, where it was loaded again.

Mended: only a back-off that ends before a load elsewhere lets a request be refused; the limit is asked first, and again when preparing took more than 250 ms, so that what has waited for a load does not come together. Tests: what a limit leaves no room for goes where its model has to be loaded first (it was refused before); a back-off behaves as it did; with nobody else left the client is told when there is room.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -117,19 +117,28 @@
             retries.countFirst( now );
             m_shared.fleet.countDemand( m_need, choice );
         }
-        const auto next = co_await prepare( choice );
+        // Asked before the sidecar, which would load an adapter for nothing.
+        bool room = co_await obtainRoom( choice );
+        auto next = Next::send;
+        if( room ) {
+            next = co_await prepare( choice );
+        }
         if( next == Next::stop ) {
             break;
         }
         if( next == Next::again ) {
+            dropLeaves();
             --round;
             continue;
         }
         if( next == Next::elsewhere ) {
+            dropLeaves();
             m_excluded.insert( choice.node->upstream.id );
             continue;
         }
-        const bool room = co_await obtainRoom( choice );
+        if( room ) {
+            room = co_await renewRoom( choice );
+        }
         if( !room ) {
             // What others take is not known yet: each is asked once.
             dropLeaves();
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -155,6 +155,8 @@
     void logAsk( const Choice& choice, const EnsureAnswer& answer, MonoTime since ) const;
     //! Leave of the chosen upstream's limit, where it has named one.
     net::Task<bool> obtainRoom( const Choice& choice );
+    //! The same again when preparing took so long that the leave is stale.
+    net::Task<bool> renewRoom( const Choice& choice );
     //! What was obtained for the chosen upstream is of no use any more, if it was not used.
     void dropLeaves();
     net::Task<Sent> sendTo( NodePtr node, const Choice& choice );
@@ -205,6 +207,7 @@
     int m_refusals = 0;                  //!< sidecars that could not let it in before its goal
     std::optional<ReadingLeave> m_leave; //!< to send its prompt to the chosen upstream
     std::optional<LimitLeave> m_room;    //!< likewise, where the upstream has a limit
+    MonoTime m_roomAt;                   //!< when that was obtained
     int m_sends = 0;                     //!< that reached an upstream
     MonoTime m_sentAt;                   //!< the last of them
     std::optional<MonoTime> m_heardAt;   //!< that one's first event
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -227,7 +227,7 @@
     // When the first that has what it needs takes requests again, those that turned this one away
     // among them.
     std::optional<Millis> soonest;
-    bool atLimit = false;
+    std::optional<Millis> soonestBackoff;
     for( const auto& [id, node] : m_nodes ) {
         const bool usable = node->upstream.service == need.service && node->takesRequests( now ) &&
                             decide::mayServe( need.homes, regionOf( *node ) );
@@ -237,12 +237,14 @@
         const auto backoff = node->announced.backoffLeft( now );
         const bool full = node->limit.fullLeft( now ).count() > 0;
         if( backoff.count() > 0 || full ) {
-            const auto rest = full ? std::max( backoff, node->limit.comeBackLeft( now ) ) : backoff;
             const bool holds =
                 need.generation == nullptr || node->holdsModel( need.generation->model, now );
-            if( holds && ( !soonest || rest < *soonest ) ) {
-                soonest = rest;
-                atLimit = full && rest > backoff;
+            const auto rest = full ? std::max( backoff, node->limit.comeBackLeft( now ) ) : backoff;
+            if( holds ) {
+                soonest = std::min( soonest.value_or( rest ), rest );
+            }
+            if( holds && !full ) {
+                soonestBackoff = std::min( soonestBackoff.value_or( backoff ), backoff );
             }
             continue;
         }
@@ -255,12 +257,14 @@
     Choice out;
     out.candidates = candidates.size();
     const auto best = gateway::choose( candidates );
-    // A load elsewhere that takes longer would only push another model out.
-    const bool restIsNearer =
-        soonest && ( !best || candidates[*best].loadMs > static_cast<double>( soonest->count() ) );
-    if( !best || restIsNearer ) {
-        out.rest = soonest.value_or( Millis{ 0 } );
-        out.atLimit = atLimit;
+    // A load elsewhere that takes longer than a back-off would only push another model out. A limit
+    // may last: what it leaves no room for is served elsewhere, loaded first if need be.
+    const bool backoffIsNearer =
+        soonestBackoff && best &&
+        candidates[*best].loadMs > static_cast<double>( soonestBackoff->count() );
+    if( !best || backoffIsNearer ) {
+        out.rest = ( backoffIsNearer ? soonestBackoff : soonest ).value_or( Millis{ 0 } );
+        out.atLimit = soonest && soonest != soonestBackoff && !backoffIsNearer;
         return out;
     }
     const auto& it = candidates[*best];
--- a/src/gateway/prepare.cpp
+++ b/src/gateway/prepare.cpp
@@ -14,6 +14,8 @@
 constexpr int inTimeAsks = 2;
 //! Pause until it is looked again whether an upstream that was in a back-off takes one more.
 constexpr Millis turnLook{ 25 };
+//! Leave to send to an upstream with a limit is used within this, or asked for anew.
+constexpr Millis roomLife{ 250 };
 //! Pause until the weight store's rate is asked for again.
 constexpr Millis storePoll{ 150 };
 
@@ -66,8 +68,6 @@
     return Next::send;
 }
 
-//! Asked last, just before the send: what it grants is to arrive at the pace at which it is
-//! granted.
 net::Task<bool> Exchange::obtainRoom( const Choice& choice ) {
     const bool limited = m_shared.limits != nullptr && choice.node->limit.known.perS();
     if( !limited ) {
@@ -86,9 +86,21 @@
     if( decision.outcome == decide::LimitOutcome::granted ) {
         m_room.emplace( *m_shared.limits, choice.node );
     }
+    m_roomAt = MonoClock::now();
     co_return decision.maySend();
 }
 
+//! What is granted is to arrive at the pace at which it is granted: requests that have waited for
+//! the same load would come together.
+net::Task<bool> Exchange::renewRoom( const Choice& choice ) {
+    const bool limited = choice.node->limit.known.perS().has_value();
+    if( !limited || MonoClock::now() - m_roomAt <= roomLife ) {
+        co_return true;
+    }
+    m_room.reset();
+    co_return co_await obtainRoom( choice );
+}
+
 void Exchange::dropLeaves() {
     m_leave.reset();
     m_room.reset();
--- a/tests/unit/limit.tests.cpp
+++ b/tests/unit/limit.tests.cpp
@@ -2,6 +2,7 @@
 #include "decide/limit_book.hpp"
 #include "decide/limit_holder.hpp"
 #include "decide/turns.hpp"
+#include "gateway/fleet.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -225,3 +226,99 @@
                .maySend() );
     CHECK_FALSE( state.known.perS() );
 }
+
+namespace {
+
+//! Two engines of which one holds the model that is asked for.
+struct TwoEngines {
+    net::asio::io_context context{ 1 };
+    RandomSource random{ 1 };
+    gateway::Fleet fleet{ context, random, gateway::FleetSettings{ "vm", "hall", 1, 5000ms } };
+
+    TwoEngines() {
+        gateway::EngineSpec engine;
+        engine.slots = 8;
+        engine.cacheTokens = 100000;
+        engine.weightsMb = 100;
+        gateway::ModelSpec model;
+        model.name = "m1";
+        model.weightsMb = 10;
+        model.storeLoad = 4000ms;
+        model.diskLoad = 1200ms;
+        engine.models.push_back( model );
+        gateway::Configuration configuration;
+        configuration.version = 1;
+        gateway::Service service;
+        service.name = "s";
+        service.engine = std::make_shared<gateway::EngineSpec>( engine );
+        configuration.services.emplace( "s", service );
+        fleet.setConfiguration( std::make_shared<gateway::RouteTable>( configuration ), start );
+        std::map<std::string, gateway::Member> members;
+        for( const auto* id : { "holds", "empty" } ) {
+            gateway::Upstream it;
+            it.id = id;
+            it.service = "s";
+            it.ip = "127.0.0.1";
+            it.port = 9;
+            it.hall = "hall";
+            it.slots = 8;
+            if( it.id == "holds" ) {
+                it.residents.push_back( { "m1", {} } );
+            }
+            members.emplace( it.id, gateway::Member{ it, false } );
+        }
+        fleet.sync( members, start );
+    }
+
+    gateway::Choice choose( MonoTime now ) {
+        gateway::Generation generation;
+        generation.model = "m1";
+        generation.promptTokens = 100;
+        gateway::Need need;
+        need.service = "s";
+        need.generation = &generation;
+        return fleet.choose( need, {}, now );
+    }
+    gateway::Node& holder() { return *fleet.nodes().at( "holds" ); }
+};
+
+} // namespace
+
+TEST_CASE( "What a limit leaves no room for goes where its model has to be loaded first",
+           "[limit][gateway]" ) {
+    TwoEngines f;
+    REQUIRE( f.choose( start ).node );
+    CHECK( f.choose( start ).node->upstream.id == "holds" );
+    f.holder().limit.known.noteNamed( 1, start );
+    CHECK( f.choose( start ).node->upstream.id == "holds" );
+    f.holder().limit.fullUntil = start + 100ms;
+    const auto choice = f.choose( start );
+    REQUIRE( choice.node );
+    CHECK( choice.node->upstream.id == "empty" );
+    CHECK( f.choose( start + 100ms ).node->upstream.id == "holds" );
+}
+
+TEST_CASE( "A back-off that ends before a load elsewhere would is waited out by the client",
+           "[limit][gateway][announcement]" ) {
+    TwoEngines f;
+    Announcement asks;
+    asks.backoff = 500ms;
+    f.holder().hear( asks, 1, start );
+    const auto choice = f.choose( start );
+    CHECK_FALSE( choice.node );
+    CHECK( choice.rest == 500ms );
+    CHECK_FALSE( choice.atLimit );
+}
+
+TEST_CASE( "With no other upstream left a request is told when the limit has room",
+           "[limit][gateway]" ) {
+    TwoEngines f;
+    f.fleet.nodes().at( "empty" )->gone = true;
+    f.holder().limit.known.noteNamed( 1, start );
+    f.holder().limit.fullUntil = start + 100ms;
+    f.holder().limit.comeBack = start + 700ms;
+    const auto choice = f.choose( start );
+    CHECK_FALSE( choice.node );
+    CHECK( choice.atLimit );
+    CHECK( choice.rest == 700ms );
+}
