Reverted: copies beside limits

The hypothesis was that refused requests for models at limited engines have nowhere to go until a copy is made.

--- a/src/decide/replica_rule.cpp
+++ b/src/decide/replica_rule.cpp
@@ -15,12 +15,6 @@
 //! What a sidecar said is taken to hold this long: demand is smoothed over about two seconds.
 constexpr Millis loadAge{ 1500 };
 
-//! A refusal for a limit counts this long.
-constexpr Millis refusalAge{ 1000 };
-//! Until a copy that was added beside limits is there: a load from the weight store, and a report.
-constexpr Millis besidePause{ 5000 };
-constexpr double besideActors = 0.5;
-
 } // namespace
 
 double copyLoad( const ModelLoad& load ) {
@@ -35,11 +29,4 @@
     return copyLoad( load ) > replicaLoad && draw * gateways < replicaActors;
 }
 
-bool wantsReplicaBesideLimits( const ModelLoad& load, int gateways, double draw, MonoTime now ) {
-    const bool refused = load.refusedAt != MonoTime{} && now - load.refusedAt <= refusalAge;
-    const bool none = load.copies > 0 && load.free == 0;
-    return refused && none && now - load.lastReplica >= besidePause &&
-           draw * gateways < besideActors;
-}
-
 } // namespace coursehead::decide
--- a/src/decide/replica_rule.hpp
+++ b/src/decide/replica_rule.hpp
@@ -14,8 +14,6 @@
     MonoTime toldAt;      //!< when a sidecar beside one of the copies said so
     int copies = 0;       //!< as the sidecars report
     MonoTime lastReplica; //!< when this gateway last had one added
-    int free = 0;         //!< copies at upstreams that name no limit
-    MonoTime refusedAt;   //!< a request was last refused since the copies are at limits
 };
 
 //! Part of its time that each copy spends on reading the model's prompts.
@@ -32,13 +30,6 @@
  */
 bool wantsReplica( const ModelLoad& load, int gateways, double draw, MonoTime now );
 
-/**
- * The same for a model whose copies all lie at upstreams that name a limit, while requests for it
- * are refused. The load that this answers: an engine in need that alone holds three models, beside
- * engines with time to spare. Few act at once: a copy takes seconds, and one is enough.
- */
-bool wantsReplicaBesideLimits( const ModelLoad& load, int gateways, double draw, MonoTime now );
-
 } // namespace coursehead::decide
 
 #endif // COURSEHEAD_DECIDE_REPLICA_RULE_HPP_INCLUDED
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -185,9 +185,6 @@
         m_lastWhy =
             choice.atLimit ? "upstreams are at their limits" : "upstreams asked for a back-off";
         m_retryAfter = choice.rest;
-        if( choice.atLimit ) {
-            m_shared.fleet.noteAtLimit( m_need, MonoClock::now() );
-        }
     } else if( choice.candidates == 0 && m_excluded.empty() ) {
         m_lastWhy = "no upstream";
     }
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -85,8 +85,6 @@
     void noteFirstEvent( const Generation& generation, const Choice& choice, double measuredMs );
     //! Counts a request for a model.
     void countDemand( const Need& need, const Choice& choice );
-    //! A request was refused since the upstreams that could run it are at their limits.
-    void noteAtLimit( const Need& need, MonoTime now );
 
     //! Called with what the sidecar of an upstream passes on from the store.
     using StoreNewsHandler =
@@ -121,13 +119,7 @@
     void endEvacuation( const std::string& hall, MonoTime now );
     //! Has copies made elsewhere of what only a hall holds.
     void copyFrom( const std::string& hall, MonoTime now );
-    //! Copies of models, by model.
-    struct Copies {
-        std::map<std::string, int> held;
-        std::map<std::string, int> free; //!< of these, at upstreams that name no limit
-    };
-    Copies countCopies( MonoTime now ) const;
-    void addReplicas( const Copies& copies, MonoTime now );
+    void addReplicas( const std::map<std::string, int>& held, MonoTime now );
     void addReplica( const std::string& service, const std::string& model, double load,
                      MonoTime now );
     void add( const Upstream& upstream, MonoTime now );
--- a/src/gateway/fleet_copies.cpp
+++ b/src/gateway/fleet_copies.cpp
@@ -95,15 +95,11 @@
                { { "hall", hall }, { "models", static_cast<std::int64_t>( wanted.size() ) } } );
 }
 
-void Fleet::addReplicas( const Copies& copies, MonoTime now ) {
+void Fleet::addReplicas( const std::map<std::string, int>& held, MonoTime now ) {
     for( auto& [model, demand] : m_demand ) {
-        const auto held = copies.held.find( model );
-        demand.fleet.copies = held == copies.held.end() ? 0 : held->second;
-        const auto free = copies.free.find( model );
-        demand.fleet.free = free == copies.free.end() ? 0 : free->second;
-        const double draw = m_random.unit();
-        if( decide::wantsReplica( demand.fleet, gateways(), draw, now ) ||
-            decide::wantsReplicaBesideLimits( demand.fleet, gateways(), draw, now ) ) {
+        const auto it = held.find( model );
+        demand.fleet.copies = it == held.end() ? 0 : it->second;
+        if( decide::wantsReplica( demand.fleet, gateways(), m_random.unit(), now ) ) {
             demand.fleet.lastReplica = now;
             addReplica( demand.service, model, decide::copyLoad( demand.fleet ), now );
         }
@@ -121,8 +117,7 @@
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
         const bool fit = node->upstream.service == service && node->engine &&
-                         node->takesRequests() && !node->stopAt && !node->limit.known.perS() &&
-                         !node->holdsModel( model, now );
+                         node->takesRequests() && !node->stopAt && !node->holdsModel( model, now );
         if( fit ) {
             auto it = estimate( *node, need, m_pace, distanceTo( *node ), now );
             it.affinity = hash64( id, model );
--- a/src/gateway/fleet_demand.cpp
+++ b/src/gateway/fleet_demand.cpp
@@ -27,7 +27,12 @@
         demand.arrivals = 0;
         demand.arrivedWork = 0;
     }
-    const auto copies = countCopies( now );
+    std::map<std::string, int> held;
+    for( const auto& it : m_nodes ) {
+        for( const auto& resident : it.second->residents( now ) ) {
+            ++held[resident.model];
+        }
+    }
     for( auto& it : m_nodes ) {
         Node& node = *it.second;
         if( !node.sidecar ) {
@@ -42,8 +47,7 @@
                 entry.perS = demand->second.perS;
                 entry.workPerS = demand->second.workPerS;
             }
-            const auto held = copies.held.find( model );
-            entry.copies = held == copies.held.end() ? 0 : held->second;
+            entry.copies = held[model];
             entry.running = node.runningOf( model );
             entry.adaptersUsed = node.adaptersInUse( model );
             news.models.push_back( std::move( entry ) );
@@ -53,19 +57,7 @@
         news.reading = node.reading.ownShare( now );
         node.sidecar->send( news );
     }
-    addReplicas( copies, now );
-}
-
-Fleet::Copies Fleet::countCopies( MonoTime now ) const {
-    Copies out;
-    for( const auto& it : m_nodes ) {
-        const bool limited = it.second->limit.known.perS().has_value();
-        for( const auto& resident : it.second->residents( now ) ) {
-            ++out.held[resident.model];
-            out.free[resident.model] += limited ? 0 : 1;
-        }
-    }
-    return out;
+    addReplicas( held, now );
 }
 
 void Fleet::noteFirstEvent( const Generation& generation, const Choice& choice,
@@ -75,15 +67,6 @@
     }
 }
 
-void Fleet::noteAtLimit( const Need& need, MonoTime now ) {
-    if( need.generation == nullptr ) {
-        return;
-    }
-    auto& demand = m_demand[need.generation->model];
-    demand.service = need.service;
-    demand.fleet.refusedAt = now;
-}
-
 void Fleet::countDemand( const Need& need, const Choice& choice ) {
     if( need.generation == nullptr || !choice.node || !choice.node->engine ) {
         return;
