--- a/src/sidecar/shared_counts.cpp
+++ b/src/sidecar/shared_counts.cpp
@@ -21,7 +21,7 @@
     return "unknown";
 }
 
-void send( const Peer& peer, gateway::Message message ) {
+void send( const Peer& peer, const gateway::Message& message ) {
     peer.channel->send( gateway::encode( message ) );
 }
 
