A gateway that connects costs the others no whole report

Cause: a sidecar told every gateway everything whenever their number had changed, since that number stood in the whole report: n gateways that start together cost n rounds of n whole reports.

Ruled out: telling the number to newcomers only (the others share budgets by it).

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -171,9 +171,9 @@
             takeReport( *node, report );
         }
     };
-    out.load = [find]( const EngineLoad& load ) {
+    out.load = [this, find]( const EngineLoad& load ) {
         if( auto* node = find() ) {
-            node->takeLoad( load, MonoClock::now() );
+            takeLoad( *node, load );
         }
     };
     out.quarantines = [this]( const decide::QuarantineNews& news ) {
@@ -208,10 +208,20 @@
     }
     const auto now = MonoClock::now();
     node.takeReport( report, now );
-    if( m_gateways.note( report.gateways, now ) ) {
+    countGateways( node, report.load.gateways, now );
+}
+
+void Fleet::takeLoad( Node& node, const EngineLoad& load ) {
+    const auto now = MonoClock::now();
+    node.takeLoad( load, now );
+    countGateways( node, load.gateways, now );
+}
+
+void Fleet::countGateways( const Node& node, int seen, MonoTime now ) {
+    if( m_gateways.note( seen, now ) ) {
         log::info( "gateways_counted", { { "gateways", m_gateways.count() },
                                          { "upstream", node.upstream.id },
-                                         { "seen", report.gateways } } );
+                                         { "seen", seen } } );
     }
 }
 
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -137,6 +137,8 @@
     void setEngine( Node& node );
     SidecarLink::Handlers sidecarHandlers( const std::string& id );
     void takeReport( Node& node, const SidecarReport& report );
+    void takeLoad( Node& node, const EngineLoad& load );
+    void countGateways( const Node& node, int seen, MonoTime now );
     //! True when this gateway may allow a load from the weight store now.
     bool mayUseStore( const Node& node, const std::string& model, MonoTime now );
 
--- a/src/gateway/holder_links.cpp
+++ b/src/gateway/holder_links.cpp
@@ -16,7 +16,7 @@
         if( !link || node->sidecar->mayAnswer( now ) ) {
             link = node->sidecar;
         }
-        gateways = std::max( gateways, node->report ? node->report->gateways : 1 );
+        gateways = std::max( gateways, node->report ? node->report->load.gateways : 1 );
     }
     m_gateways.note( gateways, now );
 }
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -217,7 +217,7 @@
 void to_json( Json& out, const EngineLoad& in ) {
     out =
         Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
-                       in.latePausesPercent, in.sentParts, in.readingPercent, in.readingWaitMs } );
+                       in.latePausesPercent, in.sentParts, in.readingPercent, in.readingWaitMs, in.gateways } );
 }
 
 void from_json( const Json& in, EngineLoad& out ) {
@@ -230,23 +230,23 @@
     out.sentParts = in.at( 6 ).get<std::vector<SentPart>>();
     out.readingPercent = in.at( 7 ).get<int>();
     out.readingWaitMs = in.at( 8 ).get<std::int64_t>();
+    out.gateways = in.at( 9 ).get<int>();
 }
 
 void to_json( Json& out, const SidecarReport& in ) {
-    out = Json::array( { in.reachable, in.gateways, in.formerUpstreams, in.residents, in.coming,
+    out = Json::array( { in.reachable, in.formerUpstreams, in.residents, in.coming,
                          in.onDisk, in.inMemory, in.load, in.born } );
 }
 
 void from_json( const Json& in, SidecarReport& out ) {
     out.reachable = in.at( 0 ).get<bool>();
-    out.gateways = in.at( 1 ).get<int>();
-    out.formerUpstreams = in.at( 2 ).get<std::vector<std::string>>();
-    out.residents = in.at( 3 ).get<std::vector<Resident>>();
-    out.coming = in.at( 4 ).get<std::vector<std::string>>();
-    out.onDisk = in.at( 5 ).get<std::vector<std::string>>();
-    out.inMemory = in.at( 6 ).get<std::vector<std::string>>();
-    out.load = in.at( 7 ).get<EngineLoad>();
-    out.born = in.at( 8 ).get<Born>();
+    out.formerUpstreams = in.at( 1 ).get<std::vector<std::string>>();
+    out.residents = in.at( 2 ).get<std::vector<Resident>>();
+    out.coming = in.at( 3 ).get<std::vector<std::string>>();
+    out.onDisk = in.at( 4 ).get<std::vector<std::string>>();
+    out.inMemory = in.at( 5 ).get<std::vector<std::string>>();
+    out.load = in.at( 6 ).get<EngineLoad>();
+    out.born = in.at( 7 ).get<Born>();
 }
 
 void to_json( Json& out, const LoadReport& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -117,13 +117,13 @@
     int latePausesPercent = 0;       //!< part of its recent streams that paused too long
     int readingPercent = 0;          //!< part of its time that prompts of all gateways take
     std::int64_t readingWaitMs = 0;  //!< until it could begin with a prompt of the usual size
+    int gateways = 0;                //!< connected to this sidecar
     std::vector<SentPart> sentParts; //!< that gateways sent there since the last message
 };
 
 //! All that a sidecar tells of its engine: to a new gateway, and when more than the load changes.
 struct SidecarReport {
     bool reachable = false;                   //!< the engine answered the sidecar
-    int gateways = 0;                         //!< gateways connected to this sidecar
     std::vector<std::string> formerUpstreams; //!< earlier starts of the engine, as refusals showed
     std::vector<Resident> residents;
     std::vector<std::string> coming; //!< adapters on their way: MODEL/NAME
--- a/src/sidecar/publisher.cpp
+++ b/src/sidecar/publisher.cpp
@@ -38,6 +38,7 @@
     out.running = engine.running;
     out.prefilling = engine.prefilling;
     out.adapterRoom = !m_parts.view.spec() || adapterRoom( m_parts.view.holdings( now ), now );
+    out.gateways = static_cast<int>( m_parts.peers.size() );
     constexpr double percent = 100;
     double reading = 0;
     for( const auto& it : m_parts.peers ) {
@@ -54,7 +55,6 @@
     gateway::SidecarReport out;
     out.reachable = m_reachable;
     out.born = engine.born;
-    out.gateways = static_cast<int>( m_parts.peers.size() );
     out.formerUpstreams = m_parts.orders.former();
     out.residents = m_parts.view.offered();
     out.coming = engine.coming;
@@ -75,8 +75,7 @@
     const auto& engine = m_parts.view.report();
     const bool due = now - m_published >= reportEvery;
     const bool soon = now - m_published >= pause();
-    const bool whole = m_changed || shapeDiffers( engine, m_lastPublished ) ||
-                       m_publishedTo != m_parts.peers.size();
+    const bool whole = m_changed || shapeDiffers( engine, m_lastPublished );
     const bool news = whole || loadDiffers( engine, m_lastPublished );
     if( !due && !( soon && news ) ) {
         return;
@@ -84,7 +83,6 @@
     m_changed = false;
     m_published = now;
     m_lastPublished = engine;
-    m_publishedTo = m_parts.peers.size();
     const auto encoded = whole ? encodedReport() : encodedLoad();
     for( const auto& it : m_parts.peers ) {
         it->channel->send( encoded );
--- a/src/sidecar/publisher.hpp
+++ b/src/sidecar/publisher.hpp
@@ -50,7 +50,6 @@
     bool m_reachable = false;
     bool m_changed = false;
     MonoTime m_published;
-    std::size_t m_publishedTo = 0; //!< gateways
     gateway::EngineReport m_lastPublished;
 };
 
