What an engine is built like is asked for, not told by every gateway to every sidecar

Cause: the first message on each link carried the whole description of the service's engines, 298 models, some 15 KB: 3.4 GB at 222,144 links, which is what the 3.39 GB between halls of the issue are, and a copy of it in memory for each link of a gateway (80 KB a link with its buffers).

Change: a gateway names the description by a hash; a sidecar that does not have it asks one gateway. It is encoded once and shared by all links.

Ruled out: sending it to the first of a hall only (nobody knows who that is).

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -117,6 +117,16 @@
     chooseLinks( now );
 }
 
+SpecTextPtr Fleet::specOf( const Service& service ) {
+    auto& known = m_specs[service.name];
+    if( known.engine != service.engine ) {
+        const bool same = known.engine && *known.engine == *service.engine;
+        known.engine = service.engine;
+        known.text = same ? known.text : encodeSpec( *service.engine );
+    }
+    return known.text;
+}
+
 void Fleet::setEngine( Node& node ) {
     const auto* service = m_table ? m_table->service( node.upstream.service ) : nullptr;
     const auto engine = service != nullptr ? service->engine : nullptr;
@@ -125,14 +135,14 @@
         node.coldTime = service->coldTime;
     }
     const auto gapTarget = m_table ? m_table->gapTarget( node.upstream.service ) : Millis{ 0 };
-    const bool same = node.engine && engine && *node.engine == *engine &&
-                      node.gapTarget == gapTarget && node.sidecar &&
-                      node.toldBorn == node.upstream.born;
+    const auto spec = engine ? specOf( *service ) : nullptr;
+    const bool same = node.engine && spec && node.toldSpec == spec && node.gapTarget == gapTarget &&
+                      node.sidecar && node.toldBorn == node.upstream.born;
+    node.engine = engine;
     if( same ) {
         // Most configurations change routes only: sidecars need not hear of them.
         return;
     }
-    node.engine = engine;
     node.gapTarget = gapTarget;
     if( !node.engine ) {
         stopSidecar( node );
@@ -150,9 +160,9 @@
     news.upstreamId = node.upstream.id;
     news.born = node.upstream.born;
     node.toldBorn = node.upstream.born;
-    news.engine = *node.engine;
+    node.toldSpec = spec;
     news.gapTargetMs = gapTarget.count();
-    node.sidecar->setNews( std::move( news ) );
+    node.sidecar->setNews( std::move( news ), spec );
 }
 
 SidecarLink::Handlers Fleet::sidecarHandlers( const std::string& id ) {
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -135,6 +135,8 @@
     static void drop( Node& node );
     static void stopSidecar( Node& node );
     void setEngine( Node& node );
+    //! The description of a service's engines; the one known before while it says the same.
+    SpecTextPtr specOf( const Service& service );
     SidecarLink::Handlers sidecarHandlers( const std::string& id );
     void takeReport( Node& node, const SidecarReport& report );
     void takeLoad( Node& node, const EngineLoad& load );
@@ -146,6 +148,11 @@
     RandomSource& m_random;
     FleetSettings m_settings;
     std::shared_ptr<const RouteTable> m_table;
+    struct KnownSpec {
+        std::shared_ptr<const EngineSpec> engine;
+        SpecTextPtr text;
+    };
+    std::map<std::string, KnownSpec> m_specs; //!< by service
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, Demand> m_demand; //!< by model
     std::map<std::string, int> m_held;      //!< upstreams that hold a model, as of the last tick
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -215,9 +215,9 @@
 }
 
 void to_json( Json& out, const EngineLoad& in ) {
-    out =
-        Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
-                       in.latePausesPercent, in.sentParts, in.readingPercent, in.readingWaitMs, in.gateways } );
+    out = Json::array( { in.ordering, in.queued, in.running, in.prefilling, in.adapterRoom,
+                         in.latePausesPercent, in.sentParts, in.readingPercent, in.readingWaitMs,
+                         in.gateways } );
 }
 
 void from_json( const Json& in, EngineLoad& out ) {
@@ -234,8 +234,8 @@
 }
 
 void to_json( Json& out, const SidecarReport& in ) {
-    out = Json::array( { in.reachable, in.formerUpstreams, in.residents, in.coming,
-                         in.onDisk, in.inMemory, in.load, in.born } );
+    out = Json::array( { in.reachable, in.formerUpstreams, in.residents, in.coming, in.onDisk,
+                         in.inMemory, in.load, in.born } );
 }
 
 void from_json( const Json& in, SidecarReport& out ) {
@@ -328,7 +328,9 @@
 
 // clang-format off
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineSpec, slots, cacheTokens, weightsMb, adapterSlots, storeLoadsPerS, models )
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineNews, gateway, configVersion, upstreamId, born, gapTargetMs, engine )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineNews, gateway, configVersion, upstreamId, born, gapTargetMs, spec )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SpecAsk, key )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SpecNews, key, engine )
 // clang-format on
 
 void to_json( Json& out, const Upstream& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -16,7 +16,10 @@
 //! The messages between gateways and the sidecars beside engines, as CBOR.
 namespace coursehead::gateway {
 
-//! A gateway introduces itself, and says what the sidecar's engine is built like. Sent first, and
+//! Tells descriptions of engines apart: a hash of what they say.
+using EngineSpecKey = std::uint64_t;
+
+//! A gateway introduces itself, and says which engine the sidecar stands beside. Sent first, and
 //! again when any of it changes.
 struct EngineNews {
     std::string gateway;
@@ -24,6 +27,18 @@
     std::string upstreamId;       //!< the engine's present start
     Born born = 0;                //!< the same
     std::int64_t gapTargetMs = 0; //!< longest pause that keeps a stream in time; 0: none is set
+    EngineSpecKey spec = 0;       //!< what it is built like
+};
+
+//! A sidecar asks a gateway for the description that it named.
+struct SpecAsk {
+    EngineSpecKey key = 0;
+};
+
+//! What an engine is built like, with every model of its service: the same for all engines of a
+//! service, and as large as the service has models.
+struct SpecNews {
+    EngineSpecKey key = 0;
     EngineSpec engine;
 };
 
@@ -102,8 +117,8 @@
 struct DemandNews {
     std::vector<ModelDemand> models;
     std::vector<SentPart> sentParts; //!< since the last message, in order
-    double reading = 0; //!< part of the engine's time that this gateway's prompts take
-    int gateways = 1;   //!< as many as this one knows to be about
+    double reading = 0;              //!< part of the engine's time that this gateway's prompts take
+    int gateways = 1;                //!< as many as this one knows to be about
 };
 
 //! What moves all the time at an engine.
@@ -169,7 +184,7 @@
                  RelayAsk, StoreNews, EnsureCancel, decide::QuotaNews, decide::QuotaAsk,
                  decide::QuotaAnswer, decide::QuotaReturn, decide::PoisonEvidence,
                  decide::PoisonCleared, decide::QuarantineNews, decide::LimitNews, decide::LimitAsk,
-                 decide::LimitAnswer, decide::LimitReturn>;
+                 decide::LimitAnswer, decide::LimitReturn, SpecAsk, SpecNews>;
 
 std::string encode( const Message& message );
 //! Reads a message; nullopt when it is malformed.
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -12,6 +12,7 @@
 #include "gateway/model.hpp"
 #include "gateway/prefix_cache.hpp"
 #include "gateway/reading_budget.hpp"
+#include "gateway/spec_text.hpp"
 
 #include <map>
 #include <memory>
@@ -32,6 +33,7 @@
     Upstream upstream;
     MonoTime addedAt;                         //!< when this gateway first heard of it
     Born toldBorn = 0;                        //!< start that its sidecar was told of
+    SpecTextPtr toldSpec;                     //!< description that its sidecar was told of
     std::shared_ptr<const EngineSpec> engine; //!< null for plain services
     Millis gapTarget{ 0 };                    //!< of the service's streams; 0: none
     ConnectionPool pool;
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -96,7 +96,9 @@
     co_return up() && m_heard;
 }
 
-void SidecarLink::setNews( EngineNews news ) {
+void SidecarLink::setNews( EngineNews news, SpecTextPtr spec ) {
+    m_spec = std::move( spec );
+    news.spec = m_spec ? m_spec->key : 0;
     const Message message( std::move( news ) );
     auto encoded = encode( message );
     if( encoded == m_news ) {
@@ -260,6 +262,10 @@
     if( limits != nullptr && m_handlers.limits ) {
         m_handlers.limits( *limits );
     }
+    const bool asksSpec = std::holds_alternative<SpecAsk>( *message );
+    if( asksSpec && m_spec ) {
+        m_channel->send( m_spec->message );
+    }
     if( const auto* answer = std::get_if<EnsureAnswer>( &*message ) ) {
         takeAnswer( answer->number, *message );
     }
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
 
 #include "gateway/messages.hpp"
+#include "gateway/spec_text.hpp"
 #include "net/frame_channel.hpp"
 
 #include <functional>
@@ -27,7 +28,7 @@
 public:
     //! What comes from a sidecar; called until stop().
     struct Handlers {
-        //! The connection is up, and what the engine is built like was sent.
+        //! The connection is up, and the sidecar was told of its engine.
         std::function<void()> connected;
         std::function<void( const SidecarReport& report )> report;
         std::function<void( const EngineLoad& load )> load;
@@ -60,8 +61,9 @@
     //! can't be reached.
     net::Task<bool> opened( Millis limit );
 
-    //! Tells the sidecar what its engine is built like, now and after each reconnect.
-    void setNews( EngineNews news );
+    //! Tells the sidecar of its engine, now and after each reconnect; what that is built like only
+    //! when it asks.
+    void setNews( EngineNews news, SpecTextPtr spec );
     void send( const DemandNews& demand );
     //! Asks the sidecar to pass the store's changes on, or to cease to; asked again after each
     //! reconnect.
@@ -116,6 +118,7 @@
     MonoTime m_upAt;
     std::vector<std::string> m_queued; //!< messages until the connection is up
     std::string m_news;                //!< encoded
+    SpecTextPtr m_spec;
     std::uint64_t m_nextNumber = 1;
     std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
 };
--- /dev/null
+++ b/src/gateway/spec_text.hpp
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_SPEC_TEXT_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_SPEC_TEXT_HPP_INCLUDED
+
+#include "gateway/messages.hpp"
+
+#include <memory>
+#include <string>
+
+namespace coursehead::gateway {
+
+//! The description of a service's engines, encoded once for all that ask for it.
+struct SpecText {
+    EngineSpecKey key = 0;
+    std::string message; //!< a SpecNews
+};
+using SpecTextPtr = std::shared_ptr<const SpecText>;
+
+SpecTextPtr encodeSpec( const EngineSpec& spec );
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_SPEC_TEXT_HPP_INCLUDED
--- a/src/sidecar/question.hpp
+++ b/src/sidecar/question.hpp
@@ -18,9 +18,10 @@
     std::shared_ptr<net::FrameChannel> channel;
     std::string gateway;
     std::map<std::string, gateway::ModelDemand> demand; //!< by model
-    double reading = 0;       //!< part of the engine's time that its prompts take
-    int gateways = 1;         //!< as many as it knows to be about
-    std::uint64_t serial = 0; //!< of the connection
+    double reading = 0;              //!< part of the engine's time that its prompts take
+    gateway::EngineSpecKey spec = 0; //!< description of the engine that it has
+    int gateways = 1;                //!< as many as it knows to be about
+    std::uint64_t serial = 0;        //!< of the connection
 };
 using PeerPtr = std::shared_ptr<Peer>;
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -40,6 +40,8 @@
 constexpr Millis wantPoll{ 12 };
 //! A want that can't be met within this is answered as failed; its request goes elsewhere.
 constexpr Millis wantLimit{ 9000 };
+//! A gateway that was asked for the engine's description may have gone.
+constexpr Millis specAskAgain{ 200 };
 //! Failed reports in a row after which the engine counts as unreachable.
 constexpr int failuresToLost = 2;
 //! Requests that a line names as running at an engine: as many as an engine has places.
@@ -124,7 +126,9 @@
             return;
         }
         if( auto* news = std::get_if<gateway::EngineNews>( &*message ) ) {
-            takeNews( *peer, std::move( *news ) );
+            takeNews( *peer, *news );
+        } else if( auto* spec = std::get_if<gateway::SpecNews>( &*message ) ) {
+            takeSpec( std::move( *spec ) );
         } else if( const auto* ensure = std::get_if<gateway::EnsureRequest>( &*message ) ) {
             takeEnsure( peer, *ensure );
         } else if( const auto* demand = std::get_if<gateway::DemandNews>( &*message ) ) {
@@ -168,7 +172,7 @@
         }
     }
 
-    void takeNews( Peer& peer, gateway::EngineNews news ) {
+    void takeNews( Peer& peer, const gateway::EngineNews& news ) {
         const bool first = peer.gateway.empty();
         if( first ) {
             log::info( "gateway_connected", { { "gateway", news.gateway } } );
@@ -184,13 +188,41 @@
         if( news.configVersion >= m_configVersion ) {
             m_configVersion = news.configVersion;
             m_gapTarget = Millis( news.gapTargetMs );
-            m_admission.setEngine( news.engine.cacheTokens, m_gapTarget );
-            m_view.setSpec( std::move( news.engine ) );
+            m_wantedSpec = news.spec;
+            if( m_view.spec() ) {
+                m_admission.setEngine( m_view.spec()->cacheTokens, m_gapTarget );
+            }
         }
+        peer.spec = news.spec;
+        askSpec( peer );
         m_publisher.sendReport( peer,
                                 first ? m_sentParts.all() : std::vector<gateway::SentPart>{} );
     }
 
+    //! One gateway is asked at a time: all have the same.
+    void askSpec( Peer& peer ) {
+        const auto now = MonoClock::now();
+        const bool asked = now - m_specAsked < specAskAgain;
+        if( peer.spec != m_wantedSpec || m_spec == m_wantedSpec || asked ) {
+            return;
+        }
+        m_specAsked = now;
+        peer.channel->send( gateway::encode( gateway::Message( gateway::SpecAsk{ peer.spec } ) ) );
+    }
+
+    void takeSpec( gateway::SpecNews news ) {
+        if( news.key != m_wantedSpec ) {
+            log::info( "engine_spec_outdated",
+                       { { "spec", static_cast<std::int64_t>( news.key ) },
+                         { "wanted", static_cast<std::int64_t>( m_wantedSpec ) } } );
+            return;
+        }
+        m_spec = news.key;
+        m_admission.setEngine( news.engine.cacheTokens, m_gapTarget );
+        m_view.setSpec( std::move( news.engine ) );
+        m_wake.cancel();
+    }
+
     //! Another start of the engine: it keeps nothing of what was sent before.
     void startAnew() {
         m_sentParts.clear();
@@ -209,6 +241,7 @@
     }
 
     void takeDemand( Peer& peer, const gateway::DemandNews& news ) {
+        askSpec( peer );
         m_sentParts.add( news.sentParts );
         m_view.noteDemand( news, MonoClock::now() );
         peer.demand.clear();
@@ -425,6 +458,9 @@
     net::asio::signal_set m_signals;
     std::uint64_t m_lastSerial = 0;
     std::uint64_t m_configVersion = 0;
+    gateway::EngineSpecKey m_wantedSpec = 0; //!< by the newest configuration
+    gateway::EngineSpecKey m_spec = 0;       //!< known
+    MonoTime m_specAsked;
     std::string m_upstreamId; //!< the engine's present start, as gateways know it
     Millis m_gapTarget{ 0 };
     bool m_reachable = false;
--- a/tests/unit/links.tests.cpp
+++ b/tests/unit/links.tests.cpp
@@ -256,7 +256,7 @@
     link->setHandlers( std::move( handlers ) );
     EngineNews news;
     news.gateway = "gateway-1";
-    link->setNews( news );
+    link->setNews( news, encodeSpec( EngineSpec{} ) );
     CHECK( link->state() == LinkState::closed );
     const auto ask = [&] {
         std::optional<EnsureAnswer> answer;
