A connection at rest gives its buffers back

Cause: each connection between our processes kept a read buffer of 16 KB, and its outbox, what it was sending and the frame it was reading at the size of the largest message that had passed. The read buffer is the thread's now; the others are given back when they are empty.

Ruled out: nghttp2's own output buffer of 16 KB a session (the library's, for as long as the session lives).

Before and after: the test measures a connection at rest after a message of 20 KB each way; both ends together take less than 60 KB.

--- a/src/net/frame_channel.cpp
+++ b/src/net/frame_channel.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 #include <vector>
 
 namespace coursehead::net {
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr std::size_t readBytes = 16U << 10U;
+//! Buffers that have grown beyond this are given back once they are empty: most connections are
+//! silent most of the time.
+constexpr std::size_t keptBytes = 1U << 10U;
 //! Bytes queued for a peer that does not read, before it is dropped.
 constexpr std::size_t outboxLimit = 4U << 20U;
 //! Both windows are opened wide: the outbox limit bounds what a slow peer costs.
@@ -26,6 +30,19 @@
     return { nameBytes, valueBytes, name.size(), value.size(), NGHTTP2_NV_FLAG_NONE };
 }
 
+void giveBack( std::string& buf ) {
+    if( buf.empty() && buf.capacity() > keptBytes ) {
+        std::string().swap( buf );
+    }
+}
+
+//! What is read is handed on before anything else is read: one buffer serves all connections of a
+//! thread.
+std::span<std::uint8_t> readBuffer() {
+    static thread_local std::array<std::uint8_t, readBytes> buf;
+    return buf;
+}
+
 FrameChannel& self( void* user ) {
     return *static_cast<FrameChannel*>( user );
 }
@@ -149,13 +166,16 @@
          n = nghttp2_session_mem_send( m_session, &data ) ) {
         m_sending.append( reinterpret_cast<const char*>( data ), static_cast<std::size_t>( n ) );
     }
+    giveBack( m_outbox );
     if( m_sending.empty() ) {
+        giveBack( m_sending );
         return;
     }
     m_writing = true;
     asio::async_write( m_socket, asio::buffer( m_sending ),
                        [me = shared_from_this()]( ErrorCode ec, std::size_t ) {
                            me->m_writing = false;
+                           me->m_sending.clear();
                            if( ec ) {
                                me->close();
                                return;
@@ -173,10 +193,19 @@
     const auto me = shared_from_this();
     m_handler = std::move( handler );
     startSession();
-    std::vector<std::uint8_t> buf( readBytes );
+    ErrorCode nonBlocking;
+    m_socket.non_blocking( true, nonBlocking );
     while( open() ) {
-        const auto space = asio::buffer( buf );
-        const auto [ec, n] = co_await m_socket.async_read_some( space, tupled );
+        const auto [waitError] = co_await m_socket.async_wait( Socket::wait_read, tupled );
+        if( waitError ) {
+            break;
+        }
+        const auto buf = readBuffer();
+        ErrorCode ec;
+        const auto n = m_socket.read_some( asio::buffer( buf.data(), buf.size() ), ec );
+        if( ec == asio::error::would_block ) {
+            continue;
+        }
         if( ec ) {
             break;
         }
--- a/src/peer/frame.cpp
+++ b/src/peer/frame.cpp
@@ -5,6 +5,9 @@
 
 namespace {
 
+//! A reader at rest keeps no more than this: a large frame is rare.
+constexpr std::size_t keptBytes = 1U << 10U;
+
 std::size_t readLength( std::string_view bytes ) {
     std::size_t n = 0;
     for( std::size_t it = 0; it < frameHeaderBytes; ++it ) {
@@ -42,6 +45,9 @@
         at += frameHeaderBytes + n;
     }
     m_partial.erase( 0, at );
+    if( m_partial.empty() && m_partial.capacity() > keptBytes ) {
+        std::string().swap( m_partial );
+    }
     return true;
 }
 
