Gateways that start have the store listed for them

Change: it reads one page of the upstreams' list, of the kind that may be seconds old and costs a tenth, only to find a sidecar; subscribes there; and begins to call the store by itself only if three relays give nothing. A relay lost by its connection has another one take its place within 400 ms before the gateway calls the store. The number of gateways among which relays are chosen is kept until it is off by a factor of two, so that a count that is still rising moves nobody. Followers wait for the end of the relay's word, not in steps of 60 ms.

Ruled out: a wait at start alone (the addresses are known from the store only); relays by hall (more of them in small deployments).

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace coursehead::gateway {
 
@@ -27,6 +28,7 @@
       m_gateways( assumedGateways, m_settings.ceilingWindow + storeGrantLife ) {}
 
 Fleet::~Fleet() {
+    adopt( nullptr );
     for( auto& it : m_nodes ) {
         drop( *it.second );
     }
@@ -150,8 +152,7 @@
     }
     node.prefixes.setCapacity( node.engine->cacheTokens );
     if( !node.sidecar ) {
-        node.sidecar =
-            std::make_shared<SidecarLink>( m_context, node.upstream.ip, m_settings.sidecarPort );
+        node.sidecar = linkTo( node.upstream );
         node.sidecar->setHandlers( sidecarHandlers( node.upstream.id ) );
     }
     EngineNews news;
@@ -165,6 +166,20 @@
     node.sidecar->setNews( std::move( news ), spec );
 }
 
+void Fleet::adopt( std::shared_ptr<SidecarLink> link ) {
+    if( m_early ) {
+        m_early->stop();
+    }
+    m_early = std::move( link );
+}
+
+std::shared_ptr<SidecarLink> Fleet::linkTo( const Upstream& upstream ) {
+    if( m_early && m_early->ip() == upstream.ip ) {
+        return std::exchange( m_early, nullptr );
+    }
+    return std::make_shared<SidecarLink>( m_context, upstream.ip, m_settings.sidecarPort );
+}
+
 SidecarLink::Handlers Fleet::sidecarHandlers( const std::string& id ) {
     const auto find = [this, id]() -> Node* {
         const auto it = m_nodes.find( id );
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -61,6 +61,9 @@
     Fleet( const Fleet& ) = delete;
     Fleet& operator=( const Fleet& ) = delete;
 
+    //! A connection that was opened to the sidecar at an address before the upstreams were known;
+    //! used once that sidecar's engine is.
+    void adopt( std::shared_ptr<SidecarLink> link );
     //! Brings the nodes in line with the registry.
     void sync( const std::map<std::string, Member>& members, MonoTime now );
     void setConfiguration( std::shared_ptr<const RouteTable> table, MonoTime now );
@@ -135,6 +138,7 @@
     static void drop( Node& node );
     static void stopSidecar( Node& node );
     void setEngine( Node& node );
+    std::shared_ptr<SidecarLink> linkTo( const Upstream& upstream );
     //! The description of a service's engines; the one known before while it says the same.
     SpecTextPtr specOf( const Service& service );
     SidecarLink::Handlers sidecarHandlers( const std::string& id );
@@ -153,6 +157,7 @@
         SpecTextPtr text;
     };
     std::map<std::string, KnownSpec> m_specs; //!< by service
+    std::shared_ptr<SidecarLink> m_early;     //!< see adopt(); null: none, or used
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, Demand> m_demand; //!< by model
     std::map<std::string, int> m_held;      //!< upstreams that hold a model, as of the last tick
--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -18,8 +18,9 @@
 //! After the store's return changes are taken one by one: upstreams come back then.
 constexpr Millis eagerTime{ 4000 };
 constexpr Millis eagerPause{ 150 };
-//! How often a follower looks whether its relay has fallen silent.
-constexpr Millis relayLook{ 60 };
+//! How often a follower looks at the latest whether its relay has fallen silent; it is told of a
+//! relay that is lost.
+constexpr Millis relayLook{ 60000 };
 //! An answer that took this much longer than asked for is no sign that the store is reachable now:
 //! the process may have been stopped meanwhile.
 constexpr Millis lateAnswer{ 1000 };
@@ -47,7 +48,8 @@
 Follower::Follower( net::asio::io_context& context, const platform::Endpoint& store,
                     FollowSettings settings, RandomSource& random, FollowHandlers handlers )
     : m_context( context ), m_settings( std::move( settings ) ), m_random( random ),
-      m_handlers( std::move( handlers ) ), m_client( context, store ), m_retry( firstRetry ) {}
+      m_handlers( std::move( handlers ) ), m_client( context, store ), m_retry( firstRetry ),
+      m_relayOver( context ) {}
 
 void Follower::setReachable( bool reachable, std::string_view status ) {
     if( reachable == m_reachable ) {
@@ -92,8 +94,9 @@
     return true;
 }
 
-void Follower::relayLost() {
-    m_relayedUntil = MonoTime{};
+void Follower::relayLost( MonoTime from ) {
+    m_relayedUntil = std::min( m_relayedUntil, from );
+    m_relayOver.cancel();
 }
 
 net::Task<StoreStatus> Follower::list() {
@@ -177,7 +180,8 @@
 net::Task<> Follower::run() {
     while( !m_stopped ) {
         if( MonoClock::now() < m_relayedUntil ) {
-            co_await net::pause( m_context, relayLook );
+            m_relayOver.expires_at( std::min( m_relayedUntil, MonoClock::now() + relayLook ) );
+            co_await m_relayOver.async_wait( net::tupled );
             continue;
         }
         const auto status = co_await callStore();
--- a/src/gateway/follower.hpp
+++ b/src/gateway/follower.hpp
@@ -51,8 +51,9 @@
      * follower is ahead of it, or knows another history than the changes belong to.
      */
     bool relayed( decide::StorePosition position, bool whole, MonoTime until );
-    //! The relay is lost, or has lost the store.
-    void relayLost();
+    //! The relay is lost, or has lost the store: the store is called from `from` on, unless another
+    //! relay has spoken by then.
+    void relayLost( MonoTime from );
 
     decide::StorePosition position() const noexcept { return m_position; }
     //! The store, or a relay, told of changes when it was last asked.
@@ -80,6 +81,7 @@
     Millis m_retry;
     MonoTime m_eagerUntil;
     MonoTime m_relayedUntil;
+    net::Timer m_relayOver; //!< ends the wait for that
 };
 
 } // namespace coursehead::gateway
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -45,6 +45,7 @@
     //! Ends the connection until the next question.
     void close();
     void stop();
+    const std::string& ip() const noexcept { return m_ip; }
     LinkState state() const noexcept { return m_state; }
     bool up() const noexcept { return m_state == LinkState::up; }
     //! True when the sidecar spoke lately: it can be asked.
--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -17,6 +17,20 @@
 constexpr Millis relayAvoided{ 3000 };
 //! How often a gateway looks whether the relay that all should use is another one.
 constexpr Millis relayRecheck{ 3000 };
+//! A relay that is lost for its connection has spoken a moment ago: another one takes its place
+//! within this, or the gateway calls the store itself.
+constexpr Millis relayChange{ 400 };
+//! The choice of a relay is made anew when there are this many times more gateways, or fewer.
+constexpr int gatewaysChange = 2;
+//! At start: relays that are tried, and how long each has to pass everything on. It lists the store
+//! first if nobody has asked it before.
+constexpr int firstTries = 3;
+constexpr Millis firstNews{ 700 };
+//! At start, until a gateway calls the store itself though no upstream is listed yet.
+constexpr Millis listedLimit{ 3000 };
+constexpr Millis listAgain{ 200 };
+constexpr Millis firstLook{ 10 };
+constexpr Millis listLimit{ 1000 };
 //! After the store has come back from a copy its operators write again what the copy lacks, within
 //! seconds: until then a hall that was to be emptied stays empty. Without it 8 of 24 requests were
 //! sent into one.
@@ -50,18 +64,94 @@
       m_quarantines( context, settings.store, followSettings( settings, platform::quarantineKind ),
                      random, quarantineHandlers() ),
       m_evacuations( context, settings.store, followSettings( settings, platform::evacuationKind ),
-                     random, evacuationHandlers() ) {}
+                     random, evacuationHandlers() ),
+      m_store( context, settings.store ) {}
 
 void StoreFeed::start() {
     m_fleet.onStoreNews( [this]( const std::string& upstreamId, const StoreNews& news ) {
         takeNews( upstreamId, news );
     } );
+    net::start( m_context, begin(), "store feed" );
+}
+
+net::Task<> StoreFeed::begin() {
+    auto upstreams = co_await findRelays();
+    std::vector<RelayCandidate> candidates;
+    for( const auto& it : upstreams ) {
+        candidates.push_back( { it.id, true, false } );
+    }
+    // How many gateways there are nobody knows yet; there are about as many as upstreams.
+    const auto gateways = static_cast<int>( candidates.size() );
+    bool relayed = false;
+    for( int n = 0; n < firstTries && !relayed; ++n ) {
+        const auto best = chooseRelay( candidates, m_settings.vm, gateways );
+        if( !best ) {
+            break;
+        }
+        candidates[*best].avoided = true;
+        m_relayGateways = gateways;
+        relayed = co_await tryRelay( upstreams[*best] );
+    }
+    log::info( "store_feed_begins",
+               { { "relay", m_relay }, { "upstreams", static_cast<std::int64_t>( gateways ) } } );
+    m_begun = true;
     net::start( m_context, m_configuration.run(), "configuration" );
     net::start( m_context, m_upstreams.run(), "upstreams" );
     net::start( m_context, m_quarantines.run(), "quarantines" );
     net::start( m_context, m_evacuations.run(), "evacuations" );
 }
 
+net::Task<std::vector<Upstream>> StoreFeed::findRelays() {
+    std::vector<Upstream> out;
+    const auto until = MonoClock::now() + listedLimit;
+    while( out.empty() && MonoClock::now() < until ) {
+        const auto page = co_await m_store.firstPage( platform::upstreamKind, listLimit,
+                                                      platform::ListAge::secondsOld );
+        for( const auto& it : page.objects ) {
+            auto upstream = m_reader.upstream( it );
+            // Sidecars stand beside engines, and engines hold models.
+            if( upstream && !upstream->residents.empty() ) {
+                out.push_back( std::move( *upstream ) );
+            }
+        }
+        if( page.status == platform::StoreStatus::ok && !page.objects.empty() ) {
+            break;
+        }
+        co_await net::pause( m_context, listAgain );
+    }
+    co_return out;
+}
+
+bool StoreFeed::knowsAll() const {
+    constexpr std::size_t parts = 4;
+    return m_relayed.size() == parts;
+}
+
+net::Task<bool> StoreFeed::tryRelay( const Upstream& upstream ) {
+    const auto began = MonoClock::now();
+    const auto until = began + firstNews;
+    auto link = std::make_shared<SidecarLink>( m_context, upstream.ip, m_settings.firstPort );
+    SidecarLink::Handlers handlers;
+    handlers.news = [this, id = upstream.id]( const StoreNews& news ) {
+        takeNews( id, news );
+    };
+    link->setHandlers( std::move( handlers ) );
+    m_fleet.adopt( link );
+    useRelay( upstream.id, link, began );
+    while( !knowsAll() && m_relay == upstream.id && MonoClock::now() < until &&
+           link->state() != LinkState::failing ) {
+        co_await net::pause( m_context, firstLook );
+    }
+    if( knowsAll() ) {
+        co_return true;
+    }
+    if( m_relay == upstream.id ) {
+        leaveRelay( "not there yet", Millis{ 0 }, MonoClock::now() );
+    }
+    m_fleet.adopt( nullptr );
+    co_return false;
+}
+
 FollowHandlers StoreFeed::configurationHandlers() {
     FollowHandlers out;
     out.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
@@ -216,9 +306,12 @@
     }
     const auto now = MonoClock::now();
     if( !news.reachable ) {
-        leaveRelay( "without the store", now );
+        leaveRelay( "without the store", Millis{ 0 }, now );
         return;
     }
+    if( news.whole ) {
+        m_relayed.insert( news.part );
+    }
     if( news.part == StorePart::upstreams ) {
         m_relayHeard = now;
         takeUpstreams( news );
@@ -272,18 +365,32 @@
     }
 }
 
-void StoreFeed::leaveRelay( std::string_view why, MonoTime now ) {
+void StoreFeed::leaveRelay( std::string_view why, Millis patience, MonoTime now ) {
     log::info( "relay_lost", { { "upstream", m_relay }, { "why", why } } );
-    const auto it = m_fleet.nodes().find( m_relay );
-    if( it != m_fleet.nodes().end() && it->second->sidecar ) {
-        it->second->sidecar->askRelay( false );
-    }
+    m_relayLink->askRelay( false );
+    m_relayLink.reset();
     m_avoided[m_relay] = now + relayAvoided;
     m_relay.clear();
-    m_upstreams.relayLost();
-    m_configuration.relayLost();
-    m_quarantines.relayLost();
-    m_evacuations.relayLost();
+    const auto from = now + patience;
+    m_upstreams.relayLost( from );
+    m_configuration.relayLost( from );
+    m_quarantines.relayLost( from );
+    m_evacuations.relayLost( from );
+}
+
+void StoreFeed::useRelay( const std::string& upstreamId, std::shared_ptr<SidecarLink> link,
+                          MonoTime now ) {
+    if( m_relayLink ) {
+        m_relayLink->askRelay( false );
+    }
+    m_relay = upstreamId;
+    m_relayLink = std::move( link );
+    m_relayHeard = now;
+    m_gotWhole = false;
+    m_relayed.clear();
+    log::info( "relay_chosen", { { "upstream", m_relay } } );
+    m_relayLink->askRelay( true );
+    m_relayLink->open();
 }
 
 void StoreFeed::seekRelay( MonoTime now ) {
@@ -298,32 +405,27 @@
         }
     }
     std::erase_if( m_avoided, [now]( const auto& it ) { return it.second <= now; } );
-    const auto best = chooseRelay( candidates, m_settings.vm, m_fleet.gateways() );
-    if( !best || candidates[*best].upstreamId == m_relay ) {
-        return;
+    const int gateways = m_fleet.gateways();
+    const bool others =
+        gateways > gatewaysChange * m_relayGateways || gatewaysChange * gateways < m_relayGateways;
+    m_relayGateways = others ? gateways : m_relayGateways;
+    const auto best = chooseRelay( candidates, m_settings.vm, m_relayGateways );
+    if( best && candidates[*best].upstreamId != m_relay ) {
+        useRelay( nodes[*best]->upstream.id, nodes[*best]->sidecar, now );
     }
-    const auto before = m_fleet.nodes().find( m_relay );
-    if( before != m_fleet.nodes().end() && before->second->sidecar ) {
-        before->second->sidecar->askRelay( false );
-    }
-    m_relay = nodes[*best]->upstream.id;
-    m_relayHeard = now;
-    m_gotWhole = false;
-    log::info( "relay_chosen", { { "upstream", m_relay } } );
-    nodes[*best]->sidecar->askRelay( true );
-    nodes[*best]->sidecar->open();
 }
 
 void StoreFeed::tick( MonoTime now ) {
     expireHeldHalls( now );
-    if( !m_relay.empty() ) {
-        const auto it = m_fleet.nodes().find( m_relay );
-        const bool lost = it == m_fleet.nodes().end() || !it->second->sidecar ||
-                          it->second->sidecar->state() == LinkState::failing;
-        if( lost ) {
-            leaveRelay( "connection lost", now );
+    if( !m_begun ) {
+        return;
+    }
+    if( m_relayLink ) {
+        const auto state = m_relayLink->state();
+        if( state == LinkState::failing || state == LinkState::closed ) {
+            leaveRelay( "connection lost", relayChange, now );
         } else if( now - m_relayHeard > relaySilence( m_settings.bounds ) ) {
-            leaveRelay( "silent", now );
+            leaveRelay( "silent", Millis{ 0 }, now );
         }
     }
     if( m_relay.empty() || now - m_relayChecked >= relayRecheck ) {
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -64,8 +64,18 @@
     void takeListing( std::vector<Upstream> upstreams );
     void takeNews( const std::string& upstreamId, const StoreNews& news );
     void takeUpstreams( const StoreNews& news );
-    void leaveRelay( std::string_view why, MonoTime now );
+    //! Finds a relay before anything is known, and begins to follow the store.
+    net::Task<> begin();
+    //! Upstreams that may stand beside a relay, by a list that may be seconds old.
+    net::Task<std::vector<Upstream>> findRelays();
+    //! Subscribes at one of them; true when all parts of the store have come from it.
+    net::Task<bool> tryRelay( const Upstream& upstream );
+    //! `patience`: how long another relay has to speak before this gateway calls the store itself.
+    void leaveRelay( std::string_view why, Millis patience, MonoTime now );
     void seekRelay( MonoTime now );
+    //! Takes the store's changes from this sidecar from now on.
+    void useRelay( const std::string& upstreamId, std::shared_ptr<SidecarLink> link, MonoTime now );
+    bool knowsAll() const;
 
     net::asio::io_context& m_context;
     const platform::NodeSettings& m_settings;
@@ -78,7 +88,12 @@
     Follower m_quarantines;
     Follower m_evacuations;
     bool m_listed = false;
-    std::string m_relay;               //!< upstream id; empty: none
+    platform::StoreClient m_store;
+    bool m_begun = false; //!< the followers run
+    std::string m_relay;  //!< upstream id; empty: none
+    std::shared_ptr<SidecarLink> m_relayLink;
+    int m_relayGateways = 1;           //!< among which the relay was chosen
+    std::set<StorePart> m_relayed;     //!< parts that a relay has given whole
     MonoTime m_relayHeard;             //!< its last word on upstreams
     MonoTime m_relayChecked;           //!< when the choice was last looked at
     std::set<std::string> m_emptied;   //!< halls, as the store says
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -3,6 +3,8 @@
 
 #include "coursehead/kernel/log.hpp"
 
+#include <limits>
+
 namespace coursehead::platform {
 
 namespace {
@@ -51,9 +53,19 @@
 }
 
 net::Task<ListResult> StoreClient::list( std::string_view kind, Millis limit, ListAge age ) {
+    co_return co_await listPages( kind, limit, age, std::numeric_limits<std::size_t>::max() );
+}
+
+net::Task<ListResult> StoreClient::firstPage( std::string_view kind, Millis limit, ListAge age ) {
+    co_return co_await listPages( kind, limit, age, 1 );
+}
+
+net::Task<ListResult> StoreClient::listPages( std::string_view kind, Millis limit, ListAge age,
+                                              std::size_t most ) {
     ListResult out;
     std::string after;
-    for( bool first = true;; first = false ) {
+    for( std::size_t pages = 0;; ++pages ) {
+        const bool first = pages == 0;
         net::JsonCall page;
         page.target = listPath( kind, after, age );
         page.limit = limit;
@@ -81,7 +93,7 @@
             it.era = m_era;
             out.objects.push_back( std::move( it ) );
         }
-        if( !got->more || got->objects.empty() ) {
+        if( !got->more || got->objects.empty() || pages + 1 >= most ) {
             co_return out;
         }
         after = out.objects.back().name;
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -40,6 +40,8 @@
 
     //! Lists a kind, page by page.
     net::Task<ListResult> list( std::string_view kind, Millis limit, ListAge age = ListAge::now );
+    //! The first page of a kind alone: some hundred objects at the most.
+    net::Task<ListResult> firstPage( std::string_view kind, Millis limit, ListAge age );
     //! Waits up to `wait` for changes behind a revision.
     net::Task<WatchResult> watch( std::string_view kind, std::uint64_t revision, Millis wait );
 
@@ -53,6 +55,8 @@
 
 private:
     net::Task<net::JsonAnswer> call( net::JsonCall call );
+    net::Task<ListResult> listPages( std::string_view kind, Millis limit, ListAge age,
+                                     std::size_t most );
     //! Takes note of an answer's era; false when the answer is of a former one.
     bool takeEra( const net::JsonAnswer& answer );
 
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -227,7 +227,7 @@
     runUntil( context, [&] { return MonoClock::now() > quiet; } );
     CHECK( store.calls() == 0U );
     store.put( "servers", "u2", entry( "ready" ) );
-    follower.relayLost();
+    follower.relayLost( MonoClock::now() );
     REQUIRE( runUntil( context, [&] { return !seen.empty(); } ) );
     CHECK( seen == std::vector<std::string>{ "u2" } );
     // A relay that lags behind what the follower has seen by itself is not believed.
