--- a/tests/soak/link.hpp
+++ b/tests/soak/link.hpp
@@ -26,6 +26,8 @@
 
     void setMode( LinkMode mode );
     void setDelay( Millis delay ) { m_delay = delay; }
+    //! Open now.
+    std::size_t connections() const { return m_pairs.size(); }
 
 private:
     struct Pair {
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -32,6 +32,13 @@
 inline constexpr Millis limit{ 60000 };
 inline constexpr Millis look{ 50 };
 
+//! How many processes there are.
+struct WorldSize {
+    int gateways = 3;
+    int engines = 6;
+    int services = 3;
+};
+
 //! Three gateways before six engines and three plain upstreams, all real but for the upstreams.
 struct World {
     net::asio::io_context context{ 1 };
@@ -45,12 +52,12 @@
     bool oneGateway = false; //!< all is asked of the first
     bool finished = false;
 
-    World() {
+    explicit World( WorldSize size = {} ) {
         std::filesystem::create_directories( folder );
         SoakOptions options;
-        options.gateways = 3;
-        options.engines = 6;
-        options.services = 3;
+        options.gateways = size.gateways;
+        options.engines = size.engines;
+        options.services = size.services;
         options.binary = COURSEHEAD_BINARY;
         options.folder = folder;
         deployment = std::make_unique<Deployment>( context, record, random, options );
