--- a/include/coursehead/metrics/metrics.hpp
+++ b/include/coursehead/metrics/metrics.hpp
@@ -25,8 +25,8 @@
     //! "other", so that callers can't fill the memory.
     void observe( Series series, std::string_view requestClass, std::string_view caller,
                   double ms );
-    //! Counts one event, by a reason or outcome.
-    void count( std::string_view name, std::string_view reason = {} );
+    //! Counts one event, or `n` of something, by a reason or outcome.
+    void count( std::string_view name, std::string_view reason = {}, std::uint64_t n = 1 );
     //! Registers a value that is read at each scrape.
     void gauge( std::string name, std::function<double()> read );
     //! Everything in Prometheus' text format.
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -19,6 +19,13 @@
 constexpr int assumedGateways = 8;
 constexpr int hashBits = 64;
 
+std::string_view whereOf( Distance distance ) {
+    if( distance.otherRegion ) {
+        return "other_region";
+    }
+    return distance.otherHall ? "other_hall" : "same_hall";
+}
+
 } // namespace
 
 Fleet::Fleet( net::asio::io_context& context, RandomSource& random, FleetSettings settings )
@@ -153,6 +160,7 @@
     node.prefixes.setCapacity( node.engine->cacheTokens );
     if( !node.sidecar ) {
         node.sidecar = linkTo( node.upstream );
+        node.sidecar->setTraffic( { m_settings.metrics, whereOf( distanceTo( node ) ) } );
         node.sidecar->setHandlers( sidecarHandlers( node.upstream.id ) );
     }
     EngineNews news;
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
+#include "coursehead/metrics/metrics.hpp"
 #include "decide/evacuation.hpp"
 #include "decide/gateway_count.hpp"
 #include "decide/link_choice.hpp"
@@ -34,6 +35,7 @@
     decide::EvacuationRule evacuation{};
     decide::ColdRule cold{};
     std::map<std::string, std::string> regions{}; //!< of each hall
+    metrics::Metrics* metrics = nullptr;          //!< null: nothing is counted
 };
 
 //! An upstream chosen for a request, with what the choice rests on.
--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -48,8 +48,8 @@
 Follower::Follower( net::asio::io_context& context, const platform::Endpoint& store,
                     FollowSettings settings, RandomSource& random, FollowHandlers handlers )
     : m_context( context ), m_settings( std::move( settings ) ), m_random( random ),
-      m_handlers( std::move( handlers ) ), m_client( context, store ), m_retry( firstRetry ),
-      m_relayOver( context ) {}
+      m_handlers( std::move( handlers ) ), m_client( context, store, m_settings.metrics ),
+      m_retry( firstRetry ), m_relayOver( context ) {}
 
 void Follower::setReachable( bool reachable, std::string_view status ) {
     if( reachable == m_reachable ) {
--- a/src/gateway/follower.hpp
+++ b/src/gateway/follower.hpp
@@ -27,9 +27,10 @@
 
 struct FollowSettings {
     std::string kind;
-    Millis wait{ 2000 };      //!< length of one watch call
-    Millis pause{ 0 };        //!< between watch calls, so that changes come in batches
-    Millis callLimit{ 1000 }; //!< for a list
+    Millis wait{ 2000 };                 //!< length of one watch call
+    Millis pause{ 0 };                   //!< between watch calls, so that changes come in batches
+    Millis callLimit{ 1000 };            //!< for a list
+    metrics::Metrics* metrics = nullptr; //!< counts the calls; null: nobody does
 };
 
 /**
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,7 +40,7 @@
                                                         {} },
           m_quota( m_context, m_fleet, m_settings.vm, m_settings.bounds ),
           m_limits( m_fleet, m_metrics, m_settings.vm ), m_poison( m_context, m_fleet, m_metrics ),
-          m_feed( m_context, m_settings, m_random, m_fleet, m_registry, feedHandlers() ),
+          m_feed( m_context, m_settings, m_random, m_metrics, m_fleet, m_registry, feedHandlers() ),
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
@@ -77,7 +77,7 @@
     }
 
 private:
-    FleetSettings fleetSettings() const {
+    FleetSettings fleetSettings() {
         FleetSettings out;
         out.vm = m_settings.vm;
         out.hall = m_settings.hall;
@@ -86,6 +86,7 @@
         out.evacuation = platform::evacuationRule( m_settings.bounds );
         out.cold = platform::coldRule( m_settings.bounds );
         out.regions = m_settings.regions;
+        out.metrics = &m_metrics;
         return out;
     }
 
--- /dev/null
+++ b/src/gateway/link_traffic.hpp
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_GATEWAY_LINK_TRAFFIC_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINK_TRAFFIC_HPP_INCLUDED
+
+#include "coursehead/metrics/metrics.hpp"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace coursehead::gateway {
+
+enum class Direction { in, out };
+
+/**
+ * Counts what passes between a gateway and sidecars, by kind of message and by where the sidecar
+ * is. Sums over all connections only.
+ */
+struct LinkTraffic {
+    metrics::Metrics* metrics = nullptr; //!< null: nothing is counted
+    std::string_view where = "unknown";
+
+    void note( Direction direction, std::string_view kind, std::size_t bytes ) const {
+        if( metrics == nullptr ) {
+            return;
+        }
+        std::string reason( direction == Direction::in ? "in " : "out " );
+        reason.append( kind ).append( " " ).append( where );
+        metrics->count( "sidecar_messages", reason );
+        metrics->count( "sidecar_bytes", reason, bytes );
+    }
+};
+
+} // namespace coursehead::gateway
+
+#endif // COURSEHEAD_GATEWAY_LINK_TRAFFIC_HPP_INCLUDED
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 namespace coursehead::decide {
 
 using Json = nlohmann::json;
@@ -396,6 +398,17 @@
     return "unknown";
 }
 
+std::string_view kindOf( const Message& message ) {
+    static constexpr std::array<std::string_view, std::variant_size_v<Message>> names{
+        "engine_news", "ensure_request", "ensure_answer", "demand",          "whole_report",
+        "load_report", "relay_ask",      "store_news",    "ensure_cancel",   "quota_news",
+        "quota_ask",   "quota_answer",   "quota_return",  "poison_evidence", "poison_cleared",
+        "quarantines", "limit_news",     "limit_ask",     "limit_answer",    "limit_return",
+        "spec_ask",    "spec",
+    };
+    return names.at( message.index() );
+}
+
 std::string encode( const Message& message ) {
     Json body;
     std::visit( [&body]( const auto& it ) { body = it; }, message );
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -186,6 +186,9 @@
                  decide::PoisonCleared, decide::QuarantineNews, decide::LimitNews, decide::LimitAsk,
                  decide::LimitAnswer, decide::LimitReturn, SpecAsk, SpecNews>;
 
+//! What a message is about, in logs and counters.
+std::string_view kindOf( const Message& message );
+
 std::string encode( const Message& message );
 //! Reads a message; nullopt when it is malformed.
 std::optional<Message> decode( std::string_view bytes );
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -41,6 +41,15 @@
     wakeOpening();
 }
 
+void SidecarLink::transmit( std::string_view kind, std::string_view encoded ) {
+    m_traffic.note( Direction::out, kind, encoded.size() );
+    m_channel->send( encoded );
+}
+
+void SidecarLink::transmit( const Message& message ) {
+    transmit( kindOf( message ), encode( message ) );
+}
+
 void SidecarLink::open() {
     if( m_stopped || m_state != LinkState::closed ) {
         return;
@@ -106,7 +115,7 @@
     }
     m_news = std::move( encoded );
     if( up() ) {
-        m_channel->send( m_news );
+        transmit( "engine_news", m_news );
     }
 }
 
@@ -119,24 +128,23 @@
         m_channel->close();
         return;
     }
-    const Message message( demand );
-    m_channel->send( encode( message ) );
+    transmit( Message( demand ) );
 }
 
 void SidecarLink::send( const Message& message ) {
     m_usedAt = MonoClock::now();
     open();
     if( up() ) {
-        m_channel->send( encode( message ) );
+        transmit( message );
     } else if( m_state == LinkState::connecting && m_queued.size() < mostQueued ) {
-        m_queued.push_back( encode( message ) );
+        m_queued.push_back( message );
     }
 }
 
 void SidecarLink::askRelay( bool wanted ) {
     m_relayWanted = wanted;
     if( up() ) {
-        m_channel->send( encode( Message( RelayAsk{ wanted } ) ) );
+        transmit( Message( RelayAsk{ wanted } ) );
     }
 }
 
@@ -144,13 +152,13 @@
     return up() && now - m_channel->lastHeard() <= askSilence;
 }
 
-net::Task<std::optional<Message>> SidecarLink::askFor( std::uint64_t number, std::string question,
+net::Task<std::optional<Message>> SidecarLink::askFor( std::uint64_t number, Message question,
                                                        MonoTime until ) {
     const auto me = shared_from_this();
     const auto waiter = std::make_shared<Waiter>( m_context );
     m_waiters.emplace( number, waiter );
     m_usedAt = MonoClock::now();
-    m_channel->send( question );
+    transmit( question );
     auto now = MonoClock::now();
     while( !waiter->ended && now < until && answers( now ) ) {
         waiter->timer.expires_after( std::min( silenceLook, remaining( now, until ) ) );
@@ -170,8 +178,7 @@
     }
     const auto number = m_nextNumber++;
     request.number = number;
-    const Message message( std::move( request ) );
-    auto question = encode( message );
+    Message question( std::move( request ) );
     const auto answer = co_await askFor( number, std::move( question ), until );
     if( !answer ) {
         cancel( number );
@@ -190,8 +197,7 @@
     }
     const auto number = m_nextNumber++;
     ask.number = number;
-    const Message message( std::move( ask ) );
-    auto question = encode( message );
+    Message question( std::move( ask ) );
     const auto answer = co_await askFor( number, std::move( question ), until );
     if( !answer ) {
         co_return std::nullopt;
@@ -212,7 +218,7 @@
 void SidecarLink::cancel( std::uint64_t number ) {
     // What it would end has ended with the connection.
     if( up() ) {
-        m_channel->send( encode( Message( EnsureCancel{ number } ) ) );
+        transmit( Message( EnsureCancel{ number } ) );
     }
 }
 
@@ -238,6 +244,7 @@
         log::warn( "sidecar_message_malformed", { { "ip", m_ip } } );
         return;
     }
+    m_traffic.note( Direction::in, kindOf( *message ), frame.size() );
     if( !m_heard ) {
         m_heard = true;
         wakeOpening();
@@ -264,7 +271,7 @@
     }
     const bool asksSpec = std::holds_alternative<SpecAsk>( *message );
     if( asksSpec && m_spec ) {
-        m_channel->send( m_spec->message );
+        transmit( "spec", m_spec->message );
     }
     if( const auto* answer = std::get_if<EnsureAnswer>( &*message ) ) {
         takeAnswer( answer->number, *message );
@@ -286,7 +293,7 @@
     m_upAt = MonoClock::now();
     setState( LinkState::up );
     if( !m_news.empty() ) {
-        m_channel->send( m_news );
+        transmit( "engine_news", m_news );
     }
     if( m_handlers.connected ) {
         m_handlers.connected();
@@ -295,7 +302,7 @@
         askRelay( true );
     }
     for( const auto& it : std::exchange( m_queued, {} ) ) {
-        m_channel->send( it );
+        transmit( it );
     }
     net::FrameChannel::FrameHandler handler = [this]( std::string_view frame ) {
         onFrame( frame );
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/sidecar_link.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
 
+#include "gateway/link_traffic.hpp"
 #include "gateway/messages.hpp"
 #include "gateway/spec_text.hpp"
 #include "net/frame_channel.hpp"
@@ -40,6 +41,7 @@
     SidecarLink( net::asio::io_context& context, std::string ip, int port );
 
     void setHandlers( Handlers handlers ) { m_handlers = std::move( handlers ); }
+    void setTraffic( LinkTraffic traffic ) { m_traffic = traffic; }
     //! Begins to connect, unless it is open.
     void open();
     //! Ends the connection until the next question.
@@ -92,7 +94,7 @@
     };
 
     //! Sends a question and waits until `until`, unless the sidecar falls silent.
-    net::Task<std::optional<Message>> askFor( std::uint64_t number, std::string question,
+    net::Task<std::optional<Message>> askFor( std::uint64_t number, Message question,
                                               MonoTime until );
     //! The same with a question that has a number and an answer of its own kind.
     template <typename Answer, typename Ask>
@@ -100,6 +102,9 @@
     void takeAnswer( std::uint64_t number, Message answer );
     net::Task<> keepConnected();
     net::Task<> serveConnection( net::Socket socket );
+    //! Sends on the connection, which is up.
+    void transmit( const Message& message );
+    void transmit( std::string_view kind, std::string_view encoded );
     void setState( LinkState state );
     void wakeOpening();
     void onFrame( std::string_view frame );
@@ -108,6 +113,7 @@
     std::string m_ip;
     int m_port;
     Handlers m_handlers;
+    LinkTraffic m_traffic;
     LinkState m_state = LinkState::closed;
     std::set<net::Timer*> m_opening; //!< of calls of opened() that wait
     std::shared_ptr<net::FrameChannel> m_channel;
@@ -117,8 +123,8 @@
     bool m_stopped = false;
     MonoTime m_usedAt; //!< last question or message
     MonoTime m_upAt;
-    std::vector<std::string> m_queued; //!< messages until the connection is up
-    std::string m_news;                //!< encoded
+    std::vector<Message> m_queued; //!< until the connection is up
+    std::string m_news;            //!< encoded
     SpecTextPtr m_spec;
     std::uint64_t m_nextNumber = 1;
     std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -36,15 +36,18 @@
 //! sent into one.
 constexpr Millis rewriteTime{ 10000 };
 
-FollowSettings followSettings( const platform::NodeSettings& settings, std::string_view kind ) {
+FollowSettings followSettings( const platform::NodeSettings& settings, std::string_view kind,
+                               metrics::Metrics& metrics ) {
     FollowSettings out;
+    out.metrics = &metrics;
     out.kind = std::string( kind );
     out.wait = watchWait( settings.bounds );
     return out;
 }
 
-FollowSettings upstreamSettings( const platform::NodeSettings& settings ) {
-    auto out = followSettings( settings, platform::upstreamKind );
+FollowSettings upstreamSettings( const platform::NodeSettings& settings,
+                                 metrics::Metrics& metrics ) {
+    auto out = followSettings( settings, platform::upstreamKind, metrics );
     out.pause = partOf( settings.bounds.drain, batchPart );
     return out;
 }
@@ -52,20 +55,22 @@
 } // namespace
 
 StoreFeed::StoreFeed( net::asio::io_context& context, const platform::NodeSettings& settings,
-                      RandomSource& random, Fleet& fleet, Registry& registry,
-                      FeedHandlers handlers )
+                      RandomSource& random, metrics::Metrics& metrics, Fleet& fleet,
+                      Registry& registry, FeedHandlers handlers )
     : m_context( context ), m_settings( settings ), m_fleet( fleet ), m_registry( registry ),
       m_handlers( std::move( handlers ) ),
       m_configuration( context, settings.store,
-                       followSettings( settings, platform::configurationKind ), random,
+                       followSettings( settings, platform::configurationKind, metrics ), random,
                        configurationHandlers() ),
-      m_upstreams( context, settings.store, upstreamSettings( settings ), random,
+      m_upstreams( context, settings.store, upstreamSettings( settings, metrics ), random,
                    upstreamHandlers() ),
-      m_quarantines( context, settings.store, followSettings( settings, platform::quarantineKind ),
-                     random, quarantineHandlers() ),
-      m_evacuations( context, settings.store, followSettings( settings, platform::evacuationKind ),
-                     random, evacuationHandlers() ),
-      m_store( context, settings.store ) {}
+      m_quarantines( context, settings.store,
+                     followSettings( settings, platform::quarantineKind, metrics ), random,
+                     quarantineHandlers() ),
+      m_evacuations( context, settings.store,
+                     followSettings( settings, platform::evacuationKind, metrics ), random,
+                     evacuationHandlers() ),
+      m_store( context, settings.store, &metrics ) {}
 
 void StoreFeed::start() {
     m_fleet.onStoreNews( [this]( const std::string& upstreamId, const StoreNews& news ) {
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -37,7 +37,8 @@
 class StoreFeed {
 public:
     StoreFeed( net::asio::io_context& context, const platform::NodeSettings& settings,
-               RandomSource& random, Fleet& fleet, Registry& registry, FeedHandlers handlers );
+               RandomSource& random, metrics::Metrics& metrics, Fleet& fleet, Registry& registry,
+               FeedHandlers handlers );
 
     void start();
     //! Regular work: looks after the relay.
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -85,9 +85,9 @@
     m_impl->sums[n][{ name, who }] += ms;
 }
 
-void Metrics::count( std::string_view name, std::string_view reason ) {
+void Metrics::count( std::string_view name, std::string_view reason, std::uint64_t n ) {
     const std::lock_guard lock( m_impl->mutex );
-    ++m_impl->counters[{ std::string( name ), std::string( reason ) }];
+    m_impl->counters[{ std::string( name ), std::string( reason ) }] += n;
 }
 
 void Metrics::gauge( std::string name, std::function<double()> read ) {
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -26,8 +26,15 @@
 
 } // namespace
 
-StoreClient::StoreClient( net::asio::io_context& context, const Endpoint& store )
-    : m_http( context, store.ip, store.port ) {}
+StoreClient::StoreClient( net::asio::io_context& context, const Endpoint& store,
+                          metrics::Metrics* metrics )
+    : m_http( context, store.ip, store.port ), m_metrics( metrics ) {}
+
+void StoreClient::count( std::string_view what, std::string_view kind ) const {
+    if( m_metrics != nullptr ) {
+        m_metrics->count( "store_calls", std::string( what ) + " " + std::string( kind ) );
+    }
+}
 
 net::Task<net::JsonAnswer> StoreClient::call( net::JsonCall call ) {
     call.wantedField = std::string( eraHeader );
@@ -66,6 +73,7 @@
     std::string after;
     for( std::size_t pages = 0;; ++pages ) {
         const bool first = pages == 0;
+        count( age == ListAge::now ? "list" : "list_old", kind );
         net::JsonCall page;
         page.target = listPath( kind, after, age );
         page.limit = limit;
@@ -103,6 +111,7 @@
 net::Task<WatchResult> StoreClient::watch( std::string_view kind, std::uint64_t revision,
                                            Millis wait ) {
     WatchResult out;
+    count( "watch", kind );
     net::JsonCall watching;
     watching.target = watchPath( kind, revision, wait );
     watching.limit = wait + watchSlack;
@@ -129,6 +138,7 @@
 
 net::Task<StoreStatus> StoreClient::create( std::string_view kind, std::string body,
                                             Millis limit ) {
+    count( "create", kind );
     net::JsonCall making;
     making.method = "POST";
     making.target = listPath( kind, "", ListAge::now );
@@ -142,6 +152,7 @@
 
 net::Task<StoreStatus> StoreClient::remove( std::string_view kind, std::string_view name,
                                             Millis limit ) {
+    count( "remove", kind );
     net::JsonCall removing;
     removing.method = "DELETE";
     removing.target = objectPath( kind, name );
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_PLATFORM_STORE_CLIENT_HPP_INCLUDED
 #define COURSEHEAD_PLATFORM_STORE_CLIENT_HPP_INCLUDED
 
+#include "coursehead/metrics/metrics.hpp"
 #include "net/json_client.hpp"
 #include "platform/node_settings.hpp"
 #include "platform/store_wire.hpp"
@@ -36,7 +37,9 @@
 //! Calls to the platform's store on one kept connection, one at a time.
 class StoreClient {
 public:
-    StoreClient( net::asio::io_context& context, const Endpoint& store );
+    //! `metrics` counts the calls; null: nobody does.
+    StoreClient( net::asio::io_context& context, const Endpoint& store,
+                 metrics::Metrics* metrics = nullptr );
 
     //! Lists a kind, page by page.
     net::Task<ListResult> list( std::string_view kind, Millis limit, ListAge age = ListAge::now );
@@ -60,7 +63,10 @@
     //! Takes note of an answer's era; false when the answer is of a former one.
     bool takeEra( const net::JsonAnswer& answer );
 
+    void count( std::string_view what, std::string_view kind ) const;
+
     net::JsonClient m_http;
+    metrics::Metrics* m_metrics;
     std::uint64_t m_calls = 0;
     std::uint64_t m_era = 0;
 };
--- a/src/sidecar/orders.cpp
+++ b/src/sidecar/orders.cpp
@@ -75,7 +75,7 @@
 
 //! A number that only rises over this VM's lives, and that no other VM is given for an engine.
 net::Task<> Orders::obtainFence() {
-    platform::StoreClient store( m_context, m_settings.store );
+    platform::StoreClient store( m_context, m_settings.store, &m_metrics );
     for( ;; ) {
         const auto result = co_await store.list( fenceKind, storeLimit );
         if( result.status == platform::StoreStatus::ok ) {
@@ -129,7 +129,7 @@
 //! After a loss of power the store's list still names what engines held before; a copy of it that
 //! is seconds old does so longest.
 net::Task<> Orders::readFormer() {
-    platform::StoreClient store( m_context, m_settings.store );
+    platform::StoreClient store( m_context, m_settings.store, &m_metrics );
     const auto result =
         co_await store.list( platform::upstreamKind, storeLimit, platform::ListAge::secondsOld );
     gateway::ObjectReader reader;
--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -75,8 +75,8 @@
 } // namespace
 
 Relay::Relay( net::asio::io_context& context, const platform::NodeSettings& settings,
-              RandomSource& random )
-    : m_context( context ), m_settings( settings ), m_random( random ) {}
+              RandomSource& random, metrics::Metrics& metrics )
+    : m_context( context ), m_settings( settings ), m_random( random ), m_metrics( metrics ) {}
 
 void Relay::subscribe( const void* who, Send send ) {
     auto& subscriber = m_subscribers[who];
@@ -113,6 +113,7 @@
     part->part = kind;
     gateway::FollowSettings settings;
     settings.kind = std::string( kindOf( kind ) );
+    settings.metrics = &m_metrics;
     if( kind == StorePart::upstreams ) {
         settings.wait = gateway::relayWait( m_settings.bounds );
         settings.pause = gateway::relayPause( m_settings.bounds );
@@ -212,7 +213,7 @@
 }
 
 net::Task<> Relay::writeAgain( std::vector<platform::StoreObject> objects ) {
-    platform::StoreClient client( m_context, m_settings.store );
+    platform::StoreClient client( m_context, m_settings.store, &m_metrics );
     int tries = 0;
     while( !objects.empty() && tries < mostTries ) {
         std::string body = platform::encodeObject( objects.back() );
--- a/src/sidecar/relay.hpp
+++ b/src/sidecar/relay.hpp
@@ -24,7 +24,7 @@
     using Send = std::function<void( std::string_view message )>;
 
     Relay( net::asio::io_context& context, const platform::NodeSettings& settings,
-           RandomSource& random );
+           RandomSource& random, metrics::Metrics& metrics );
 
     //! `who` tells gateways' connections apart.
     void subscribe( const void* who, Send send );
@@ -69,6 +69,7 @@
     net::asio::io_context& m_context;
     const platform::NodeSettings& m_settings;
     RandomSource& m_random;
+    metrics::Metrics& m_metrics;
     std::map<const void*, Subscriber> m_subscribers;
     std::vector<PartPtr> m_parts; //!< empty while nobody asks
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -60,8 +60,8 @@
 public:
     explicit Sidecar( platform::NodeSettings settings )
         : m_settings( std::move( settings ) ), m_engine( m_context, m_settings.engine ),
-          m_random( systemSeed() ), m_relay( m_context, m_settings, m_random ), m_wake( m_context ),
-          m_view( m_peers ),
+          m_random( systemSeed() ), m_relay( m_context, m_settings, m_random, m_metrics ),
+          m_wake( m_context ), m_view( m_peers ),
           m_orders( m_context, m_settings, m_engine, m_view, m_random, m_metrics, ordersHost() ),
           m_admission( m_context, admissionHost() ),
           m_publisher( { m_peers, m_view, m_orders, m_admission, m_sentParts, m_pauses } ),
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -48,7 +48,8 @@
     ObjectStore store{ context };
     platform::NodeSettings settings = settingsFor( store );
     RandomSource random{ 1 };
-    sidecar::Relay relay{ context, settings, random };
+    metrics::Metrics metrics;
+    sidecar::Relay relay{ context, settings, random, metrics };
     std::vector<StoreNews> news;
 
     void subscribe() {
