A choice looks closely at the engines that hold the model

Cause: each choice estimated all engines, with two hashes and a text each, although an engine that had to load the model first can't win while one that holds it is good enough: the work of a choice grew with the fleet.

Ruled out: an index by model (a walk that compares names takes some tens of nanoseconds an engine; the estimate was what cost).

Before and after: engines estimated for a model that six hold, at 624 and at 1,248: all, now six (test). The choice is the same: what is left out costs more by its load alone.

--- a/src/gateway/estimate.cpp
+++ b/src/gateway/estimate.cpp
@@ -147,6 +147,12 @@
     return out;
 }
 
+bool beatsAnyLoad( const Candidate& candidate, const Node& node, std::string_view model ) {
+    const auto* spec = node.engine ? node.engine->find( model ) : nullptr;
+    const auto quickest = spec == nullptr ? Millis{ 0 } : spec->memoryLoad;
+    return costOf( candidate ) + equalMs < evictionMs + static_cast<double>( quickest.count() );
+}
+
 bool hasWeights( const Node& node, const std::string& model ) {
     return node.report &&
            ( contains( node.report->inMemory, model ) || contains( node.report->onDisk, model ) );
--- a/src/gateway/estimate.hpp
+++ b/src/gateway/estimate.hpp
@@ -34,6 +34,9 @@
 Candidate estimate( const Node& node, const Need& need, const ModelPace& pace, Distance distance,
                     MonoTime now );
 
+//! True when no upstream that had to load a model first could be better than `candidate` at `node`.
+bool beatsAnyLoad( const Candidate& candidate, const Node& node, std::string_view model );
+
 //! True when a load of the model there needs nothing from the weight store.
 bool hasWeights( const Node& node, const std::string& model );
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -270,49 +270,79 @@
     return { node.upstream.hall != m_settings.hall, known && region != own->second };
 }
 
+bool Fleet::mayServe( const Node& node, const Need& need, MonoTime now ) const {
+    if( node.upstream.service != need.service || !node.takesRequests( now ) ) {
+        return false;
+    }
+    const bool anywhere = need.homes.route.empty() && need.homes.organisation.empty();
+    return anywhere || decide::mayServe( need.homes, regionOf( node ) );
+}
+
+Fleet::Rest Fleet::restOf( const Node& node, MonoTime now ) {
+    Rest out;
+    const auto backoff = node.announced.backoffLeft( now );
+    out.full = node.limit.fullLeft( now ).count() > 0;
+    out.time = out.full ? std::max( backoff, node.limit.comeBackLeft( now ) ) : backoff;
+    return out;
+}
+
 Choice Fleet::choose( const Need& need, const std::set<std::string>& excluded,
                       MonoTime now ) const {
     std::vector<Candidate> candidates;
     std::vector<NodePtr> nodes;
+    // Those that would have to load the model first.
+    std::vector<NodePtr> others;
     // When the first that has what it needs takes requests again, those that turned this one away
     // among them.
     std::optional<Millis> soonest;
     std::optional<Millis> soonestBackoff;
+    const auto consider = [&]( const NodePtr& node ) {
+        candidates.push_back( estimate( *node, need, m_pace, distanceTo( *node ), now ) );
+        nodes.push_back( node );
+    };
     for( const auto& [id, node] : m_nodes ) {
-        const bool usable = node->upstream.service == need.service && node->takesRequests( now ) &&
-                            decide::mayServe( need.homes, regionOf( *node ) );
-        if( !usable ) {
+        if( !mayServe( *node, need, now ) ) {
             continue;
         }
-        const auto backoff = node->announced.backoffLeft( now );
-        const bool full = node->limit.fullLeft( now ).count() > 0;
-        if( backoff.count() > 0 || full ) {
-            const bool holds =
-                need.generation == nullptr || node->holdsModel( need.generation->model, now );
-            const auto rest = full ? std::max( backoff, node->limit.comeBackLeft( now ) ) : backoff;
+        const bool holds =
+            need.generation == nullptr || node->holdsModel( need.generation->model, now );
+        const auto rest = restOf( *node, now );
+        if( rest.time.count() > 0 || rest.full ) {
             if( holds ) {
-                soonest = std::min( soonest.value_or( rest ), rest );
+                soonest = std::min( soonest.value_or( rest.time ), rest.time );
             }
-            if( holds && !full ) {
-                soonestBackoff = std::min( soonestBackoff.value_or( backoff ), backoff );
+            if( holds && !rest.full ) {
+                soonestBackoff = std::min( soonestBackoff.value_or( rest.time ), rest.time );
             }
             continue;
         }
         if( excluded.contains( id ) ) {
             continue;
         }
-        candidates.push_back( estimate( *node, need, m_pace, distanceTo( *node ), now ) );
-        nodes.push_back( node );
+        if( holds || node->loading.contains( need.generation->model ) ) {
+            consider( node );
+        } else {
+            others.push_back( node );
+        }
     }
     assumeUnseen( candidates );
-    Choice out;
-    out.candidates = candidates.size();
-    const auto best = gateway::choose( candidates );
+    auto best = gateway::choose( candidates );
+    // A load costs more than most waits: the many that do not hold the model are looked at only
+    // where none that does is good enough.
+    const bool good = best && !candidates[*best].avoided && need.generation != nullptr &&
+                      beatsAnyLoad( candidates[*best], *nodes[*best], need.generation->model );
+    if( !good && !others.empty() ) {
+        std::for_each( others.begin(), others.end(), consider );
+        assumeUnseen( candidates );
+        best = gateway::choose( candidates );
+    }
     // A load elsewhere that takes longer than a back-off would only push another model out. A limit
     // may last: what it leaves no room for is served elsewhere, loaded first if need be.
     const bool backoffIsNearer =
         soonestBackoff && best &&
         candidates[*best].loadMs > static_cast<double>( soonestBackoff->count() );
+    Choice out;
+    out.candidates = candidates.size();
     if( !best || backoffIsNearer ) {
         out.rest = ( backoffIsNearer ? soonestBackoff : soonest ).value_or( Millis{ 0 } );
         out.atLimit = soonest && soonest != soonestBackoff && !backoffIsNearer;
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -121,6 +121,15 @@
         decide::ModelLoad fleet; //!< over all gateways, as sidecars said last
     };
 
+    //! Until an upstream takes requests again.
+    struct Rest {
+        Millis time{ 0 };
+        bool full = false; //!< it has reached its limit; else it asked for a back-off
+    };
+
+    //! True when a node is there for a request, whatever it holds.
+    bool mayServe( const Node& node, const Need& need, MonoTime now ) const;
+    static Rest restOf( const Node& node, MonoTime now );
     void beginEvacuation( const std::string& hall, bool justOrdered, MonoTime now );
     void endEvacuation( const std::string& hall, MonoTime now );
     //! Has copies made elsewhere of what only a hall holds.
--- a/src/gateway/selection.cpp
+++ b/src/gateway/selection.cpp
@@ -12,9 +12,6 @@
 //! What a stream that is sure to pause too long counts for: it is then worth as little as one whose
 //! first event comes after its goal, about a second.
 constexpr double latePauseMs = 800;
-//! Costs that differ by less are equal: estimates are no finer, and equal choices by all gateways
-//! keep prefixes and adapters together.
-constexpr double equalMs = 12;
 
 } // namespace
 
--- a/src/gateway/selection.hpp
+++ b/src/gateway/selection.hpp
@@ -9,6 +9,10 @@
 
 namespace coursehead::gateway {
 
+//! Costs that differ by less are equal: estimates are no finer, and equal choices by all gateways
+//! keep prefixes and adapters together.
+inline constexpr double equalMs = 12;
+
 //! An upstream that a request could go to; times in milliseconds.
 struct Candidate {
     bool avoided = false;         //!< unreachable lately, or full: only when nothing else is left
--- a/tests/unit/links.tests.cpp
+++ b/tests/unit/links.tests.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "decide/link_choice.hpp"
+#include "gateway/fleet.hpp"
 #include "gateway/selection.hpp"
 #include "gateway/sidecar_link.hpp"
 #include "support/run_until.hpp"
@@ -312,3 +313,83 @@
     CHECK_FALSE( link->mayAnswer( MonoClock::now() ) );
     link->stop();
 }
+
+namespace {
+
+//! A gateway's view of a fleet of which a few engines hold the model.
+struct Known {
+    net::asio::io_context context{ 1 };
+    RandomSource random{ 1 };
+    Fleet fleet;
+
+    Known( int engines, int holders ) : fleet( context, random, settings() ) {
+        Configuration configuration;
+        configuration.version = 1;
+        auto spec = std::make_shared<EngineSpec>();
+        spec->slots = 64;
+        spec->cacheTokens = 240000;
+        spec->weightsMb = 220000;
+        spec->models.push_back( { "m", 65000, 12, 3, 5000ms, 1000ms, 380ms } );
+        Service service;
+        service.name = "models";
+        service.engine = spec;
+        configuration.services.emplace( service.name, service );
+        fleet.setConfiguration( std::make_shared<RouteTable>( std::move( configuration ) ),
+                                MonoClock::now() );
+        std::map<std::string, Member> members;
+        for( int n = 0; n < engines; ++n ) {
+            Upstream it;
+            it.id = "engine-" + std::to_string( n );
+            it.service = "models";
+            // Nothing listens there.
+            it.ip = "127.0.0.1";
+            it.port = 1;
+            it.hall = "hall";
+            if( n < holders ) {
+                it.residents = { { "m", {} } };
+            }
+            members.emplace( it.id, Member{ it, false } );
+        }
+        fleet.sync( members, MonoClock::now() );
+    }
+    static FleetSettings settings() {
+        FleetSettings out;
+        out.vm = "gateway-1";
+        out.hall = "hall";
+        out.sidecarPort = 1;
+        return out;
+    }
+    Choice choose( std::int64_t tokens ) {
+        Generation generation;
+        generation.model = "m";
+        generation.promptTokens = tokens;
+        Need need;
+        need.service = "models";
+        need.generation = &generation;
+        return fleet.choose( need, {}, MonoClock::now() );
+    }
+};
+
+} // namespace
+
+TEST_CASE( "A choice looks closely at the engines that hold the model, however many there are",
+           "[gateway][links]" ) {
+    constexpr int holders = 6;
+    for( const int engines : { 624, 1248 } ) {
+        Known known( engines, holders );
+        const auto choice = known.choose( 2000 );
+        REQUIRE( choice.node );
+        CHECK( choice.holdsModel );
+        CHECK( choice.candidates == static_cast<std::size_t>( holders ) );
+    }
+}
+
+TEST_CASE( "Where no engine holds the model, one of all that may load it is chosen",
+           "[gateway][links]" ) {
+    constexpr int engines = 100;
+    Known known( engines, 0 );
+    const auto choice = known.choose( 2000 );
+    REQUIRE( choice.node );
+    CHECK_FALSE( choice.holdsModel );
+    CHECK( choice.candidates == static_cast<std::size_t>( engines ) );
+}
