A change of one upstream's entry concerns one upstream

Cause: every change was compared with all members by address, and then all members were copied into the fleet; a list of all took the square. Members are found by address, and the fleet is told which have changed. Of many upstreams that come at once the log gives the number.

Before and after: changes told for one entry of 624: all, now one (test).

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -18,6 +18,15 @@
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
 constexpr int hashBits = 64;
+//! Upstreams that come at once and are named in the log; of more, as at start, the number is.
+constexpr std::size_t mostNamed = 32;
+
+void logAdded( const Upstream& upstream ) {
+    log::info( "upstream_added",
+               { { "upstream", upstream.id },
+                 { "service", upstream.service },
+                 { "address", upstream.ip + ":" + std::to_string( upstream.port ) } } );
+}
 
 std::string_view whereOf( Distance distance ) {
     if( distance.otherRegion ) {
@@ -54,45 +63,77 @@
 }
 
 void Fleet::sync( const std::map<std::string, Member>& members, MonoTime now ) {
-    std::erase_if( m_nodes, [&]( const auto& it ) {
-        if( members.contains( it.first ) ) {
-            return false;
-        }
-        log::info( "upstream_gone",
-                   { { "upstream", it.first }, { "service", it.second->upstream.service } } );
-        drop( *it.second );
-        return true;
-    } );
-    for( const auto& [id, member] : members ) {
-        const auto it = m_nodes.find( id );
-        if( it == m_nodes.end() ) {
-            add( member.upstream, now );
-            continue;
-        }
-        Node& node = *it->second;
-        if( isFormer( member.upstream.born, node.upstream.born ) ) {
-            continue;
-        }
-        const bool anew = isFormer( node.upstream.born, member.upstream.born );
-        if( anew ) {
-            restart( node, member.upstream.born, now );
-        }
-        if( node.upstream.state != member.upstream.state ) {
-            log::info( "upstream_leaving", { { "upstream", id } } );
-        }
-        const bool turnedCold = member.upstream.cold > node.upstream.cold;
-        node.upstream = member.upstream;
-        if( anew ) {
-            setEngine( node );
-        }
-        if( anew || turnedCold ) {
-            node.noteCold( node.upstream.cold, now );
-        }
-        if( node.upstream.remaining && !node.leavesAt ) {
-            node.leavesAt = now + *node.upstream.remaining;
+    std::set<std::string> all;
+    for( const auto& it : m_nodes ) {
+        all.insert( it.first );
+    }
+    for( const auto& it : members ) {
+        all.insert( it.first );
+    }
+    sync( members, all, now );
+}
+
+void Fleet::sync( const std::map<std::string, Member>& members,
+                  const std::set<std::string>& changed, MonoTime now ) {
+    const auto before = m_nodes.size();
+    const bool each = changed.size() <= mostNamed;
+    for( const auto& id : changed ) {
+        const auto member = members.find( id );
+        if( member == members.end() ) {
+            remove( id );
+        } else if( !m_nodes.contains( id ) ) {
+            add( member->second.upstream, now );
+            if( each ) {
+                logAdded( member->second.upstream );
+            }
+        } else {
+            update( *m_nodes.at( id ), member->second.upstream, now );
         }
     }
-    chooseLinks( now );
+    if( !each ) {
+        log::info( "upstreams_changed",
+                   { { "changed", static_cast<std::int64_t>( changed.size() ) },
+                     { "before", static_cast<std::int64_t>( before ) },
+                     { "now", static_cast<std::int64_t>( m_nodes.size() ) } } );
+    }
+    if( !changed.empty() ) {
+        chooseLinks( now );
+    }
+}
+
+void Fleet::remove( const std::string& id ) {
+    const auto it = m_nodes.find( id );
+    if( it == m_nodes.end() ) {
+        return;
+    }
+    log::info( "upstream_gone",
+               { { "upstream", id }, { "service", it->second->upstream.service } } );
+    drop( *it->second );
+    m_nodes.erase( it );
+}
+
+void Fleet::update( Node& node, const Upstream& listed, MonoTime now ) {
+    if( isFormer( listed.born, node.upstream.born ) ) {
+        return;
+    }
+    const bool anew = isFormer( node.upstream.born, listed.born );
+    if( anew ) {
+        restart( node, listed.born, now );
+    }
+    if( node.upstream.state != listed.state ) {
+        log::info( "upstream_leaving", { { "upstream", listed.id } } );
+    }
+    const bool turnedCold = listed.cold > node.upstream.cold;
+    node.upstream = listed;
+    if( anew ) {
+        setEngine( node );
+    }
+    if( anew || turnedCold ) {
+        node.noteCold( node.upstream.cold, now );
+    }
+    if( node.upstream.remaining && !node.leavesAt ) {
+        node.leavesAt = now + *node.upstream.remaining;
+    }
 }
 
 void Fleet::restart( Node& node, Born born, MonoTime now ) {
@@ -103,10 +144,6 @@
 }
 
 void Fleet::add( const Upstream& upstream, MonoTime now ) {
-    log::info( "upstream_added",
-               { { "upstream", upstream.id },
-                 { "service", upstream.service },
-                 { "address", upstream.ip + ":" + std::to_string( upstream.port ) } } );
     const auto node = std::make_shared<Node>( upstream, now );
     node->stopAt = m_evacuations.stopAt( upstream.hall );
     const double phase =
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/fleet.hpp
@@ -68,6 +68,9 @@
     void adopt( std::shared_ptr<SidecarLink> link );
     //! Brings the nodes in line with the registry.
     void sync( const std::map<std::string, Member>& members, MonoTime now );
+    //! The same for those members alone.
+    void sync( const std::map<std::string, Member>& members, const std::set<std::string>& changed,
+               MonoTime now );
     void setConfiguration( std::shared_ptr<const RouteTable> table, MonoTime now );
     //! All halls that are emptied, by a list that may be older than now.
     void setEvacuations( const std::set<std::string>& halls, MonoTime now );
@@ -138,6 +141,8 @@
     void addReplica( const std::string& service, const std::string& model, double load,
                      MonoTime now );
     void add( const Upstream& upstream, MonoTime now );
+    void update( Node& node, const Upstream& listed, MonoTime now );
+    void remove( const std::string& id );
     //! Region of an upstream; empty when its hall is not known.
     std::string_view regionOf( const Node& node ) const;
     Distance distanceTo( const Node& node ) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -179,7 +179,7 @@
 
     void syncFleet() {
         m_shared.listed = m_feed.upstreamsListed();
-        m_fleet.sync( m_registry.members(), MonoClock::now() );
+        m_fleet.sync( m_registry.members(), m_registry.takeChanged(), MonoClock::now() );
     }
 
     net::Task<> ticks() {
--- a/src/gateway/registry.cpp
+++ b/src/gateway/registry.cpp
@@ -2,6 +2,7 @@
 #include "gateway/registry.hpp"
 
 #include <set>
+#include <utility>
 
 namespace coursehead::gateway {
 
@@ -62,21 +63,36 @@
     }
     // Entries of former starts live on for some heartbeats: of two at one address the one that was
     // made later holds.
-    const auto sameAddress = [&upstream]( const Upstream& other ) {
-        return other.id != upstream.id && other.ip == upstream.ip && other.port == upstream.port;
-    };
-    for( const auto& it : m_members ) {
-        const auto& other = it.second.upstream;
-        if( sameAddress( other ) && other.created > upstream.created ) {
+    const auto address = addressOf( upstream );
+    const auto there = m_byAddress.find( address );
+    if( there != m_byAddress.end() && there->second != upstream.id ) {
+        const std::string other = there->second;
+        if( m_members.at( other ).upstream.created > upstream.created ) {
             return;
         }
+        erase( other );
     }
-    std::erase_if( m_members, [&]( const auto& it ) { return sameAddress( it.second.upstream ); } );
+    const auto moved = m_members.find( upstream.id );
+    if( moved != m_members.end() && addressOf( moved->second.upstream ) != address ) {
+        m_byAddress.erase( addressOf( moved->second.upstream ) );
+    }
+    m_byAddress[address] = upstream.id;
+    m_changed.insert( upstream.id );
     auto& member = m_members[upstream.id];
     member.upstream = std::move( upstream );
     member.missing = false;
 }
 
+void Registry::erase( const std::string& id ) {
+    const auto it = m_members.find( id );
+    if( it == m_members.end() ) {
+        return;
+    }
+    m_byAddress.erase( addressOf( it->second.upstream ) );
+    m_members.erase( it );
+    m_changed.insert( id );
+}
+
 void Registry::remove( const std::string& id, MonoTime now ) {
     const auto it = m_members.find( id );
     if( it == m_members.end() ) {
@@ -87,7 +103,7 @@
         noteLeft( it->second.upstream, now );
     }
     if( leaving || !storeTrouble( now ) ) {
-        m_members.erase( it );
+        erase( id );
         return;
     }
     it->second.missing = true;
@@ -104,7 +120,15 @@
     if( storeTrouble( now ) ) {
         return;
     }
-    std::erase_if( m_members, []( const auto& it ) { return it.second.missing; } );
+    std::vector<std::string> over;
+    for( const auto& [id, member] : m_members ) {
+        if( member.missing ) {
+            over.push_back( id );
+        }
+    }
+    for( const auto& id : over ) {
+        erase( id );
+    }
 }
 
 } // namespace coursehead::gateway
--- a/src/gateway/registry.hpp
+++ b/src/gateway/registry.hpp
@@ -6,7 +6,9 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace coursehead::gateway {
@@ -41,8 +43,14 @@
     void expire( MonoTime now );
 
     const std::map<std::string, Member>& members() const noexcept { return m_members; }
+    //! Ids of the members that have come, changed or gone since the last call.
+    std::set<std::string> takeChanged() { return std::exchange( m_changed, {} ); }
 
 private:
+    using Address = std::pair<std::string, int>;
+
+    static Address addressOf( const Upstream& upstream ) { return { upstream.ip, upstream.port }; }
+    void erase( const std::string& id );
     bool storeTrouble( MonoTime now ) const;
     bool hasLeft( const Upstream& upstream ) const;
     void noteLeft( const Upstream& upstream, MonoTime now );
@@ -54,6 +62,8 @@
         MonoTime at;
     };
     std::map<std::string, Member> m_members;
+    std::map<Address, std::string> m_byAddress; //!< ids of the members
+    std::set<std::string> m_changed;
     std::map<std::string, Left> m_left; //!< by id
     bool m_reachable = false;
     std::optional<MonoTime> m_troubleEnd; //!< when the store last came back
