Limits and poison are kept by the sidecars that all gateways are connected to

Cause: a holder tells its connected gateways at once what one of them has heard. With links by use that was a tenth of them, chosen by chance: the others would each send an upstream in need a first request, or a content that ends engines.

Change: holders of limits and of poison are chosen among the three sidecars that every gateway is connected to (two before: poison has three holders). Quotas, which are asked for with many requests, stay spread over all sidecars.

Ruled out: telling through the store (a write for each word of each upstream), telling through gateways (nobody knows whom).

The log's `send` names the upstream's hall, since many upstreams that come at once are not named one by one.

--- a/src/decide/link_choice.cpp
+++ b/src/decide/link_choice.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <tuple>
+#include <utility>
 
 namespace coursehead::decide {
 
@@ -28,29 +29,30 @@
     return out;
 }
 
-//! Marks the sidecars that all gateways are connected to; each gateway finds the same ones.
-void markCounting( std::span<const LinkCandidate> candidates, std::vector<bool>& kept ) {
+} // namespace
+
+std::vector<bool> commonAmong( std::span<const LinkCandidate> candidates ) {
+    std::vector<bool> out( candidates.size(), candidates.size() <= usualLinks );
+    if( candidates.size() <= usualLinks ) {
+        return out;
+    }
     std::vector<std::pair<std::uint64_t, std::size_t>> order;
     for( std::size_t n = 0; n < candidates.size(); ++n ) {
         if( !candidates[n].failing ) {
-            order.emplace_back( hash64( candidates[n].id, "gateways" ), n );
+            order.emplace_back( hash64( candidates[n].id, "common" ), n );
         }
     }
-    const auto count = std::min( countingLinks, order.size() );
+    const auto count = std::min( commonLinks, order.size() );
     const auto middle = order.begin() + static_cast<std::ptrdiff_t>( count );
     std::partial_sort( order.begin(), middle, order.end() );
     for( auto it = order.begin(); it != middle; ++it ) {
-        kept[it->second] = true;
+        out[it->second] = true;
     }
+    return out;
 }
 
-} // namespace
-
 LinkChanges chooseLinks( std::span<const LinkCandidate> candidates, std::string_view gateway ) {
-    std::vector<bool> kept( candidates.size(), candidates.size() <= usualLinks );
-    if( candidates.size() > usualLinks ) {
-        markCounting( candidates, kept );
-    }
+    auto kept = commonAmong( candidates );
     LinkChanges out;
     std::size_t links = 0;
     for( std::size_t n = 0; n < candidates.size(); ++n ) {
--- a/src/decide/link_choice.hpp
+++ b/src/decide/link_choice.hpp
@@ -19,8 +19,9 @@
 inline constexpr std::size_t usualLinks = 64;
 //! Unused connections are closed above this, so that those that come and go with use close none.
 inline constexpr std::size_t mostLinks = 80;
-//! Sidecars that every gateway is connected to: they see how many gateways there are.
-inline constexpr std::size_t countingLinks = 2;
+//! Sidecars that every gateway is connected to: they see how many gateways there are, and can tell
+//! all of them something at once.
+inline constexpr std::size_t commonLinks = 3;
 
 //! Where a sidecar stands, as seen from the gateway.
 enum class Nearness { sameHall, sameRegion, otherRegion };
@@ -40,6 +41,10 @@
     std::vector<std::size_t> close;
 };
 
+//! Which sidecars all gateways are connected to; each gateway finds the same ones. All of them
+//! where there are few.
+std::vector<bool> commonAmong( std::span<const LinkCandidate> candidates );
+
 //! Those in use stay; the nearest are opened beside them, spread evenly over the gateways.
 LinkChanges chooseLinks( std::span<const LinkCandidate> candidates, std::string_view gateway );
 
--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/fleet_links.cpp
@@ -42,6 +42,10 @@
             nodes.push_back( it.second.get() );
         }
     }
+    const auto common = decide::commonAmong( candidates );
+    for( std::size_t n = 0; n < nodes.size(); ++n ) {
+        nodes[n]->common = common[n];
+    }
     const auto changes = decide::chooseLinks( candidates, m_settings.vm );
     for( const auto n : changes.open ) {
         nodes[n]->sidecar->open();
--- a/src/gateway/holder_links.cpp
+++ b/src/gateway/holder_links.cpp
@@ -9,7 +9,8 @@
     m_links.clear();
     int gateways = 1;
     for( const auto& [id, node] : m_fleet.nodes() ) {
-        if( !node->sidecar ) {
+        const bool may = m_scope == HolderScope::all || node->common;
+        if( !node->sidecar || !may ) {
             continue;
         }
         auto& link = m_links[node->upstream.ip];
--- a/src/gateway/node.hpp
+++ b/src/gateway/node.hpp
@@ -44,6 +44,7 @@
     std::optional<SidecarReport> report;  //!< the sidecar's last
     MonoTime reportAt;
     bool engineReachable = true;      //!< as the sidecar says
+    bool common = false;              //!< all gateways are connected to its sidecar
     decide::Announcements announced;  //!< what it has said of itself in its answers
     decide::LimitState limit;         //!< what it takes from all gateways together
     decide::SlowStart slowStart;      //!< what it is sent behind a back-off
--- a/src/gateway/poison_guard.cpp
+++ b/src/gateway/poison_guard.cpp
@@ -113,7 +113,7 @@
     std::vector<std::string_view> ips;
     std::vector<std::shared_ptr<SidecarLink>> links;
     for( const auto& [id, node] : m_fleet.nodes() ) {
-        if( node->sidecar && node->sidecar->mayAnswer( now ) ) {
+        if( node->sidecar && node->common && node->sidecar->mayAnswer( now ) ) {
             ips.emplace_back( node->upstream.ip );
             links.push_back( node->sidecar );
         }
--- a/src/gateway/send.cpp
+++ b/src/gateway/send.cpp
@@ -109,6 +109,7 @@
                  { "route", m_route->name },
                  { "config", static_cast<std::int64_t>( m_table->configuration().version ) },
                  { "upstream", node.upstream.id },
+                 { "hall", node.upstream.hall },
                  { "send", static_cast<std::int64_t>( m_sends ) },
                  { "candidates", static_cast<std::int64_t>( choice.candidates ) },
                  { "cost_ms", static_cast<std::int64_t>( choice.bestCost ) },
--- a/tests/promise/limit.tests.cpp
+++ b/tests/promise/limit.tests.cpp
@@ -18,6 +18,7 @@
 using namespace std::chrono_literals;
 using support::limitWindow;
 using support::World;
+using support::WorldSize;
 
 namespace {
 
@@ -110,6 +111,18 @@
     CHECK( calls.served > taken( world, Asked::plain, watched ) / 2 );
 }
 
+TEST_CASE( "A limit holds where gateways are connected to some of many sidecars",
+           "[promise][limit][size]" ) {
+    World world( WorldSize{ 3, 72, 3 } );
+    Calls calls;
+    world.play( [&]() -> net::Task<> {
+        nameLimits( world, Asked::plain, limitPerS );
+        calls = co_await callFor( world, Asked::plain, watched );
+    } );
+    checkLimits( world );
+    CHECK( calls.served > taken( world, Asked::plain, watched ) / 2 );
+}
+
 TEST_CASE( "A limit holds while no sidecar can be reached", "[promise][limit]" ) {
     World world;
     Calls calls;
--- a/tests/promise/poison.tests.cpp
+++ b/tests/promise/poison.tests.cpp
@@ -19,6 +19,7 @@
 using namespace coursehead;
 using namespace coursehead::soak;
 using support::World;
+using support::WorldSize;
 using namespace std::chrono_literals;
 
 namespace {
@@ -46,6 +47,16 @@
     CHECK( other == 200 );
 }
 
+TEST_CASE(
+    "A stream that ends engines stops being sent where gateways are connected to some of many",
+    "[promise][poison][size]" ) {
+    World world( WorldSize{ 3, 72, 1 } );
+    world.play( [&]() -> net::Task<> {
+        co_await world.askAgainAndAgain( "POST", pathOf( "stream" ), "summary" );
+    } );
+    CHECK( world.record.endings( pathOf( "stream" ) + " summary" ) <= mostEndings );
+}
+
 TEST_CASE( "A plain request that ends every upstream that runs it stops being sent",
            "[promise][poison]" ) {
     World world;
