On the first start a relay is chosen once the upstreams' entries have come

Change: on a first start the list is read each second until two in a row name as many engines, for six seconds at the most. Later starts choose at once.

Ruled out: a fixed wait (how long entries take is the platform's), a smaller share of relays (the calls were the gateways' own).

--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -29,6 +29,9 @@
 //! At start, until a gateway calls the store itself though no upstream is listed yet.
 constexpr Millis listedLimit{ 3000 };
 constexpr Millis listAgain{ 200 };
+//! The same on the deployment's first start: entries are written over some seconds.
+constexpr Millis firstListedLimit{ 6000 };
+constexpr Millis firstListAgain{ 1000 };
 constexpr Millis firstLook{ 10 };
 constexpr Millis listLimit{ 1000 };
 //! After the store has come back from a copy its operators write again what the copy lacks, within
@@ -82,6 +85,7 @@
 net::Task<> StoreFeed::begin() {
     auto upstreams = co_await findRelays();
     std::vector<RelayCandidate> candidates;
+    candidates.reserve( upstreams.size() );
     for( const auto& it : upstreams ) {
         candidates.push_back( { it.id, true, false } );
     }
@@ -107,26 +111,39 @@
 }
 
 net::Task<std::vector<Upstream>> StoreFeed::findRelays() {
+    const bool first = m_settings.firstStart;
+    const auto until = MonoClock::now() + ( first ? firstListedLimit : listedLimit );
     std::vector<Upstream> out;
-    const auto until = MonoClock::now() + listedLimit;
-    while( out.empty() && MonoClock::now() < until ) {
+    std::size_t before = 0;
+    while( MonoClock::now() < until ) {
         const auto page = co_await m_store.firstPage( platform::upstreamKind, listLimit,
                                                       platform::ListAge::secondsOld );
-        for( const auto& it : page.objects ) {
-            auto upstream = m_reader.upstream( it );
-            // Sidecars stand beside engines, and engines hold models.
-            if( upstream && !upstream->residents.empty() ) {
-                out.push_back( std::move( *upstream ) );
-            }
-        }
-        if( page.status == platform::StoreStatus::ok && !page.objects.empty() ) {
+        out = enginesOf( page.objects );
+        // Where all has just started entries are still being written: a choice among some of them
+        // would be made again and again.
+        const bool settled = !first || ( !out.empty() && out.size() == before );
+        const bool listed = page.status == platform::StoreStatus::ok && !page.objects.empty();
+        if( listed && settled ) {
             break;
         }
-        co_await net::pause( m_context, listAgain );
+        before = out.size();
+        co_await net::pause( m_context, first ? firstListAgain : listAgain );
     }
     co_return out;
 }
 
+std::vector<Upstream> StoreFeed::enginesOf( std::span<const platform::StoreObject> objects ) {
+    std::vector<Upstream> out;
+    for( const auto& it : objects ) {
+        auto upstream = m_reader.upstream( it );
+        // Sidecars stand beside engines, and engines hold models.
+        if( upstream && !upstream->residents.empty() ) {
+            out.push_back( std::move( *upstream ) );
+        }
+    }
+    return out;
+}
+
 bool StoreFeed::knowsAll() const {
     constexpr std::size_t parts = 4;
     return m_relayed.size() == parts;
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 
 namespace coursehead::gateway {
@@ -69,6 +70,7 @@
     net::Task<> begin();
     //! Upstreams that may stand beside a relay, by a list that may be seconds old.
     net::Task<std::vector<Upstream>> findRelays();
+    std::vector<Upstream> enginesOf( std::span<const platform::StoreObject> objects );
     //! Subscribes at one of them; true when all parts of the store have come from it.
     net::Task<bool> tryRelay( const Upstream& upstream );
     //! `patience`: how long another relay has to speak before this gateway calls the store itself.
--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -148,6 +148,8 @@
             co_return;
         }
         ++m_calls;
+        m_oldLists +=
+            request.target().find( "isStale=1" ) != boost::beast::string_view::npos ? 1 : 0;
         if( m_delay.count() > 0 ) {
             co_await net::pause( m_context, m_delay );
         }
--- a/tests/support/object_store.hpp
+++ b/tests/support/object_store.hpp
@@ -37,6 +37,8 @@
     std::uint64_t revision() const { return m_revision; }
     //! Calls taken so far, watches included.
     std::uint64_t calls() const { return m_calls; }
+    //! Of these, lists that may be seconds old: a tenth of the price.
+    std::uint64_t oldLists() const { return m_oldLists; }
 
     void put( const std::string& kind, const std::string& name, nlohmann::json specification );
     void remove( const std::string& kind, const std::string& name );
@@ -90,6 +92,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldest = 1;
     std::uint64_t m_calls = 0;
+    std::uint64_t m_oldLists = 0;
     StoreMode m_mode = StoreMode::up;
     Millis m_delay{ 0 };
     net::Timer m_changed; //!< cancelled at each change, to wake watches
