--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -2,13 +2,10 @@
 #include "gateway/fleet.hpp"
 
 #include "coursehead/kernel/log.hpp"
-#include "kernel/hash.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace coursehead::gateway {
@@ -17,16 +14,6 @@
 
 //! Gateways assumed until a sidecar says how many there are.
 constexpr int assumedGateways = 8;
-constexpr int hashBits = 64;
-//! Upstreams that come at once and are named in the log; of more, as at start, the number is.
-constexpr std::size_t mostNamed = 32;
-
-void logAdded( const Upstream& upstream ) {
-    log::info( "upstream_added",
-               { { "upstream", upstream.id },
-                 { "service", upstream.service },
-                 { "address", upstream.ip + ":" + std::to_string( upstream.port ) } } );
-}
 
 std::string_view whereOf( Distance distance ) {
     if( distance.otherRegion ) {
@@ -62,99 +49,6 @@
     }
 }
 
-void Fleet::sync( const std::map<std::string, Member>& members, MonoTime now ) {
-    std::set<std::string> all;
-    for( const auto& it : m_nodes ) {
-        all.insert( it.first );
-    }
-    for( const auto& it : members ) {
-        all.insert( it.first );
-    }
-    sync( members, all, now );
-}
-
-void Fleet::sync( const std::map<std::string, Member>& members,
-                  const std::set<std::string>& changed, MonoTime now ) {
-    const auto before = m_nodes.size();
-    const bool each = changed.size() <= mostNamed;
-    for( const auto& id : changed ) {
-        const auto member = members.find( id );
-        if( member == members.end() ) {
-            remove( id );
-        } else if( !m_nodes.contains( id ) ) {
-            add( member->second.upstream, now );
-            if( each ) {
-                logAdded( member->second.upstream );
-            }
-        } else {
-            update( *m_nodes.at( id ), member->second.upstream, now );
-        }
-    }
-    if( !each ) {
-        log::info( "upstreams_changed",
-                   { { "changed", static_cast<std::int64_t>( changed.size() ) },
-                     { "before", static_cast<std::int64_t>( before ) },
-                     { "now", static_cast<std::int64_t>( m_nodes.size() ) } } );
-    }
-    if( !changed.empty() ) {
-        chooseLinks( now );
-    }
-}
-
-void Fleet::remove( const std::string& id ) {
-    const auto it = m_nodes.find( id );
-    if( it == m_nodes.end() ) {
-        return;
-    }
-    log::info( "upstream_gone",
-               { { "upstream", id }, { "service", it->second->upstream.service } } );
-    drop( *it->second );
-    m_nodes.erase( it );
-}
-
-void Fleet::update( Node& node, const Upstream& listed, MonoTime now ) {
-    if( isFormer( listed.born, node.upstream.born ) ) {
-        return;
-    }
-    const bool anew = isFormer( node.upstream.born, listed.born );
-    if( anew ) {
-        restart( node, listed.born, now );
-    }
-    if( node.upstream.state != listed.state ) {
-        log::info( "upstream_leaving", { { "upstream", listed.id } } );
-    }
-    const bool turnedCold = listed.cold > node.upstream.cold;
-    node.upstream = listed;
-    if( anew ) {
-        setEngine( node );
-    }
-    if( anew || turnedCold ) {
-        node.noteCold( node.upstream.cold, now );
-    }
-    if( node.upstream.remaining && !node.leavesAt ) {
-        node.leavesAt = now + *node.upstream.remaining;
-    }
-}
-
-void Fleet::restart( Node& node, Born born, MonoTime now ) {
-    log::info(
-        "upstream_restarted",
-        { { "upstream", node.upstream.id }, { "born", born }, { "before", node.upstream.born } } );
-    node.beginAnew( born, now );
-}
-
-void Fleet::add( const Upstream& upstream, MonoTime now ) {
-    const auto node = std::make_shared<Node>( upstream, now );
-    node->stopAt = m_evacuations.stopAt( upstream.hall );
-    const double phase =
-        std::ldexp( static_cast<double>( hash64( upstream.id, m_settings.vm ) ), -hashBits );
-    node->cold = decide::ColdGate( phase );
-    node->limit.turns = decide::Turns( phase );
-    m_nodes.emplace( upstream.id, node );
-    setEngine( *node );
-    node->noteCold( upstream.cold, now );
-}
-
 void Fleet::setConfiguration( std::shared_ptr<const RouteTable> table, MonoTime now ) {
     m_table = std::move( table );
     for( auto& it : m_nodes ) {
@@ -295,114 +189,6 @@
     }
 }
 
-std::string_view Fleet::regionOf( const Node& node ) const {
-    const auto it = m_settings.regions.find( node.upstream.hall );
-    return it == m_settings.regions.end() ? std::string_view{} : std::string_view( it->second );
-}
-
-Distance Fleet::distanceTo( const Node& node ) const {
-    const auto own = m_settings.regions.find( m_settings.hall );
-    const auto region = regionOf( node );
-    const bool known = own != m_settings.regions.end() && !region.empty();
-    return { node.upstream.hall != m_settings.hall, known && region != own->second };
-}
-
-bool Fleet::mayServe( const Node& node, const Need& need, MonoTime now ) const {
-    if( node.upstream.service != need.service || !node.takesRequests( now ) ) {
-        return false;
-    }
-    const bool anywhere = need.homes.route.empty() && need.homes.organisation.empty();
-    return anywhere || decide::mayServe( need.homes, regionOf( node ) );
-}
-
-Fleet::Rest Fleet::restOf( const Node& node, MonoTime now ) {
-    Rest out;
-    const auto backoff = node.announced.backoffLeft( now );
-    out.full = node.limit.fullLeft( now ).count() > 0;
-    out.time = out.full ? std::max( backoff, node.limit.comeBackLeft( now ) ) : backoff;
-    return out;
-}
-
-Choice Fleet::choose( const Need& need, const std::set<std::string>& excluded,
-                      MonoTime now ) const {
-    std::vector<Candidate> candidates;
-    std::vector<NodePtr> nodes;
-    // Those that would have to load the model first.
-    std::vector<NodePtr> others;
-    // When the first that has what it needs takes requests again, those that turned this one away
-    // among them.
-    std::optional<Millis> soonest;
-    std::optional<Millis> soonestBackoff;
-    const auto consider = [&]( const NodePtr& node ) {
-        candidates.push_back( estimate( *node, need, m_pace, distanceTo( *node ), now ) );
-        nodes.push_back( node );
-    };
-    for( const auto& [id, node] : m_nodes ) {
-        if( !mayServe( *node, need, now ) ) {
-            continue;
-        }
-        const bool holds =
-            need.generation == nullptr || node->holdsModel( need.generation->model, now );
-        const auto rest = restOf( *node, now );
-        if( rest.time.count() > 0 || rest.full ) {
-            if( holds ) {
-                soonest = std::min( soonest.value_or( rest.time ), rest.time );
-            }
-            if( holds && !rest.full ) {
-                soonestBackoff = std::min( soonestBackoff.value_or( rest.time ), rest.time );
-            }
-            continue;
-        }
-        if( excluded.contains( id ) ) {
-            continue;
-        }
-        if( holds || node->loading.contains( need.generation->model ) ) {
-            consider( node );
-        } else {
-            others.push_back( node );
-        }
-    }
-    assumeUnseen( candidates );
-    auto best = gateway::choose( candidates );
-    // A load costs more than most waits: the many that do not hold the model are looked at only
-    // where none that does is good enough.
-    const bool good = best && !candidates[*best].avoided && need.generation != nullptr &&
-                      beatsAnyLoad( candidates[*best], *nodes[*best], need.generation->model );
-    if( !good && !others.empty() ) {
-        std::for_each( others.begin(), others.end(), consider );
-        assumeUnseen( candidates );
-        best = gateway::choose( candidates );
-    }
-    // A load elsewhere that takes longer than a back-off would only push another model out. A limit
-    // may last: what it leaves no room for is served elsewhere, loaded first if need be.
-    const bool backoffIsNearer =
-        soonestBackoff && best &&
-        candidates[*best].loadMs > static_cast<double>( soonestBackoff->count() );
-    Choice out;
-    out.candidates = candidates.size();
-    if( !best || backoffIsNearer ) {
-        out.rest = ( backoffIsNearer ? soonestBackoff : soonest ).value_or( Millis{ 0 } );
-        out.atLimit = soonest && soonest != soonestBackoff && !backoffIsNearer;
-        return out;
-    }
-    const auto& it = candidates[*best];
-    out.node = nodes[*best];
-    out.bestCost = costOf( it );
-    out.workMs = it.workMs;
-    out.loadMs = it.loadMs;
-    out.paceMs = it.paceMs;
-    out.freshTokens = it.freshTokens;
-    out.unqueued = it.backlogMs <= 0 && it.loadMs <= 0;
-    out.expectedMs = it.backlogMs + it.workMs + it.loadMs;
-    if( need.generation != nullptr && out.node->engine ) {
-        out.holdsModel = out.node->holdsModel( need.generation->model, now );
-        out.holdsAdapter =
-            need.generation->adapter.empty() ||
-            out.node->holdsAdapter( need.generation->model, need.generation->adapter, now );
-    }
-    return out;
-}
-
 void Fleet::abandonWaits() {
     for( auto& it : m_nodes ) {
         if( it.second->sidecar ) {
