Where everything has ended at once, gateways wait a moment for a relay

Cause: the three relays that a starting gateway tried refused within milliseconds, since sidecars were starting too; then all gateways listed four kinds by themselves, as before. They go round for 1.5 s now.

Ruled out: a pause before the first try (who starts alone would wait too).

--- a/src/gateway/store_feed_relay.cpp
+++ b/src/gateway/store_feed_relay.cpp
@@ -5,6 +5,8 @@
 #include "gateway/relay_times.hpp"
 #include "gateway/store_feed.hpp"
 
+#include <algorithm>
+
 namespace coursehead::gateway {
 
 namespace {
@@ -18,10 +20,13 @@
 constexpr Millis relayChange{ 400 };
 //! The choice of a relay is made anew when there are this many times more gateways, or fewer.
 constexpr int gatewaysChange = 2;
-//! At start: relays that are tried, and how long each has to pass everything on. It lists the store
-//! first if nobody has asked it before.
+//! At start: relays that are tried in turn, how long each has to pass everything on (it lists the
+//! store first if nobody has asked it before), and how long all of them have: where everything has
+//! ended at once they are starting too.
 constexpr int firstTries = 3;
 constexpr Millis firstNews{ 700 };
+constexpr Millis firstRelayLimit{ 1500 };
+constexpr Millis tryAgain{ 100 };
 //! At start, until a gateway calls the store itself though no upstream is listed yet.
 constexpr Millis listedLimit{ 3000 };
 constexpr Millis listAgain{ 200 };
@@ -42,14 +47,22 @@
     }
     // How many gateways there are nobody knows yet; there are about as many as upstreams.
     const auto gateways = static_cast<int>( candidates.size() );
-    bool relayed = false;
-    for( int n = 0; n < firstTries && !relayed; ++n ) {
+    const auto until = MonoClock::now() + firstRelayLimit;
+    m_relayGateways = std::max( gateways, 1 );
+    bool relayed = candidates.empty();
+    int tries = 0;
+    while( !relayed && MonoClock::now() < until ) {
         const auto best = chooseRelay( candidates, m_settings.vm, gateways );
-        if( !best ) {
-            break;
+        if( !best || tries == firstTries ) {
+            tries = 0;
+            for( auto& it : candidates ) {
+                it.avoided = false;
+            }
+            co_await net::pause( m_context, tryAgain );
+            continue;
         }
+        ++tries;
         candidates[*best].avoided = true;
-        m_relayGateways = gateways;
         relayed = co_await tryRelay( upstreams[*best] );
     }
     log::info( "store_feed_begins",
--- a/tests/promise/size.tests.cpp
+++ b/tests/promise/size.tests.cpp
@@ -122,6 +122,25 @@
     CHECK( old <= 4 * gateways );
 }
 
+TEST_CASE( "Gateways that end all at once, with all sidecars, come back through relays too",
+           "[promise][size]" ) {
+    constexpr int gateways = 10;
+    constexpr int engines = 8;
+    World world( WorldSize{ gateways, engines, 1 } );
+    std::uint64_t calls = 0;
+    world.play( [&]() -> net::Task<> {
+        auto& store = world.deployment->store();
+        const auto before = store.calls() - store.oldLists();
+        world.restartAll();
+        co_await net::pause( world.context, Millis( 500 ) );
+        co_await world.waitUntilSettled();
+        calls = store.calls() - store.oldLists() - before;
+    } );
+    // Each sidecar reads its fence; the relays list four kinds and watch them.
+    INFO( "store calls until " << gateways << " gateways are ready again: " << calls );
+    CHECK( calls <= engines + 30 );
+}
+
 TEST_CASE( "A gateway that connects costs the others no whole report", "[promise][size]" ) {
     constexpr int gateways = 20;
     World world( WorldSize{ 1, 2, 1 } );
