A handler of a link may be replaced while it runs

Cause: found by reading. The relay that a starting gateway uses hands its link to the fleet in the middle of the first list that it passes on, and the fleet gives it other handlers: the running one was destroyed under itself. It is copied before it is called.

No test fails without it: nothing of the handler was used after the call.

--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/sidecar_link.cpp
@@ -259,7 +259,9 @@
     }
     const auto* news = std::get_if<StoreNews>( &*message );
     if( news != nullptr && m_handlers.news ) {
-        m_handlers.news( *news );
+        // What it tells may give this link other handlers while this one runs.
+        const auto handler = m_handlers.news;
+        handler( *news );
     }
     const auto* quarantines = std::get_if<decide::QuarantineNews>( &*message );
     if( quarantines != nullptr && m_handlers.quarantines ) {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -125,7 +125,7 @@
             log::warn( "gateway_message_malformed", { { "gateway", peer->gateway } } );
             return;
         }
-        if( auto* news = std::get_if<gateway::EngineNews>( &*message ) ) {
+        if( const auto* news = std::get_if<gateway::EngineNews>( &*message ) ) {
             takeNews( *peer, *news );
         } else if( auto* spec = std::get_if<gateway::SpecNews>( &*message ) ) {
             takeSpec( std::move( *spec ) );
@@ -297,8 +297,7 @@
             waitForWant( std::move( question ) );
         };
         out.given = [this]( const Question& question ) {
-            const auto now = MonoClock::now();
-            m_view.noteUse( question.want, now );
+            m_view.noteUse( question.want, MonoClock::now() );
             noteParts( question );
         };
         return out;
