--- a/src/gateway/selection.hpp
+++ b/src/gateway/selection.hpp
@@ -31,7 +31,7 @@
     double crossRegionMs = 0;    //!< what leaving the region counts for
     double leavingMs = 0;        //!< what speaks against a hall that is being emptied
     bool seen = true;            //!< its load and what it keeps of prompts are known
-    bool holds = true;           //!< model and adapter are there, or none is needed
+    bool holds = true;           //!< the model is there, or none is needed
     double homeWorkMs = 0;       //!< reading what is not shared with other prompts
     std::int64_t homeTokens = 0; //!< the same in tokens
     std::uint64_t affinity = 0;  //!< rendezvous hash: the highest is preferred among equals
