A store that cuts its callers off once is not taken for lost

Change: a call that ends early raises a doubt; the next one, which does not wait, tells. One that ran into its time still counts at once, since entries may have lapsed meanwhile.

Ruled out: relays that are silent while in doubt (their gateways' silence limit would run), a longer patience of the gateways.

Before and after: the test cuts all watches and the next call of each kind and demands that nobody is told; seen to fail without the change.

--- a/src/gateway/follower.cpp
+++ b/src/gateway/follower.cpp
@@ -118,7 +118,7 @@
 net::Task<StoreStatus> Follower::watch() {
     const auto asked = m_position;
     // After trouble the first watch does not wait: its answer tells whether the history goes on.
-    const Millis wait = m_reachable ? m_settings.wait : Millis{ 0 };
+    const Millis wait = m_reachable && !m_doubted ? m_settings.wait : Millis{ 0 };
     const auto result = co_await m_client.watch( m_settings.kind, asked.revision, wait );
     // A relay that was faster has passed on the same changes, and later ones.
     const bool overtaken = m_position != asked;
@@ -149,25 +149,37 @@
 
 net::Task<StoreStatus> Follower::callStore() {
     const auto began = MonoClock::now();
+    const auto longest = m_listed ? m_settings.wait : m_settings.callLimit;
     StoreStatus status = StoreStatus::ok;
     if( m_listed ) {
         status = co_await watch();
     } else {
         status = co_await list();
     }
-    const auto now = MonoClock::now();
+    const auto took = MonoClock::now() - began;
+    judge( status, took < longest );
+    const bool current = took < m_settings.wait + lateAnswer;
+    if( status == StoreStatus::ok && current && m_handlers.synced ) {
+        m_handlers.synced( m_position );
+    }
+    co_return status;
+}
+
+//! A store that cuts its callers off once, as when it drops its history, is there again for the
+//! next call. One that does not answer in time may have been away for long.
+void Follower::judge( StoreStatus status, bool early ) {
     const bool up = status == StoreStatus::ok || status == StoreStatus::expired;
-    if( up || now >= m_relayedUntil ) {
+    if( !up && early && m_reachable && !m_doubted ) {
+        m_doubted = true;
+        return;
+    }
+    m_doubted = false;
+    if( up || MonoClock::now() >= m_relayedUntil ) {
         setReachable( up, nameOf( status ) );
     }
     if( up ) {
         m_retry = firstRetry;
     }
-    const bool current = now - began < m_settings.wait + lateAnswer;
-    if( status == StoreStatus::ok && current && m_handlers.synced ) {
-        m_handlers.synced( m_position );
-    }
-    co_return status;
 }
 
 Millis Follower::retryDelay() {
--- a/src/gateway/follower.hpp
+++ b/src/gateway/follower.hpp
@@ -62,6 +62,8 @@
 
 private:
     net::Task<platform::StoreStatus> callStore();
+    //! Takes note of how a call ended, before its time or not.
+    void judge( platform::StoreStatus status, bool early );
     net::Task<platform::StoreStatus> list();
     net::Task<platform::StoreStatus> watch();
     void setReachable( bool reachable, std::string_view status );
@@ -77,7 +79,8 @@
     bool m_stopped = false;
     bool m_listed = false;
     bool m_reachable = false;
-    bool m_known = false; //!< something was handed on
+    bool m_doubted = false; //!< the last call was cut short: the next one tells
+    bool m_known = false;   //!< something was handed on
     decide::StorePosition m_position;
     Millis m_retry;
     MonoTime m_eagerUntil;
--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -128,6 +128,12 @@
     m_changed.cancel();
 }
 
+void ObjectStore::cut( int nextCalls ) {
+    ++m_cuts;
+    m_cutNext = nextCalls;
+    m_changed.cancel();
+}
+
 net::Task<> ObjectStore::accept() {
     for( ;; ) {
         auto [ec, socket] = co_await m_acceptor.async_accept( net::tupled );
@@ -154,9 +160,14 @@
             co_await net::pause( m_context, m_delay );
         }
         const bool keepAlive = request.keep_alive();
+        if( m_cutNext > 0 ) {
+            --m_cutNext;
+            co_return;
+        }
+        const auto cuts = m_cuts;
         auto moved = std::move( request );
         auto got = co_await answer( std::move( moved ) );
-        if( m_mode == StoreMode::reset ) {
+        if( m_mode == StoreMode::reset || m_cuts != cuts ) {
             co_return;
         }
         if( m_mode == StoreMode::silent ) {
--- a/tests/support/object_store.hpp
+++ b/tests/support/object_store.hpp
@@ -52,6 +52,8 @@
     std::uint64_t era() const { return m_era; }
     void setMode( StoreMode mode );
     void setDelay( Millis delay ) { m_delay = delay; }
+    //! Cuts the watches that wait, and the next calls.
+    void cut( int nextCalls );
 
 private:
     using Request = http::request<http::string_body>;
@@ -93,6 +95,8 @@
     std::uint64_t m_oldest = 1;
     std::uint64_t m_calls = 0;
     std::uint64_t m_oldLists = 0;
+    std::uint64_t m_cuts = 0;
+    int m_cutNext = 0;
     StoreMode m_mode = StoreMode::up;
     Millis m_delay{ 0 };
     net::Timer m_changed; //!< cancelled at each change, to wake watches
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -179,6 +179,27 @@
     } ) );
 }
 
+TEST_CASE( "A relay whose calls are cut once does not send its gateways to the store",
+           "[sidecar][relay]" ) {
+    constexpr int parts = 4;
+    Relayed f;
+    f.store.put( "servers", "u1", entry( "ready" ) );
+    f.subscribe();
+    for( const auto part : { StorePart::upstreams, StorePart::configuration, StorePart::quarantines,
+                             StorePart::evacuations } ) {
+        REQUIRE( f.comes( [part]( const auto& it ) { return it.part == part && it.whole; } ) );
+    }
+    f.news.clear();
+    // Its history goes too; each call that is cut is tried once more at once.
+    f.store.forgetHistory();
+    f.store.cut( parts );
+    f.store.put( "servers", "u2", entry( "ready" ) );
+    REQUIRE( f.comes( []( const auto& it ) {
+        return it.upstreams.size() == 1U && it.upstreams[0].id == "u2";
+    } ) );
+    CHECK( f.find( []( const auto& it ) { return !it.reachable; } ) == nullptr );
+}
+
 TEST_CASE( "A relay calls the store only while somebody asks", "[sidecar][relay]" ) {
     Relayed f;
     f.subscribe();
