Gateway: sub-folders by job

Cause: 86 files in one folder; parts that are built side by side would meet there. Change: links (connections to sidecars, membership, the store's feed), choice (upstreams and what decides between them), exchange (one request, its client and its sends), counts (what gateways count together); messages, the data model and the process stay at the top. Moves and include paths only, no change of logic.

--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/choice/connection_pool.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/connection_pool.hpp"
+#include "gateway/choice/connection_pool.hpp"
 
 #include <sys/socket.h>
 
--- a/src/gateway/estimate.cpp
+++ b/src/gateway/choice/estimate.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/estimate.hpp"
+#include "gateway/choice/estimate.hpp"
 
 #include "kernel/hash.hpp"
 
--- a/src/gateway/estimate.hpp
+++ b/src/gateway/choice/estimate.hpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_ESTIMATE_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_ESTIMATE_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_CHOICE_ESTIMATE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_CHOICE_ESTIMATE_HPP_INCLUDED
 
-#include "gateway/node.hpp"
-#include "gateway/pace.hpp"
-#include "gateway/selection.hpp"
+#include "gateway/choice/node.hpp"
+#include "gateway/choice/pace.hpp"
+#include "gateway/choice/selection.hpp"
 
 #include "decide/allowed_regions.hpp"
 #include <span>
@@ -44,4 +44,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_ESTIMATE_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_CHOICE_ESTIMATE_HPP_INCLUDED
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/choice/fleet.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 
 #include "coursehead/kernel/log.hpp"
 
--- a/src/gateway/fleet.hpp
+++ b/src/gateway/choice/fleet.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_CHOICE_FLEET_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_CHOICE_FLEET_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
 #include "coursehead/metrics/metrics.hpp"
@@ -8,14 +8,14 @@
 #include "decide/gateway_count.hpp"
 #include "decide/link_choice.hpp"
 #include "decide/replica_rule.hpp"
-#include "gateway/estimate.hpp"
-#include "gateway/node.hpp"
-#include "gateway/pace.hpp"
-#include "gateway/registry.hpp"
+#include "gateway/choice/estimate.hpp"
+#include "gateway/choice/node.hpp"
+#include "gateway/choice/pace.hpp"
+#include "gateway/choice/selection.hpp"
+#include "gateway/links/registry.hpp"
+#include "gateway/links/sidecar_link.hpp"
+#include "gateway/links/store_grants.hpp"
 #include "gateway/route_table.hpp"
-#include "gateway/selection.hpp"
-#include "gateway/sidecar_link.hpp"
-#include "gateway/store_grants.hpp"
 
 #include <functional>
 #include <map>
@@ -197,4 +197,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_FLEET_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_CHOICE_FLEET_HPP_INCLUDED
--- a/src/gateway/fleet_choice.cpp
+++ b/src/gateway/choice/fleet_choice.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 // Chooses the upstream for a request.
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 
 #include <algorithm>
 #include <vector>
--- a/src/gateway/fleet_copies.cpp
+++ b/src/gateway/choice/fleet_copies.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 // Adds replicas of models under high load, and copies of models from halls that are evacuated.
 #include "coursehead/kernel/log.hpp"
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 #include "kernel/hash.hpp"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/gateway/fleet_demand.cpp
+++ b/src/gateway/choice/fleet_demand.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 // Measures the demand for each model and sends it to the sidecars.
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 
 #include <utility>
 
--- a/src/gateway/health.cpp
+++ b/src/gateway/choice/health.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/health.hpp"
+#include "gateway/choice/health.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/health.hpp
+++ b/src/gateway/choice/health.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_HEALTH_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_HEALTH_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_CHOICE_HEALTH_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_CHOICE_HEALTH_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
 
@@ -29,4 +29,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_HEALTH_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_CHOICE_HEALTH_HPP_INCLUDED
--- a/src/gateway/node.cpp
+++ b/src/gateway/choice/node.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/node.hpp"
+#include "gateway/choice/node.hpp"
 
-#include "gateway/sidecar_link.hpp"
+#include "gateway/links/sidecar_link.hpp"
 
 #include <algorithm>
 
--- a/src/gateway/node.hpp
+++ b/src/gateway/choice/node.hpp
@@ -1,18 +1,18 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_CHOICE_NODE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_CHOICE_NODE_HPP_INCLUDED
 
 #include "decide/announcement.hpp"
 #include "decide/backoff.hpp"
 #include "decide/cold_gate.hpp"
 #include "decide/gateway_limits.hpp"
-#include "gateway/connection_pool.hpp"
-#include "gateway/health.hpp"
+#include "gateway/choice/connection_pool.hpp"
+#include "gateway/choice/health.hpp"
+#include "gateway/choice/prefix_cache.hpp"
+#include "gateway/choice/reading_budget.hpp"
+#include "gateway/links/spec_text.hpp"
 #include "gateway/messages.hpp"
 #include "gateway/model.hpp"
-#include "gateway/prefix_cache.hpp"
-#include "gateway/reading_budget.hpp"
-#include "gateway/spec_text.hpp"
 
 #include <map>
 #include <memory>
@@ -122,4 +122,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_NODE_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_CHOICE_NODE_HPP_INCLUDED
--- a/src/gateway/pace.cpp
+++ b/src/gateway/choice/pace.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/pace.hpp"
+#include "gateway/choice/pace.hpp"
 
 #include <algorithm>
 
--- a/src/gateway/pace.hpp
+++ b/src/gateway/choice/pace.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_PACE_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_PACE_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_CHOICE_PACE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_CHOICE_PACE_HPP_INCLUDED
 
 #include <functional>
 #include <map>
@@ -26,4 +26,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_PACE_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_CHOICE_PACE_HPP_INCLUDED
--- a/src/gateway/prefix_cache.cpp
+++ b/src/gateway/choice/prefix_cache.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/prefix_cache.hpp"
+#include "gateway/choice/prefix_cache.hpp"
 
 #include "kernel/hash.hpp"
 
--- a/src/gateway/reading_budget.cpp
+++ b/src/gateway/choice/reading_budget.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/reading_budget.hpp"
+#include "gateway/choice/reading_budget.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gateway/reading_budget.hpp
+++ b/src/gateway/choice/reading_budget.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_READING_BUDGET_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_READING_BUDGET_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_CHOICE_READING_BUDGET_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_CHOICE_READING_BUDGET_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
 
@@ -43,4 +43,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_READING_BUDGET_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_CHOICE_READING_BUDGET_HPP_INCLUDED
--- a/src/gateway/selection.cpp
+++ b/src/gateway/choice/selection.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/selection.hpp"
+#include "gateway/choice/selection.hpp"
 
 #include <algorithm>
 
--- a/src/gateway/selection.hpp
+++ b/src/gateway/choice/selection.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_SELECTION_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_SELECTION_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_CHOICE_SELECTION_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_CHOICE_SELECTION_HPP_INCLUDED
 
 #include <cstddef>
 #include <cstdint>
@@ -53,4 +53,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_SELECTION_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_CHOICE_SELECTION_HPP_INCLUDED
--- a/src/gateway/limit_client.cpp
+++ b/src/gateway/counts/limit_client.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/limit_client.hpp"
+#include "gateway/counts/limit_client.hpp"
 
 #include "coursehead/kernel/log.hpp"
 
--- a/src/gateway/limit_client.hpp
+++ b/src/gateway/counts/limit_client.hpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_LIMIT_CLIENT_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_LIMIT_CLIENT_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_COUNTS_LIMIT_CLIENT_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_COUNTS_LIMIT_CLIENT_HPP_INCLUDED
 
 #include "coursehead/metrics/metrics.hpp"
 #include "decide/gateway_limits.hpp"
-#include "gateway/holder_links.hpp"
+#include "gateway/links/holder_links.hpp"
 
 #include <string>
 #include <utility>
@@ -61,4 +61,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_LIMIT_CLIENT_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_COUNTS_LIMIT_CLIENT_HPP_INCLUDED
--- a/src/gateway/poison_guard.cpp
+++ b/src/gateway/counts/poison_guard.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/poison_guard.hpp"
+#include "gateway/counts/poison_guard.hpp"
 
 #include "coursehead/kernel/log.hpp"
 #include "decide/fingerprint.hpp"
--- a/src/gateway/poison_guard.hpp
+++ b/src/gateway/counts/poison_guard.hpp
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_POISON_GUARD_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_POISON_GUARD_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_COUNTS_POISON_GUARD_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_COUNTS_POISON_GUARD_HPP_INCLUDED
 
 #include "coursehead/metrics/metrics.hpp"
 #include "decide/completed_runs.hpp"
 #include "decide/poison_counter.hpp"
 #include "decide/quarantine_list.hpp"
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 
 #include <map>
 #include <string>
@@ -63,4 +63,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_POISON_GUARD_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_COUNTS_POISON_GUARD_HPP_INCLUDED
--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/counts/quarantine.cpp
@@ -3,8 +3,8 @@
 // show.
 #include "coursehead/kernel/log.hpp"
 #include "decide/fingerprint.hpp"
-#include "gateway/exchange.hpp"
-#include "gateway/status.hpp"
+#include "gateway/exchange/exchange.hpp"
+#include "gateway/exchange/status.hpp"
 
 namespace coursehead::gateway {
 
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/counts/quota_client.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/quota_client.hpp"
+#include "gateway/counts/quota_client.hpp"
 
 #include "coursehead/kernel/log.hpp"
 
--- a/src/gateway/quota_client.hpp
+++ b/src/gateway/counts/quota_client.hpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_QUOTA_CLIENT_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_QUOTA_CLIENT_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_COUNTS_QUOTA_CLIENT_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_COUNTS_QUOTA_CLIENT_HPP_INCLUDED
 
 #include "decide/gateway_quotas.hpp"
-#include "gateway/holder_links.hpp"
+#include "gateway/links/holder_links.hpp"
 #include "platform/node_settings.hpp"
 
 #include <optional>
@@ -58,4 +58,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_QUOTA_CLIENT_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_COUNTS_QUOTA_CLIENT_HPP_INCLUDED
--- a/src/gateway/access.hpp
+++ b/src/gateway/exchange/access.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_ACCESS_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_ACCESS_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_ACCESS_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_ACCESS_HPP_INCLUDED
 
 #include "gateway/route_table.hpp"
 
@@ -31,4 +31,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_ACCESS_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_ACCESS_HPP_INCLUDED
--- a/src/gateway/admit.cpp
+++ b/src/gateway/exchange/admit.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 // Admission of a request: checks configuration, route, key and quota.
-#include "gateway/access.hpp"
-#include "gateway/exchange.hpp"
-#include "gateway/status.hpp"
+#include "gateway/exchange/access.hpp"
+#include "gateway/exchange/exchange.hpp"
+#include "gateway/exchange/status.hpp"
 
 namespace coursehead::gateway {
 
--- a/src/gateway/client_end.hpp
+++ b/src/gateway/exchange/client_end.hpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_CLIENT_END_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_CLIENT_END_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_CLIENT_END_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_CLIENT_END_HPP_INCLUDED
 
-#include "gateway/connection_pool.hpp"
+#include "gateway/choice/connection_pool.hpp"
 
 #include <memory>
 
@@ -29,4 +29,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_CLIENT_END_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_CLIENT_END_HPP_INCLUDED
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/exchange/client_session.cpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/client_session.hpp"
+#include "gateway/exchange/client_session.hpp"
 
 #include "coursehead/kernel/log.hpp"
-#include "gateway/access.hpp"
-#include "gateway/http_text.hpp"
-#include "gateway/status.hpp"
+#include "gateway/exchange/access.hpp"
+#include "gateway/exchange/http_text.hpp"
+#include "gateway/exchange/status.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
--- a/src/gateway/client_session.hpp
+++ b/src/gateway/exchange/client_session.hpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_CLIENT_SESSION_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_CLIENT_SESSION_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_CLIENT_SESSION_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_CLIENT_SESSION_HPP_INCLUDED
 
-#include "gateway/exchange.hpp"
+#include "gateway/exchange/exchange.hpp"
 
 namespace coursehead::gateway {
 
@@ -11,4 +11,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_CLIENT_SESSION_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_CLIENT_SESSION_HPP_INCLUDED
--- a/src/gateway/client_timeouts.cpp
+++ b/src/gateway/exchange/client_timeouts.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/client_timeouts.hpp"
+#include "gateway/exchange/client_timeouts.hpp"
 
 #include <algorithm>
 
--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/exchange/event_stream.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/event_stream.hpp"
+#include "gateway/exchange/event_stream.hpp"
 
 #include <charconv>
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/exchange.hpp"
+#include "gateway/exchange/exchange.hpp"
 
 #include "coursehead/kernel/log.hpp"
 #include "decide/fingerprint.hpp"
-#include "gateway/http_text.hpp"
-#include "gateway/status.hpp"
+#include "gateway/exchange/http_text.hpp"
+#include "gateway/exchange/status.hpp"
 
 #include <boost/asio/write.hpp>
 
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -1,18 +1,18 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_EXCHANGE_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_EXCHANGE_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_EXCHANGE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_EXCHANGE_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
 #include "coursehead/metrics/metrics.hpp"
-#include "gateway/client_end.hpp"
-#include "gateway/client_timeouts.hpp"
-#include "gateway/event_stream.hpp"
-#include "gateway/fleet.hpp"
-#include "gateway/limit_client.hpp"
-#include "gateway/poison_guard.hpp"
-#include "gateway/prompt_permit.hpp"
-#include "gateway/quota_client.hpp"
-#include "gateway/retry_window.hpp"
+#include "gateway/choice/fleet.hpp"
+#include "gateway/counts/limit_client.hpp"
+#include "gateway/counts/poison_guard.hpp"
+#include "gateway/counts/quota_client.hpp"
+#include "gateway/exchange/client_end.hpp"
+#include "gateway/exchange/client_timeouts.hpp"
+#include "gateway/exchange/event_stream.hpp"
+#include "gateway/exchange/prompt_permit.hpp"
+#include "gateway/exchange/retry_window.hpp"
 #include "platform/headers.hpp"
 #include "platform/node_settings.hpp"
 
@@ -239,4 +239,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_EXCHANGE_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_EXCHANGE_HPP_INCLUDED
--- a/src/gateway/http_text.cpp
+++ b/src/gateway/exchange/http_text.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/http_text.hpp"
+#include "gateway/exchange/http_text.hpp"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
--- a/src/gateway/http_text.hpp
+++ b/src/gateway/exchange/http_text.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_HTTP_TEXT_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_HTTP_TEXT_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_HTTP_TEXT_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_HTTP_TEXT_HPP_INCLUDED
 
 #include <boost/beast/http/fields.hpp>
 
@@ -29,4 +29,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_HTTP_TEXT_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_HTTP_TEXT_HPP_INCLUDED
--- a/src/gateway/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 // Preparation of a send to the chosen upstream: sidecar connection, model, admission and permits.
 #include "coursehead/kernel/log.hpp"
-#include "gateway/exchange.hpp"
+#include "gateway/exchange/exchange.hpp"
 
 #include <algorithm>
 
--- a/src/gateway/prompt_permit.hpp
+++ b/src/gateway/exchange/prompt_permit.hpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_PROMPT_PERMIT_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_PROMPT_PERMIT_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_PROMPT_PERMIT_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_PROMPT_PERMIT_HPP_INCLUDED
 
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 
 #include <utility>
 
@@ -31,4 +31,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_PROMPT_PERMIT_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_PROMPT_PERMIT_HPP_INCLUDED
--- a/src/gateway/retry_window.cpp
+++ b/src/gateway/exchange/retry_window.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/retry_window.hpp"
+#include "gateway/exchange/retry_window.hpp"
 
 namespace coursehead::gateway {
 
--- a/src/gateway/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -2,10 +2,10 @@
 // One send of a request to an upstream, and the forwarding of its answer to the client.
 #include "coursehead/kernel/log.hpp"
 #include "decide/fingerprint.hpp"
-#include "gateway/exchange.hpp"
-#include "gateway/http_text.hpp"
-#include "gateway/status.hpp"
-#include "gateway/transfer.hpp"
+#include "gateway/exchange/exchange.hpp"
+#include "gateway/exchange/http_text.hpp"
+#include "gateway/exchange/status.hpp"
+#include "gateway/exchange/transfer.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
--- a/src/gateway/status.hpp
+++ b/src/gateway/exchange/status.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_STATUS_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_STATUS_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_STATUS_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_STATUS_HPP_INCLUDED
 
 //! HTTP status codes that a gateway sends or interprets.
 namespace coursehead::gateway {
@@ -19,4 +19,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_STATUS_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_STATUS_HPP_INCLUDED
--- a/src/gateway/transfer.cpp
+++ b/src/gateway/exchange/transfer.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/transfer.hpp"
+#include "gateway/exchange/transfer.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
--- a/src/gateway/transfer.hpp
+++ b/src/gateway/exchange/transfer.hpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_TRANSFER_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_TRANSFER_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_EXCHANGE_TRANSFER_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_EXCHANGE_TRANSFER_HPP_INCLUDED
 
-#include "gateway/exchange.hpp"
+#include "gateway/exchange/exchange.hpp"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -102,4 +102,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_TRANSFER_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_EXCHANGE_TRANSFER_HPP_INCLUDED
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,10 +2,10 @@
 #include "gateway/gateway.hpp"
 
 #include "coursehead/kernel/log.hpp"
-#include "gateway/client_session.hpp"
+#include "gateway/exchange/client_session.hpp"
+#include "gateway/exchange/status.hpp"
+#include "gateway/links/store_feed.hpp"
 #include "gateway/probe_server.hpp"
-#include "gateway/status.hpp"
-#include "gateway/store_feed.hpp"
 #include "kernel/platform_role.hpp"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/gateway/fleet_links.cpp
+++ b/src/gateway/links/fleet_links.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 // Chooses the sidecars to which this gateway is connected.
 #include "coursehead/kernel/log.hpp"
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 
 #include <vector>
 
--- a/src/gateway/fleet_members.cpp
+++ b/src/gateway/links/fleet_members.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 // Adds, updates and removes the fleet's upstreams.
 #include "coursehead/kernel/log.hpp"
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 #include "kernel/hash.hpp"
 
 #include <cmath>
--- a/src/gateway/follower.cpp
+++ b/src/gateway/links/follower.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/follower.hpp"
+#include "gateway/links/follower.hpp"
 
 #include "coursehead/kernel/log.hpp"
 
--- a/src/gateway/follower.hpp
+++ b/src/gateway/links/follower.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_FOLLOWER_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_FOLLOWER_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_LINKS_FOLLOWER_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINKS_FOLLOWER_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
 #include "platform/store_client.hpp"
@@ -93,4 +93,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_FOLLOWER_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_LINKS_FOLLOWER_HPP_INCLUDED
--- a/src/gateway/holder_links.cpp
+++ b/src/gateway/links/holder_links.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/holder_links.hpp"
+#include "gateway/links/holder_links.hpp"
 
 #include <algorithm>
 
--- a/src/gateway/holder_links.hpp
+++ b/src/gateway/links/holder_links.hpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_HOLDER_LINKS_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_HOLDER_LINKS_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_LINKS_HOLDER_LINKS_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINKS_HOLDER_LINKS_HPP_INCLUDED
 
 #include "decide/gateway_count.hpp"
 #include "decide/gateway_quotas.hpp"
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 
 #include <map>
 #include <memory>
@@ -40,4 +40,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_HOLDER_LINKS_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_LINKS_HOLDER_LINKS_HPP_INCLUDED
--- a/src/gateway/registry.cpp
+++ b/src/gateway/links/registry.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/registry.hpp"
+#include "gateway/links/registry.hpp"
 
 #include <set>
 #include <utility>
--- a/src/gateway/relay_choice.cpp
+++ b/src/gateway/links/relay_choice.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/relay_choice.hpp"
+#include "gateway/links/relay_choice.hpp"
 
 #include "kernel/hash.hpp"
 
--- a/src/gateway/relay_choice.hpp
+++ b/src/gateway/links/relay_choice.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_RELAY_CHOICE_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_RELAY_CHOICE_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_LINKS_RELAY_CHOICE_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINKS_RELAY_CHOICE_HPP_INCLUDED
 
 #include <cstddef>
 #include <optional>
@@ -27,4 +27,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_RELAY_CHOICE_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_LINKS_RELAY_CHOICE_HPP_INCLUDED
--- a/src/gateway/relay_times.hpp
+++ b/src/gateway/links/relay_times.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_RELAY_TIMES_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_RELAY_TIMES_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_LINKS_RELAY_TIMES_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINKS_RELAY_TIMES_HPP_INCLUDED
 
 #include "platform/node_settings.hpp"
 #include "platform/store_client.hpp"
@@ -50,4 +50,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_RELAY_TIMES_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_LINKS_RELAY_TIMES_HPP_INCLUDED
--- a/src/gateway/sidecar_link.cpp
+++ b/src/gateway/links/sidecar_link.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/sidecar_link.hpp"
+#include "gateway/links/sidecar_link.hpp"
 
 #include "coursehead/kernel/log.hpp"
 
--- a/src/gateway/sidecar_link.hpp
+++ b/src/gateway/links/sidecar_link.hpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_LINKS_SIDECAR_LINK_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINKS_SIDECAR_LINK_HPP_INCLUDED
 
-#include "gateway/link_traffic.hpp"
+#include "gateway/links/link_traffic.hpp"
+#include "gateway/links/spec_text.hpp"
 #include "gateway/messages.hpp"
-#include "gateway/spec_text.hpp"
 #include "net/frame_channel.hpp"
 
 #include <functional>
@@ -140,4 +140,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_SIDECAR_LINK_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_LINKS_SIDECAR_LINK_HPP_INCLUDED
--- a/src/gateway/spec_text.cpp
+++ b/src/gateway/links/spec_text.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/spec_text.hpp"
+#include "gateway/links/spec_text.hpp"
 
 #include "kernel/hash.hpp"
 
--- a/src/gateway/spec_text.hpp
+++ b/src/gateway/links/spec_text.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_SPEC_TEXT_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_SPEC_TEXT_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_LINKS_SPEC_TEXT_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINKS_SPEC_TEXT_HPP_INCLUDED
 
 #include "gateway/messages.hpp"
 
@@ -20,4 +20,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_SPEC_TEXT_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_LINKS_SPEC_TEXT_HPP_INCLUDED
--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/links/store_feed.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/store_feed.hpp"
+#include "gateway/links/store_feed.hpp"
 
 #include "coursehead/kernel/log.hpp"
-#include "gateway/relay_times.hpp"
-#include "gateway/store_objects.hpp"
+#include "gateway/links/relay_times.hpp"
+#include "gateway/links/store_objects.hpp"
 
 namespace coursehead::gateway {
 
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/links/store_feed.hpp
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_STORE_FEED_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_STORE_FEED_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_LINKS_STORE_FEED_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINKS_STORE_FEED_HPP_INCLUDED
 
-#include "gateway/fleet.hpp"
-#include "gateway/follower.hpp"
-#include "gateway/registry.hpp"
-#include "gateway/store_objects.hpp"
+#include "gateway/choice/fleet.hpp"
+#include "gateway/links/follower.hpp"
+#include "gateway/links/registry.hpp"
+#include "gateway/links/store_objects.hpp"
 #include "platform/node_settings.hpp"
 
 #include <functional>
@@ -110,4 +110,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_STORE_FEED_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_LINKS_STORE_FEED_HPP_INCLUDED
--- a/src/gateway/store_feed_relay.cpp
+++ b/src/gateway/links/store_feed_relay.cpp
@@ -2,9 +2,9 @@
 // The relay, a sidecar from which a gateway receives the store's changes: its choice at start,
 // checks and replacement.
 #include "coursehead/kernel/log.hpp"
-#include "gateway/relay_choice.hpp"
-#include "gateway/relay_times.hpp"
-#include "gateway/store_feed.hpp"
+#include "gateway/links/relay_choice.hpp"
+#include "gateway/links/relay_times.hpp"
+#include "gateway/links/store_feed.hpp"
 
 #include <algorithm>
 
--- a/src/gateway/store_grants.cpp
+++ b/src/gateway/links/store_grants.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/store_grants.hpp"
+#include "gateway/links/store_grants.hpp"
 
 #include <algorithm>
 
--- a/src/gateway/store_grants.hpp
+++ b/src/gateway/links/store_grants.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
-#ifndef COURSEHEAD_GATEWAY_STORE_GRANTS_HPP_INCLUDED
-#define COURSEHEAD_GATEWAY_STORE_GRANTS_HPP_INCLUDED
+#ifndef COURSEHEAD_GATEWAY_LINKS_STORE_GRANTS_HPP_INCLUDED
+#define COURSEHEAD_GATEWAY_LINKS_STORE_GRANTS_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
 
@@ -44,4 +44,4 @@
 
 } // namespace coursehead::gateway
 
-#endif // COURSEHEAD_GATEWAY_STORE_GRANTS_HPP_INCLUDED
+#endif // COURSEHEAD_GATEWAY_LINKS_STORE_GRANTS_HPP_INCLUDED
--- a/src/gateway/probe_server.cpp
+++ b/src/gateway/probe_server.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "gateway/probe_server.hpp"
-#include "gateway/status.hpp"
+#include "gateway/exchange/status.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/sidecar/orders.cpp
+++ b/src/sidecar/orders.cpp
@@ -2,8 +2,8 @@
 #include "sidecar/orders.hpp"
 
 #include "coursehead/kernel/log.hpp"
-#include "gateway/store_grants.hpp"
-#include "gateway/store_objects.hpp"
+#include "gateway/links/store_grants.hpp"
+#include "gateway/links/store_objects.hpp"
 #include "platform/store_client.hpp"
 
 #include <algorithm>
--- a/src/sidecar/prompt_gate.hpp
+++ b/src/sidecar/prompt_gate.hpp
@@ -3,8 +3,8 @@
 #define COURSEHEAD_SIDECAR_PROMPT_GATE_HPP_INCLUDED
 
 #include "decide/reading_queue.hpp"
+#include "gateway/choice/prefix_cache.hpp"
 #include "gateway/messages.hpp"
-#include "gateway/prefix_cache.hpp"
 
 #include <cstdint>
 #include <deque>
--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -2,7 +2,7 @@
 #include "sidecar/relay.hpp"
 
 #include "coursehead/kernel/log.hpp"
-#include "gateway/relay_times.hpp"
+#include "gateway/links/relay_times.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/sidecar/relay.hpp
+++ b/src/sidecar/relay.hpp
@@ -2,9 +2,9 @@
 #ifndef COURSEHEAD_SIDECAR_RELAY_HPP_INCLUDED
 #define COURSEHEAD_SIDECAR_RELAY_HPP_INCLUDED
 
-#include "gateway/follower.hpp"
+#include "gateway/links/follower.hpp"
+#include "gateway/links/store_objects.hpp"
 #include "gateway/messages.hpp"
-#include "gateway/store_objects.hpp"
 #include "platform/node_settings.hpp"
 
 #include <functional>
--- a/tests/promise/size.tests.cpp
+++ b/tests/promise/size.tests.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
+#include "gateway/links/spec_text.hpp"
 #include "gateway/messages.hpp"
-#include "gateway/spec_text.hpp"
 #include "net/frame_channel.hpp"
 #include "support/world.hpp"
 
--- a/tests/replay/backoff_world.cpp
+++ b/tests/replay/backoff_world.cpp
@@ -4,8 +4,8 @@
 #include "coursehead/kernel/random.hpp"
 #include "decide/announcement.hpp"
 #include "decide/backoff.hpp"
-#include "gateway/health.hpp"
-#include "gateway/selection.hpp"
+#include "gateway/choice/health.hpp"
+#include "gateway/choice/selection.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/replay/many_gateways.tests.cpp
+++ b/tests/replay/many_gateways.tests.cpp
@@ -4,7 +4,7 @@
 // gateways together keep the engine reading for so long that streams pause beyond their gap target.
 // The rate is that of the busiest engines of a loaded day.
 #include "coursehead/kernel/random.hpp"
-#include "gateway/reading_budget.hpp"
+#include "gateway/choice/reading_budget.hpp"
 #include "replay/emulated_engine.hpp"
 #include "sidecar/prompt_gate.hpp"
 
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/client_session.hpp"
+#include "gateway/exchange/client_session.hpp"
 #include "support/scripted_upstream.hpp"
 
 #include <boost/asio/co_spawn.hpp>
--- a/tests/unit/foreign_objects.tests.cpp
+++ b/tests/unit/foreign_objects.tests.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/store_objects.hpp"
+#include "gateway/links/store_objects.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/gateway_count.tests.cpp
+++ b/tests/unit/gateway_count.tests.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "decide/gateway_count.hpp"
-#include "gateway/store_grants.hpp"
+#include "gateway/links/store_grants.hpp"
 
 #include <catch2/catch.hpp>
 
--- a/tests/unit/halls.tests.cpp
+++ b/tests/unit/halls.tests.cpp
@@ -2,7 +2,7 @@
 #include "decide/allowed_regions.hpp"
 #include "decide/cold_gate.hpp"
 #include "decide/evacuation.hpp"
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 #include "platform/wire.hpp"
 
 #include <catch2/catch.hpp>
--- a/tests/unit/limit.tests.cpp
+++ b/tests/unit/limit.tests.cpp
@@ -2,7 +2,7 @@
 #include "decide/gateway_limits.hpp"
 #include "decide/limit_holder.hpp"
 #include "decide/send_schedule.hpp"
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/tests/unit/links.tests.cpp
+++ b/tests/unit/links.tests.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "decide/link_choice.hpp"
-#include "gateway/fleet.hpp"
-#include "gateway/selection.hpp"
-#include "gateway/sidecar_link.hpp"
+#include "gateway/choice/fleet.hpp"
+#include "gateway/choice/selection.hpp"
+#include "gateway/links/sidecar_link.hpp"
 #include "support/run_until.hpp"
 
 #include <boost/asio/co_spawn.hpp>
--- a/tests/unit/organisation.tests.cpp
+++ b/tests/unit/organisation.tests.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/access.hpp"
+#include "gateway/exchange/access.hpp"
 #include "platform/headers.hpp"
 #include "platform/wire.hpp"
 
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "sidecar/relay.hpp"
-#include "gateway/relay_choice.hpp"
-#include "gateway/relay_times.hpp"
-#include "gateway/store_feed.hpp"
+#include "gateway/links/relay_choice.hpp"
+#include "gateway/links/relay_times.hpp"
+#include "gateway/links/store_feed.hpp"
 #include "support/object_store.hpp"
 #include "support/run_until.hpp"
 
--- a/tests/unit/restart.tests.cpp
+++ b/tests/unit/restart.tests.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
-#include "gateway/fleet.hpp"
+#include "gateway/choice/fleet.hpp"
 #include "platform/wire.hpp"
 #include "sidecar/engine_view.hpp"
 
--- a/tests/unit/store_copy.tests.cpp
+++ b/tests/unit/store_copy.tests.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "decide/store_position.hpp"
-#include "gateway/registry.hpp"
-#include "gateway/store_feed.hpp"
+#include "gateway/links/registry.hpp"
+#include "gateway/links/store_feed.hpp"
 #include "platform/store_wire.hpp"
 #include "support/object_store.hpp"
 #include "support/run_until.hpp"
