Messages: what an ask, its answer and a load report say under hard load

Cause: a sidecar knew neither organisation nor urgency nor content of a prompt, its answer named no cause, its report neither speed nor room nor how long its order lasts. Change: these fields, at the end of their messages, read with defaults where they are missing; types that the parts share in src/decide; the link between engines from the configuration. Nothing decides by them yet.

--- a/src/gateway/choice/fleet.cpp
+++ b/src/gateway/choice/fleet.cpp
@@ -212,6 +212,7 @@
     PendingPrompt out;
     const auto& generation = *need.generation;
     out.tokens = generation.promptTokens;
+    out.maxTokens = generation.maxTokens;
     out.msPerToken = m_pace.readingMs( generation.model, 1 );
     for( std::size_t n = 0; n < need.prefix.size(); ++n ) {
         out.parts.push_back( { need.prefix[n], generation.parts[n].tokens } );
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -138,6 +138,10 @@
     out.model = generation.model;
     out.adapter = generation.adapter;
     out.prompt = m_shared.fleet.describePrompt( m_need );
+    out.prompt.route = m_route->name;
+    out.prompt.organisation = m_organisation != nullptr ? m_organisation->name : "";
+    out.prompt.urgency = urgency();
+    out.prompt.content = m_fingerprint;
     out.prompt.goalMs = remaining( now, goalEnd ).count();
     // The prompt may be admitted after the goal if its model has to be loaded first, if other
     // sidecars could not admit it in time, or if the goal has passed.
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -9,6 +9,26 @@
 
 using Json = nlohmann::json;
 
+void to_json( Json& out, const EngineSpeed& in ) {
+    out = Json::array( { in.timeRatio, in.stepMs, in.certainty, in.ageMs } );
+}
+
+void to_json( Json& out, const PartLink& in ) {
+    out = Json::array( { in.tokenBytes, in.linkMbps } );
+}
+
+void from_json( const Json& in, PartLink& out ) {
+    out.tokenBytes = in.at( 0 ).get<double>();
+    out.linkMbps = in.at( 1 ).get<double>();
+}
+
+void from_json( const Json& in, EngineSpeed& out ) {
+    out.timeRatio = in.at( 0 ).get<double>();
+    out.stepMs = in.at( 1 ).get<double>();
+    out.certainty = in.at( 2 ).get<double>();
+    out.ageMs = in.at( 3 ).get<std::int64_t>();
+}
+
 void to_json( Json& out, const StorePosition& in ) {
     out = Json::array( { in.era, in.revision } );
 }
@@ -171,6 +191,18 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+//! Reads a field that older versions do not send; `out` keeps its value if the field is missing.
+template <typename T>
+void readAddedField( const Json& in, std::size_t index, T& out ) {
+    if( index < in.size() ) {
+        out = in.at( index ).get<T>();
+    }
+}
+
+} // namespace
+
 void to_json( Json& out, const SentPart& in ) {
     out = Json::array( { in.key, in.tokens, in.model } );
 }
@@ -219,7 +251,8 @@
 void to_json( Json& out, const EngineLoad& in ) {
     out = Json::array( { in.orderInProgress, in.queued, in.running, in.prefilling,
                          in.hasAdapterCapacity, in.latePausesPercent, in.sentParts,
-                         in.readingPercent, in.readingWaitMs, in.gateways } );
+                         in.readingPercent, in.readingWaitMs, in.gateways, in.speed, in.freePlaces,
+                         in.freeTokens, in.promptsWaiting } );
 }
 
 void from_json( const Json& in, EngineLoad& out ) {
@@ -233,6 +266,11 @@
     out.readingPercent = in.at( 7 ).get<int>();
     out.readingWaitMs = in.at( 8 ).get<std::int64_t>();
     out.gateways = in.at( 9 ).get<int>();
+    readAddedField( in, 10, out.speed );
+    readAddedField( in, 11, out.freePlaces );
+    readAddedField( in, 12, out.freeTokens );
+    readAddedField( in, 13, out.promptsWaiting );
+    readAddedField( in, 14, out.orderLeftMs );
 }
 
 void to_json( Json& out, const SidecarReport& in ) {
@@ -269,7 +307,9 @@
 }
 
 void to_json( Json& out, const PendingPrompt& in ) {
-    out = Json::array( { in.tokens, in.msPerToken, in.goalMs, in.mayStartLate, in.parts } );
+    out = Json::array( { in.tokens, in.msPerToken, in.goalMs, in.mayStartLate, in.parts, in.route,
+                         in.organisation, in.urgency, in.maxTokens, in.content, in.cachedAt,
+                         in.cachedTokens } );
 }
 
 void from_json( const Json& in, PendingPrompt& out ) {
@@ -278,6 +318,13 @@
     out.goalMs = in.at( 2 ).get<std::int64_t>();
     out.mayStartLate = in.at( 3 ).get<bool>();
     out.parts = in.at( 4 ).get<std::vector<PendingPromptPart>>();
+    readAddedField( in, 5, out.route );
+    readAddedField( in, 6, out.organisation );
+    readAddedField( in, 7, out.urgency );
+    readAddedField( in, 8, out.maxTokens );
+    readAddedField( in, 9, out.content );
+    readAddedField( in, 10, out.cachedAt );
+    readAddedField( in, 11, out.cachedTokens );
 }
 
 void to_json( Json& out, const EnsureRequest& in ) {
@@ -298,7 +345,8 @@
 }
 
 void to_json( Json& out, const EnsureAnswer& in ) {
-    out = Json::array( { in.number, in.outcome, in.waitMs, in.workMs, in.modelWorkPerS } );
+    out = Json::array( { in.number, in.outcome, in.waitMs, in.workMs, in.modelWorkPerS, in.refusal,
+                         in.placeHeldMs, in.fetchParts } );
 }
 
 void from_json( const Json& in, EnsureAnswer& out ) {
@@ -307,6 +355,9 @@
     out.waitMs = in.at( 2 ).get<std::int64_t>();
     out.workMs = in.at( 3 ).get<double>();
     out.modelWorkPerS = in.at( 4 ).get<double>();
+    readAddedField( in, 5, out.refusal );
+    readAddedField( in, 6, out.placeHeldMs );
+    readAddedField( in, 7, out.fetchParts );
 }
 
 // clang-format off
@@ -329,7 +380,7 @@
 }
 
 // clang-format off
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineSpec, slots, cacheTokens, weightsMb, adapterSlots, storeLoadsPerS, models )
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT( EngineSpec, slots, cacheTokens, weightsMb, adapterSlots, storeLoadsPerS, models, partLink )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( EngineUpdate, gateway, configVersion, upstreamId, born, gapTargetMs, spec )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SpecRequest, key )
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE( SpecAnswer, key, engine )
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -2,8 +2,10 @@
 #ifndef COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_MESSAGES_HPP_INCLUDED
 
+#include "decide/engine_speed.hpp"
 #include "decide/limit.hpp"
 #include "decide/poison.hpp"
+#include "decide/prompt_refusal.hpp"
 #include "decide/quota.hpp"
 #include "gateway/model.hpp"
 
@@ -13,7 +15,9 @@
 #include <variant>
 #include <vector>
 
-//! Messages between gateways and the sidecars beside engines, encoded as CBOR.
+//! Messages between gateways and the sidecars beside engines, encoded as CBOR. Fields are only
+//! added at the end of a message: a reader ignores fields that it does not know, and gives missing
+//! ones their defaults, so that processes of different versions understand each other.
 namespace coursehead::gateway {
 
 //! Identifies an engine description: a hash of its content.
@@ -42,6 +46,9 @@
     EngineSpec engine;
 };
 
+//! Urgency of a request that states none.
+inline constexpr int defaultUrgency = 5;
+
 //! Part of a prompt for which a gateway requests admission; parts are in the order of the prompt.
 struct PendingPromptPart {
     std::uint64_t key = 0; //!< identifies model, adapter and all parts up to and including this one
@@ -56,6 +63,14 @@
     std::int64_t goalMs = 0;
     bool mayStartLate = false; //!< may start after the goal, within the request's limit
     std::vector<PendingPromptPart> parts;
+    std::string route;               //!< for counters
+    std::string organisation;        //!< empty: the request belongs to none
+    int urgency = defaultUrgency;    //!< 0 (most urgent) to 9, as sent to the engine
+    std::int64_t maxTokens = 0;      //!< tokens that the answer may have
+    decide::Fingerprint content = 0; //!< of the request's content, the same for each retry; 0: none
+    //! Another engine, as IP:PORT, that probably has more of the prompt cached; empty: none.
+    std::string cachedAt;
+    std::int64_t cachedTokens = 0; //!< tokens of the prompt that the other engine has cached
 };
 
 //! Requests that a model or adapter is made ready, and an admission permit for a prompt after that.
@@ -95,6 +110,12 @@
     //! Prompt reading, in milliseconds per second, that all gateways request of the model;
     //! negative: unknown.
     double modelWorkPerS = -1;
+    decide::PromptRefusal refusal = decide::PromptRefusal::none; //!< why the prompt is not admitted
+    //! A place in the queue is held for the same content from `waitMs` on, for this long; 0: none
+    //! is.
+    std::int64_t placeHeldMs = 0;
+    //! The engine should fetch the prompt's cached parts from the engine that the request named.
+    bool fetchParts = false;
 };
 
 //! Demand for a model, as one gateway measures it.
@@ -139,6 +160,12 @@
     int gateways = 0; //!< number connected to this sidecar
     //! Parts that gateways sent to the engine since the last message.
     std::vector<SentPart> sentParts;
+    decide::EngineSpeed speed;    //!< measured by the sidecar
+    int freePlaces = -1;          //!< requests that can start now; negative: unknown
+    std::int64_t freeTokens = -1; //!< cache tokens not taken by requests; negative: unknown
+    int promptsWaiting = 0;       //!< in the sidecar's queue
+    //! Until the order in progress is done, by the load time of its model; negative: unknown.
+    std::int64_t orderLeftMs = -1;
 };
 
 //! A sidecar's complete report on its engine. Sent to a gateway that connects, and when anything
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_GATEWAY_MODEL_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
+#include "decide/part_fetch.hpp"
 #include "decide/store_position.hpp"
 #include "gateway/organisation.hpp"
 
@@ -37,6 +38,7 @@
     int adapterSlots = 0;
     double storeLoadsPerS = 0; //!< loads a second that the weight store permits, all upstreams
     std::vector<ModelSpec> models;
+    decide::PartLink partLink; //!< for copying cached prompt parts between engines
 
     const ModelSpec* find( std::string_view model ) const;
     bool operator==( const EngineSpec& ) const = default;
--- a/src/platform/configuration.cpp
+++ b/src/platform/configuration.cpp
@@ -98,6 +98,9 @@
     out->weightsMb = in.value( "weightsMb", 0.0 );
     out->adapterSlots = in.value( "adapterSlots", 0 );
     out->storeLoadsPerS = in.value( "loadsPerS", 0.0 );
+    if( in.value( "moves", false ) ) {
+        out->partLink = { in.value( "tokenBytes", 0.0 ), in.value( "linkMbps", 0.0 ) };
+    }
     for( const auto& it : in.value( "models", Json::array() ) ) {
         gateway::ModelSpec model;
         model.name = it.at( "name" ).get<std::string>();
