Gateway: a broken stream continues while its client waits for the next event

Cause: the time in which a request may still be sent was counted from its arrival, also for a stream that had been running for seconds when its engine failed. Change: the window of a stream with events begins with the last event and ends with the client's pause; a refusing engine is left for another one; such a stream is the most urgent.

--- a/src/gateway/exchange/client_timeouts.cpp
+++ b/src/gateway/exchange/client_timeouts.cpp
@@ -44,6 +44,18 @@
     return std::max( timeouts.firstEvent - work - deliveryReserve, Millis{ 0 } );
 }
 
+SendWindow sendWindow( const Route& route, const ClientTimeouts& timeouts,
+                       const RequestProgress& progress, Millis work ) {
+    const bool resumed = progress.lastEvent.has_value();
+    const auto from = progress.lastEvent.value_or( progress.arrived );
+    const ClientTimeouts goal{ resumed ? route.gapTarget : route.goal, {}, {} };
+    const ClientTimeouts patience{ resumed ? timeouts.pause : timeouts.firstEvent, {}, {} };
+    SendWindow out;
+    out.goalEnd = from + maxWaitBeforeSend( goal, work );
+    out.latest = std::min( from + maxWaitBeforeSend( patience, work ), progress.deadline );
+    return out;
+}
+
 MonoTime startupWaitEnd( MonoTime arrived, MonoTime processStart ) {
     return std::min( arrived + startupRequestWait, processStart + startupTimeout );
 }
--- a/src/gateway/exchange/client_timeouts.hpp
+++ b/src/gateway/exchange/client_timeouts.hpp
@@ -25,6 +25,27 @@
  */
 Millis maxWaitBeforeSend( const ClientTimeouts& timeouts, Millis work );
 
+//! How far a request has got for its client.
+struct RequestProgress {
+    MonoTime arrived;
+    MonoTime deadline;                 //!< the client's, or the end of the route's timeout
+    std::optional<MonoTime> lastEvent; //!< last event that the client received; nullopt: none
+};
+
+//! When a request can still be sent to an upstream.
+struct SendWindow {
+    MonoTime goalEnd; //!< latest send for an answer in time
+    MonoTime latest;  //!< latest send for which the client still waits
+};
+
+/**
+ * The send window of a request whose upstream takes `work` until its first event. The client of a
+ * stream that has broken after some events waits for the next event, not for the first: its window
+ * begins with the last event, however long the stream has run.
+ */
+SendWindow sendWindow( const Route& route, const ClientTimeouts& timeouts,
+                       const RequestProgress& progress, Millis work );
+
 //! Until when a request waits in a process that has no configuration and upstreams yet.
 MonoTime startupWaitEnd( MonoTime arrived, MonoTime processStart );
 
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -184,8 +184,8 @@
     net::Task<> answerFailure();
     std::string requestBytes( const Node& node ) const;
     bool keepsAlive() const { return m_keepAlive && !m_shared.draining; }
-    //! Latest time until which the request may wait before it is sent to the chosen upstream.
-    MonoTime waitDeadline( const Choice& choice ) const;
+    //! When the request can still be sent to the chosen upstream.
+    SendWindow sendWindowFor( const Choice& choice ) const;
     //! How long to delay the prompt so that the upstream's running streams keep their gap target;
     //! zero if the delay would miss the request's own goal.
     Millis pacingDelay( const Choice& choice, MonoTime now ) const;
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -120,7 +120,7 @@
 }
 
 net::Task<Exchange::PrepareResult> Exchange::waitForSlowStart( const Choice& choice ) {
-    if( MonoClock::now() + slowStartPollInterval > waitDeadline( choice ) ) {
+    if( MonoClock::now() + slowStartPollInterval > sendWindowFor( choice ).latest ) {
         m_lastFailure = "upstreams are back from a back-off, and busy";
         m_retryAfter = defaultRetryAfter;
         co_return PrepareResult::giveUp;
@@ -131,9 +131,7 @@
 
 EnsureRequest Exchange::admissionRequest( const Choice& choice, MonoTime now ) const {
     const auto& generation = *m_need.generation;
-    const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
-    const auto goalEnd = m_request.arrived + maxWaitBeforeSend( { m_route->goal, {}, {} }, work );
-    const auto latestEnd = std::min( m_deadline, waitDeadline( choice ) );
+    const auto window = sendWindowFor( choice );
     EnsureRequest out;
     out.model = generation.model;
     out.adapter = generation.adapter;
@@ -142,12 +140,13 @@
     out.prompt.organisation = m_organisation != nullptr ? m_organisation->name : "";
     out.prompt.urgency = urgency();
     out.prompt.content = m_fingerprint;
-    out.prompt.goalMs = remaining( now, goalEnd ).count();
+    out.prompt.goalMs = remaining( now, window.goalEnd ).count();
     // The prompt may be admitted after the goal if its model has to be loaded first, if other
     // sidecars could not admit it in time, or if the goal has passed.
     out.prompt.mayStartLate =
         !choice.holdsModel || m_sidecarRefusals >= maxInTimeRequests || out.prompt.goalMs == 0;
-    out.limitMs = remaining( now, out.prompt.mayStartLate ? latestEnd : goalEnd ).count();
+    out.limitMs =
+        remaining( now, out.prompt.mayStartLate ? window.latest : window.goalEnd ).count();
     return out;
 }
 
@@ -183,6 +182,10 @@
         ++m_sidecarRefusals;
         m_lastFailure = "engines are busy";
         m_retryAfter = std::max( Millis( answer.waitMs ), defaultRetryAfter );
+        if( m_headSent ) {
+            // Only another engine can complete the answer that its client has begun to receive.
+            return PrepareResult::chooseAnother;
+        }
         return late ? PrepareResult::giveUp : PrepareResult::chooseAgain;
     case EnsureOutcome::noCapacity:
     case EnsureOutcome::failed:
@@ -210,8 +213,7 @@
 Millis Exchange::pacingDelay( const Choice& choice, MonoTime now ) const {
     // The delay is cut into short pauses: another upstream may become the better choice meanwhile.
     constexpr Millis maxPacingDelay{ 25 };
-    const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
-    const auto latest = m_request.arrived + maxWaitBeforeSend( { m_route->goal, {}, {} }, work );
+    const auto latest = sendWindowFor( choice ).goalEnd;
     if( choice.sendDelayMs <= 0 || now >= latest ) {
         return Millis{ 0 };
     }
@@ -219,14 +221,18 @@
                        remaining( now, latest ) } );
 }
 
-MonoTime Exchange::waitDeadline( const Choice& choice ) const {
+SendWindow Exchange::sendWindowFor( const Choice& choice ) const {
     const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
-    return m_request.arrived + maxWaitBeforeSend( m_clientTimeouts, work );
+    RequestProgress progress{ m_request.arrived, m_deadline, std::nullopt };
+    if( m_headSent ) {
+        progress.lastEvent = m_lastEventAt;
+    }
+    return sendWindow( *m_route, m_clientTimeouts, progress, work );
 }
 
 bool Exchange::loadTooLate( const Choice& choice, MonoTime now ) {
     const Millis load{ static_cast<std::int64_t>( choice.loadMs ) };
-    if( now + load <= waitDeadline( choice ) ) {
+    if( now + load <= sendWindowFor( choice ).latest ) {
         return false;
     }
     // The client would disconnect before the load is done. It is refused at once and can retry when
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -45,6 +45,10 @@
 } // namespace
 
 int Exchange::urgency() const {
+    if( m_headSent ) {
+        // The client has received a part of the answer, which is lost unless it continues soon.
+        return 0;
+    }
     // The priority decides first, then the goal: a request with a long goal can wait for one with a
     // short goal.
     constexpr std::int64_t longGoalMs = 2000;
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -188,6 +188,32 @@
     CHECK( maxWaitBeforeSend( timeouts, 5000ms ) == 0ms );
 }
 
+TEST_CASE( "A stream that breaks after seconds may still continue while its client waits",
+           "[gateway][patience]" ) {
+    // An engine that fails ends streams of any age. Counted from the request's arrival, each stream
+    // older than the client's wait for the first event had no time left to continue.
+    Route route;
+    route.kind = RequestKind::stream;
+    route.goal = 500ms;
+    route.gapTarget = 400ms;
+    route.timeout = 15000ms;
+    const auto timeouts = clientTimeoutsOf( route, std::nullopt );
+    const MonoTime arrived{ 100s };
+    const auto brokeAt = arrived + 7s;
+    const RequestProgress running{ arrived, arrived + 15s, brokeAt - 30ms };
+    const auto window = sendWindow( route, timeouts, running, 50ms );
+    CHECK( window.latest > brokeAt + 2000ms );
+    CHECK( window.latest < brokeAt + timeouts.pause );
+    CHECK( window.goalEnd > brokeAt );
+    CHECK( window.goalEnd < brokeAt + route.gapTarget );
+    const RequestProgress nearDeadline{ arrived, arrived + 8s, brokeAt - 30ms };
+    CHECK( sendWindow( route, timeouts, nearDeadline, 50ms ).latest == arrived + 8s );
+    const RequestProgress unanswered{ arrived, arrived + 15s, std::nullopt };
+    const auto first = sendWindow( route, timeouts, unanswered, 50ms );
+    CHECK( first.goalEnd == arrived + maxWaitBeforeSend( { route.goal, {}, {} }, 50ms ) );
+    CHECK( first.latest == arrived + maxWaitBeforeSend( timeouts, 50ms ) );
+}
+
 TEST_CASE( "Requests that wait for the same load share its grant, others take their turn",
            "[gateway][store]" ) {
     StoreGrants grants( 5000ms );
