--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -252,7 +252,7 @@
     out = Json::array( { in.orderInProgress, in.queued, in.running, in.prefilling,
                          in.hasAdapterCapacity, in.latePausesPercent, in.sentParts,
                          in.readingPercent, in.readingWaitMs, in.gateways, in.speed, in.freePlaces,
-                         in.freeTokens, in.promptsWaiting } );
+                         in.freeTokens, in.promptsWaiting, in.orderLeftMs } );
 }
 
 void from_json( const Json& in, EngineLoad& out ) {
