Sidecar: asks behind an order that lasts too long, places on return

Cause: while an engine carries out an order for a model it takes no other order, and nobody told for how long: asks for adapters waited half a second and ended as failed. What waited for a load was let in as it had come, after gateways had been told that the model is there and the engine idle. Clients that came at once and often took the room of those that returned as told.

Change: Orders keeps the model order in progress and its expected time (decide/order_progress), tells what is left of it in the load report, and answers an ask at once that it would make too late. Those that waited for a load are queued before the report is published, those first that can still be in time. A refused content has a place (decide/return_places), bounded in number and time and weighed by the share that was taken up; sidecar/return_gate keeps room for it in front of the prompt gate.

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -18,6 +18,16 @@
 constexpr double liftLimitPart = 0.5;
 constexpr double restoreLimitPart = 0.65;
 
+PromptRequest promptRequestOf( const PendingEnsure& ensure ) {
+    return { ensure.key,
+             ensure.required.model,
+             ensure.required.adapter,
+             ensure.prompt,
+             ensure.since,
+             ensure.limit,
+             ensure.returned == decide::ReturnVerdict::inTime };
+}
+
 } // namespace
 
 Admission::Admission( net::asio::io_context& context, Callbacks callbacks )
@@ -55,17 +65,24 @@
         m_callbacks.answer( ensure, EnsureOutcome::tooLate, coldWait, 0 );
         return;
     }
-    const PromptRequest request{ ensure.key,    ensure.required.model, ensure.required.adapter,
-                                 ensure.prompt, ensure.since,          ensure.limit };
-    const auto verdict = m_gate.ask( request, now );
+    if( ensure.returned == decide::ReturnVerdict::unknown ) {
+        ensure.returned = m_returns.arrive( ensure.prompt.content, now );
+    }
+    const auto verdict = m_returns.ask( promptRequestOf( ensure ), now );
     if( !verdict.accepted ) {
-        m_callbacks.answer( ensure, EnsureOutcome::tooLate, verdict.wait, 0 );
+        refuse( std::move( ensure ), verdict.place );
         return;
     }
     m_waiting.emplace( ensure.key, std::move( ensure ) );
     admitDue();
 }
 
+//! Answers that the prompt can't start in time, with the place held for its return.
+void Admission::refuse( PendingEnsure ensure, const decide::HeldPlace& place ) {
+    ensure.placeHeld = place.held;
+    m_callbacks.answer( ensure, EnsureOutcome::tooLate, place.wait, 0 );
+}
+
 //! Admits the prompts that are due, and sets the timer for the next one.
 void Admission::admitDue() {
     const auto now = MonoClock::now();
@@ -89,14 +106,16 @@
         if( m_coldGate.isCold( now ) ) {
             m_coldGate.take( now );
         }
+        m_returns.noteAdmitted( ensure.prompt.content );
         m_callbacks.admitted( ensure );
         m_callbacks.answer( ensure, EnsureOutcome::ready, m_gate.typicalWait( now ), due.workMs );
     }
     for( const auto key : m_gate.takeExpired( now ) ) {
-        const auto entry = m_waiting.extract( key );
+        auto entry = m_waiting.extract( key );
         if( !entry.empty() ) {
-            m_callbacks.answer( entry.mapped(), EnsureOutcome::tooLate, m_gate.typicalWait( now ),
-                                0 );
+            const auto request = promptRequestOf( entry.mapped() );
+            const auto place = m_returns.refuse( request, m_gate.typicalWait( now ), now );
+            refuse( std::move( entry.mapped() ), place );
         }
     }
     const auto next = m_gate.nextAt( now );
@@ -124,6 +143,7 @@
 
 void Admission::forget( std::uint64_t key ) {
     m_waiting.erase( key );
+    m_returns.release( key );
     m_gate.withdraw( key, MonoClock::now() );
     admitDue();
 }
@@ -142,6 +162,7 @@
 
 void Admission::failAll() {
     m_gate.clear();
+    m_returns.clear();
     for( const auto& it : std::exchange( m_waiting, {} ) ) {
         m_callbacks.answer( it.second, EnsureOutcome::failed, Millis{ 0 }, 0 );
     }
--- a/src/sidecar/admission.hpp
+++ b/src/sidecar/admission.hpp
@@ -7,6 +7,7 @@
 #include "net/net.hpp"
 #include "sidecar/pending_ensure.hpp"
 #include "sidecar/prompt_gate.hpp"
+#include "sidecar/return_gate.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -43,7 +44,8 @@
     void admit( PendingEnsure ensure );
     //! Updates the estimates from the prompts and streams in the engine's report.
     void takeReport( const gateway::EngineReport& report, MonoTime now );
-    //! A gateway has cancelled its ensure request, or does not use the permit that it was given.
+    //! A gateway has cancelled its ensure request, or does not use the permit or the place on
+    //! return that it was given.
     void forget( std::uint64_t key );
     //! Cancels all ensure requests of a gateway that has disconnected.
     void forgetPeer( const Peer& peer );
@@ -58,6 +60,7 @@
 
 private:
     void admitDue();
+    void refuse( PendingEnsure ensure, const decide::HeldPlace& place );
     void updateReadingLimit();
 
     Callbacks m_callbacks;
@@ -65,6 +68,7 @@
     PromptGate m_gate;
     decide::EventPace m_eventPace;
     std::map<std::uint64_t, PendingEnsure> m_waiting; //!< by key
+    ReturnGate m_returns{ m_gate };
     decide::ColdGate m_coldGate;
     double m_coldPerS = 0; //!< prompts a second while the engine is cold; 0: no limit
     std::int64_t m_cacheTokens = 0;
--- a/src/sidecar/orders.cpp
+++ b/src/sidecar/orders.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/orders.hpp"
 
 #include "coursehead/kernel/log.hpp"
+#include "decide/load_waiters.hpp"
 #include "gateway/links/store_grants.hpp"
 #include "gateway/links/store_objects.hpp"
 #include "platform/store_client.hpp"
@@ -23,6 +24,8 @@
 //! An adapter loads within some ten milliseconds; after this time the gateway should try another
 //! engine.
 constexpr Millis adapterWaitLimit{ 500 };
+//! Load of an adapter: an order and some milliseconds of loading.
+constexpr Millis adapterLoadTime{ 25 };
 //! Number of earlier engine starts that are kept.
 constexpr std::size_t maxFormerStarts = 4;
 constexpr Millis storeCallLimit{ 1000 };
@@ -176,22 +179,29 @@
     return std::nullopt;
 }
 
-net::Task<> Orders::processWaiting() {
-    std::optional<Step> order;
-    std::string upstreamId;
+std::optional<PlannedOrder> Orders::answerWaiting( MonoTime now ) {
+    std::optional<PlannedOrder> order;
     std::string modelToRetire;
-    const auto now = MonoClock::now();
+    std::vector<PendingEnsure> ready;
     const auto state = m_view.residencyState( now );
     for( auto it = m_waiting.begin(); it != m_waiting.end(); ) {
         const auto waited = remaining( it->since, now );
         RequiredModel required = it->required;
         required.fromStore = required.fromStore && waited <= gateway::storeGrantLifetime;
         const auto step = nextStep( state, required, now );
-        if( const auto outcome = outcomeOf( step.kind, waited, waitLimitOf( *it, state ) ) ) {
+        const auto limit = waitLimitOf( *it, state );
+        auto outcome = outcomeOf( step.kind, waited, limit );
+        if( !outcome && step.kind == StepKind::wait ) {
+            if( const auto wait = waitBehindOrder( *it, step, limit - waited, now ) ) {
+                it->loadWait = *wait;
+                outcome = EnsureOutcome::failed;
+            }
+        }
+        if( outcome ) {
             PendingEnsure ensure = std::move( *it );
             it = m_waiting.erase( it );
             if( *outcome == EnsureOutcome::ready ) {
-                m_callbacks.ready( std::move( ensure ) );
+                ready.push_back( std::move( ensure ) );
             } else {
                 m_callbacks.answer( ensure, *outcome );
             }
@@ -202,29 +212,90 @@
         }
         const bool needsOrder = step.kind == StepKind::load || step.kind == StepKind::unload;
         // Adapters go first: they load within milliseconds.
-        if( needsOrder && ( !order || ( order->adapter.empty() && !step.adapter.empty() ) ) ) {
-            order = step;
-            upstreamId = it->upstreamId;
+        if( needsOrder && ( !order || ( order->step.adapter.empty() && !step.adapter.empty() ) ) ) {
+            order = PlannedOrder{ step, it->upstreamId };
         }
         ++it;
     }
+    letIn( std::move( ready ), now );
     if( m_view.setRetiring( modelToRetire, now ) ) {
         m_callbacks.changed();
     }
     if( m_fencingToken == 0 ) {
-        co_return;
+        return std::nullopt;
     }
     if( !order && !state.report->orderInProgress ) {
-        order = modelRestoreStep( state, now );
-        upstreamId = m_engineId;
+        if( auto step = modelRestoreStep( state, now ) ) {
+            order = PlannedOrder{ std::move( *step ), m_engineId };
+        }
+    }
+    return order;
+}
+
+//! Passes on the ensure requests whose load is complete, those first that can still be in time.
+void Orders::letIn( std::vector<PendingEnsure> ready, MonoTime now ) {
+    const auto waiterOf = []( const PendingEnsure& it ) {
+        return decide::LoadWaiter{ it.since + Millis( it.prompt.goalMs ), it.since + it.limit };
+    };
+    std::stable_sort( ready.begin(), ready.end(), [&]( const auto& a, const auto& b ) {
+        return decide::goesBefore( waiterOf( a ), waiterOf( b ), now );
+    } );
+    for( auto& it : ready ) {
+        m_callbacks.ready( std::move( it ) );
+    }
+}
+
+//! Load time of a model from where the engine has its weights.
+Millis Orders::loadTime( std::string_view model ) const {
+    const auto* spec = m_view.spec() ? m_view.spec()->find( model ) : nullptr;
+    if( spec == nullptr ) {
+        return Millis{ 0 };
     }
-    if( order ) {
-        const Step step = *order;
-        co_await sendOrder( step, upstreamId );
+    const auto& report = m_view.report();
+    const auto has = [model]( const std::vector<std::string>& names ) {
+        return std::find( names.begin(), names.end(), model ) != names.end();
+    };
+    if( has( report.inMemory ) ) {
+        return spec->memoryLoad;
+    }
+    return has( report.onDisk ) ? spec->diskLoad : spec->storeLoad;
+}
+
+std::optional<Millis> Orders::orderLeft( MonoTime now ) const {
+    if( !m_view.report().orderInProgress ) {
+        return Millis{ 0 };
+    }
+    return m_modelOrder ? decide::orderLeft( *m_modelOrder, now ) : std::nullopt;
+}
+
+//! When an ensure request that waits for the model order in progress could be met, if that is too
+//! late for it.
+std::optional<Millis> Orders::waitBehindOrder( const PendingEnsure& ensure, const Step& step,
+                                               Millis limitLeft, MonoTime now ) const {
+    if( !m_view.report().orderInProgress || !m_modelOrder ) {
+        return std::nullopt;
+    }
+    decide::OrderWait wait;
+    wait.orderLeft = decide::orderLeft( *m_modelOrder, now );
+    wait.limitLeft = limitLeft;
+    if( !step.adapter.empty() ) {
+        wait.ownLoad = adapterLoadTime;
+    } else if( m_modelOrder->model != ensure.required.model ) {
+        wait.ownLoad = loadTime( ensure.required.model );
     }
+    return decide::waitBeyondLimit( wait );
+}
+
+void Orders::noteModelOrder( const Step& step ) {
+    const auto now = MonoClock::now();
+    const auto expected =
+        step.kind == StepKind::load ? std::optional( loadTime( step.model ) ) : std::nullopt;
+    m_modelOrder = decide::ModelOrder{ step.model, now, expected };
 }
 
-net::Task<> Orders::sendOrder( Step step, std::string upstreamId ) {
+net::Task<> Orders::sendOrder( PlannedOrder planned ) {
+    const Step step = std::move( planned.step );
+    const std::string upstreamId = std::move( planned.upstreamId );
     platform::Order order;
     order.kind =
         step.kind == StepKind::load ? platform::OrderKind::load : platform::OrderKind::unload;
@@ -242,6 +313,9 @@
     const bool mayBeAccepted = verdict == platform::OrderVerdict::underWay ||
                                verdict == platform::OrderVerdict::holds ||
                                verdict == platform::OrderVerdict::unknown;
+    if( step.adapter.empty() && mayBeAccepted ) {
+        noteModelOrder( step );
+    }
     if( step.kind == StepKind::unload && mayBeAccepted ) {
         m_view.noteUnload( step, MonoClock::now() );
         m_callbacks.changed();
--- a/src/sidecar/pending_ensure.hpp
+++ b/src/sidecar/pending_ensure.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_SIDECAR_PENDING_ENSURE_HPP_INCLUDED
 #define COURSEHEAD_SIDECAR_PENDING_ENSURE_HPP_INCLUDED
 
+#include "decide/return_places.hpp"
 #include "gateway/messages.hpp"
 #include "net/frame_channel.hpp"
 #include "sidecar/residency.hpp"
@@ -37,6 +38,11 @@
     MonoTime since;
     Millis limit{ 0 };       //!< longest wait, counted from `since`
     bool neededLoad = false; //!< the model or adapter was not resident at first
+    //! When the model or adapter could be there, if the ensure is refused because that is too late.
+    Millis loadWait{ 0 };
+    //! Whether its content has a place on return, and came at the time that its client was told.
+    decide::ReturnVerdict returned = decide::ReturnVerdict::unknown;
+    Millis placeHeld{ 0 }; //!< a place on return is held for this long; 0: none
 };
 
 //! A key for an ensure request that is unique over all connections.
--- a/src/sidecar/prompt_gate.hpp
+++ b/src/sidecar/prompt_gate.hpp
@@ -22,8 +22,9 @@
     std::string model;
     std::string adapter;
     gateway::PendingPrompt prompt;
-    MonoTime since;    //!< when the gateway's ensure request arrived
-    Millis limit{ 0 }; //!< longest wait, counted from `since`
+    MonoTime since;         //!< when the gateway's ensure request arrived
+    Millis limit{ 0 };      //!< longest wait, counted from `since`
+    bool returning = false; //!< the client came back at the time that it was told
 };
 
 //! A prompt that may be sent now.
@@ -67,9 +68,10 @@
     //! True while prompts wait, or by estimate are being read.
     bool busy( MonoTime now ) const { return m_queue.busy( now ); }
 
-private:
+    //! Time to read the parts of a prompt that the engine has not cached.
     double uncachedWorkMs( const PromptRequest& request ) const;
 
+private:
     decide::ReadingQueue m_queue;
     gateway::PrefixCache m_prefixes;
     std::int64_t m_cacheTokens = 0;
--- a/src/sidecar/publisher.cpp
+++ b/src/sidecar/publisher.cpp
@@ -35,6 +35,8 @@
     gateway::EngineLoad out;
     const auto& engine = m_sources.view.report();
     out.orderInProgress = engine.orderInProgress;
+    const auto orderLeft = m_sources.orders.orderLeft( now );
+    out.orderLeftMs = orderLeft ? orderLeft->count() : -1;
     out.queued = engine.queued;
     out.running = engine.running;
     out.prefilling = engine.prefilling;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -235,6 +235,7 @@
     //! Handles a restart of the engine, which has lost the prompts and cached parts sent before.
     void handleEngineRestart() {
         m_sentParts.clear();
+        m_orders.forgetModelOrder();
         m_admission.failAll();
         m_publisher.requestFullReport();
     }
@@ -315,7 +316,7 @@
     Orders::Callbacks ordersCallbacks() {
         Orders::Callbacks out;
         out.answer = [this]( const PendingEnsure& ensure, EnsureOutcome outcome ) {
-            answer( ensure, outcome );
+            answer( ensure, outcome, ensure.loadWait );
         };
         out.ready = [this]( PendingEnsure ensure ) {
             m_admission.admit( std::move( ensure ) );
@@ -351,12 +352,19 @@
                 takeReport( std::move( *report ) );
             }
             setReachable( answered, failures );
-            m_publisher.publish( MonoClock::now() );
+            // Prompts that waited for a load are queued before gateways hear that it is complete:
+            // the engine would seem to be idle.
+            std::optional<PlannedOrder> order;
             if( answered && m_view.spec() ) {
-                co_await m_orders.processWaiting();
+                order = m_orders.answerWaiting( MonoClock::now() );
             } else {
                 m_orders.failOverdue();
             }
+            m_publisher.publish( MonoClock::now() );
+            if( order ) {
+                PlannedOrder next = std::move( *order );
+                co_await m_orders.sendOrder( std::move( next ) );
+            }
             m_pollTimer.expires_after( pollInterval() );
             co_await m_pollTimer.async_wait( net::tupled );
         }
@@ -427,12 +435,33 @@
             m_view.noteAdmitted( ensure.required.model, workMs, now );
         }
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
-        const gateway::Message message(
-            gateway::EnsureAnswer{ ensure.number, outcome, wait.count(), workMs,
-                                   m_view.workPerS( ensure.required.model, now ) } );
+        countReturn( ensure );
+        gateway::EnsureAnswer out{ ensure.number, outcome, wait.count(), workMs,
+                                   m_view.workPerS( ensure.required.model, now ) };
+        out.placeHeldMs = ensure.placeHeld.count();
+        const gateway::Message message( out );
         peer->channel->send( gateway::encode( message ) );
     }
 
+    void countReturn( const PendingEnsure& ensure ) {
+        if( ensure.placeHeld.count() > 0 ) {
+            m_metrics.count( "return_places", "held" );
+        }
+        if( ensure.loadWait.count() > 0 ) {
+            m_metrics.count( "refusals_foreseen", "load" );
+        }
+        if( ensure.returned == decide::ReturnVerdict::unknown ) {
+            return;
+        }
+        const bool inTime = ensure.returned == decide::ReturnVerdict::inTime;
+        m_metrics.count( "return_places", inTime ? "taken" : "early" );
+        log::info( "place_return",
+                   { { "fingerprint", decide::fingerprintText( ensure.prompt.content ) },
+                     { "verdict", inTime ? "in_time" : "early" },
+                     { "organisation", ensure.prompt.organisation },
+                     { "route", ensure.prompt.route } } );
+    }
+
     net::Task<> handleSignals() {
         for( ;; ) {
             const auto [ec, number] = co_await m_signals.async_wait( net::tupled );
