Gateway: waits for a load only in time, tells the earliest time of return

Cause: a request whose holders were busy went to an engine that had to load the model for longer than the request's goal, was late, and then stood in that engine's queue with all others that had waited. Retry-After was 300 or 1,000 ms or the wait at the engine asked last. A failed ask's answer set an engine's reading wait to zero.

Change: decide/load_choice compares the best holder and the best load by goal and by the client's patience; decide/model_shortage starts a load for those that come next. The estimate of a load and of an adapter uses what is left of the engine's order. The client is told the earliest time that an engine gave, with a random part (decide/return_time), or that no return makes sense in the time left; places of other engines are given back. A prompt that waited for a load in vain asks two further engines before it is refused.

--- a/src/gateway/choice/estimate.cpp
+++ b/src/gateway/choice/estimate.cpp
@@ -17,9 +17,9 @@
 constexpr double adapterLoadMs = 25;
 //! Wait for an adapter slot if running requests use all of them: streams last about a second.
 constexpr double adapterSlotWaitMs = 800;
-//! Typical time until a model order that is in progress completes.
+//! Typical time until a model order that is in progress completes, if the sidecar does not know it.
 constexpr double typicalOrderLeftMs = 400;
-//! Remaining time assumed for a load that has already taken longer than expected.
+//! Remaining time assumed for a load or an order that has already taken longer than expected.
 constexpr Millis minLoadLeft{ 50 };
 //! Penalty for another hall. Sending the 18 KB of a review request across halls costs about 1 % of
 //! the request's value; the penalty in time is a tenth of that.
@@ -56,6 +56,19 @@
     return std::min( out, generation.promptTokens );
 }
 
+//! Time until the model order that is in progress at the engine ends; 0: there is none.
+double orderLeftMs( const Node& node, MonoTime now ) {
+    if( !node.report || !node.report->load.orderInProgress ) {
+        return 0;
+    }
+    const Millis reported{ node.report->load.orderLeftMs };
+    if( reported.count() < 0 ) {
+        return typicalOrderLeftMs;
+    }
+    const auto left = reported - std::chrono::duration_cast<Millis>( now - node.reportAt );
+    return static_cast<double>( std::max( left, minLoadLeft ).count() );
+}
+
 double loadMs( const Node& node, const Generation& generation, MonoTime now ) {
     if( !node.holdsModel( generation.model, now ) ) {
         const auto* model = node.engine->find( generation.model );
@@ -75,19 +88,16 @@
             const auto left = load - std::chrono::duration_cast<Millis>( now - loadStart->second );
             return static_cast<double>( std::max( left, minLoadLeft ).count() );
         }
-        const double busy =
-            node.report && node.report->load.orderInProgress ? typicalOrderLeftMs : 0;
-        return static_cast<double>( load.count() ) + evictionPenaltyMs + busy;
+        return static_cast<double>( load.count() ) + evictionPenaltyMs + orderLeftMs( node, now );
     }
     if( generation.adapter.empty() ||
         node.holdsAdapter( generation.model, generation.adapter, now ) ) {
         return 0;
     }
     // An adapter load waits for a model order that is in progress.
-    const bool orderInProgress = node.reportFresh( now ) && node.report->load.orderInProgress;
+    const double orderLeft = node.reportFresh( now ) ? orderLeftMs( node, now ) : 0;
     const bool full = node.reportFresh( now ) && !node.report->load.hasAdapterCapacity;
-    return adapterLoadMs + ( orderInProgress ? typicalOrderLeftMs : 0 ) +
-           ( full ? adapterSlotWaitMs : 0 );
+    return adapterLoadMs + orderLeft + ( full ? adapterSlotWaitMs : 0 );
 }
 
 } // namespace
--- a/src/gateway/choice/estimate.hpp
+++ b/src/gateway/choice/estimate.hpp
@@ -2,13 +2,14 @@
 #ifndef COURSEHEAD_GATEWAY_CHOICE_ESTIMATE_HPP_INCLUDED
 #define COURSEHEAD_GATEWAY_CHOICE_ESTIMATE_HPP_INCLUDED
 
+#include "decide/allowed_regions.hpp"
+#include "decide/load_choice.hpp"
 #include "gateway/choice/node.hpp"
 #include "gateway/choice/pace.hpp"
 #include "gateway/choice/selection.hpp"
 
-#include "decide/allowed_regions.hpp"
+#include <optional>
 #include <span>
-
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,8 @@
     decide::AllowedRegions allowedRegions{}; //!< regions in which the request may be served
     Millis goal{ 0 };
     std::size_t requestBytes = 0;
+    //! From now on; nullopt: loads and holders are compared by cost alone.
+    std::optional<decide::FirstEventLimits> firstEvent{};
 };
 
 //! Whether an upstream is in another hall or region than the gateway.
--- a/src/gateway/choice/fleet.cpp
+++ b/src/gateway/choice/fleet.cpp
@@ -254,7 +254,10 @@
         m_grants.release( node->upstream.id, name );
     }
     const auto answered = MonoClock::now();
-    node->takeReadingWait( static_cast<double>( answer.waitMs ), answered );
+    // Other answers say when a model is there, not how long the engine reads.
+    if( answer.outcome == EnsureOutcome::ready || answer.outcome == EnsureOutcome::tooLate ) {
+        node->takeReadingWait( static_cast<double>( answer.waitMs ), answered );
+    }
     const auto demand = m_demand.find( name );
     if( heldAtStart && answer.modelWorkPerS >= 0 && demand != m_demand.end() ) {
         demand->second.fleet.workPerS = answer.modelWorkPerS;
--- a/src/gateway/choice/fleet.hpp
+++ b/src/gateway/choice/fleet.hpp
@@ -7,6 +7,7 @@
 #include "decide/evacuation.hpp"
 #include "decide/gateway_count.hpp"
 #include "decide/link_choice.hpp"
+#include "decide/model_shortage.hpp"
 #include "decide/replica_rule.hpp"
 #include "gateway/choice/estimate.hpp"
 #include "gateway/choice/node.hpp"
@@ -53,6 +54,10 @@
     bool holdsAdapter = true;
     std::size_t candidates = 0;
     double bestCost = 0;
+    //! An engine that would load the model for the request, but too late; null: none was passed
+    //! over.
+    NodePtr avoidedLoad;
+    double avoidedLoadMs = 0; //!< expected time of the first event there
 };
 
 //! The upstreams of all services, with this gateway's state for each.
@@ -92,6 +97,11 @@
     PendingPrompt describePrompt( const RequestNeeds& need ) const;
     //! Starts loading a model at a node on behalf of no particular request.
     void startLoad( const NodePtr& node, const std::string& model );
+    //! Likewise for requests that no holder serves in time, once there were such for as long as the
+    //! load takes. Nothing is loaded while this gateway waits for a load of the model.
+    void loadForNext( const NodePtr& node, const std::string& model, double loadMs, MonoTime now );
+    //! True while this gateway waits for a load of the model.
+    bool loadUnderWay( const std::string& model ) const;
     //! Records that a stream's first event arrived `measuredMs` after the request was sent.
     void noteFirstEvent( const Generation& generation, const Choice& choice, double measuredMs );
     //! Counts a request towards its model's demand.
@@ -182,6 +192,8 @@
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, Demand> m_demand; //!< by model
     std::map<std::string, int> m_copies;    //!< holders of each model at the last tick
+    //! Requests that no holder could serve in time, by model.
+    std::map<std::string, decide::ModelShortage> m_shortages;
     decide::Evacuations m_evacuations;
     ModelPace m_pace;
     //! Kept for the rate's window plus a grant's lifetime, because the rate counts when loads
--- a/src/gateway/choice/fleet_choice.cpp
+++ b/src/gateway/choice/fleet_choice.cpp
@@ -3,6 +3,8 @@
 #include "gateway/choice/fleet.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <span>
 #include <vector>
 
 namespace coursehead::gateway {
@@ -36,6 +38,43 @@
     return out;
 }
 
+namespace {
+
+//! Of the candidates that hold the model, the best one that is not avoided.
+std::optional<std::size_t> bestHolder( std::span<const Candidate> candidates ) {
+    std::vector<Candidate> holders;
+    std::vector<std::size_t> indices;
+    for( std::size_t n = 0; n < candidates.size(); ++n ) {
+        if( candidates[n].holds && !candidates[n].avoided ) {
+            holders.push_back( candidates[n] );
+            indices.push_back( n );
+        }
+    }
+    const auto best = gateway::choose( holders );
+    return best ? std::optional( indices[*best] ) : std::nullopt;
+}
+
+decide::ServingOption servingOption( const Candidate& candidate ) {
+    return { firstEventMs( candidate ), costOf( candidate ) };
+}
+
+//! The holder that serves the request better than the load that costs least; nullopt: none does.
+std::optional<std::size_t> holderInsteadOfLoad( std::span<const Candidate> candidates,
+                                                std::size_t load, const RequestNeeds& need ) {
+    if( !need.firstEvent || candidates[load].holds || candidates[load].avoided ) {
+        return std::nullopt;
+    }
+    const auto holder = bestHolder( candidates );
+    if( !holder ) {
+        return std::nullopt;
+    }
+    const auto choice = decide::chooseLoadOrHolder(
+        servingOption( candidates[*holder] ), servingOption( candidates[load] ), *need.firstEvent );
+    return choice == decide::LoadChoice::holder ? holder : std::nullopt;
+}
+
+} // namespace
+
 Choice Fleet::choose( const RequestNeeds& need, const std::set<std::string>& excluded,
                       MonoTime now ) const {
     std::vector<Candidate> candidates;
@@ -88,13 +127,20 @@
         estimateUnseenLoads( candidates );
         best = gateway::choose( candidates );
     }
+    Choice out;
+    if( best ) {
+        if( const auto holder = holderInsteadOfLoad( candidates, *best, need ) ) {
+            out.avoidedLoad = nodes[*best];
+            out.avoidedLoadMs = firstEventMs( candidates[*best] );
+            best = holder;
+        }
+    }
     // If a load elsewhere takes longer than a back-off, waiting is better: the load would only
     // evict another model. A limit may last, so requests beyond it are served elsewhere, after a
     // load if necessary.
     const bool backoffIsShorter =
         shortestBackoff && best &&
         candidates[*best].loadMs > static_cast<double>( shortestBackoff->count() );
-    Choice out;
     out.candidates = candidates.size();
     if( !best || backoffIsShorter ) {
         out.unavailableFor =
--- a/src/gateway/choice/fleet_copies.cpp
+++ b/src/gateway/choice/fleet_copies.cpp
@@ -139,6 +139,28 @@
     startLoad( node, model );
 }
 
+bool Fleet::loadUnderWay( const std::string& model ) const {
+    return std::any_of( m_nodes.begin(), m_nodes.end(), [&model]( const auto& it ) {
+        return it.second->loading.contains( model );
+    } );
+}
+
+void Fleet::loadForNext( const NodePtr& node, const std::string& model, double loadMs,
+                         MonoTime now ) {
+    const Millis load{ static_cast<std::int64_t>( loadMs ) };
+    const bool due = decide::noteShortage( m_shortages[model], load, now );
+    if( !due || loadUnderWay( model ) ) {
+        return;
+    }
+    log::info(
+        "load_for_next",
+        { { "model", model }, { "upstream", node->upstream.id }, { "load_ms", load.count() } } );
+    if( m_settings.metrics != nullptr ) {
+        m_settings.metrics->count( "background_loads" );
+    }
+    startLoad( node, model );
+}
+
 void Fleet::startLoad( const NodePtr& node, const std::string& model ) {
     if( node->loading.contains( model ) ) {
         return;
--- a/src/gateway/choice/selection.cpp
+++ b/src/gateway/choice/selection.cpp
@@ -62,10 +62,14 @@
     }
 }
 
+double firstEventMs( const Candidate& candidate ) {
+    return ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
+           candidate.sendDelayMs;
+}
+
 double costOf( const Candidate& candidate ) {
     return interference( candidate ) + candidate.latePauseShare * latePausePenaltyMs +
-           ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
-           candidate.sendDelayMs + candidate.evacuationPenaltyMs +
+           firstEventMs( candidate ) + candidate.evacuationPenaltyMs +
            candidate.failures * failurePenaltyMs +
            ( candidate.otherHall ? candidate.crossHallMs : 0 ) +
            ( candidate.otherRegion ? candidate.crossRegionMs : 0 );
--- a/src/gateway/choice/selection.hpp
+++ b/src/gateway/choice/selection.hpp
@@ -45,6 +45,8 @@
  * cached, because every gateway sends them there.
  */
 void estimateUnseenLoads( std::span<Candidate> candidates );
+//! Expected time to the first event at the candidate, in milliseconds.
+double firstEventMs( const Candidate& candidate );
 //! Expected time to serve the request at the candidate plus all penalties, in milliseconds.
 double costOf( const Candidate& candidate );
 //! Index of the candidate with the lowest cost; an avoided one only if all are avoided. Nullopt if
--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -3,6 +3,7 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "decide/fingerprint.hpp"
+#include "decide/return_time.hpp"
 #include "gateway/exchange/http_text.hpp"
 #include "gateway/exchange/status.hpp"
 
@@ -108,7 +109,9 @@
         if( checkDisconnected( *m_client ) || m_shared.sendsStopped || !hasTimeLeft( now ) ) {
             break;
         }
+        m_need.firstEvent = firstEventLimits( now );
         auto choice = m_shared.fleet.choose( m_need, m_excluded, now );
+        noteAvoidedLoad( choice, now );
         if( !choice.node ) {
             noteNoUpstream( choice );
             break;
@@ -259,14 +262,38 @@
     const bool late = !hasTimeLeft( MonoClock::now() + answerMargin );
     std::string reason = m_lastFailure.empty() ? "out of time" : m_lastFailure;
     if( !m_mayHaveRun ) {
-        const auto after = m_retryAfter.count() > 0 ? m_retryAfter : defaultRetryAfter;
-        co_await sendOwnAnswer( statusUnavailable, std::move( reason ), after );
+        co_await answerNotRun( std::move( reason ) );
         co_return;
     }
     co_await sendOwnAnswer( late ? statusGatewayTimeout : statusBadGateway, std::move( reason ),
                             Millis{ 0 } );
 }
 
+net::Task<> Exchange::answerNotRun( std::string reason ) {
+    m_shared.metrics.count( "requests_refused", m_refusal );
+    if( !m_returnAt ) {
+        const auto after = m_retryAfter.count() > 0 ? m_retryAfter : defaultRetryAfter;
+        co_await sendOwnAnswer( statusUnavailable, std::move( reason ), after );
+        co_return;
+    }
+    const auto now = MonoClock::now();
+    decide::RefusalTimes times;
+    times.earliest = remaining( now, *m_returnAt );
+    times.clientLeft = remaining( now, m_deadline );
+    if( m_returnPlace ) {
+        times.placeHeld = m_returnPlace->held();
+    }
+    const auto told = decide::returnTime( times, m_shared.random.unit() );
+    if( told && m_returnPlace ) {
+        m_returnPlace->keep();
+    }
+    if( !told ) {
+        reason += ", and no engine can serve it in the time left";
+    }
+    // Without Retry-After: the client would not wait until an engine could serve it.
+    co_await sendOwnAnswer( statusUnavailable, std::move( reason ), told.value_or( Millis{ 0 } ) );
+}
+
 void Exchange::logEnd( std::string_view outcome ) const {
     const auto now = MonoClock::now();
     log::info( "request_end",
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -158,8 +158,18 @@
     net::Task<PrepareResult> prepare( Choice& choice );
     PrepareResult admitWithoutSidecar( Node& node );
     net::Task<PrepareResult> requestAdmission( Choice& choice );
+    //! Notes when an engine that refused the request could serve it. The earliest time is told to
+    //! the client; places held for later ones are given back.
+    void noteReturn( const Choice& choice, const EnsureAnswer& answer, MonoTime now );
+    //! Logs that the request does not wait for a load that ends too late, and starts the load for
+    //! those that come next if they need it.
+    void noteAvoidedLoad( const Choice& choice, MonoTime now );
+    //! Time to the first event, from now, for an answer in time and until the client leaves.
+    decide::FirstEventLimits firstEventLimits( MonoTime now ) const;
+    //! Answers that the request was not run, with the time at which a return makes sense.
+    net::Task<> answerNotRun( std::string reason );
     EnsureRequest admissionRequest( const Choice& choice, MonoTime now ) const;
-    PrepareResult applyAdmissionAnswer( Choice& choice, const EnsureAnswer& answer, bool late );
+    PrepareResult applyAdmissionAnswer( Choice& choice, const EnsureAnswer& answer );
     void logAdmission( const Choice& choice, const EnsureAnswer& answer, MonoTime since ) const;
     //! Obtains a permit under the chosen upstream's limit, if the upstream has announced one.
     net::Task<bool> obtainLimitPermit( const Choice& choice );
@@ -214,6 +224,7 @@
     ClientTimeouts m_clientTimeouts;
     MonoTime m_deadline;
     std::set<std::string> m_excluded; //!< upstreams that this request is not sent to any more
+    bool m_loadAvoided = false;       //!< it did not wait for a load that would have been too late
     int m_sidecarRefusals = 0;        //!< sidecars that could not admit the prompt within the goal
     std::optional<PromptPermit> m_promptPermit; //!< from the chosen upstream's sidecar
     std::optional<LimitPermit> m_limitPermit;   //!< permit under the chosen upstream's limit
@@ -225,8 +236,11 @@
     bool m_mayHaveRun = false;
     std::string m_lastFailure;
     Millis m_retryAfter{ 0 };
-    std::optional<BufferedAnswer> m_answer; //!< an upstream's answer, not yet written to the
-                                            //!< client; a failure is kept in case a retry fails
+    std::optional<MonoTime> m_returnAt;       //!< earliest time at which an engine could serve it
+    std::optional<ReturnPlace> m_returnPlace; //!< held from that time on
+    std::string_view m_refusal = "other";     //!< cause of a refusal, for counters
+    std::optional<BufferedAnswer> m_answer;   //!< an upstream's answer, not yet written to the
+                                              //!< client; a failure is kept in case a retry fails
     bool m_headSent = false;
     bool m_answered = false;
     unsigned m_status = 0;
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -154,11 +154,10 @@
 net::Task<Exchange::PrepareResult> Exchange::requestAdmission( Choice& choice ) {
     const auto requestedAt = MonoClock::now();
     auto request = admissionRequest( choice, requestedAt );
-    const bool late = request.prompt.mayStartLate;
     NodePtr node = choice.node;
     const auto answer = co_await m_shared.fleet.ensure( std::move( node ), std::move( request ) );
     logAdmission( choice, answer, requestedAt );
-    const auto next = applyAdmissionAnswer( choice, answer, late );
+    const auto next = applyAdmissionAnswer( choice, answer );
     if( answer.outcome == EnsureOutcome::needsWeightStore ) {
         // No other engine has a copy of the model: wait until the weight store's rate allows the
         // load.
@@ -167,8 +166,8 @@
     co_return next;
 }
 
-Exchange::PrepareResult Exchange::applyAdmissionAnswer( Choice& choice, const EnsureAnswer& answer,
-                                                        bool late ) {
+Exchange::PrepareResult Exchange::applyAdmissionAnswer( Choice& choice,
+                                                        const EnsureAnswer& answer ) {
     switch( answer.outcome ) {
     case EnsureOutcome::ready:
         m_promptPermit.emplace( choice.node, answer );
@@ -182,17 +181,71 @@
     case EnsureOutcome::tooLate:
         ++m_sidecarRefusals;
         m_lastFailure = "engines are busy";
-        m_retryAfter = std::max( Millis( answer.waitMs ), defaultRetryAfter );
-        return late ? PrepareResult::giveUp : PrepareResult::chooseAgain;
+        m_refusal =
+            answer.refusal == decide::PromptRefusal::none ? "busy" : nameOf( answer.refusal );
+        noteReturn( choice, answer, MonoClock::now() );
+        // A prompt that waited for a load may still be served elsewhere before its client leaves.
+        return m_sidecarRefusals > maxInTimeRequests ? PrepareResult::giveUp
+                                                     : PrepareResult::chooseAgain;
     case EnsureOutcome::noCapacity:
     case EnsureOutcome::failed:
         break;
     }
     m_lastFailure = "model not ready";
+    m_refusal = "load";
     m_retryAfter = modelRetryAfter;
+    if( answer.waitMs > 0 ) {
+        noteReturn( choice, answer, MonoClock::now() );
+    }
     return PrepareResult::chooseAnother;
 }
 
+void Exchange::noteReturn( const Choice& choice, const EnsureAnswer& answer, MonoTime now ) {
+    const auto at = now + Millis( answer.waitMs );
+    if( answer.placeHeldMs <= 0 ) {
+        if( !m_returnAt || at < *m_returnAt ) {
+            m_returnPlace.reset();
+            m_returnAt = at;
+        }
+        return;
+    }
+    if( m_returnAt && at >= *m_returnAt ) {
+        // Gives this place back.
+        const ReturnPlace unused( choice.node, answer );
+        return;
+    }
+    m_returnPlace.emplace( choice.node, answer );
+    m_returnAt = at;
+}
+
+decide::FirstEventLimits Exchange::firstEventLimits( MonoTime now ) const {
+    const auto goal = maxWaitBeforeSend( { m_route->goal, {}, {} }, Millis{ 0 } );
+    const auto client = maxWaitBeforeSend( m_clientTimeouts, Millis{ 0 } );
+    const auto left = [&]( Millis limit ) {
+        return static_cast<double>( remaining( now, m_request.arrived + limit ).count() );
+    };
+    return { left( goal ), left( client ) };
+}
+
+void Exchange::noteAvoidedLoad( const Choice& choice, MonoTime now ) {
+    if( !choice.avoidedLoad || !choice.node ) {
+        return;
+    }
+    const auto& model = m_need.generation->model;
+    if( !m_loadAvoided ) {
+        m_loadAvoided = true;
+        m_shared.metrics.count( "load_waits_avoided" );
+        log::info( "load_avoided",
+                   { { "id", m_request.head.requestId },
+                     { "model", model },
+                     { "upstream", choice.node->upstream.id },
+                     { "holder_ms", static_cast<std::int64_t>( choice.expectedMs ) },
+                     { "load_ms", static_cast<std::int64_t>( choice.avoidedLoadMs ) },
+                     { "goal_left_ms", static_cast<std::int64_t>( m_need.firstEvent->goalMs ) } } );
+    }
+    m_shared.fleet.loadForNext( choice.avoidedLoad, model, choice.avoidedLoadMs, now );
+}
+
 void Exchange::logAdmission( const Choice& choice, const EnsureAnswer& answer,
                              MonoTime since ) const {
     const auto took = millisBetween( since, MonoClock::now() );
@@ -204,7 +257,8 @@
                         { "outcome", nameOf( answer.outcome ) },
                         { "wait_ms", answer.waitMs },
                         { "work_ms", static_cast<std::int64_t>( answer.workMs ) },
-                        { "took_ms", took } } );
+                        { "took_ms", took },
+                        { "place_ms", answer.placeHeldMs } } );
 }
 
 Millis Exchange::pacingDelay( const Choice& choice, MonoTime now ) const {
@@ -232,9 +286,14 @@
     // The client would disconnect before the load is done. It is refused at once and can retry when
     // the load is done, which starts now for this client and others.
     m_lastFailure = "model not ready";
-    m_retryAfter = std::max( load, defaultRetryAfter );
-    if( !choice.holdsModel ) {
-        m_shared.fleet.startLoad( choice.node, m_request.head.generation->model );
+    m_refusal = "load";
+    m_shared.metrics.count( "refusals_foreseen", "load" );
+    EnsureAnswer foreseen;
+    foreseen.waitMs = load.count();
+    noteReturn( choice, foreseen, now );
+    const auto& model = m_request.head.generation->model;
+    if( !choice.holdsModel && !m_shared.fleet.loadUnderWay( model ) ) {
+        m_shared.fleet.startLoad( choice.node, model );
     }
     return true;
 }
--- a/src/gateway/exchange/prompt_permit.hpp
+++ b/src/gateway/exchange/prompt_permit.hpp
@@ -29,6 +29,29 @@
     EnsureAnswer m_answer;
 };
 
+//! A place on return that a sidecar holds. Unless the client is told its time, the destructor gives
+//! it back.
+class ReturnPlace {
+public:
+    ReturnPlace( NodePtr node, EnsureAnswer answer )
+        : m_node( std::move( node ) ), m_answer( answer ) {}
+    ~ReturnPlace() {
+        if( m_node ) {
+            Fleet::returnPermit( *m_node, m_answer );
+        }
+    }
+    ReturnPlace( const ReturnPlace& ) = delete;
+    ReturnPlace& operator=( const ReturnPlace& ) = delete;
+
+    //! The client is told its time.
+    void keep() { m_node.reset(); }
+    Millis held() const { return Millis( m_answer.placeHeldMs ); }
+
+private:
+    NodePtr m_node; //!< null once the place is kept
+    EnsureAnswer m_answer;
+};
+
 } // namespace coursehead::gateway
 
 #endif // COURSEHEAD_GATEWAY_EXCHANGE_PROMPT_PERMIT_HPP_INCLUDED
