Gateway: an answer is read on while its client takes it slowly

Cause: a stream was read from its upstream only when the client had taken the piece before. A client that stood stopped the upstream, which keeps place and memory meanwhile and cuts the answer off after some seconds; plain answers were held without any bound on their sum. Change: ClientWriter holds what the client's connection does not accept, within a bound for each answer and for the gateway (an eighth of the VM's memory, 32 MiB where the settings state none). decide/reader_rule says whom to cut: standing for the idle limit, past its deadline, at its answer's bound, or longest of all while the sum is full. A request's body is shared by its sends, not copied for each.

--- /dev/null
+++ b/src/decide/reader_rule.cpp
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "decide/reader_rule.hpp"
+
+#include <algorithm>
+
+namespace coursehead::decide {
+
+namespace {
+
+//! Share of the vm's memory for answers that wait for their clients. The rest holds the process,
+//! request bodies and the bytes in the sockets.
+constexpr std::uint64_t memoryShareDivisor = 8;
+//! Bound where the settings state no memory limit.
+constexpr std::size_t defaultTotalBytes = std::size_t{ 32 } << 20U;
+//! Bound for one answer: a long text as events, so that its engine can finish it without waiting
+//! for the client. A larger one would let few clients fill the store.
+constexpr std::size_t maxAnswerBytes = std::size_t{ 256 } << 10U;
+//! No single answer gets more than this part of the store.
+constexpr std::size_t answerShareDivisor = 8;
+//! A reader stands when it has taken no bytes for this long. Upstreams cut off an answer that is
+//! left unread for some seconds; a shorter time would cut clients after a single lost packet.
+constexpr Millis standingTime{ 1000 };
+
+std::optional<ReaderCutCause> ownCause( const ReaderState& reader, const ReaderLimits& limits,
+                                        MonoTime now ) {
+    const auto stood = now - reader.tookBytesAt;
+    if( stood >= limits.idleTime ) {
+        return ReaderCutCause::stalled;
+    }
+    if( stood < standingTime ) {
+        return std::nullopt;
+    }
+    if( reader.deadline != MonoTime{} && now >= reader.deadline ) {
+        return ReaderCutCause::late;
+    }
+    if( reader.heldBytes >= limits.answerBytes ) {
+        return ReaderCutCause::answerFull;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+ReaderLimits readerLimits( std::uint64_t memoryBytes, Millis idleTime ) {
+    ReaderLimits out;
+    out.totalBytes = memoryBytes > 0 ? memoryBytes / memoryShareDivisor : defaultTotalBytes;
+    out.answerBytes = std::min( maxAnswerBytes, out.totalBytes / answerShareDivisor );
+    out.idleTime = idleTime;
+    return out;
+}
+
+std::string_view readerCutText( ReaderCutCause cause ) {
+    switch( cause ) {
+    case ReaderCutCause::stalled:
+        return "stalled";
+    case ReaderCutCause::late:
+        return "late";
+    case ReaderCutCause::answerFull:
+        return "answer_full";
+    case ReaderCutCause::totalFull:
+        return "total_full";
+    }
+    return "unknown";
+}
+
+std::optional<ReaderCut> readerToCut( std::span<const ReaderState> readers, std::size_t totalBytes,
+                                      const ReaderLimits& limits, MonoTime now ) {
+    std::optional<std::size_t> longest;
+    for( std::size_t n = 0; n < readers.size(); ++n ) {
+        const auto& it = readers[n];
+        if( it.heldBytes == 0 ) {
+            continue;
+        }
+        const auto cause = ownCause( it, limits, now );
+        if( cause ) {
+            return ReaderCut{ n, *cause };
+        }
+        if( !longest || it.tookBytesAt < readers[*longest].tookBytesAt ) {
+            longest = n;
+        }
+    }
+    const bool full = longest && totalBytes >= limits.totalBytes;
+    if( full && now - readers[*longest].tookBytesAt >= standingTime ) {
+        return ReaderCut{ *longest, ReaderCutCause::totalFull };
+    }
+    return std::nullopt;
+}
+
+bool mayReadOn( std::size_t heldBytes, std::size_t totalBytes, const ReaderLimits& limits ) {
+    const bool room = heldBytes < limits.answerBytes && totalBytes < limits.totalBytes;
+    return heldBytes == 0 || room;
+}
+
+} // namespace coursehead::decide
--- /dev/null
+++ b/src/decide/reader_rule.hpp
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: BSL-1.0
+#ifndef COURSEHEAD_DECIDE_READER_RULE_HPP_INCLUDED
+#define COURSEHEAD_DECIDE_READER_RULE_HPP_INCLUDED
+
+#include "coursehead/kernel/clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+/**
+ * Clients that read their answers slowly. It is designed for a load in which hundreds of clients of
+ * one gateway take a byte a second, or nothing, while others read at once. The gateway reads on
+ * from the upstreams into a bounded store, so that engines finish their answers at their own pace,
+ * and cuts readers before the store is exceeded or an upstream cuts off an answer that is left
+ * unread.
+ */
+namespace coursehead::decide {
+
+//! Bounds on the bytes that a gateway holds for clients.
+struct ReaderLimits {
+    std::size_t answerBytes = 0; //!< for one answer
+    std::size_t totalBytes = 0;  //!< for all answers together
+    Millis idleTime{ 0 };        //!< a reader that takes no bytes for this long is cut
+};
+
+//! Limits of a gateway. `memoryBytes` is the memory limit of its vm, 0 if none is stated.
+ReaderLimits readerLimits( std::uint64_t memoryBytes, Millis idleTime );
+
+//! A client for which bytes are held.
+struct ReaderState {
+    std::size_t heldBytes = 0;
+    MonoTime tookBytesAt; //!< last time that its connection accepted bytes
+    MonoTime deadline;    //!< when the client stops waiting; default value: not known
+};
+
+//! Why a reader is cut.
+enum class ReaderCutCause {
+    stalled,    //!< took no bytes for the idle time
+    late,       //!< takes no bytes, and its deadline has passed
+    answerFull, //!< takes no bytes, and its answer is at its bound
+    totalFull,  //!< has stood longest while the gateway is at its bound
+};
+
+std::string_view readerCutText( ReaderCutCause cause );
+
+//! A reader that must be cut.
+struct ReaderCut {
+    std::size_t index = 0; //!< in the span of readers
+    ReaderCutCause cause = ReaderCutCause::stalled;
+};
+
+/**
+ * The next reader to cut; none if all may stay. `totalBytes` includes what is held for answers that
+ * no client has begun to read. A reader that takes bytes steadily, however slowly, is not cut.
+ */
+std::optional<ReaderCut> readerToCut( std::span<const ReaderState> readers, std::size_t totalBytes,
+                                      const ReaderLimits& limits, MonoTime now );
+
+//! True if more of an answer, of which `heldBytes` are held, may be read from its upstream. Always
+//! true for a reader that has taken all bytes: slow readers must not delay it.
+bool mayReadOn( std::size_t heldBytes, std::size_t totalBytes, const ReaderLimits& limits );
+
+} // namespace coursehead::decide
+
+#endif // COURSEHEAD_DECIDE_READER_RULE_HPP_INCLUDED
--- a/src/gateway/exchange/client_end.hpp
+++ b/src/gateway/exchange/client_end.hpp
@@ -8,6 +8,8 @@
 
 namespace coursehead::gateway {
 
+class ClientWriter;
+
 //! Client connection of a request in progress.
 struct ClientConnection {
     explicit ClientConnection( net::Socket& clientSocket ) : socket( clientSocket ) {}
@@ -17,6 +19,7 @@
     bool broken = false;                        //!< a write to it failed
     bool done = false;                          //!< the request has ended
     std::weak_ptr<UpstreamConnection> upstream; //!< closed when the client disconnects
+    std::weak_ptr<ClientWriter> writer;         //!< told when the client disconnects
 };
 
 /**
--- a/src/gateway/exchange/client_session.cpp
+++ b/src/gateway/exchange/client_session.cpp
@@ -3,6 +3,7 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "gateway/exchange/access.hpp"
+#include "gateway/exchange/client_writer.hpp"
 #include "gateway/exchange/http_text.hpp"
 #include "gateway/exchange/status.hpp"
 
@@ -15,6 +16,9 @@
 
 //! A client connection is dropped when sent bytes stay unacknowledged for this long.
 constexpr Millis clientUnackedTimeout{ 10000 };
+//! Bytes that the kernel takes ahead of what the client's window allows. More would count as taken
+//! by a client that reads nothing, a smaller number wakes the gateway more often for a long answer.
+constexpr std::size_t maxUnsentBytes = 32U << 10U;
 //! Idle timeout of a client connection while no configuration is known.
 constexpr Millis startIdleTimeout{ 15000 };
 
@@ -31,6 +35,9 @@
         if( const auto upstream = client->upstream.lock() ) {
             upstream->socket.close( ec );
         }
+        if( const auto writer = client->writer.lock() ) {
+            writer->notifyDisconnected();
+        }
     } );
 }
 
@@ -159,7 +166,7 @@
     auto& message = parser.get();
     out.request.method = std::string( message.method_string() );
     out.request.target = std::string( message.target() );
-    out.request.body = std::move( message.body() );
+    out.request.body = std::make_shared<const std::string>( std::move( message.body() ) );
     out.request.fields = std::move( message.base() );
     const auto removed = platform::removeSystemHeaders( out.request.fields );
     out.request.head = platform::readRequestHead( out.request.fields );
@@ -176,6 +183,7 @@
 
 net::Task<> serveClient( net::Socket socket, SharedState& shared ) {
     net::configureSocket( socket, clientUnackedTimeout );
+    net::limitUnsent( socket, maxUnsentBytes );
     boost::beast::flat_buffer buf;
     for( ;; ) {
         const auto limits = limitsOf( shared );
--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -6,8 +6,6 @@
 #include "gateway/exchange/http_text.hpp"
 #include "gateway/exchange/status.hpp"
 
-#include <boost/asio/write.hpp>
-
 #include <algorithm>
 
 namespace coursehead::gateway {
@@ -21,6 +19,8 @@
 //! whether this was the third upstream that ended while it ran the request; without the pause the
 //! request went on to end a fourth one.
 constexpr Millis verdictPause{ 25 };
+//! A body up to this size is written together with the head, in one system call.
+constexpr std::size_t joinedBodyBytes = 4096;
 
 //! The peer's IP address; empty once the connection is closed.
 std::string addressOf( const net::Socket& socket ) {
@@ -34,11 +34,15 @@
 Exchange::Exchange( SharedState& shared, ClientRequest request,
                     std::shared_ptr<ClientConnection> client, bool clientKeepsAlive )
     : m_shared( shared ), m_table( shared.table ), m_request( std::move( request ) ),
-      m_client( std::move( client ) ), m_keepAlive( clientKeepsAlive ) {
+      m_client( std::move( client ) ), m_writer( std::make_shared<ClientWriter>(
+                                           m_client, m_shared.readers, m_request.head.requestId ) ),
+      m_keepAlive( clientKeepsAlive ) {
+    m_client->writer = m_writer;
     ++m_shared.inFlight;
 }
 
 Exchange::~Exchange() {
+    m_writer->end();
     --m_shared.inFlight;
     if( m_charged > 0 && m_runs == 0 ) {
         m_shared.quota->refund( m_organisation->name, m_charged );
@@ -75,7 +79,8 @@
         m_need.allowedRegions.organisation = m_organisation->homeRegions;
     }
     m_need.goal = m_route->goal;
-    m_need.requestBytes = m_request.body.size();
+    m_need.requestBytes = m_request.body->size();
+    m_writer->setDeadline( m_deadline );
     m_lastEvent = m_request.head.lastEventId;
     co_await forward();
     if( !m_answered && !m_client->disconnected && !m_client->broken ) {
@@ -97,7 +102,7 @@
     content.method = m_request.method;
     content.host = { host.data(), host.size() };
     content.target = m_request.target;
-    content.body = m_request.body;
+    content.body = *m_request.body;
     return decide::fingerprintOf( content );
 }
 
@@ -180,8 +185,8 @@
         }
     }
     if( m_answer && !m_answered && !m_headSent && !m_client->disconnected ) {
-        const BufferedAnswer answer = std::move( *m_answer );
-        co_await sendBufferedAnswer( answer );
+        BufferedAnswer answer = std::move( *m_answer );
+        co_await sendBufferedAnswer( std::move( answer ) );
     }
 }
 
@@ -206,25 +211,18 @@
     return again && m_runs < m_route->attempts;
 }
 
-net::Task<bool> Exchange::writeClient( std::string bytes ) {
-    if( m_client->disconnected || m_client->broken ) {
-        co_return false;
-    }
-    const auto buf = net::asio::buffer( bytes );
-    const auto [ec, n] = co_await net::asio::async_write( m_client->socket, buf, net::tupled );
-    if( ec ) {
-        m_client->broken = true;
-    }
-    co_return !ec;
-}
-
-net::Task<> Exchange::sendBufferedAnswer( const BufferedAnswer& answer ) {
+net::Task<> Exchange::sendBufferedAnswer( BufferedAnswer answer ) {
     m_status = answer.status;
     std::string framing = "Content-Length: " + std::to_string( answer.body.size() ) + "\r\n";
     std::string bytes =
         answerHeadText( answer.status, answer.reason, answer.fields, framing, keepsAlive() );
-    bytes += answer.body;
-    m_answered = co_await writeClient( std::move( bytes ) );
+    if( answer.body.size() <= joinedBodyBytes ) {
+        bytes += answer.body;
+        answer.body.clear();
+    }
+    m_writer->write( std::move( bytes ) );
+    m_writer->write( std::move( answer.body ) );
+    m_answered = co_await m_writer->drained();
 }
 
 net::Task<> Exchange::sendOwnAnswer( unsigned status, std::string reason, Millis retryAfter ) {
@@ -244,11 +242,12 @@
                                { "status", static_cast<std::int64_t>( status ) },
                                { "why", reason },
                                { "retry_after_ms", retryAfter.count() } } );
-    co_await sendBufferedAnswer( answer );
+    co_await sendBufferedAnswer( std::move( answer ) );
 }
 
 net::Task<> Exchange::answerFailure() {
     if( m_headSent ) {
+        co_await m_writer->drained();
         // Part of a stream was written: only closing the connection shows the client that the
         // stream is incomplete.
         m_keepAlive = false;
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -10,6 +10,7 @@
 #include "gateway/counts/quota_client.hpp"
 #include "gateway/exchange/client_end.hpp"
 #include "gateway/exchange/client_timeouts.hpp"
+#include "gateway/exchange/client_writer.hpp"
 #include "gateway/exchange/event_stream.hpp"
 #include "gateway/exchange/prompt_permit.hpp"
 #include "gateway/exchange/retry_window.hpp"
@@ -50,6 +51,8 @@
     bool pastHandover = false; //!< when draining: clients had time to switch to another gateway
     bool sendsStopped = false; //!< the process is about to stop and sends no further requests
     std::set<net::Socket*> idleClients{}; //!< client connections without a request in progress
+    //! Outlives this object in requests that end with the event loop.
+    std::shared_ptr<ReaderTable> readers = std::make_shared<ReaderTable>();
 };
 
 //! A request as received from the client.
@@ -57,7 +60,7 @@
     std::string method;
     std::string target;
     http::fields fields;
-    std::string body;
+    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
     platform::RequestHead head;
     MonoTime arrived; //!< when its first bytes were read
 };
@@ -178,11 +181,11 @@
     void noteAnnouncedLimit( const Transfer& transfer, MonoTime now );
     bool isAborted( const Transfer& transfer ) const;
     std::string streamText( std::string_view events, bool finished );
-    net::Task<bool> writeClient( std::string bytes );
-    net::Task<> sendBufferedAnswer( const BufferedAnswer& answer );
+    net::Task<> sendBufferedAnswer( BufferedAnswer answer );
     net::Task<> sendOwnAnswer( unsigned status, std::string reason, Millis retryAfter );
     net::Task<> answerFailure();
-    std::string requestBytes( const Node& node ) const;
+    //! The request line and header fields for an upstream.
+    std::string requestHead( const Node& node ) const;
     bool keepsAlive() const { return m_keepAlive && !m_shared.draining; }
     //! Latest time until which the request may wait before it is sent to the chosen upstream.
     MonoTime waitDeadline( const Choice& choice ) const;
@@ -203,6 +206,7 @@
     std::shared_ptr<const RouteTable> m_table; //!< in force when the request arrived
     ClientRequest m_request;
     std::shared_ptr<ClientConnection> m_client;
+    std::shared_ptr<ClientWriter> m_writer; //!< writes to the client
     bool m_keepAlive;
     const Route* m_route = nullptr;
     const Organisation* m_organisation = nullptr; //!< null where the route needs no key
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -2,6 +2,7 @@
 // One send of a request to an upstream, and the forwarding of its answer to the client.
 #include "coursehead/kernel/log.hpp"
 #include "decide/fingerprint.hpp"
+#include "gateway/exchange/client_writer.hpp"
 #include "gateway/exchange/exchange.hpp"
 #include "gateway/exchange/http_text.hpp"
 #include "gateway/exchange/status.hpp"
@@ -57,7 +58,7 @@
     return std::min( base + ( m_route->goal.count() > longGoalMs ? urgencyStep : 0 ), maxUrgency );
 }
 
-std::string Exchange::requestBytes( const Node& node ) const {
+std::string Exchange::requestHead( const Node& node ) const {
     http::fields fields = m_request.fields;
     platform::SendHead head;
     head.keyed = m_table->configuration().keyed;
@@ -75,14 +76,13 @@
     appendForwarded( out, fields );
     appendForwarded( out, systemFields );
     const bool hasBody =
-        !m_request.body.empty() ||
+        !m_request.body->empty() ||
         m_request.fields.find( http::field::content_length ) != m_request.fields.end() ||
         m_request.fields.find( http::field::transfer_encoding ) != m_request.fields.end();
     if( hasBody ) {
-        out += "Content-Length: " + std::to_string( m_request.body.size() ) + "\r\n";
+        out += "Content-Length: " + std::to_string( m_request.body->size() ) + "\r\n";
     }
     out += "\r\n";
-    out += m_request.body;
     return out;
 }
 
@@ -176,6 +176,9 @@
         ++m_runs;
     }
     recordPoisonEvidence( node, out, now );
+    if( out.end == SendOutcome::streamed ) {
+        m_answered = co_await m_writer->drained();
+    }
     if( out.end == SendOutcome::stopped || m_client->disconnected ) {
         out.end = SendOutcome::stopped;
         m_mayHaveRun = true;
@@ -211,7 +214,7 @@
     auto& parser = transfer.parser;
     parser.body_limit( boost::none );
     parser.skip( m_request.method == "HEAD" );
-    transfer.startWrite( requestBytes( node ) );
+    transfer.startWrite( requestHead( node ), m_request.body );
     const auto [error, n] = co_await http::async_read_header(
         transfer.connection->socket, transfer.connection->buf, parser, net::tupled );
     if( error ) {
@@ -291,7 +294,7 @@
 }
 
 bool Exchange::isAborted( const Transfer& transfer ) const {
-    return transfer.deadline.expired() || m_client->disconnected;
+    return transfer.deadline.expired() || m_client->disconnected || m_client->broken;
 }
 
 net::Task<Exchange::SendResult> Exchange::forwardStream( Transfer& transfer ) {
@@ -311,8 +314,7 @@
         }
         if( inOrder && ( !events.empty() || finished ) ) {
             auto text = streamText( events, finished );
-            const bool written = co_await writeClient( std::move( text ) );
-            if( !written ) {
+            if( !m_writer->write( std::move( text ) ) ) {
                 out.end = SendOutcome::stopped;
                 transfer.close();
                 co_return out;
@@ -320,7 +322,6 @@
         }
         if( finished ) {
             out.end = SendOutcome::streamed;
-            m_answered = true;
             transfer.release( true );
             co_return out;
         }
@@ -337,6 +338,8 @@
             transfer.close();
             co_return out;
         }
+        // The answer is read on while the client takes its time, as far as there is room for it.
+        co_await m_writer->roomForMore();
     }
 }
 
@@ -362,9 +365,12 @@
     SendResult out;
     auto buffered = transfer.answerHead();
     bool complete = transfer.parser.is_done();
+    CollectedBytes collected( m_shared.readers );
     while( !complete ) {
+        co_await m_writer->roomForMore( collected );
         const auto [bytes, ec] = co_await transfer.readBody();
         buffered.body.append( bytes );
+        collected.add( bytes.size() );
         if( ec || buffered.body.size() > maxBufferedAnswerBytes ) {
             out.failure = ec ? ec.message() : "answer too large";
             break;
--- a/src/gateway/exchange/transfer.cpp
+++ b/src/gateway/exchange/transfer.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace coursehead::gateway {
 
@@ -61,9 +62,12 @@
     connection->socket.close( ec );
 }
 
-void Transfer::startWrite( std::string bytes ) {
-    write->bytes = std::move( bytes );
-    net::asio::async_write( connection->socket, net::asio::buffer( write->bytes ),
+void Transfer::startWrite( std::string requestHead, std::shared_ptr<const std::string> body ) {
+    write->head = std::move( requestHead );
+    write->body = std::move( body );
+    const std::array bufs{ net::asio::buffer( std::as_const( write->head ) ),
+                           net::asio::buffer( *write->body ) };
+    net::asio::async_write( connection->socket, bufs,
                             [state = write, held = connection]( net::ErrorCode ec, std::size_t ) {
                                 state->done = !ec;
                             } );
--- a/src/gateway/exchange/transfer.hpp
+++ b/src/gateway/exchange/transfer.hpp
@@ -66,7 +66,8 @@
 
 //! The request's bytes during the write; shared with the write's handler.
 struct WriteState {
-    std::string bytes;
+    std::string head;
+    std::shared_ptr<const std::string> body; //!< shared with the request
     bool done = false;
 };
 
@@ -91,7 +92,7 @@
     void close();
     //! Starts an asynchronous write of the request, so that the answer is read at the same time: an
     //! upstream may answer before it has read the complete request.
-    void startWrite( std::string bytes );
+    void startWrite( std::string requestHead, std::shared_ptr<const std::string> body );
     //! Reads a part of the body into `buf`. Returns the bytes and the error that ended the reading.
     net::Task<std::pair<std::string_view, net::ErrorCode>> readBody();
     //! Returns the connection to the pool if it can serve another request; closes it otherwise.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -68,6 +68,8 @@
                                      return metricsAnswer( m_metrics, path );
                                  } ),
                     "metrics" );
+        m_metrics.gauge( "reader_held_bytes",
+                         [this] { return static_cast<double>( m_shared.readers->heldBytes() ); } );
         m_feed.start();
         net::start( m_context, ticks(), "ticks" );
         net::start( m_context, handleSignals(), "signals" );
@@ -93,6 +95,11 @@
         return out;
     }
 
+    decide::ReaderLimits readerLimits() const {
+        const auto& limits = m_shared.table->configuration().limits;
+        return decide::readerLimits( m_settings.limits.memoryBytes, limits.idleTime );
+    }
+
     bool isReady() const {
         return m_shared.table && m_feed.upstreamsListed() && !m_shared.draining;
     }
@@ -155,6 +162,7 @@
         m_shared.table = std::make_shared<RouteTable>( std::move( *read ) );
         m_fleet.setConfiguration( m_shared.table, MonoClock::now() );
         m_quota.setConfiguration( m_shared.table->configuration() );
+        m_shared.readers->setLimits( readerLimits() );
     }
 
     //! Warns of home regions that don't exist: no upstream can serve a request whose home regions
@@ -199,6 +207,7 @@
             m_feed.tick( now );
             m_quota.tick( now );
             m_limits.tick( now );
+            cutReaders( now );
             m_shared.listed = m_feed.upstreamsListed();
             m_shared.configurationUpToDate = m_feed.configurationCurrent();
             if( now - m_settingsCheckedAt >= settingsCheckInterval ) {
@@ -210,6 +219,12 @@
         }
     }
 
+    void cutReaders( MonoTime now ) {
+        for( const auto it : m_shared.readers->cutReaders( now ) ) {
+            m_metrics.count( "readers_cut", decide::readerCutText( it ) );
+        }
+    }
+
     net::Task<> handleSignals() {
         for( ;; ) {
             const auto [ec, number] = co_await m_signals.async_wait( net::tupled );
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -37,6 +37,14 @@
     }
 }
 
+void limitUnsent( Socket& socket, std::size_t bytes ) {
+    const auto n = static_cast<unsigned>( bytes );
+    if( ::setsockopt( socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &n, sizeof n ) !=
+        0 ) {
+        log::debug( "socket_option_failed", { { "option", "TCP_NOTSENT_LOWAT" } } );
+    }
+}
+
 tcp::endpoint endpointOf( const std::string& ip, int port, ErrorCode& ec ) {
     const auto address = asio::ip::make_address_v4( ip, ec );
     return { address, static_cast<unsigned short>( port ) };
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -42,6 +42,10 @@
 //! discarded, and the peer learns that an answer to those it has read is no longer wanted.
 void resetOnClose( Socket& socket );
 
+//! Makes the socket accept no bytes while `bytes` or more wait for the peer's window. Accepted
+//! bytes then show that the peer reads.
+void limitUnsent( Socket& socket, std::size_t bytes );
+
 //! The endpoint of an IPv4 address in text; sets `ec` when the address is malformed.
 tcp::endpoint endpointOf( const std::string& ip, int port, ErrorCode& ec );
 
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -118,6 +118,16 @@
     return out;
 }
 
+VmLimits readVmLimits( const FieldReader& in ) {
+    constexpr double bytesPerMb = 1e6;
+    constexpr double bytesPerMbit = 125000;
+    VmLimits out;
+    out.memoryBytes = static_cast<std::uint64_t>( in.number( "memoryMb", 0 ) * bytesPerMb );
+    out.descriptors = static_cast<std::uint64_t>( in.number( "fileDescriptors", 0 ) );
+    out.linkBytesPerS = in.number( "linkMbps", 0 ) * bytesPerMbit;
+    return out;
+}
+
 void readPorts( const FieldReader& in, NodeSettings& out ) {
     const auto* it = in.find( "internalPorts" );
     const bool pair = it != nullptr && it->is_array() && it->size() == 2 &&
@@ -180,6 +190,7 @@
     if( settings.engine.valid() ) {
         settings.service = top.text( "service" );
     }
+    settings.limits = readVmLimits( FieldReader( top.table( "limits" ), "limits.", out.problems ) );
     settings.bounds = readBounds( FieldReader( top.table( "bounds" ), "bounds.", out.problems ) );
     const FieldReader platform( top.table( "platform" ), "platform.", out.problems );
     settings.store = platform.endpoint( "address" );
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -63,6 +63,13 @@
     return { bounds.coldRateFactor, bounds.coldRateSlack };
 }
 
+//! What the platform limits a vm to; 0: no limit stated.
+struct VmLimits {
+    std::uint64_t memoryBytes = 0;
+    std::uint64_t descriptors = 0;
+    double linkBytesPerS = 0;
+};
+
 //! The settings that the platform provides to a process.
 struct NodeSettings {
     std::string vm;
@@ -79,6 +86,7 @@
     bool firstStart = false; //!< first start of the deployment: no process has run before
     Endpoint store;          //!< the platform's object store
     std::uint64_t storeReadsPerS = 0;
+    VmLimits limits;
     Bounds bounds;
 };
 
--- /dev/null
+++ b/tests/unit/slow_readers.tests.cpp
@@ -0,0 +1,256 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "gateway/exchange/client_session.hpp"
+#include "support/run_until.hpp"
+#include "support/scripted_upstream.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+// Clients that take their answer slowly or not at all, and an upstream that takes a body slowly.
+// Guards against an answer that is read from its upstream only as fast as its client takes it: the
+// upstream then stops, keeps its place and memory, and cuts the answer off after some seconds. And
+// against a gateway whose memory such clients fill.
+
+using namespace coursehead;
+using namespace coursehead::gateway;
+using namespace std::chrono_literals;
+using support::chunk;
+using support::runUntil;
+using support::streamHead;
+
+namespace {
+
+constexpr int smallSocketBuffer = 4096;
+constexpr std::size_t eventBytes = 1000;
+
+std::string event( int id ) {
+    const auto text = "id: " + std::to_string( id ) + "\ndata: ";
+    return text + std::string( eventBytes - text.size() - 2, 'x' ) + "\n\n";
+}
+
+//! An upstream that answers each request with a stream of events, or with a plain answer, and reads
+//! long bodies as slowly as told.
+struct LongUpstream {
+    net::asio::io_context& context;
+    net::Acceptor acceptor = net::listen( context, "127.0.0.1", 0 );
+    int events = 0;             //!< of each stream
+    std::size_t plainBytes = 0; //!< size of a plain answer; 0: answer with a stream
+    Millis bodyPause{ 0 };      //!< between reads of a body; 0: read at once
+    int whole = 0;              //!< answers that were taken from it completely
+    int cut = 0;                //!< answers whose connection was closed on the way
+    std::size_t bodyBytes = 0;  //!< read so far, slowly
+    int bodyCut = 0;            //!< bodies whose connection was closed on the way
+
+    explicit LongUpstream( net::asio::io_context& loop ) : context( loop ) {
+        net::asio::co_spawn( context, accept(), net::asio::detached );
+    }
+
+    net::Task<> accept() {
+        for( ;; ) {
+            auto [ec, socket] = co_await acceptor.async_accept( net::tupled );
+            if( ec ) {
+                co_return;
+            }
+            socket.set_option( net::asio::socket_base::send_buffer_size( smallSocketBuffer ) );
+            auto task = serve( net::Socket( std::move( socket ) ) );
+            net::asio::co_spawn( context, std::move( task ), net::asio::detached );
+        }
+    }
+
+    net::Task<> serve( net::Socket socket ) {
+        std::string received;
+        auto sink = net::asio::dynamic_buffer( received );
+        const auto [readError, n] =
+            co_await net::asio::async_read_until( socket, sink, "\r\n\r\n", net::tupled );
+        if( readError ) {
+            co_return;
+        }
+        if( bodyPause.count() > 0 ) {
+            co_await readSlowly( socket );
+            co_return;
+        }
+        const auto idAt = received.find( "X-Request-Id: " ) + 14;
+        const auto id = received.substr( idAt, received.find( "\r\n", idAt ) - idAt );
+        std::string head = plainBytes > 0
+                               ? support::completeAnswer( 200, "X-Response-Seal: s\r\n",
+                                                          std::string( plainBytes, 'p' ) )
+                               : streamHead();
+        head.replace( head.find( "{id}" ), 4, id );
+        bool open = co_await write( socket, std::move( head ) );
+        for( int i = 1; open && plainBytes == 0 && i <= events; ++i ) {
+            std::string piece = chunk( event( i ) );
+            open = co_await write( socket, std::move( piece ) );
+        }
+        if( open && plainBytes == 0 ) {
+            std::string last = "0\r\n\r\n";
+            open = co_await write( socket, std::move( last ) );
+        }
+        ++( open ? whole : cut );
+    }
+
+    net::Task<> readSlowly( net::Socket& socket ) {
+        std::string space( 1000, '\0' );
+        for( ;; ) {
+            const auto buf = net::asio::buffer( space );
+            const auto [ec, n] = co_await socket.async_read_some( buf, net::tupled );
+            if( ec ) {
+                ++bodyCut;
+                co_return;
+            }
+            bodyBytes += n;
+            co_await net::pause( context, bodyPause );
+        }
+    }
+
+    static net::Task<bool> write( net::Socket& socket, std::string bytes ) {
+        const auto buf = net::asio::buffer( bytes );
+        const auto [ec, n] = co_await net::asio::async_write( socket, buf, net::tupled );
+        co_return !ec;
+    }
+};
+
+Configuration configuration() {
+    Configuration out;
+    out.version = 1;
+    Route route;
+    route.host = "h";
+    route.timeout = 60s;
+    route.goal = 500ms;
+    route.splits = { { "s", 1 } };
+    route.name = "stream";
+    route.pathPrefix = "/stream/";
+    route.kind = RequestKind::stream;
+    out.routes.push_back( route );
+    route.name = "safe";
+    route.pathPrefix = "/safe/";
+    route.kind = RequestKind::repeatable;
+    out.routes.push_back( route );
+    Service service;
+    service.name = "s";
+    out.services.emplace( "s", service );
+    return out;
+}
+
+//! A client with a small window that takes bytes only when told.
+struct SlowClient {
+    net::Socket socket;
+    std::string received;
+    bool ended = false;
+    net::ErrorCode error;
+
+    explicit SlowClient( net::asio::io_context& context ) : socket( context ) {}
+
+    net::Task<> ask( net::tcp::endpoint to, std::string request ) {
+        socket.open( net::tcp::v4() );
+        socket.set_option( net::asio::socket_base::receive_buffer_size( smallSocketBuffer ) );
+        co_await socket.async_connect( to, net::tupled );
+        const auto buf = net::asio::buffer( request );
+        co_await net::asio::async_write( socket, buf, net::tupled );
+    }
+    //! Takes up to `n` bytes.
+    net::Task<> take( std::size_t n ) {
+        std::string space( n, '\0' );
+        const auto buf = net::asio::buffer( space );
+        const auto [ec, got] = co_await socket.async_read_some( buf, net::tupled );
+        received.append( space, 0, got );
+        ended = static_cast<bool>( ec );
+        error = ec;
+    }
+    net::Task<> takeAll() {
+        while( !ended ) {
+            co_await take( 65536 );
+        }
+    }
+};
+
+//! A gateway before one upstream, with clients, on one event loop.
+struct SlowFixture {
+    net::asio::io_context context{ 1 };
+    RandomSource random{ 1 };
+    metrics::Metrics metrics;
+    Fleet fleet{ context, random, FleetSettings{ "vm", "hall", 1, 5000ms } };
+    SharedState shared{ context, fleet, random, metrics, {}, nullptr, {} };
+    LongUpstream upstream{ context };
+    net::Acceptor acceptor = net::listen( context, "127.0.0.1", 0 );
+    std::vector<std::unique_ptr<SlowClient>> clients;
+
+    SlowFixture() {
+        // Connections inherit it, so that the kernel holds little for a client.
+        acceptor.set_option( net::asio::socket_base::send_buffer_size( smallSocketBuffer ) );
+        const auto now = MonoClock::now();
+        shared.table = std::make_shared<RouteTable>( configuration() );
+        fleet.setConfiguration( shared.table, now );
+        Upstream it;
+        it.id = "u1";
+        it.service = "s";
+        it.ip = "127.0.0.1";
+        it.port = upstream.acceptor.local_endpoint().port();
+        it.hall = "hall";
+        it.slots = 400;
+        std::map<std::string, Member> members;
+        members.emplace( "u1", Member{ it, false } );
+        fleet.sync( members, now );
+        net::asio::co_spawn( context, accept(), net::asio::detached );
+    }
+
+    net::Task<> accept() {
+        for( ;; ) {
+            auto [ec, socket] = co_await acceptor.async_accept( net::tupled );
+            if( ec ) {
+                co_return;
+            }
+            auto task = serveClient( net::Socket( std::move( socket ) ), shared );
+            net::asio::co_spawn( context, std::move( task ), net::asio::detached );
+        }
+    }
+
+    SlowClient& ask( const std::string& path, const std::string& body = "",
+                     int deadlineMs = 50000 ) {
+        clients.push_back( std::make_unique<SlowClient>( context ) );
+        std::string request =
+            ( body.empty() ? "GET " : "POST " ) + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r" +
+            std::to_string( clients.size() ) +
+            "\r\nX-Deadline-Ms: " + std::to_string( deadlineMs ) +
+            "\r\nConnection: close\r\nContent-Length: " + std::to_string( body.size() ) +
+            "\r\n\r\n" + body;
+        auto task = clients.back()->ask( acceptor.local_endpoint(), std::move( request ) );
+        net::asio::co_spawn( context, std::move( task ), net::asio::detached );
+        return *clients.back();
+    }
+
+    void takeAll( SlowClient& client ) {
+        net::asio::co_spawn( context, client.takeAll(), net::asio::detached );
+    }
+
+    bool run( const std::function<bool()>& condition ) { return runUntil( context, condition ); }
+
+    //! Runs the event loop until nothing is ready for a while.
+    void settle() {
+        for( int quiet = 0; quiet < 5; ) {
+            quiet = context.run_one_for( 20ms ) == 0 ? quiet + 1 : 0;
+        }
+    }
+};
+
+bool endsWhole( const std::string& text ) {
+    return text.ends_with( "0\r\n\r\n" );
+}
+
+} // namespace
+
+TEST_CASE( "An upstream finishes its answer before a slow client has taken it",
+           "[gateway][exchange][readers]" ) {
+    SlowFixture setup;
+    setup.upstream.events = 240;
+    auto& slow = setup.ask( "/stream/a" );
+    CHECK( setup.run( [&] { return setup.upstream.whole == 1; } ) );
+    CHECK( slow.received.empty() );
+    setup.takeAll( slow );
+    REQUIRE( setup.run( [&] { return slow.ended; } ) );
+    CHECK( endsWhole( slow.received ) );
+    CHECK( slow.received.find( event( 240 ) ) != std::string::npos );
+}
