Messages: the rest of an order is sent; a source's hall and readiness

An ask also says whether the engine that has parts of the prompt is in another hall than the asked one, and how long it still reads them; both have defaults for the version before.

--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -252,7 +252,7 @@
     out = Json::array( { in.orderInProgress, in.queued, in.running, in.prefilling,
                          in.hasAdapterCapacity, in.latePausesPercent, in.sentParts,
                          in.readingPercent, in.readingWaitMs, in.gateways, in.speed, in.freePlaces,
-                         in.freeTokens, in.promptsWaiting } );
+                         in.freeTokens, in.promptsWaiting, in.orderLeftMs } );
 }
 
 void from_json( const Json& in, EngineLoad& out ) {
@@ -309,7 +309,7 @@
 void to_json( Json& out, const PendingPrompt& in ) {
     out = Json::array( { in.tokens, in.msPerToken, in.goalMs, in.mayStartLate, in.parts, in.route,
                          in.organisation, in.urgency, in.maxTokens, in.content, in.cachedAt,
-                         in.cachedTokens } );
+                         in.cachedTokens, in.cachedOtherHall, in.cachedReadyMs } );
 }
 
 void from_json( const Json& in, PendingPrompt& out ) {
@@ -325,6 +325,8 @@
     readAddedField( in, 9, out.content );
     readAddedField( in, 10, out.cachedAt );
     readAddedField( in, 11, out.cachedTokens );
+    readAddedField( in, 12, out.cachedOtherHall );
+    readAddedField( in, 13, out.cachedReadyMs );
 }
 
 void to_json( Json& out, const EnsureRequest& in ) {
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -70,7 +70,9 @@
     decide::Fingerprint content = 0; //!< of the request's content, the same for each retry; 0: none
     //! Another engine, as IP:PORT, that probably has more of the prompt cached; empty: none.
     std::string cachedAt;
-    std::int64_t cachedTokens = 0; //!< tokens of the prompt that the other engine has cached
+    std::int64_t cachedTokens = 0;  //!< tokens of the prompt that the other engine has cached
+    bool cachedOtherHall = false;   //!< the other engine is in another hall than the asked one
+    std::int64_t cachedReadyMs = 0; //!< until the other engine should have read those tokens
 };
 
 //! Requests that a model or adapter is made ready, and an admission permit for a prompt after that.
--- a/tests/unit/messages.tests.cpp
+++ b/tests/unit/messages.tests.cpp
@@ -30,6 +30,8 @@
     out.prompt.content = 0x9c41d07be2a35f68;
     out.prompt.cachedAt = "10.0.0.9:8080";
     out.prompt.cachedTokens = 1210;
+    out.prompt.cachedOtherHall = true;
+    out.prompt.cachedReadyMs = 40;
     return out;
 }
 
@@ -81,6 +83,8 @@
     CHECK( decoded.content == 0x9c41d07be2a35f68 );
     CHECK( decoded.cachedAt == "10.0.0.9:8080" );
     CHECK( decoded.cachedTokens == 1210 );
+    CHECK( decoded.cachedOtherHall );
+    CHECK( decoded.cachedReadyMs == 40 );
 }
 
 TEST_CASE( "A request of the version before is read with defaults", "[messages]" ) {
@@ -93,6 +97,9 @@
     CHECK( decoded.prompt.organisation.empty() );
     CHECK( decoded.prompt.urgency == defaultUrgency );
     CHECK( decoded.prompt.content == 0 );
+    CHECK( decoded.prompt.cachedAt.empty() );
+    CHECK_FALSE( decoded.prompt.cachedOtherHall );
+    CHECK( decoded.prompt.cachedReadyMs == 0 );
 }
 
 TEST_CASE( "An answer of the version before is read with defaults", "[messages]" ) {
