Shared prompt parts are fetched from the engine that has them

Cause: an engine that lacks a shared part reads it although another engine has it cached for the same weights. Change: the gateway names the engine that has most of the prompt (homes, state, model and adapter checked), the chosen engine's sidecar decides by time between transfer and reading when it queues the prompt, and the gateway sets Kv-Fetch on that send. The reading speed is not learnt from such prompts.

--- a/src/gateway/choice/fleet.hpp
+++ b/src/gateway/choice/fleet.hpp
@@ -90,6 +90,10 @@
     static void returnPermit( const Node& node, const EnsureAnswer& permit );
     //! Describes a request's prompt for the query to a sidecar.
     PendingPrompt describePrompt( const RequestNeeds& need ) const;
+    //! Names in the prompt's description the engine from which the chosen one can copy parts that
+    //! it lacks, if there is one.
+    void addPartSource( PendingPrompt& prompt, const Choice& choice, const RequestNeeds& need,
+                        const std::set<std::string>& excluded, MonoTime now ) const;
     //! Starts loading a model at a node on behalf of no particular request.
     void startLoad( const NodePtr& node, const std::string& model );
     //! Records that a stream's first event arrived `measuredMs` after the request was sent.
--- a/src/gateway/choice/node.cpp
+++ b/src/gateway/choice/node.cpp
@@ -87,8 +87,9 @@
     }
 }
 
-void Node::notePrompt( std::span<const std::uint64_t> keys, const Generation& generation ) {
-    prefixes.insert( keys, generation );
+void Node::notePrompt( std::span<const std::uint64_t> keys, const Generation& generation,
+                       MonoTime now ) {
+    prefixes.insert( keys, generation, now );
     if( !generation.adapter.empty() ) {
         adaptersUsed.insert( generation.model + "/" + generation.adapter );
     }
@@ -125,7 +126,7 @@
     reportAt = now;
     takeReadingWait( static_cast<double>( load.readingWaitMs ), now );
     for( const auto& it : load.sentParts ) {
-        prefixes.insertPart( it.key, it.tokens, it.model );
+        prefixes.insertPart( it.key, it.tokens, it.model, now );
     }
     report->load.sentParts.clear();
 }
--- a/src/gateway/choice/node.hpp
+++ b/src/gateway/choice/node.hpp
@@ -101,7 +101,8 @@
     //! Resident models and models that requests are in flight for.
     std::set<std::string> modelsHeldOrInFlight( MonoTime now ) const;
     //! Records the parts of a prompt that is sent to the engine.
-    void notePrompt( std::span<const std::uint64_t> keys, const Generation& generation );
+    void notePrompt( std::span<const std::uint64_t> keys, const Generation& generation,
+                     MonoTime now = {} );
     //! The upstream stays cold for this much longer.
     void noteCold( Millis left, MonoTime now ) { cold.noteCold( left, now ); }
     //! Applies a report of the sidecar on the engine: a complete one, or the load alone.
--- a/src/gateway/choice/prefix_cache.cpp
+++ b/src/gateway/choice/prefix_cache.cpp
@@ -3,6 +3,8 @@
 
 #include "kernel/hash.hpp"
 
+#include <algorithm>
+
 namespace coursehead::gateway {
 
 std::vector<std::uint64_t> prefixKeys( const Generation& generation ) {
@@ -22,38 +24,48 @@
 
 std::int64_t PrefixCache::cachedTokens( std::span<const std::uint64_t> keys,
                                         const Generation& generation ) const {
-    std::int64_t out = 0;
+    return cachedPrefix( keys, generation ).tokens;
+}
+
+PrefixCache::CachedPrefix PrefixCache::cachedPrefix( std::span<const std::uint64_t> keys,
+                                                     const Generation& generation ) const {
+    CachedPrefix out;
     for( std::size_t n = 0; n < keys.size(); ++n ) {
-        if( !m_index.contains( keys[n] ) ) {
+        const auto found = m_index.find( keys[n] );
+        if( found == m_index.end() ) {
             break;
         }
-        out += generation.parts[n].tokens;
+        out.tokens += generation.parts[n].tokens;
+        out.sentAt = std::max( out.sentAt, found->second->sentAt );
     }
     return out;
 }
 
-void PrefixCache::insert( std::span<const std::uint64_t> keys, const Generation& generation ) {
+void PrefixCache::insert( std::span<const std::uint64_t> keys, const Generation& generation,
+                          MonoTime now ) {
     // Last part first, so that earlier parts are more recently used and are evicted after later
     // ones.
     for( std::size_t n = keys.size(); n-- > 0; ) {
-        touch( keys[n], generation.parts[n].tokens, generation.model );
+        touch( keys[n], generation.parts[n].tokens, generation.model, now );
     }
     trim();
 }
 
-void PrefixCache::touch( std::uint64_t key, std::int64_t tokens, const std::string& model ) {
+void PrefixCache::touch( std::uint64_t key, std::int64_t tokens, const std::string& model,
+                         MonoTime now ) {
     const auto found = m_index.find( key );
     if( found != m_index.end() ) {
         m_order.splice( m_order.begin(), m_order, found->second );
         return;
     }
-    m_order.push_front( { key, tokens, model } );
+    m_order.push_front( { key, tokens, model, now } );
     m_index.emplace( key, m_order.begin() );
     m_used += tokens;
 }
 
-void PrefixCache::insertPart( std::uint64_t key, std::int64_t tokens, const std::string& model ) {
-    touch( key, tokens, model );
+void PrefixCache::insertPart( std::uint64_t key, std::int64_t tokens, const std::string& model,
+                              MonoTime now ) {
+    touch( key, tokens, model, now );
     trim();
 }
 
--- a/src/gateway/choice/prefix_cache.hpp
+++ b/src/gateway/choice/prefix_cache.hpp
@@ -27,10 +27,19 @@
     //! Tokens of the prompt that the engine has cached and need not read again.
     std::int64_t cachedTokens( std::span<const std::uint64_t> keys,
                                const Generation& generation ) const;
-    //! Records that the engine read the prompt.
-    void insert( std::span<const std::uint64_t> keys, const Generation& generation );
-    //! Records that the engine read one part and all parts before it.
-    void insertPart( std::uint64_t key, std::int64_t tokens, const std::string& model );
+    //! Leading parts of a prompt that the engine has cached.
+    struct CachedPrefix {
+        std::int64_t tokens = 0;
+        MonoTime sentAt; //!< when the last of them was sent to the engine
+    };
+    CachedPrefix cachedPrefix( std::span<const std::uint64_t> keys,
+                               const Generation& generation ) const;
+    //! Records that the engine was sent the prompt at `now`.
+    void insert( std::span<const std::uint64_t> keys, const Generation& generation,
+                 MonoTime now = {} );
+    //! Records that the engine was sent one part and all parts before it.
+    void insertPart( std::uint64_t key, std::int64_t tokens, const std::string& model,
+                     MonoTime now = {} );
     //! Removes all parts of a model, which was unloaded.
     void dropModel( std::string_view model );
     void clear();
@@ -40,8 +49,9 @@
         std::uint64_t key = 0;
         std::int64_t tokens = 0;
         std::string model;
+        MonoTime sentAt; //!< when it was first sent; an engine reads a part once
     };
-    void touch( std::uint64_t key, std::int64_t tokens, const std::string& model );
+    void touch( std::uint64_t key, std::int64_t tokens, const std::string& model, MonoTime now );
     void trim();
 
     std::int64_t m_capacity;
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -216,12 +216,13 @@
     std::set<std::string> m_excluded; //!< upstreams that this request is not sent to any more
     int m_sidecarRefusals = 0;        //!< sidecars that could not admit the prompt within the goal
     std::optional<PromptPermit> m_promptPermit; //!< from the chosen upstream's sidecar
-    std::optional<LimitPermit> m_limitPermit;   //!< permit under the chosen upstream's limit
-    MonoTime m_limitPermitAt;                   //!< when the limit's permit was obtained
-    int m_sends = 0;                            //!< sends over an open connection to an upstream
-    MonoTime m_sentAt;                          //!< time of the last send
-    std::optional<MonoTime> m_firstEventAt;     //!< first event of the last send
-    int m_runs = 0;                             //!< sends that the upstream may have run
+    std::string m_fetchFrom; //!< IP:PORT from which that upstream copies parts; empty: none
+    std::optional<LimitPermit> m_limitPermit; //!< permit under the chosen upstream's limit
+    MonoTime m_limitPermitAt;                 //!< when the limit's permit was obtained
+    int m_sends = 0;                          //!< sends over an open connection to an upstream
+    MonoTime m_sentAt;                        //!< time of the last send
+    std::optional<MonoTime> m_firstEventAt;   //!< first event of the last send
+    int m_runs = 0;                           //!< sends that the upstream may have run
     bool m_mayHaveRun = false;
     std::string m_lastFailure;
     Millis m_retryAfter{ 0 };
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -117,6 +117,7 @@
 void Exchange::dropPermits() {
     m_promptPermit.reset();
     m_limitPermit.reset();
+    m_fetchFrom.clear();
 }
 
 net::Task<Exchange::PrepareResult> Exchange::waitForSlowStart( const Choice& choice ) {
@@ -138,6 +139,7 @@
     out.model = generation.model;
     out.adapter = generation.adapter;
     out.prompt = m_shared.fleet.describePrompt( m_need );
+    m_shared.fleet.addPartSource( out.prompt, choice, m_need, m_excluded, now );
     out.prompt.route = m_route->name;
     out.prompt.organisation = m_organisation != nullptr ? m_organisation->name : "";
     out.prompt.urgency = urgency();
@@ -155,9 +157,11 @@
     const auto requestedAt = MonoClock::now();
     auto request = admissionRequest( choice, requestedAt );
     const bool late = request.prompt.mayStartLate;
+    const auto cachedAt = request.prompt.cachedAt;
     NodePtr node = choice.node;
     const auto answer = co_await m_shared.fleet.ensure( std::move( node ), std::move( request ) );
     logAdmission( choice, answer, requestedAt );
+    m_fetchFrom = answer.fetchParts ? cachedAt : "";
     const auto next = applyAdmissionAnswer( choice, answer, late );
     if( answer.outcome == EnsureOutcome::needsWeightStore ) {
         // No other engine has a copy of the model: wait until the weight store's rate allows the
@@ -173,7 +177,8 @@
     case EnsureOutcome::ready:
         m_promptPermit.emplace( choice.node, answer );
         choice.workMs = answer.workMs;
-        choice.unqueued = choice.unqueued && answer.waitMs <= answer.workMs;
+        // The first event of a prompt whose parts are copied does not show how fast they are read.
+        choice.unqueued = choice.unqueued && !answer.fetchParts && answer.waitMs <= answer.workMs;
         return PrepareResult::send;
     case EnsureOutcome::needsWeightStore:
         m_lastFailure = "model not ready";
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -70,6 +70,7 @@
         head.urgency = urgency();
     }
     head.lastEventId = m_lastEvent;
+    head.fetchFrom = m_fetchFrom;
     const auto systemFields = platform::makeSendHeaders( head, fields );
     std::string out = m_request.method + " " + m_request.target + " HTTP/1.1\r\n";
     appendForwarded( out, fields );
@@ -120,6 +121,7 @@
                  { "candidates", static_cast<std::int64_t>( choice.candidates ) },
                  { "cost_ms", static_cast<std::int64_t>( choice.bestCost ) },
                  { "work_ms", static_cast<std::int64_t>( choice.workMs ) },
+                 { "fetch_from", m_fetchFrom },
                  { "report_age_ms", node.report ? millisBetween( node.reportAt, now ) : -1 },
                  { "backoff_left_ms", node.announced.backoffLeft( now ).count() },
                  { "leaving", node.announced.leaving() ? "yes" : "no" },
@@ -166,7 +168,7 @@
     m_firstEventAt.reset();
     logSend( *node, choice, now );
     if( generates ) {
-        node->notePrompt( m_prefix, *m_need.generation );
+        node->notePrompt( m_prefix, *m_need.generation, now );
         node->reading.take( choice.workMs, node->readingLimits( now ), now );
     }
     out = co_await receive( *node, connection, choice );
--- a/src/kernel/platform_role.cpp
+++ b/src/kernel/platform_role.cpp
@@ -16,10 +16,12 @@
 
 constexpr std::int64_t maxPort = 65535;
 
-constexpr std::array<settings::Spec, 2> specs{ {
+constexpr std::array<settings::Spec, 3> specs{ {
     { "log-level", settings::Kind::logLevel, "info", "debug, info, warn or error" },
     { "metrics-port", settings::Kind::number, "0",
       "port of the process's metrics; 0: the last internal port", 0, maxPort },
+    { "part-fetch", settings::Kind::flag, "true",
+      "engines may fetch cached prompt parts from each other (sidecar)" },
 } };
 
 } // namespace
@@ -45,6 +47,7 @@
     if( const auto port = parsed.settings.number( "metrics-port" ); port > 0 ) {
         nodeSettings.settings.metricsPort = static_cast<int>( port );
     }
+    nodeSettings.settings.partFetch = parsed.settings.flag( "part-fetch" );
     std::signal( SIGPIPE, SIG_IGN );
     log::setUpBounded( parsed.settings.text( "log-level" ), role, nodeSettings.settings.vm );
     try {
--- a/src/platform/headers.cpp
+++ b/src/platform/headers.cpp
@@ -25,6 +25,7 @@
 constexpr std::string_view expectedInstanceHeader = "X-Expect-Instance";
 constexpr std::string_view urgencyHeader = "X-Request-Urgency";
 constexpr std::string_view organisationHeader = "X-Tenant";
+constexpr std::string_view fetchHeader = "Kv-Fetch";
 constexpr std::string_view bearerScheme = "bearer";
 constexpr std::string_view notRunHeader = "X-Not-Run";
 //! Headers by which coursehead gives instructions to an upstream. Passed on from a client, they
@@ -35,7 +36,7 @@
     std::string_view( "X-Pin-Ms" ),
     std::string_view( "X-Cache-Backup" ),
     std::string_view( "Kv-From" ),
-    std::string_view( "Kv-Fetch" ),
+    fetchHeader,
     std::string_view( "X-Expect-Version" ),
     expectedInstanceHeader,
     urgencyHeader,
@@ -249,6 +250,9 @@
     if( head.lastEventId ) {
         set( lastEventIdHeader, std::to_string( *head.lastEventId ) );
     }
+    if( !head.fetchFrom.empty() ) {
+        set( fetchHeader, head.fetchFrom );
+    }
     if( head.keyed ) {
         client.erase( http::field::authorization );
         client.erase( { organisationHeader.data(), organisationHeader.size() } );
--- a/src/platform/headers.hpp
+++ b/src/platform/headers.hpp
@@ -41,6 +41,7 @@
     std::optional<std::uint64_t> lastEventId; //!< resume after this event
     bool keyed = false;       //!< clients send keys, which are not passed to upstreams
     std::string organisation; //!< organisation that owns the key; empty if there is none
+    std::string fetchFrom;    //!< IP:PORT from which the upstream copies cached parts; empty: none
 };
 //! Returns the headers that coursehead adds to a request, and removes the client's headers of the
 //! same names from `client`. They are returned separately because headers that the client's
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -79,6 +79,7 @@
     bool firstStart = false; //!< first start of the deployment: no process has run before
     Endpoint store;          //!< the platform's object store
     std::uint64_t storeReadsPerS = 0;
+    bool partFetch = true; //!< engines may fetch cached prompt parts from each other
     Bounds bounds;
 };
 
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -89,6 +89,10 @@
         if( m_coldGate.isCold( now ) ) {
             m_coldGate.take( now );
         }
+        ensure.fetchParts = due.plan.fetches();
+        if( !ensure.prompt.cachedAt.empty() && m_callbacks.partsPlanned ) {
+            m_callbacks.partsPlanned( ensure, due.plan );
+        }
         m_callbacks.admitted( ensure );
         m_callbacks.answer( ensure, EnsureOutcome::ready, m_gate.typicalWait( now ), due.workMs );
     }
@@ -118,7 +122,11 @@
         m_eventPace.update( report.runs, unread > 0, now );
         updateReadingLimit();
     }
-    m_gate.noteUnread( unread, now );
+    for( const auto& it : m_gate.noteUnread( unread, now ) ) {
+        if( m_callbacks.fetchFailed ) {
+            m_callbacks.fetchFailed( it );
+        }
+    }
     admitDue();
 }
 
--- a/src/sidecar/admission.hpp
+++ b/src/sidecar/admission.hpp
@@ -28,11 +28,18 @@
         //! The ensure's model or adapter was unloaded.
         std::function<void( PendingEnsure ensure )> notResident;
         std::function<void( const PendingEnsure& ensure )> admitted; //!< its prompt is admitted now
+        //! It is decided whether the engine fetches parts of the prompt. Only called for prompts
+        //! that name an engine which has parts.
+        std::function<void( const PendingEnsure& ensure, const ReadingPlan& plan )> partsPlanned;
+        std::function<void( const decide::StartedFetch& fetch )> fetchFailed;
     };
 
     Admission( net::asio::io_context& context, Callbacks callbacks );
 
     void setEngine( std::int64_t cacheTokens, Millis gapTarget );
+    //! Sets the link over which the engine may fetch parts; one that is not usable: it fetches
+    //! none.
+    void setPartLink( decide::PartLink link ) { m_gate.setPartLink( link ); }
     //! Takes from a gateway how long the engine stays cold, and how many prompts a second it may be
     //! sent until then.
     void noteCold( Millis left, double perS, MonoTime now ) {
--- a/src/sidecar/pending_ensure.hpp
+++ b/src/sidecar/pending_ensure.hpp
@@ -37,6 +37,7 @@
     MonoTime since;
     Millis limit{ 0 };       //!< longest wait, counted from `since`
     bool neededLoad = false; //!< the model or adapter was not resident at first
+    bool fetchParts = false; //!< the engine is to fetch the prompt's parts from `prompt.cachedAt`
 };
 
 //! A key for an ensure request that is unique over all connections.
--- a/src/sidecar/prompt_gate.cpp
+++ b/src/sidecar/prompt_gate.cpp
@@ -42,23 +42,59 @@
     }
 }
 
-double PromptGate::uncachedWorkMs( const PromptRequest& request ) const {
-    const auto cachedTokens =
-        m_prefixes.cachedTokens( partKeysOf( request ), generationOf( request ) );
-    const auto uncachedTokens = std::max<std::int64_t>( request.prompt.tokens - cachedTokens, 0 );
-    return static_cast<double>( uncachedTokens ) * request.prompt.msPerToken;
+std::int64_t PromptGate::cachedTokens( const PromptRequest& request ) const {
+    return m_prefixes.cachedTokens( partKeysOf( request ), generationOf( request ) );
+}
+
+ReadingPlan PromptGate::planFor( const PromptRequest& request, MonoTime now ) const {
+    const auto& prompt = request.prompt;
+    const auto cached = cachedTokens( request );
+    const auto uncached = std::max<std::int64_t>( prompt.tokens - cached, 0 );
+    ReadingPlan out;
+    out.readAllMs = static_cast<double>( uncached ) * prompt.msPerToken;
+    out.workMs = out.readAllMs;
+    if( prompt.cachedAt.empty() ) {
+        return out;
+    }
+    decide::FetchOption option;
+    option.tokens = std::min( prompt.cachedTokens, prompt.tokens ) - cached;
+    option.msPerToken = prompt.msPerToken;
+    option.queuedTransfers = m_fetches.queuedTransfers( now );
+    option.otherHall = prompt.cachedOtherHall;
+    option.recentFailure = m_fetches.failedLately( prompt.cachedAt, now );
+    option.readyIn = Millis( prompt.cachedReadyMs );
+    option.startIn = m_queue.waitFor( 0, now );
+    out.decision = decide::decideFetch( m_partLink, option );
+    if( out.fetches() ) {
+        out.fetchTokens = option.tokens;
+        out.transfer = decide::transferTime( m_partLink, option );
+        const auto readTokens = static_cast<double>( uncached - option.tokens );
+        const auto transferMs =
+            static_cast<double>( ( option.queuedTransfers + out.transfer ).count() );
+        out.workMs = readTokens * prompt.msPerToken + transferMs;
+    }
+    return out;
+}
+
+ReadingPlan PromptGate::planAtAdmission( const PromptRequest& request, ReadingPlan plan ) const {
+    const auto there = std::min( request.prompt.cachedTokens, request.prompt.tokens );
+    if( plan.fetches() && cachedTokens( request ) >= there ) {
+        plan.decision = decide::FetchDecision::noTokens;
+    }
+    return plan;
 }
 
 decide::ReadingVerdict PromptGate::ask( const PromptRequest& request, MonoTime now ) {
     const auto goal = request.since + std::min( Millis( request.prompt.goalMs ), request.limit );
-    decide::ReadingRequest reading{ request.key, uncachedWorkMs( request ), goal };
+    const auto plan = planFor( request, now );
+    decide::ReadingRequest reading{ request.key, plan.workMs, goal };
     auto verdict = m_queue.ask( reading, now );
     if( !verdict.accepted && request.prompt.mayStartLate ) {
         reading.startBy = request.since + request.limit;
         verdict = m_queue.ask( reading, now );
     }
     if( verdict.accepted ) {
-        m_waiting.emplace( request.key, request );
+        m_waiting.emplace( request.key, Waiting{ request, plan } );
     }
     return verdict;
 }
@@ -67,11 +103,19 @@
     std::vector<AdmittedPrompt> out;
     while( const auto next = m_queue.takeNext( now ) ) {
         const auto it = m_waiting.find( next->key );
+        const auto& request = it->second.request;
+        const auto plan = planAtAdmission( request, it->second.plan );
         m_typicalWorkMs += typicalSmoothing * ( next->workMs - m_typicalWorkMs );
-        m_prefixes.insert( partKeysOf( it->second ), generationOf( it->second ) );
+        m_fetches.noteSent( next->key, now );
+        if( plan.fetches() ) {
+            const Millis readAll( static_cast<std::int64_t>( plan.readAllMs ) );
+            m_fetches.noteFetch( { next->key, request.prompt.cachedAt, plan.transfer, readAll },
+                                 now );
+        }
+        m_prefixes.insert( partKeysOf( request ), generationOf( request ) );
         m_waiting.erase( it );
         m_admissionTimes.push_back( now );
-        out.push_back( { next->key, next->workMs } );
+        out.push_back( { next->key, next->workMs, plan } );
     }
     return out;
 }
@@ -80,9 +124,10 @@
     std::vector<std::uint64_t> out;
     for( auto reading : m_queue.takeExpired( now ) ) {
         const auto it = m_waiting.find( reading.key );
-        const auto latestStart = it->second.since + it->second.limit;
+        const auto& request = it->second.request;
+        const auto latestStart = request.since + request.limit;
         // The goal is missed, but this prompt may start late: queue it again within its limit.
-        const bool mayStartLate = it->second.prompt.mayStartLate && reading.startBy < latestStart;
+        const bool mayStartLate = request.prompt.mayStartLate && reading.startBy < latestStart;
         reading.startBy = latestStart;
         if( mayStartLate && m_queue.ask( reading, now ).accepted ) {
             continue;
@@ -95,18 +140,22 @@
 
 void PromptGate::withdraw( std::uint64_t key, MonoTime now ) {
     m_queue.withdraw( key, now );
+    m_fetches.forget( key );
     m_waiting.erase( key );
 }
 
-void PromptGate::noteUnread( std::size_t prompts, MonoTime now ) {
+std::vector<decide::StartedFetch> PromptGate::noteUnread( std::size_t prompts, MonoTime now ) {
     while( !m_admissionTimes.empty() && now - m_admissionTimes.front() > maxSendTime ) {
         m_admissionTimes.pop_front();
     }
-    m_queue.noteUnread( std::max( prompts, m_admissionTimes.size() ), now );
+    const auto unread = std::max( prompts, m_admissionTimes.size() );
+    m_queue.noteUnread( unread, now );
+    return m_fetches.noteUnread( unread, now );
 }
 
 void PromptGate::clear() {
     m_queue.clear();
+    m_fetches.clear();
     m_waiting.clear();
     m_prefixes = gateway::PrefixCache( m_cacheTokens );
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -3,6 +3,7 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "coursehead/metrics/metrics.hpp"
+#include "decide/fingerprint.hpp"
 #include "gateway/messages.hpp"
 #include "gateway/probe_server.hpp"
 #include "kernel/platform_role.hpp"
@@ -228,6 +229,8 @@
         }
         m_knownSpec = specAnswer.key;
         m_admission.setEngine( specAnswer.engine.cacheTokens, m_gapTarget );
+        m_admission.setPartLink( m_settings.partFetch ? specAnswer.engine.partLink
+                                                      : decide::PartLink{} );
         m_view.setSpec( std::move( specAnswer.engine ) );
         m_pollTimer.cancel();
     }
@@ -309,9 +312,42 @@
             m_view.noteUse( ensure.required, MonoClock::now() );
             recordSharedParts( ensure );
         };
+        out.partsPlanned = [this]( const PendingEnsure& ensure, const ReadingPlan& plan ) {
+            notePartsPlanned( ensure, plan );
+        };
+        out.fetchFailed = [this]( const decide::StartedFetch& fetch ) {
+            m_metrics.count( "part_fetch_failures", "not_faster" );
+            log::info( "part_fetch_failed", { { "source", fetch.source },
+                                              { "transfer_ms", fetch.transfer.count() },
+                                              { "read_all_ms", fetch.readAll.count() } } );
+        };
         return out;
     }
 
+    void notePartsPlanned( const PendingEnsure& ensure, const ReadingPlan& plan ) {
+        const auto& prompt = ensure.prompt;
+        m_metrics.count( "part_fetches", decide::nameOf( plan.decision ) );
+        if( plan.fetches() ) {
+            constexpr double bytesPerMib = 1 << 20;
+            const auto tokens = static_cast<std::uint64_t>( plan.fetchTokens );
+            const auto bytes = static_cast<double>( tokens ) * m_view.spec()->partLink.tokenBytes;
+            m_metrics.count( "part_fetch_tokens", {}, tokens );
+            m_metrics.count( "part_fetch_mib", {},
+                             static_cast<std::uint64_t>( bytes / bytesPerMib ) );
+        }
+        log::info( "part_fetch",
+                   { { "content", decide::fingerprintText( prompt.content ) },
+                     { "route", prompt.route },
+                     { "source", prompt.cachedAt },
+                     { "decision", decide::nameOf( plan.decision ) },
+                     { "tokens", plan.fetchTokens },
+                     { "cached_there", prompt.cachedTokens },
+                     { "ready_ms", prompt.cachedReadyMs },
+                     { "transfer_ms", plan.transfer.count() },
+                     { "work_ms", static_cast<std::int64_t>( plan.workMs ) },
+                     { "read_all_ms", static_cast<std::int64_t>( plan.readAllMs ) } } );
+    }
+
     Orders::Callbacks ordersCallbacks() {
         Orders::Callbacks out;
         out.answer = [this]( const PendingEnsure& ensure, EnsureOutcome outcome ) {
@@ -427,10 +463,10 @@
             m_view.noteAdmitted( ensure.required.model, workMs, now );
         }
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
-        const gateway::Message message(
-            gateway::EnsureAnswer{ ensure.number, outcome, wait.count(), workMs,
-                                   m_view.workPerS( ensure.required.model, now ) } );
-        peer->channel->send( gateway::encode( message ) );
+        gateway::EnsureAnswer answer{ ensure.number, outcome, wait.count(), workMs,
+                                      m_view.workPerS( ensure.required.model, now ) };
+        answer.fetchParts = outcome == EnsureOutcome::ready && ensure.fetchParts;
+        peer->channel->send( gateway::encode( gateway::Message( answer ) ) );
     }
 
     net::Task<> handleSignals() {
