--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -309,7 +309,7 @@
 void to_json( Json& out, const PendingPrompt& in ) {
     out = Json::array( { in.tokens, in.msPerToken, in.goalMs, in.mayStartLate, in.parts, in.route,
                          in.organisation, in.urgency, in.maxTokens, in.content, in.cachedAt,
-                         in.cachedTokens } );
+                         in.cachedTokens, in.cachedOtherHall, in.cachedReadyMs } );
 }
 
 void from_json( const Json& in, PendingPrompt& out ) {
@@ -325,6 +325,8 @@
     readAddedField( in, 9, out.content );
     readAddedField( in, 10, out.cachedAt );
     readAddedField( in, 11, out.cachedTokens );
+    readAddedField( in, 12, out.cachedOtherHall );
+    readAddedField( in, 13, out.cachedReadyMs );
 }
 
 void to_json( Json& out, const EnsureRequest& in ) {
--- a/src/platform/node_settings.hpp
+++ b/src/platform/node_settings.hpp
@@ -87,6 +87,7 @@
     Endpoint store;          //!< the platform's object store
     std::uint64_t storeReadsPerS = 0;
     VmLimits limits;
+    bool partFetch = true; //!< engines may fetch cached prompt parts from each other
     Bounds bounds;
 };
 
--- a/src/sidecar/pending_ensure.hpp
+++ b/src/sidecar/pending_ensure.hpp
@@ -42,7 +42,8 @@
     Millis loadWait{ 0 };
     //! Whether its content has a place on return, and came at the time that its client was told.
     decide::ReturnVerdict returned = decide::ReturnVerdict::unknown;
-    Millis placeHeld{ 0 }; //!< a place on return is held for this long; 0: none
+    Millis placeHeld{ 0 };   //!< a place on return is held for this long; 0: none
+    bool fetchParts = false; //!< the engine is to fetch the prompt's parts from `prompt.cachedAt`
 };
 
 //! A key for an ensure request that is unique over all connections.
