Reading queue: long prompts are expected to take as long as they do

Cause: a prompt that the engine had begun was expected to need at least half of its work until a report showed it as read, also when it was on time; and the engine's time counted at each report, its work only when a prompt had been read, so that a prompt of 400 ms raised the expected time of all prompts to 1.9 times and more. Prompts behind long ones were refused or told late. Change: only a prompt that should have been read is expected to need half; time counts together with the work that was done in it.

--- a/src/decide/reading_queue.cpp
+++ b/src/decide/reading_queue.cpp
@@ -2,6 +2,7 @@
 #include "decide/reading_queue.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace coursehead::decide {
 
@@ -23,8 +24,8 @@
 //! been lost with its connection.
 constexpr Millis unseenLifetime{ 2000 };
 //! The ratio of measured engine time to stated work starts at 1, with the weight of `priorMs` of
-//! measured reading. Earlier measurements are multiplied by `decayFactor` at each report, so that
-//! about the last half second of reading counts.
+//! measured reading. Earlier measurements are multiplied by `decayFactor` at each report of prompts
+//! that were read, so that the last twelve or so count.
 constexpr double priorMs = 200;
 constexpr double decayFactor = 0.92;
 //! Bounds of that ratio: estimates of a gateway that has no measurements of a model are wrong by a
@@ -174,12 +175,14 @@
     }
     updateTimeRatio( readMs, now );
     m_readingSince = first < m_sent.size() ? std::optional( now ) : std::nullopt;
+    m_unsettledMs = m_readingSince ? m_unsettledMs : 0;
     MonoTime freeAt = now;
     for( std::size_t n = first; n < m_sent.size(); ++n ) {
         auto& it = m_sent[n];
         const bool started = it.from < now && n == first;
+        const bool overdue = it.to <= now;
         const auto remainingTime =
-            std::max( it.to - now, engineTime( it.workMs * overdueFraction ) );
+            overdue ? engineTime( it.workMs * overdueFraction ) : it.to - now;
         it.from = started ? it.from : freeAt;
         it.to = freeAt + ( started ? remainingTime : engineTime( it.workMs ) );
         freeAt = it.to;
@@ -188,14 +191,17 @@
 
 //! Measures the ratio of engine time to stated work while prompts are read continuously. It differs
 //! from 1 because streams' steps lie between a prompt's pieces, and because gateways may estimate a
-//! model's reading speed wrongly.
+//! model's reading speed wrongly. The engine's time counts when its prompts have been read,
+//! together with their work: else a long prompt counts as slow until it ends.
 void ReadingQueue::updateTimeRatio( double readMs, MonoTime now ) {
     if( !m_readingSince ) {
         return;
     }
-    const Work passed = now - *m_readingSince;
-    m_measuredMs = m_measuredMs * decayFactor + passed.count();
-    m_statedMs = m_statedMs * decayFactor + readMs;
+    m_unsettledMs += Work( now - *m_readingSince ).count();
+    if( readMs > 0 ) {
+        m_measuredMs = m_measuredMs * decayFactor + std::exchange( m_unsettledMs, 0 );
+        m_statedMs = m_statedMs * decayFactor + readMs;
+    }
 }
 
 MonoTime::duration ReadingQueue::engineTime( double workMs ) const {
@@ -211,6 +217,7 @@
     m_sent.clear();
     m_waiting.clear();
     m_readingSince.reset();
+    m_unsettledMs = 0;
 }
 
 Millis ReadingQueue::waitFor( double workMs, MonoTime now ) const {
--- a/src/decide/reading_queue.hpp
+++ b/src/decide/reading_queue.hpp
@@ -96,6 +96,7 @@
     //! Measured engine time for prompts, and the work that requests stated for the same prompts.
     double m_measuredMs = 0;
     double m_statedMs = 0;
+    double m_unsettledMs = 0;               //!< engine time of prompts that are not completely read
     std::optional<MonoTime> m_readingSince; //!< time of the last report, if prompts were being read
     SentPrompts m_sent; //!< prompts sent to the engine, in order, without overlaps
     std::deque<ReadingRequest> m_waiting; //!< ordered by latest start time
--- a/tests/unit/reading_queue.tests.cpp
+++ b/tests/unit/reading_queue.tests.cpp
@@ -170,6 +170,32 @@
     CHECK( queue.waitFor( 100, later ) == 150ms );
 }
 
+TEST_CASE( "A long prompt that is read as expected leaves the engine free when it ends",
+           "[admission][reading]" ) {
+    ReadingQueue queue;
+    REQUIRE( queue.ask( readingRequest( 1, 400, 500ms ), now ).accepted );
+    REQUIRE( queue.takeNext( now ) );
+    queue.noteUnread( 1, now + 350ms );
+    CHECK( queue.waitFor( 100, now + 350ms ) == 50ms );
+}
+
+TEST_CASE( "Long prompts that are read as fast as stated are expected to take that long",
+           "[admission][reading]" ) {
+    ReadingQueue queue;
+    constexpr Millis work = 400ms;
+    constexpr Millis reportInterval = 25ms;
+    for( int n = 0; n < 5; ++n ) {
+        const auto begin = now + n * work;
+        REQUIRE(
+            queue.ask( { static_cast<std::uint64_t>( n ), 400, begin + 500ms }, begin ).accepted );
+        REQUIRE( queue.takeNext( begin ) );
+        for( auto at = begin; at < begin + work; at += reportInterval ) {
+            queue.noteUnread( 1, at );
+            CHECK( queue.waitFor( 100, at ) <= begin + work - at + reportInterval );
+        }
+    }
+}
+
 TEST_CASE( "A prompt that becomes late because the engine is slower than expected is told so",
            "[admission][reading]" ) {
     ReadingQueue queue;
