Prompt order: urgent prompts displace less urgent ones, organisations have shares

Cause: an engine's queue refused whatever would make an accepted prompt late, and accepted prompts are the long ones of lower urgency; an organisation that sends many times its usual filled it. Change: where waiting prompts differ in urgency or organisation, those in time are read by latest end, those that lost their goal behind them; what does not fit displaces the least urgent, among equals those of the organisation that is furthest over its share, then the newest, as few as possible, none after half of its time. Displaced ones are told at once, with cause and wait. Answers and a log line name the cause of each refusal.

--- a/src/decide/reading_queue.cpp
+++ b/src/decide/reading_queue.cpp
@@ -2,6 +2,7 @@
 #include "decide/reading_queue.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace coursehead::decide {
@@ -18,6 +19,9 @@
 //! A prompt that starts late by no more than this is not dropped: estimates are no more precise,
 //! and gateways subtract 120 ms for transmission from the latest start time.
 constexpr Millis lateTolerance{ 90 };
+//! A less urgent prompt may be made late by this much. The rest of the tolerance remains for an
+//! engine that is slower than expected.
+constexpr Millis yieldTolerance{ lateTolerance / 2 };
 //! Remaining work of a prompt that should have been read by now, as a part of its whole work.
 constexpr double overdueFraction = 0.5;
 //! A prompt that no report shows as read is forgotten this long after its expected end: it may have
@@ -43,6 +47,36 @@
     return std::chrono::duration_cast<MonoTime::duration>( Work( std::max( workMs, 0.0 ) ) );
 }
 
+//! The fewest prompts that have to be removed, first to give way first, until `suffices` is true of
+//! those kept; empty if it is not true even without all that may be removed.
+template <typename MayRemove, typename Suffices>
+std::vector<ReadingRequest> fewestRemoved( std::vector<ReadingRequest> kept,
+                                           const ReadingAccounts& accounts,
+                                           const MayRemove& mayRemove, const Suffices& suffices ) {
+    std::vector<ReadingRequest> candidates;
+    std::copy_if( kept.begin(), kept.end(), std::back_inserter( candidates ), mayRemove );
+    sortByYield( candidates, accounts );
+    std::vector<ReadingRequest> removed;
+    bool enough = false;
+    for( auto it = candidates.begin(); it != candidates.end() && !enough; ++it ) {
+        std::erase_if( kept, [&]( const auto& other ) { return other.key == it->key; } );
+        removed.push_back( *it );
+        enough = suffices( kept );
+    }
+    if( !enough ) {
+        return {};
+    }
+    std::vector<ReadingRequest> out;
+    for( auto it = removed.rbegin(); it != removed.rend(); ++it ) {
+        kept.push_back( *it );
+        if( !suffices( kept ) ) {
+            kept.pop_back();
+            out.push_back( *it );
+        }
+    }
+    return out;
+}
+
 bool startsBefore( const ReadingRequest& a, const ReadingRequest& b ) {
     return a.startBy < b.startBy;
 }
@@ -97,8 +131,19 @@
 
 ReadingVerdict ReadingQueue::ask( const ReadingRequest& request, MonoTime now ) {
     dropOld( now );
+    if( !request.organisation.empty() ) {
+        m_share.noteAsk( request.organisation, now );
+    }
+    Prompts all( m_waiting.begin(), m_waiting.end() );
+    all.push_back( request );
+    // The order does not change back while prompts wait that were accepted by rank.
+    m_ranked = !haveOneRank( all ) || ( m_ranked && !m_waiting.empty() );
+    return m_ranked ? askRanked( request, now ) : askOneRank( request, now );
+}
+
+ReadingVerdict ReadingQueue::askOneRank( const ReadingRequest& request, MonoTime now ) {
     // If some waiting prompt is late already, this prompt is not refused for making others late.
-    std::vector<ReadingRequest> order( m_waiting.begin(), m_waiting.end() );
+    Prompts order( m_waiting.begin(), m_waiting.end() );
     const auto at = std::upper_bound( order.begin(), order.end(), request, startsBefore );
     const bool inTimeBefore = forecast( order, request.key, now ).allInTime;
     order.insert( at, request );
@@ -106,18 +151,144 @@
     const bool accepted =
         forecastWith.start <= request.startBy && ( forecastWith.allInTime || !inTimeBefore );
     if( !accepted ) {
-        return { false, std::max( waitFor( request.workMs, now ),
-                                  roundedUp( forecastWith.start - now ) ) };
+        return { false,
+                 std::max( waitFor( request.workMs, now ), roundedUp( forecastWith.start - now ) ),
+                 PromptRefusal::reading };
     }
     m_waiting.assign( order.begin(), order.end() );
-    return { true, roundedUp( forecastWith.start - now ) };
+    return { true, roundedUp( forecastWith.start - now ), PromptRefusal::none };
+}
+
+ReadingVerdict ReadingQueue::askRanked( const ReadingRequest& request, MonoTime now ) {
+    const auto startsBefore = startsOf( readingOrder( now ), now );
+    Prompts kept( m_waiting.begin(), m_waiting.end() );
+    if( !fits( kept, request, startsBefore, now ) ) {
+        const auto displaced = displacedFor( request, startsBefore, now );
+        if( displaced.empty() ) {
+            kept.push_back( request );
+            sortByRank( kept, now );
+            const auto start = startsOf( kept, now ).at( request.key );
+            const bool overShare = isOverShare( request, accounts() );
+            return { false, std::max( waitFor( request.workMs, now ), roundedUp( start - now ) ),
+                     overShare ? PromptRefusal::share : PromptRefusal::reading };
+        }
+        displace( displaced );
+    }
+    insert( request );
+    const auto start = startsOf( readingOrder( now ), now ).at( request.key );
+    return { true, roundedUp( start - now ), PromptRefusal::none };
+}
+
+//! The waiting prompts in the order in which they are read.
+ReadingQueue::Prompts ReadingQueue::readingOrder( MonoTime now ) const {
+    Prompts out( m_waiting.begin(), m_waiting.end() );
+    if( m_ranked ) {
+        sortByRank( out, now );
+    }
+    return out;
+}
+
+ReadingQueue::Starts ReadingQueue::startsOf( std::span<const ReadingRequest> order,
+                                             MonoTime now ) const {
+    Starts out;
+    SentPrompts sent = m_sent;
+    for( const auto& it : order ) {
+        out[it.key] = appendPeriod( sent, it, now );
+    }
+    return out;
+}
+
+//! What each organisation was served and has waiting.
+ReadingAccounts ReadingQueue::accounts() const {
+    ReadingAccounts out;
+    for( const auto& it : m_waiting ) {
+        if( !it.organisation.empty() ) {
+            const auto at = out.emplace( it.organisation, m_share.servedMs( it.organisation ) );
+            at.first->second += it.workMs;
+        }
+    }
+    return out;
+}
+
+//! Whether the request starts in time among the prompts `kept`, and makes none of them late. A less
+//! urgent one may become late by a time with which it is not dropped.
+bool ReadingQueue::fits( Prompts kept, const ReadingRequest& request, const Starts& startsBefore,
+                         MonoTime now ) const {
+    kept.push_back( request );
+    sortByRank( kept, now );
+    const auto starts = startsOf( kept, now );
+    return std::all_of( kept.begin(), kept.end(), [&]( const ReadingRequest& it ) {
+        const auto start = starts.at( it.key );
+        if( it.key == request.key ) {
+            return start <= it.startBy;
+        }
+        const auto startBefore = startsBefore.at( it.key );
+        const bool expires = startBefore > it.startBy + lateTolerance;
+        const auto tolerance = it.urgency > request.urgency ? yieldTolerance : Millis{ 0 };
+        return expires || start <= std::max( it.startBy + tolerance, startBefore );
+    } );
+}
+
+//! The prompts that have to give way to the request; empty if it can't be in time even so.
+ReadingQueue::Prompts ReadingQueue::displacedFor( const ReadingRequest& request,
+                                                  const Starts& startsBefore, MonoTime now ) const {
+    auto known = accounts();
+    if( !request.organisation.empty() ) {
+        known.emplace( request.organisation, m_share.servedMs( request.organisation ) );
+    }
+    return fewestRemoved(
+        Prompts( m_waiting.begin(), m_waiting.end() ), known,
+        [&]( const ReadingRequest& it ) { return givesWay( it, request, known, now ); },
+        [&]( const Prompts& kept ) { return fits( kept, request, startsBefore, now ); } );
+}
+
+//! The prompts that have to give way to one that waits, because the engine is slower than expected.
+//! No prompt that is not aged stands before an aged one that it would make late.
+ReadingQueue::Prompts ReadingQueue::displacedForWaiting( const ReadingRequest& prompt,
+                                                         MonoTime now ) const {
+    const auto known = accounts();
+    const bool aged = isAged( prompt, now );
+    return fewestRemoved(
+        Prompts( m_waiting.begin(), m_waiting.end() ), known,
+        [&]( const ReadingRequest& it ) {
+            return it.key != prompt.key &&
+                   ( aged ? !isAged( it, now ) : givesWay( it, prompt, known, now ) );
+        },
+        [&]( const Prompts& kept ) { return startsInTime( kept, prompt, now ); } );
+}
+
+bool ReadingQueue::startsInTime( const Prompts& kept, const ReadingRequest& prompt,
+                                 MonoTime now ) const {
+    auto order = kept;
+    sortByRank( order, now );
+    return startsOf( order, now ).at( prompt.key ) <= prompt.startBy + lateTolerance;
+}
+
+void ReadingQueue::insert( const ReadingRequest& request ) {
+    const auto at = std::upper_bound( m_waiting.begin(), m_waiting.end(), request, startsBefore );
+    m_waiting.insert( at, request );
+}
+
+void ReadingQueue::remove( std::uint64_t key ) {
+    std::erase_if( m_waiting, [key]( const auto& it ) { return it.key == key; } );
+}
+
+void ReadingQueue::displace( const Prompts& prompts ) {
+    for( const auto& it : prompts ) {
+        remove( it.key );
+        m_displaced.push_back( it );
+    }
+}
+
+std::vector<ReadingRequest> ReadingQueue::takeDisplaced() {
+    return std::exchange( m_displaced, {} );
 }
 
 std::optional<MonoTime> ReadingQueue::nextAt( MonoTime now ) const {
     if( m_waiting.empty() ) {
         return std::nullopt;
     }
-    return earliestStart( m_sent, m_waiting.front().workMs, now ) - sendAhead;
+    return earliestStart( m_sent, readingOrder( now ).front().workMs, now ) - sendAhead;
 }
 
 std::optional<ReadingRequest> ReadingQueue::takeNext( MonoTime now ) {
@@ -126,15 +297,22 @@
     if( !at || *at > now ) {
         return std::nullopt;
     }
-    const auto out = m_waiting.front();
-    m_waiting.pop_front();
+    const auto out = readingOrder( now ).front();
+    remove( out.key );
     appendPeriod( m_sent, out, now );
+    if( !out.organisation.empty() ) {
+        m_share.noteServed( out.organisation, out.workMs, now );
+    }
     return out;
 }
 
 std::vector<ReadingRequest> ReadingQueue::takeExpired( MonoTime now ) {
     dropOld( now );
-    std::vector<ReadingRequest> out;
+    return m_ranked ? removeExpiredRanked( now ) : removeExpired( now );
+}
+
+ReadingQueue::Prompts ReadingQueue::removeExpired( MonoTime now ) {
+    Prompts out;
     SentPrompts sent = m_sent;
     std::erase_if( m_waiting, [&]( const ReadingRequest& it ) {
         const bool late = earliestStart( sent, it.workMs, now ) > it.startBy + lateTolerance;
@@ -148,8 +326,29 @@
     return out;
 }
 
+ReadingQueue::Prompts ReadingQueue::removeExpiredRanked( MonoTime now ) {
+    Prompts out;
+    for( ;; ) {
+        const auto order = readingOrder( now );
+        const auto starts = startsOf( order, now );
+        const auto late = std::find_if( order.begin(), order.end(), [&]( const auto& it ) {
+            return starts.at( it.key ) > it.startBy + lateTolerance;
+        } );
+        if( late == order.end() ) {
+            return out;
+        }
+        const auto displaced = displacedForWaiting( *late, now );
+        if( displaced.empty() ) {
+            remove( late->key );
+            out.push_back( *late );
+        }
+        displace( displaced );
+    }
+}
+
 void ReadingQueue::withdraw( std::uint64_t key, MonoTime now ) {
-    std::erase_if( m_waiting, [key]( const auto& it ) { return it.key == key; } );
+    remove( key );
+    std::erase_if( m_displaced, [key]( const auto& it ) { return it.key == key; } );
     // The part that the engine is estimated to have read still counts; only the rest is released.
     for( auto& it : m_sent ) {
         if( it.key == key && it.to > now ) {
@@ -216,13 +415,15 @@
 void ReadingQueue::clear() {
     m_sent.clear();
     m_waiting.clear();
+    m_displaced.clear();
+    m_share.clear();
     m_readingSince.reset();
     m_unsettledMs = 0;
 }
 
 Millis ReadingQueue::waitFor( double workMs, MonoTime now ) const {
     SentPrompts sent = m_sent;
-    for( const auto& it : m_waiting ) {
+    for( const auto& it : readingOrder( now ) ) {
         appendPeriod( sent, it, now );
     }
     return roundedUp( earliestStart( sent, workMs, now ) - now );
--- a/src/decide/reading_queue.hpp
+++ b/src/decide/reading_queue.hpp
@@ -3,26 +3,25 @@
 #define COURSEHEAD_DECIDE_READING_QUEUE_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
+#include "decide/fair_share.hpp"
+#include "decide/prompt_refusal.hpp"
+#include "decide/reading_request.hpp"
+#include "decide/yield_rule.hpp"
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <span>
 #include <vector>
 
 namespace coursehead::decide {
 
-//! A request to have a prompt read by an engine.
-struct ReadingRequest {
-    std::uint64_t key = 0; //!< identifies the prompt among all requests
-    double workMs = 0;     //!< estimated time that the engine needs to read the prompt
-    MonoTime startBy;      //!< a later start would be of no use to the client's request
-};
-
 //! Answer to a request to read a prompt.
 struct ReadingVerdict {
     bool accepted = false;
     Millis wait{ 0 }; //!< time until the engine could start to read it, accepted or not
+    PromptRefusal refusal = PromptRefusal::none; //!< why it is not accepted
 };
 
 /**
@@ -36,6 +35,9 @@
  * of their latest start times. A prompt that can no longer start in time, or that would make an
  * accepted prompt late, is refused when it is requested.
  *
+ * Where the waiting prompts differ in urgency or organisation, `yield_rule.hpp` has their order,
+ * and a prompt that does not fit displaces those that give way to it.
+ *
  * The engine's progress is estimated from the work that requests state. The estimate affects only
  * the order and the times of sends.
  */
@@ -49,8 +51,10 @@
     //! Removes and returns the next prompt if it may be sent now; it counts as sent to the engine.
     std::optional<ReadingRequest> takeNext( MonoTime now );
     //! Removes and returns prompts that can't start in time any more, as the engine was slower than
-    //! expected.
+    //! expected. Less urgent ones are displaced before that.
     std::vector<ReadingRequest> takeExpired( MonoTime now );
+    //! Returns the prompts that were displaced since the last call; they don't wait any more.
+    std::vector<ReadingRequest> takeDisplaced();
     //! Time from which takeNext() returns a prompt; nullopt while none waits.
     std::optional<MonoTime> nextAt( MonoTime now ) const;
     //! Removes a prompt that is no longer needed, whether it is queued, or sent but not yet read.
@@ -88,6 +92,24 @@
     };
     Forecast forecast( std::span<const ReadingRequest> order, std::uint64_t key,
                        MonoTime now ) const;
+    using Prompts = std::vector<ReadingRequest>;
+    using Starts = std::map<std::uint64_t, MonoTime>; //!< expected start of each prompt, by key
+    Starts startsOf( std::span<const ReadingRequest> order, MonoTime now ) const;
+    ReadingVerdict askOneRank( const ReadingRequest& request, MonoTime now );
+    ReadingVerdict askRanked( const ReadingRequest& request, MonoTime now );
+    Prompts readingOrder( MonoTime now ) const;
+    ReadingAccounts accounts() const;
+    bool fits( Prompts kept, const ReadingRequest& request, const Starts& startsBefore,
+               MonoTime now ) const;
+    Prompts displacedFor( const ReadingRequest& request, const Starts& startsBefore,
+                          MonoTime now ) const;
+    Prompts displacedForWaiting( const ReadingRequest& prompt, MonoTime now ) const;
+    bool startsInTime( const Prompts& kept, const ReadingRequest& prompt, MonoTime now ) const;
+    Prompts removeExpired( MonoTime now );
+    Prompts removeExpiredRanked( MonoTime now );
+    void insert( const ReadingRequest& request );
+    void remove( std::uint64_t key );
+    void displace( const Prompts& prompts );
     void dropOld( MonoTime now );
     MonoTime::duration engineTime( double workMs ) const;
     void updateTimeRatio( double readMs, MonoTime now );
@@ -100,6 +122,9 @@
     std::optional<MonoTime> m_readingSince; //!< time of the last report, if prompts were being read
     SentPrompts m_sent; //!< prompts sent to the engine, in order, without overlaps
     std::deque<ReadingRequest> m_waiting; //!< ordered by latest start time
+    bool m_ranked = false;                //!< the waiting prompts have, or had, different ranks
+    Prompts m_displaced;                  //!< not returned by takeDisplaced() yet
+    FairShare m_share;
 };
 
 } // namespace coursehead::decide
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -52,20 +52,38 @@
     const auto now = MonoClock::now();
     const auto coldWait = m_coldGate.wait( m_coldPerS, now );
     if( coldWait.count() > 0 ) {
-        m_callbacks.answer( ensure, EnsureOutcome::tooLate, coldWait, 0 );
+        refuse( ensure, decide::PromptRefusal::cold, coldWait );
         return;
     }
     const PromptRequest request{ ensure.key,    ensure.required.model, ensure.required.adapter,
                                  ensure.prompt, ensure.since,          ensure.limit };
     const auto verdict = m_gate.ask( request, now );
     if( !verdict.accepted ) {
-        m_callbacks.answer( ensure, EnsureOutcome::tooLate, verdict.wait, 0 );
+        refuse( ensure, verdict.refusal, verdict.wait );
         return;
     }
     m_waiting.emplace( ensure.key, std::move( ensure ) );
     admitDue();
 }
 
+//! Answers that the prompt is not admitted now, why, and when the engine could start on it.
+void Admission::refuse( PendingEnsure& ensure, decide::PromptRefusal refusal, Millis wait ) {
+    const auto& prompt = ensure.prompt;
+    log::info( "prompt_refused",
+               { { "cause", decide::nameOf( refusal ) },
+                 { "route", prompt.route },
+                 { "organisation", prompt.organisation },
+                 { "urgency", prompt.urgency },
+                 { "tokens", prompt.tokens },
+                 { "goal_ms", prompt.goalMs },
+                 { "may_start_late", prompt.mayStartLate ? "yes" : "no" },
+                 { "waited_ms", millisBetween( ensure.since, MonoClock::now() ) },
+                 { "prompts_waiting", static_cast<std::int64_t>( m_gate.waiting() ) },
+                 { "wait_ms", wait.count() } } );
+    ensure.refusal = refusal;
+    m_callbacks.answer( ensure, EnsureOutcome::tooLate, wait, 0 );
+}
+
 //! Admits the prompts that are due, and sets the timer for the next one.
 void Admission::admitDue() {
     const auto now = MonoClock::now();
@@ -83,7 +101,7 @@
         const auto coldWait = m_coldGate.wait( m_coldPerS, now );
         if( coldWait.count() > 0 ) {
             m_gate.withdraw( due.key, now );
-            m_callbacks.answer( ensure, EnsureOutcome::tooLate, coldWait, 0 );
+            refuse( ensure, decide::PromptRefusal::cold, coldWait );
             continue;
         }
         if( m_coldGate.isCold( now ) ) {
@@ -92,11 +110,10 @@
         m_callbacks.admitted( ensure );
         m_callbacks.answer( ensure, EnsureOutcome::ready, m_gate.typicalWait( now ), due.workMs );
     }
-    for( const auto key : m_gate.takeExpired( now ) ) {
-        const auto entry = m_waiting.extract( key );
+    for( const auto& it : m_gate.takeRefused( now ) ) {
+        auto entry = m_waiting.extract( it.key );
         if( !entry.empty() ) {
-            m_callbacks.answer( entry.mapped(), EnsureOutcome::tooLate, m_gate.typicalWait( now ),
-                                0 );
+            refuse( entry.mapped(), it.refusal, it.wait );
         }
     }
     const auto next = m_gate.nextAt( now );
--- a/src/sidecar/admission.hpp
+++ b/src/sidecar/admission.hpp
@@ -58,6 +58,7 @@
 
 private:
     void admitDue();
+    void refuse( PendingEnsure& ensure, decide::PromptRefusal refusal, Millis wait );
     void updateReadingLimit();
 
     Callbacks m_callbacks;
--- a/src/sidecar/pending_ensure.hpp
+++ b/src/sidecar/pending_ensure.hpp
@@ -37,6 +37,8 @@
     MonoTime since;
     Millis limit{ 0 };       //!< longest wait, counted from `since`
     bool neededLoad = false; //!< the model or adapter was not resident at first
+    //! Why its prompt is not admitted, for the answer.
+    decide::PromptRefusal refusal = decide::PromptRefusal::none;
 };
 
 //! A key for an ensure request that is unique over all connections.
--- a/src/sidecar/prompt_gate.cpp
+++ b/src/sidecar/prompt_gate.cpp
@@ -51,10 +51,16 @@
 
 decide::ReadingVerdict PromptGate::ask( const PromptRequest& request, MonoTime now ) {
     const auto goal = request.since + std::min( Millis( request.prompt.goalMs ), request.limit );
-    decide::ReadingRequest reading{ request.key, uncachedWorkMs( request ), goal };
+    decide::ReadingRequest reading{ request.key,
+                                    uncachedWorkMs( request ),
+                                    goal,
+                                    request.prompt.urgency,
+                                    request.prompt.organisation,
+                                    now };
     auto verdict = m_queue.ask( reading, now );
     if( !verdict.accepted && request.prompt.mayStartLate ) {
         reading.startBy = request.since + request.limit;
+        reading.late = true;
         verdict = m_queue.ask( reading, now );
     }
     if( verdict.accepted ) {
@@ -76,23 +82,37 @@
     return out;
 }
 
-std::vector<std::uint64_t> PromptGate::takeExpired( MonoTime now ) {
-    std::vector<std::uint64_t> out;
-    for( auto reading : m_queue.takeExpired( now ) ) {
-        const auto it = m_waiting.find( reading.key );
-        const auto latestStart = it->second.since + it->second.limit;
-        // The goal is missed, but this prompt may start late: queue it again within its limit.
-        const bool mayStartLate = it->second.prompt.mayStartLate && reading.startBy < latestStart;
-        reading.startBy = latestStart;
-        if( mayStartLate && m_queue.ask( reading, now ).accepted ) {
-            continue;
+std::vector<RefusedPrompt> PromptGate::takeRefused( MonoTime now ) {
+    std::vector<RefusedPrompt> out;
+    for( const auto& it : m_queue.takeExpired( now ) ) {
+        if( !waitsOn( it, now ) ) {
+            out.push_back( refuse( it, decide::PromptRefusal::reading, now ) );
+        }
+    }
+    for( const auto& it : m_queue.takeDisplaced() ) {
+        if( !waitsOn( it, now ) ) {
+            out.push_back( refuse( it, decide::PromptRefusal::displaced, now ) );
         }
-        m_waiting.erase( it );
-        out.push_back( reading.key );
     }
     return out;
 }
 
+//! Queues a prompt again, within its limit, if it may start after its goal.
+bool PromptGate::waitsOn( decide::ReadingRequest reading, MonoTime now ) {
+    const auto& request = m_waiting.at( reading.key );
+    const auto latestStart = request.since + request.limit;
+    const bool mayStartLate = request.prompt.mayStartLate && reading.startBy < latestStart;
+    reading.startBy = latestStart;
+    reading.late = true;
+    return mayStartLate && m_queue.ask( reading, now ).accepted;
+}
+
+RefusedPrompt PromptGate::refuse( const decide::ReadingRequest& reading,
+                                  decide::PromptRefusal refusal, MonoTime now ) {
+    m_waiting.erase( reading.key );
+    return { reading.key, refusal, m_queue.waitFor( reading.workMs, now ) };
+}
+
 void PromptGate::withdraw( std::uint64_t key, MonoTime now ) {
     m_queue.withdraw( key, now );
     m_waiting.erase( key );
--- a/src/sidecar/prompt_gate.hpp
+++ b/src/sidecar/prompt_gate.hpp
@@ -32,6 +32,13 @@
     double workMs = 0; //!< reading time, without the parts that the engine has cached
 };
 
+//! A prompt that waited and is not admitted.
+struct RefusedPrompt {
+    std::uint64_t key = 0;
+    decide::PromptRefusal refusal = decide::PromptRefusal::none;
+    Millis wait{ 0 }; //!< time until the engine could start on it, if it were requested again
+};
+
 /**
  * Admits prompts to one engine. It sees the prompts of all gateways, so it knows which shared parts
  * the engine has read, and in which order: of two prompts with the same part only the first is
@@ -48,8 +55,9 @@
     decide::ReadingVerdict ask( const PromptRequest& request, MonoTime now );
     //! Removes and returns the prompts that may be sent now.
     std::vector<AdmittedPrompt> takeAdmitted( MonoTime now );
-    //! Removes the prompts that can no longer start in time, and returns their keys.
-    std::vector<std::uint64_t> takeExpired( MonoTime now );
+    //! Removes and returns the prompts that can no longer start in time, and those that others have
+    //! displaced.
+    std::vector<RefusedPrompt> takeRefused( MonoTime now );
     //! When takeAdmitted() will return the next prompt; nullopt while none waits.
     std::optional<MonoTime> nextAt( MonoTime now ) const { return m_queue.nextAt( now ); }
     //! Removes a prompt that its request no longer needs, queued or admitted.
@@ -69,6 +77,9 @@
 
 private:
     double uncachedWorkMs( const PromptRequest& request ) const;
+    bool waitsOn( decide::ReadingRequest reading, MonoTime now );
+    RefusedPrompt refuse( const decide::ReadingRequest& reading, decide::PromptRefusal refusal,
+                          MonoTime now );
 
     decide::ReadingQueue m_queue;
     gateway::PrefixCache m_prefixes;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -429,7 +429,7 @@
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
         const gateway::Message message(
             gateway::EnsureAnswer{ ensure.number, outcome, wait.count(), workMs,
-                                   m_view.workPerS( ensure.required.model, now ) } );
+                                   m_view.workPerS( ensure.required.model, now ), ensure.refusal } );
         peer->channel->send( gateway::encode( message ) );
     }
 
--- a/tests/replay/many_gateways.tests.cpp
+++ b/tests/replay/many_gateways.tests.cpp
@@ -137,7 +137,7 @@
         for( const auto& it : gate.takeAdmitted( at( time ) ) ) {
             engine.send( waiting.at( it.key ) );
         }
-        refused += gate.takeExpired( at( time ) ).size();
+        refused += gate.takeRefused( at( time ) ).size();
     };
     double reportAt = 0;
     const auto advance = [&]( double from, double until ) {
--- a/tests/unit/admission.tests.cpp
+++ b/tests/unit/admission.tests.cpp
@@ -17,6 +17,8 @@
     struct Answer {
         std::uint64_t key;
         EnsureOutcome outcome;
+        decide::PromptRefusal refusal = decide::PromptRefusal::none;
+        Millis wait{ 0 };
     };
     net::asio::io_context context{ 1 };
     bool modelResident = true;
@@ -32,9 +34,9 @@
         out.isResident = [this]( const RequiredModel& ) {
             return modelResident;
         };
-        out.answer = [this]( const PendingEnsure& pendingEnsure, EnsureOutcome outcome, Millis,
+        out.answer = [this]( const PendingEnsure& pendingEnsure, EnsureOutcome outcome, Millis wait,
                              double ) {
-            answers.push_back( { pendingEnsure.key, outcome } );
+            answers.push_back( { pendingEnsure.key, outcome, pendingEnsure.refusal, wait } );
         };
         out.notResident = [this]( const PendingEnsure& pendingEnsure ) {
             notResident.push_back( pendingEnsure.key );
@@ -77,6 +79,27 @@
     CHECK( f.answers[1].outcome == EnsureOutcome::tooLate );
 }
 
+TEST_CASE( "A displaced prompt is told so at once, with when the engine could start on it",
+           "[sidecar][admission][order]" ) {
+    Fixture f;
+    f.admission.setEngine( 100000, 0ms );
+    f.admission.admit( Fixture::pendingEnsure( 1, 500ms ) );
+    auto batch = Fixture::pendingEnsure( 2, 900ms );
+    batch.prompt.urgency = 7;
+    f.admission.admit( batch );
+    REQUIRE( f.answers.size() == 1 );
+    auto urgent = Fixture::pendingEnsure( 3, 480ms );
+    urgent.prompt.urgency = 1;
+    urgent.prompt.tokens = 6000;
+    f.admission.admit( urgent );
+    REQUIRE( f.answers.size() == 2 );
+    CHECK( f.answers[1].key == 2 );
+    CHECK( f.answers[1].outcome == EnsureOutcome::tooLate );
+    CHECK( f.answers[1].refusal == decide::PromptRefusal::displaced );
+    CHECK( f.answers[1].wait > 900ms );
+    CHECK( f.answers[1].wait <= 1000ms );
+}
+
 TEST_CASE( "When the engine is lost all that wait hear it at once", "[sidecar][admission]" ) {
     Fixture f;
     f.admission.admit( Fixture::pendingEnsure( 1, 500ms ) );
--- a/tests/unit/reading_queue.tests.cpp
+++ b/tests/unit/reading_queue.tests.cpp
@@ -224,7 +224,7 @@
     second.limit = 2000ms;
     REQUIRE( gate.ask( second, now ).accepted );
     gate.noteUnread( 1, now + 140ms );
-    CHECK( gate.takeExpired( now + 140ms ).empty() );
+    CHECK( gate.takeRefused( now + 140ms ).empty() );
     CHECK( gate.waiting() == 1 );
 }
 
