Prompt order: free room, queue length and counters are told

Cause: a load report left places, tokens and the queue's length unknown; nobody saw who was refused and why. Result: the new tests and all of [order], [sidecar] pass.

--- a/src/decide/engine_room.hpp
+++ b/src/decide/engine_room.hpp
@@ -25,6 +25,18 @@
     }
 };
 
+//! What an engine has and what its last report says of it.
+struct EngineUse {
+    int slots = 0;               //!< requests that run at the same time; 0: unknown
+    std::int64_t requests = 0;   //!< that run or are queued, and those sent since the report
+    std::int64_t cacheUsed = 0;  //!< tokens
+    std::int64_t cacheTotal = 0; //!< tokens; 0: unknown
+};
+
+//! Free room of the engine. It is designed for many gateways that send to one engine: none of them
+//! sees the others' requests.
+FreeRoom freeRoomOf( const EngineUse& use );
+
 } // namespace coursehead::decide
 
 #endif // COURSEHEAD_DECIDE_ENGINE_ROOM_HPP_INCLUDED
--- a/src/sidecar/admission.hpp
+++ b/src/sidecar/admission.hpp
@@ -54,6 +54,8 @@
     void dropModel( const std::string& model ) { m_gate.dropModel( model ); }
 
     Millis typicalWait( MonoTime now ) const { return m_gate.typicalWait( now ); }
+    std::size_t promptsWaiting() const noexcept { return m_gate.waiting(); }
+    std::size_t promptsUnreported() const noexcept { return m_gate.unreported(); }
     bool busy( MonoTime now ) const { return m_gate.busy( now ); }
 
 private:
--- a/src/sidecar/prompt_gate.hpp
+++ b/src/sidecar/prompt_gate.hpp
@@ -71,6 +71,8 @@
 
     //! Time until the engine would start to read a prompt of the usual size.
     Millis typicalWait( MonoTime now ) const { return m_queue.waitFor( m_typicalWorkMs, now ); }
+    //! Number of prompts admitted so lately that the engine's last report may lack them.
+    std::size_t unreported() const noexcept { return m_admissionTimes.size(); }
     std::size_t waiting() const noexcept { return m_queue.waiting(); }
     //! True while prompts wait, or by estimate are being read.
     bool busy( MonoTime now ) const { return m_queue.busy( now ); }
--- a/src/sidecar/publisher.cpp
+++ b/src/sidecar/publisher.cpp
@@ -48,10 +48,29 @@
     }
     out.readingPercent = static_cast<int>( readingShare * percent );
     out.readingWaitMs = m_sources.admission.typicalWait( now ).count();
+    const auto room = freeRoom();
+    out.freePlaces = room.places;
+    out.freeTokens = room.tokens;
+    out.promptsWaiting = static_cast<int>( m_sources.admission.promptsWaiting() );
     out.latePausesPercent = static_cast<int>( m_sources.pauses.lateShare( now ) * percent );
     return out;
 }
 
+//! The engine's free places and cache tokens; unknown while the engine does not answer.
+decide::FreeRoom Publisher::freeRoom() const {
+    if( !m_reachable || !m_sources.view.spec() ) {
+        return {};
+    }
+    const auto& engine = m_sources.view.report();
+    decide::EngineUse use;
+    use.slots = m_sources.view.spec()->slots;
+    use.requests = engine.running + engine.queued +
+                   static_cast<std::int64_t>( m_sources.admission.promptsUnreported() );
+    use.cacheUsed = engine.cacheUsed;
+    use.cacheTotal = engine.cacheTotal;
+    return decide::freeRoomOf( use );
+}
+
 gateway::SidecarReport Publisher::report() const {
     const auto& engine = m_sources.view.report();
     gateway::SidecarReport out;
--- a/src/sidecar/publisher.hpp
+++ b/src/sidecar/publisher.hpp
@@ -2,6 +2,7 @@
 #ifndef COURSEHEAD_SIDECAR_PUBLISHER_HPP_INCLUDED
 #define COURSEHEAD_SIDECAR_PUBLISHER_HPP_INCLUDED
 
+#include "decide/engine_room.hpp"
 #include "sidecar/admission.hpp"
 #include "sidecar/engine_view.hpp"
 #include "sidecar/orders.hpp"
@@ -43,6 +44,7 @@
 private:
     Millis reportInterval() const;
     gateway::EngineLoad load() const;
+    decide::FreeRoom freeRoom() const;
     gateway::SidecarReport report() const;
     std::string encodedReport();
     std::string encodedLoad();
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -13,6 +13,7 @@
 #include "sidecar/orders.hpp"
 #include "sidecar/pause_meter.hpp"
 #include "sidecar/pending_ensure.hpp"
+#include "sidecar/prompt_counts.hpp"
 #include "sidecar/publisher.hpp"
 #include "sidecar/quarantine_keeper.hpp"
 #include "sidecar/relay.hpp"
@@ -427,9 +428,10 @@
             m_view.noteAdmitted( ensure.required.model, workMs, now );
         }
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
-        const gateway::Message message(
-            gateway::EnsureAnswer{ ensure.number, outcome, wait.count(), workMs,
-                                   m_view.workPerS( ensure.required.model, now ), ensure.refusal } );
+        m_promptCounts.note( ensure.prompt, outcome, ensure.refusal );
+        const gateway::Message message( gateway::EnsureAnswer{
+            ensure.number, outcome, wait.count(), workMs,
+            m_view.workPerS( ensure.required.model, now ), ensure.refusal } );
         peer->channel->send( gateway::encode( message ) );
     }
 
@@ -457,6 +459,7 @@
     std::set<PeerPtr> m_peers;
     EngineView m_view;
     Orders m_orders;
+    PromptCounts m_promptCounts{ m_metrics };
     SharedCounts m_sharedCounts{ m_peers, m_metrics };
     Admission m_admission;
     SentParts m_sentParts;
--- a/tests/unit/yield_rule.tests.cpp
+++ b/tests/unit/yield_rule.tests.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "decide/yield_rule.hpp"
+#include "decide/engine_room.hpp"
 #include "decide/fair_share.hpp"
 #include "decide/reading_queue.hpp"
 
@@ -173,3 +174,19 @@
     }
     CHECK( share.size() == 256 );
 }
+
+TEST_CASE( "An engine has room for what it can run beside what it has", "[order][room]" ) {
+    const auto room = freeRoomOf( { 64, 60, 9000, 10000 } );
+    CHECK( room.places == 4 );
+    CHECK( room.tokens == 1000 );
+    CHECK( room.fits( { 500, 300, 200 } ) );
+    CHECK_FALSE( room.fits( { 500, 300, 201 } ) );
+    CHECK_FALSE( freeRoomOf( { 64, 70, 0, 10000 } ).fits( { 1, 0, 1 } ) );
+}
+
+TEST_CASE( "An engine of which nothing is known has room", "[order][room]" ) {
+    const auto room = freeRoomOf( {} );
+    CHECK( room.places < 0 );
+    CHECK( room.tokens < 0 );
+    CHECK( room.fits( { 1000000, 0, 0 } ) );
+}
