--- a/tests/unit/yield_rule.tests.cpp
+++ b/tests/unit/yield_rule.tests.cpp
@@ -25,6 +25,7 @@
 
 std::vector<std::uint64_t> keysOf( const std::vector<ReadingRequest>& prompts ) {
     std::vector<std::uint64_t> out;
+    out.reserve( prompts.size() );
     for( const auto& it : prompts ) {
         out.push_back( it.key );
     }
