--- a/tests/unit/admission.tests.cpp
+++ b/tests/unit/admission.tests.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
 #include <vector>
 
 using namespace coursehead;
@@ -112,6 +113,50 @@
     CHECK_FALSE( f.admission.busy( MonoClock::now() ) );
 }
 
+TEST_CASE( "When the engine is lost, prompts of every rank hear it once, and none is left",
+           "[sidecar][admission][order]" ) {
+    Fixture f;
+    f.admission.setEngine( 100000, 0ms );
+    f.admission.admit( Fixture::pendingEnsure( 1, 500ms ) );
+    for( std::uint64_t key = 2; key <= 4; ++key ) {
+        auto waiting = Fixture::pendingEnsure( key, 60s );
+        waiting.prompt.urgency = static_cast<int>( key );
+        waiting.prompt.organisation = "o" + std::to_string( key );
+        f.admission.admit( waiting );
+    }
+    REQUIRE( f.answers.size() == 1 );
+    f.admission.failAll();
+    REQUIRE( f.answers.size() == 4 );
+    for( std::size_t n = 1; n < 4; ++n ) {
+        CHECK( f.answers[n].outcome == EnsureOutcome::failed );
+    }
+    CHECK( f.admission.promptsWaiting() == 0 );
+    CHECK( f.admission.typicalWait( MonoClock::now() ) == 0ms );
+    f.admission.admit( Fixture::pendingEnsure( 5, 100ms ) );
+    CHECK( f.answers.back().outcome == EnsureOutcome::ready );
+}
+
+TEST_CASE( "The prompts of a lost gateway make room for those of others",
+           "[sidecar][admission][order]" ) {
+    Fixture f;
+    f.admission.setEngine( 100000, 0ms );
+    Peer lost;
+    lost.connectionNumber = 7;
+    f.admission.admit( Fixture::pendingEnsure( 1, 500ms ) );
+    auto urgent = Fixture::pendingEnsure( ensureKey( lost, 1 ), 480ms );
+    urgent.number = 1;
+    urgent.prompt.urgency = 1;
+    f.admission.admit( urgent );
+    REQUIRE( f.admission.promptsWaiting() == 1 );
+    f.admission.forgetPeer( lost );
+    CHECK( f.admission.promptsWaiting() == 0 );
+    auto usual = Fixture::pendingEnsure( 2, 480ms );
+    usual.prompt.urgency = 3;
+    f.admission.admit( usual );
+    CHECK( f.admission.promptsWaiting() == 1 );
+    CHECK( f.answers.size() == 1 );
+}
+
 TEST_CASE( "A model that made way meanwhile is wanted again, and no leave is given",
            "[sidecar][admission]" ) {
     Fixture f;
