--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -62,7 +62,7 @@
     const auto now = MonoClock::now();
     const auto coldWait = m_coldGate.wait( m_coldPerS, now );
     if( coldWait.count() > 0 ) {
-        m_callbacks.answer( ensure, EnsureOutcome::tooLate, coldWait, 0 );
+        refuse( std::move( ensure ), decide::PromptRefusal::cold, coldWait, {} );
         return;
     }
     if( ensure.returned == decide::ReturnVerdict::unknown ) {
@@ -70,17 +70,34 @@
     }
     const auto verdict = m_returns.ask( promptRequestOf( ensure ), now );
     if( !verdict.accepted ) {
-        refuse( std::move( ensure ), verdict.place );
+        refuse( std::move( ensure ), verdict.refusal, verdict.wait, verdict.place );
         return;
     }
     m_waiting.emplace( ensure.key, std::move( ensure ) );
     admitDue();
 }
 
-//! Answers that the prompt can't start in time, with the place held for its return.
-void Admission::refuse( PendingEnsure ensure, const decide::HeldPlace& place ) {
+//! Answers that the prompt is not admitted now, why, when the engine could start on it, and which
+//! place is held for its return.
+void Admission::refuse( PendingEnsure ensure, decide::PromptRefusal refusal, Millis wait,
+                        const decide::HeldPlace& place ) {
+    const auto& prompt = ensure.prompt;
+    log::info( "prompt_refused",
+               { { "cause", decide::nameOf( refusal ) },
+                 { "route", prompt.route },
+                 { "organisation", prompt.organisation },
+                 { "urgency", prompt.urgency },
+                 { "tokens", prompt.tokens },
+                 { "goal_ms", prompt.goalMs },
+                 { "may_start_late", prompt.mayStartLate ? "yes" : "no" },
+                 { "waited_ms", millisBetween( ensure.since, MonoClock::now() ) },
+                 { "prompts_waiting", static_cast<std::int64_t>( m_gate.waiting() ) },
+                 { "wait_ms", wait.count() },
+                 { "place_ms", place.held.count() } } );
+    ensure.refusal = refusal;
+    ensure.returnIn = place.wait;
     ensure.placeHeld = place.held;
-    m_callbacks.answer( ensure, EnsureOutcome::tooLate, place.wait, 0 );
+    m_callbacks.answer( ensure, EnsureOutcome::tooLate, wait, 0 );
 }
 
 //! Admits the prompts that are due, and sets the timer for the next one.
@@ -100,7 +117,7 @@
         const auto coldWait = m_coldGate.wait( m_coldPerS, now );
         if( coldWait.count() > 0 ) {
             m_gate.withdraw( due.key, now );
-            m_callbacks.answer( ensure, EnsureOutcome::tooLate, coldWait, 0 );
+            refuse( std::move( ensure ), decide::PromptRefusal::cold, coldWait, {} );
             continue;
         }
         if( m_coldGate.isCold( now ) ) {
@@ -114,12 +131,11 @@
         m_callbacks.admitted( ensure );
         m_callbacks.answer( ensure, EnsureOutcome::ready, m_gate.typicalWait( now ), due.workMs );
     }
-    for( const auto key : m_gate.takeExpired( now ) ) {
-        auto entry = m_waiting.extract( key );
+    for( const auto& it : m_gate.takeRefused( now ) ) {
+        auto entry = m_waiting.extract( it.key );
         if( !entry.empty() ) {
-            const auto request = promptRequestOf( entry.mapped() );
-            const auto place = m_returns.refuse( request, m_gate.typicalWait( now ), now );
-            refuse( std::move( entry.mapped() ), place );
+            const auto place = m_returns.refuse( promptRequestOf( entry.mapped() ), it.wait, now );
+            refuse( std::move( entry.mapped() ), it.refusal, it.wait, place );
         }
     }
     const auto next = m_gate.nextAt( now );
--- a/src/sidecar/pending_ensure.hpp
+++ b/src/sidecar/pending_ensure.hpp
@@ -42,8 +42,11 @@
     Millis loadWait{ 0 };
     //! Whether its content has a place on return, and came at the time that its client was told.
     decide::ReturnVerdict returned = decide::ReturnVerdict::unknown;
+    Millis returnIn{ 0 };    //!< time until a place on return opens
     Millis placeHeld{ 0 };   //!< a place on return is held for this long; 0: none
     bool fetchParts = false; //!< the engine is to fetch the prompt's parts from `prompt.cachedAt`
+    //! Why its prompt is not admitted, for the answer.
+    decide::PromptRefusal refusal = decide::PromptRefusal::none;
 };
 
 //! A key for an ensure request that is unique over all connections.
--- a/src/sidecar/prompt_gate.hpp
+++ b/src/sidecar/prompt_gate.hpp
@@ -47,6 +47,13 @@
     ReadingPlan plan;
 };
 
+//! A prompt that waited and is not admitted.
+struct RefusedPrompt {
+    std::uint64_t key = 0;
+    decide::PromptRefusal refusal = decide::PromptRefusal::none;
+    Millis wait{ 0 }; //!< time until the engine could start on it, if it were requested again
+};
+
 /**
  * Admits prompts to one engine. It sees the prompts of all gateways, so it knows which shared parts
  * the engine has read, and in which order: of two prompts with the same part only the first is
@@ -66,8 +73,9 @@
     decide::ReadingVerdict ask( const PromptRequest& request, MonoTime now );
     //! Removes and returns the prompts that may be sent now.
     std::vector<AdmittedPrompt> takeAdmitted( MonoTime now );
-    //! Removes the prompts that can no longer start in time, and returns their keys.
-    std::vector<std::uint64_t> takeExpired( MonoTime now );
+    //! Removes and returns the prompts that can no longer start in time, and those that others have
+    //! displaced.
+    std::vector<RefusedPrompt> takeRefused( MonoTime now );
     //! When takeAdmitted() will return the next prompt; nullopt while none waits.
     std::optional<MonoTime> nextAt( MonoTime now ) const { return m_queue.nextAt( now ); }
     //! Removes a prompt that its request no longer needs, queued or admitted.
@@ -82,12 +90,17 @@
 
     //! Time until the engine would start to read a prompt of the usual size.
     Millis typicalWait( MonoTime now ) const { return m_queue.waitFor( m_typicalWorkMs, now ); }
+    //! Number of prompts admitted so lately that the engine's last report may lack them.
+    std::size_t unreported() const noexcept { return m_admissionTimes.size(); }
     std::size_t waiting() const noexcept { return m_queue.waiting(); }
     //! True while prompts wait, or by estimate are being read.
     bool busy( MonoTime now ) const { return m_queue.busy( now ); }
 
     //! Time to read the parts of a prompt that the engine has not cached.
     double uncachedWorkMs( const PromptRequest& request ) const;
+    bool waitsOn( decide::ReadingRequest reading, MonoTime now );
+    RefusedPrompt refuse( const decide::ReadingRequest& reading, decide::PromptRefusal refusal,
+                          MonoTime now );
 
 private:
     //! Decides whether the engine fetches parts that the prompt's request says another one has.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -14,6 +14,7 @@
 #include "sidecar/orders.hpp"
 #include "sidecar/pause_meter.hpp"
 #include "sidecar/pending_ensure.hpp"
+#include "sidecar/prompt_counts.hpp"
 #include "sidecar/publisher.hpp"
 #include "sidecar/quarantine_keeper.hpp"
 #include "sidecar/relay.hpp"
@@ -471,11 +472,14 @@
             m_view.noteAdmitted( ensure.required.model, workMs, now );
         }
         m_metrics.count( "wants", gateway::nameOf( outcome ) );
+        m_promptCounts.note( ensure.prompt, outcome, ensure.refusal );
         countReturn( ensure );
         gateway::EnsureAnswer out{ ensure.number, outcome, wait.count(), workMs,
                                    m_view.workPerS( ensure.required.model, now ) };
+        out.refusal = ensure.refusal;
         out.fetchParts = outcome == EnsureOutcome::ready && ensure.fetchParts;
         out.placeHeldMs = ensure.placeHeld.count();
+        out.returnInMs = ensure.returnIn.count();
         const gateway::Message message( out );
         peer->channel->send( gateway::encode( message ) );
     }
@@ -523,6 +527,7 @@
     std::set<PeerPtr> m_peers;
     EngineView m_view;
     Orders m_orders;
+    PromptCounts m_promptCounts{ m_metrics };
     SharedCounts m_sharedCounts{ m_peers, m_metrics };
     Admission m_admission;
     SentParts m_sentParts;
