Places on return: the engine's wait and the time of return are told apart

Requests that were served elsewhere kept their places until their streams ended. 380 clients were told to return within 100 ms. Change: EnsureAnswer::returnInMs, after the other fields with a default; a place is given back as soon as another engine admits the prompt; nobody is told less than an engine's report interval; places count less before any was taken up.

--- a/src/decide/return_places.cpp
+++ b/src/decide/return_places.cpp
@@ -32,9 +32,10 @@
     expire( now );
     const auto known = m_places.find( prompt.content );
     if( known != m_places.end() ) {
-        const auto left = std::max( known->second.from - now, MonoTime::duration::zero() );
-        const auto wait = std::chrono::ceil<Millis>( left );
-        return { wait, std::chrono::floor<Millis>( known->second.until - now ) - wait };
+        const auto wait =
+            std::max( std::chrono::ceil<Millis>( known->second.from - now ), prompt.wait );
+        const auto left = std::chrono::floor<Millis>( known->second.until - now );
+        return { wait, std::max( left - wait, Millis{ 0 } ) };
     }
     if( prompt.content == 0 || m_places.size() >= maxPlaces ) {
         return { prompt.wait, Millis{ 0 } };
--- a/src/decide/return_places.hpp
+++ b/src/decide/return_places.hpp
@@ -45,7 +45,7 @@
  */
 class ReturnPlaces {
 public:
-    //! Holds a place, and returns from when and how long.
+    //! Holds a place, and returns from when and how long. A content that has a place keeps it.
     HeldPlace hold( const RefusedPrompt& prompt, MonoTime now );
     //! A prompt has come; one that returns in time takes up its place.
     ReturnVerdict arrive( Fingerprint content, MonoTime now );
@@ -75,7 +75,7 @@
     void noteTakenUp( bool takenUp );
 
     std::map<Fingerprint, Place> m_places; //!< by content
-    double m_takenUpShare = 0.5;           //!< of the places held lately; unknown at first
+    double m_takenUpShare = 0.25;          //!< of the places held lately; unknown at first
 };
 
 } // namespace coursehead::decide
--- a/src/decide/return_time.cpp
+++ b/src/decide/return_time.cpp
@@ -9,9 +9,9 @@
 
 //! Clients wait at most this part of the time that they have left.
 constexpr int clientWaitDivisor = 3;
-//! A client that returns sooner finds the engine as it was: a new connection and an engine's next
-//! report take about this long.
-constexpr Millis minReturn{ 100 };
+//! A client that returns sooner meets gateways that have not heard of a change: an engine's next
+//! load report takes this long.
+constexpr Millis minReturn{ 250 };
 //! Longest random addition, as a part of the time told. With a smaller part those refused together
 //! return together; with a larger one they wait longer than they have to.
 constexpr int spreadDivisor = 4;
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -171,6 +171,7 @@
     switch( answer.outcome ) {
     case EnsureOutcome::ready:
         m_promptPermit.emplace( choice.node, answer );
+        m_returnPlace.reset();
         choice.workMs = answer.workMs;
         choice.unqueued = choice.unqueued && answer.waitMs <= answer.workMs;
         return PrepareResult::send;
@@ -201,7 +202,8 @@
 }
 
 void Exchange::noteReturn( const Choice& choice, const EnsureAnswer& answer, MonoTime now ) {
-    const auto at = now + Millis( answer.waitMs );
+    // A sidecar of the version before states no time of return.
+    const auto at = now + Millis( std::max( answer.waitMs, answer.returnInMs ) );
     if( answer.placeHeldMs <= 0 ) {
         if( !m_returnAt || at < *m_returnAt ) {
             m_returnPlace.reset();
@@ -258,6 +260,7 @@
                         { "wait_ms", answer.waitMs },
                         { "work_ms", static_cast<std::int64_t>( answer.workMs ) },
                         { "took_ms", took },
+                        { "return_ms", answer.returnInMs },
                         { "place_ms", answer.placeHeldMs } } );
 }
 
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -346,7 +346,7 @@
 
 void to_json( Json& out, const EnsureAnswer& in ) {
     out = Json::array( { in.number, in.outcome, in.waitMs, in.workMs, in.modelWorkPerS, in.refusal,
-                         in.placeHeldMs, in.fetchParts } );
+                         in.placeHeldMs, in.fetchParts, in.returnInMs } );
 }
 
 void from_json( const Json& in, EnsureAnswer& out ) {
@@ -358,6 +358,7 @@
     readAddedField( in, 5, out.refusal );
     readAddedField( in, 6, out.placeHeldMs );
     readAddedField( in, 7, out.fetchParts );
+    readAddedField( in, 8, out.returnInMs );
 }
 
 // clang-format off
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -111,11 +111,14 @@
     //! negative: unknown.
     double modelWorkPerS = -1;
     decide::PromptRefusal refusal = decide::PromptRefusal::none; //!< why the prompt is not admitted
-    //! A place in the queue is held for the same content from `waitMs` on, for this long; 0: none
-    //! is.
+    //! A place in the queue is held for the same content from `returnInMs` on, for this long; 0:
+    //! none is.
     std::int64_t placeHeldMs = 0;
     //! The engine should fetch the prompt's cached parts from the engine that the request named.
     bool fetchParts = false;
+    //! Time until the prompt's place opens. It is not less than `waitMs`, since other places may
+    //! open before it.
+    std::int64_t returnInMs = 0;
 };
 
 //! Demand for a model, as one gateway measures it.
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -70,7 +70,7 @@
     }
     const auto verdict = m_returns.ask( promptRequestOf( ensure ), now );
     if( !verdict.accepted ) {
-        refuse( std::move( ensure ), verdict.place );
+        refuse( std::move( ensure ), verdict.wait, verdict.place );
         return;
     }
     m_waiting.emplace( ensure.key, std::move( ensure ) );
@@ -78,9 +78,10 @@
 }
 
 //! Answers that the prompt can't start in time, with the place held for its return.
-void Admission::refuse( PendingEnsure ensure, const decide::HeldPlace& place ) {
+void Admission::refuse( PendingEnsure ensure, Millis wait, const decide::HeldPlace& place ) {
+    ensure.returnIn = place.wait;
     ensure.placeHeld = place.held;
-    m_callbacks.answer( ensure, EnsureOutcome::tooLate, place.wait, 0 );
+    m_callbacks.answer( ensure, EnsureOutcome::tooLate, wait, 0 );
 }
 
 //! Admits the prompts that are due, and sets the timer for the next one.
@@ -114,8 +115,9 @@
         auto entry = m_waiting.extract( key );
         if( !entry.empty() ) {
             const auto request = promptRequestOf( entry.mapped() );
-            const auto place = m_returns.refuse( request, m_gate.typicalWait( now ), now );
-            refuse( std::move( entry.mapped() ), place );
+            const auto wait = m_gate.typicalWait( now );
+            const auto place = m_returns.refuse( request, wait, now );
+            refuse( std::move( entry.mapped() ), wait, place );
         }
     }
     const auto next = m_gate.nextAt( now );
--- a/src/sidecar/admission.hpp
+++ b/src/sidecar/admission.hpp
@@ -60,7 +60,7 @@
 
 private:
     void admitDue();
-    void refuse( PendingEnsure ensure, const decide::HeldPlace& place );
+    void refuse( PendingEnsure ensure, Millis wait, const decide::HeldPlace& place );
     void updateReadingLimit();
 
     Callbacks m_callbacks;
--- a/src/sidecar/pending_ensure.hpp
+++ b/src/sidecar/pending_ensure.hpp
@@ -42,6 +42,7 @@
     Millis loadWait{ 0 };
     //! Whether its content has a place on return, and came at the time that its client was told.
     decide::ReturnVerdict returned = decide::ReturnVerdict::unknown;
+    Millis returnIn{ 0 };  //!< time until a place on return opens
     Millis placeHeld{ 0 }; //!< a place on return is held for this long; 0: none
 };
 
--- a/src/sidecar/return_gate.cpp
+++ b/src/sidecar/return_gate.cpp
@@ -7,13 +7,14 @@
 
 ReturnGateAnswer ReturnGate::ask( const PromptRequest& request, MonoTime now ) {
     if( !request.returning && !leavesRoom( request, now ) ) {
-        return { false, refuse( request, m_gate.typicalWait( now ), now ) };
+        const auto wait = m_gate.typicalWait( now );
+        return { false, wait, refuse( request, wait, now ) };
     }
     const auto verdict = m_gate.ask( request, now );
     if( !verdict.accepted ) {
-        return { false, refuse( request, verdict.wait, now ) };
+        return { false, verdict.wait, refuse( request, verdict.wait, now ) };
     }
-    return { true, {} };
+    return { true, {}, {} };
 }
 
 decide::HeldPlace ReturnGate::refuse( const PromptRequest& request, Millis wait, MonoTime now ) {
--- a/src/sidecar/return_gate.hpp
+++ b/src/sidecar/return_gate.hpp
@@ -10,6 +10,7 @@
 //! What the gate says about a prompt.
 struct ReturnGateAnswer {
     bool accepted = false;
+    Millis wait{ 0 };        //!< if not accepted: until the engine could start to read it
     decide::HeldPlace place; //!< if not accepted: the time to tell, and the place held
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -439,6 +439,7 @@
         gateway::EnsureAnswer out{ ensure.number, outcome, wait.count(), workMs,
                                    m_view.workPerS( ensure.required.model, now ) };
         out.placeHeldMs = ensure.placeHeld.count();
+        out.returnInMs = ensure.returnIn.count();
         const gateway::Message message( out );
         peer->channel->send( gateway::encode( message ) );
     }
--- a/tests/unit/messages.tests.cpp
+++ b/tests/unit/messages.tests.cpp
@@ -100,11 +100,13 @@
     answer.refusal = decide::PromptRefusal::memory;
     answer.placeHeldMs = 300;
     answer.fetchParts = true;
+    answer.returnInMs = 410;
     const auto whole = bodyOf( answer );
     const auto decoded = decodeBody<EnsureAnswer>( whole );
     CHECK( decoded.refusal == decide::PromptRefusal::memory );
     CHECK( decoded.placeHeldMs == 300 );
     CHECK( decoded.fetchParts );
+    CHECK( decoded.returnInMs == 410 );
     auto before = whole;
     before[1] = cutTo( before[1], firstAnswerFields );
     const auto older = decodeBody<EnsureAnswer>( before );
@@ -113,6 +115,7 @@
     CHECK( older.refusal == decide::PromptRefusal::none );
     CHECK( older.placeHeldMs == 0 );
     CHECK_FALSE( older.fetchParts );
+    CHECK( older.returnInMs == 0 );
 }
 
 TEST_CASE( "A load report of the version before is read with defaults", "[messages]" ) {
