Gateways place work by the speed that sidecars measure

Cause: on uneven engines each gateway guessed alone, never below 1, and learnt one reading pace from all engines.

Change: load reports carry the speed; gateways form the usual value, count reading at an engine's speed, learn the pace from first events divided by it, draw among near engines by speed, count expected pauses, and prefer fast engines for copies. Times at which a prompt has to be sent count its reading at the engine's speed. Where all speeds are equal the choice is as before.

--- a/src/gateway/choice/estimate.cpp
+++ b/src/gateway/choice/estimate.cpp
@@ -96,7 +96,8 @@
                     Distance distance, MonoTime now ) {
     Candidate out;
     out.failures = recentFailures( node.health, now );
-    out.slowness = slownessNow( node.health, now );
+    out.timeFactor = node.timeFactor( now );
+    out.slowness = unexplainedSlowness( node.health, out.timeFactor, now );
     out.otherHall = distance.otherHall;
     out.otherRegion = distance.otherRegion;
     out.crossRegionMs = crossRegionMs;
@@ -123,7 +124,7 @@
     out.unsharedTokens = generation.promptTokens - sharedTokens( generation );
     out.unsharedWorkMs =
         pace.readingMs( generation.model, static_cast<double>( out.unsharedTokens ) );
-    out.backlogMs = node.prefillMs;
+    out.backlogMs = node.prefillMs * out.timeFactor;
     if( node.sidecarAdmitsPrompts( now ) ) {
         // The sidecar's figure covers what all gateways have sent and are waiting to send.
         out.backlogMs = std::max( out.backlogMs, node.readingWaitLeft( now ) );
@@ -145,8 +146,11 @@
         out.decoding = node.report->load.running -
                        std::min( node.report->load.running, node.report->load.prefilling );
     }
-    out.latePauseShare =
-        node.reportFresh( now ) ? node.report->load.latePausesPercent / percent : 0;
+    if( node.reportFresh( now ) ) {
+        const auto& load = node.report->load;
+        out.latePauseShare = std::max( load.latePausesPercent / percent,
+                                       decide::expectedLateShare( load.speed, node.gapTarget ) );
+    }
     out.loadMs = loadMs( node, generation, now );
     const auto shared = need.prefix.size() > 1 ? need.prefix[need.prefix.size() - 2] : 0;
     const auto key =
--- a/src/gateway/choice/fleet.hpp
+++ b/src/gateway/choice/fleet.hpp
@@ -42,7 +42,8 @@
 struct Choice {
     NodePtr node;           //!< null: none is left, or one that is unavailable now serves it sooner
     double expectedMs = 0;  //!< estimated time to the first event or the answer
-    double workMs = 0;      //!< part of expectedMs spent reading the prompt
+    double workMs = 0;      //!< usual time to read the prompt
+    double timeFactor = 1;  //!< on workMs: the upstream's measured speed
     double loadMs = 0;      //!< part of expectedMs until model and adapter are loaded
     double sendDelayMs = 0; //!< delay before sending, for running streams or a slow start
     std::int64_t uncachedTokens = 0; //!< prompt tokens that the engine has not cached
@@ -53,6 +54,9 @@
     bool holdsAdapter = true;
     std::size_t candidates = 0;
     double bestCost = 0;
+
+    //! Time that the upstream is expected to need to read the prompt.
+    double readingMs() const { return workMs * timeFactor; }
 };
 
 //! The upstreams of all services, with this gateway's state for each.
@@ -165,6 +169,10 @@
     SidecarLink::Handlers sidecarHandlers( const std::string& id );
     void takeReport( Node& node, const SidecarReport& report );
     void takeLoad( Node& node, const EngineLoad& load );
+    //! Compares the speeds of each service's engines.
+    void compareSpeeds( MonoTime now );
+    //! Logs and counts that an engine is slow, or usual again.
+    void noteSlowState( Node& node, MonoTime now );
     void noteGatewayCount( const Node& node, int seen, MonoTime now );
     //! True if this gateway may permit a load from the weight store now.
     bool mayUseStore( const Node& node, const std::string& model, MonoTime now );
--- a/src/gateway/choice/fleet_choice.cpp
+++ b/src/gateway/choice/fleet_choice.cpp
@@ -88,6 +88,9 @@
         estimateUnseenLoads( candidates );
         best = gateway::choose( candidates );
     }
+    if( best && need.generation != nullptr ) {
+        best = spread( candidates, *best, m_random.unit() );
+    }
     // If a load elsewhere takes longer than a back-off, waiting is better: the load would only
     // evict another model. A limit may last, so requests beyond it are served elsewhere, after a
     // load if necessary.
@@ -106,11 +109,12 @@
     out.node = nodes[*best];
     out.bestCost = costOf( it );
     out.workMs = it.workMs;
+    out.timeFactor = it.timeFactor;
     out.loadMs = it.loadMs;
     out.sendDelayMs = it.sendDelayMs;
     out.uncachedTokens = it.uncachedTokens;
     out.unqueued = it.backlogMs <= 0 && it.loadMs <= 0;
-    out.expectedMs = it.backlogMs + it.workMs + it.loadMs;
+    out.expectedMs = it.backlogMs + it.workMs * it.timeFactor + it.loadMs;
     if( need.generation != nullptr && out.node->engine ) {
         out.holdsModel = out.node->holdsModel( need.generation->model, now );
         out.holdsAdapter =
--- a/src/gateway/choice/fleet_copies.cpp
+++ b/src/gateway/choice/fleet_copies.cpp
@@ -115,6 +115,11 @@
     RequestNeeds need;
     need.service = service;
     need.generation = &generation;
+    // Time to read a prompt of the usual size: the difference between engines counts once, so that
+    // of those which could load as soon a fast one is taken.
+    const auto demand = m_demand.find( model );
+    const bool asked = demand != m_demand.end() && demand->second.perS > 0;
+    const double readingMs = asked ? demand->second.workPerS / demand->second.perS : 0;
     std::vector<Candidate> candidates;
     std::vector<NodePtr> nodes;
     for( const auto& [id, node] : m_nodes ) {
@@ -124,6 +129,7 @@
         if( eligible ) {
             auto it = estimate( *node, need, m_pace, distanceTo( *node ), now );
             it.affinity = hash64( id, model );
+            it.loadMs += readingMs * ( it.timeFactor - 1 );
             candidates.push_back( it );
             nodes.push_back( node );
         }
--- a/src/gateway/choice/fleet_demand.cpp
+++ b/src/gateway/choice/fleet_demand.cpp
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
 // Measures the demand for each model and sends it to the sidecars.
+#include "coursehead/kernel/log.hpp"
 #include "gateway/choice/fleet.hpp"
 
 #include <utility>
+#include <vector>
 
 namespace coursehead::gateway {
 
@@ -33,6 +35,7 @@
             ++m_copies[resident.model];
         }
     }
+    compareSpeeds( now );
     chooseLinks( now );
     for( auto& it : m_nodes ) {
         Node& node = *it.second;
@@ -66,10 +69,52 @@
     return out;
 }
 
+void Fleet::compareSpeeds( MonoTime now ) {
+    std::map<std::string, std::vector<decide::EngineSpeed>> speeds;
+    for( const auto& it : m_nodes ) {
+        if( it.second->engine ) {
+            speeds[it.second->upstream.service].push_back( it.second->speed( now ) );
+        }
+    }
+    std::map<std::string, double> usual;
+    for( const auto& [service, known] : speeds ) {
+        usual[service] = decide::usualTimeRatio( known );
+    }
+    for( const auto& it : m_nodes ) {
+        if( it.second->engine ) {
+            it.second->usualTimeRatio = usual.at( it.second->upstream.service );
+            noteSlowState( *it.second, now );
+        }
+    }
+}
+
+void Fleet::noteSlowState( Node& node, MonoTime now ) {
+    const double factor = node.timeFactor( now );
+    if( !node.slowState.note( factor, now ) ) {
+        return;
+    }
+    const auto speed = node.speed( now );
+    constexpr double percent = 100;
+    const bool slow = node.slowState.slow();
+    log::info( slow ? "engine_slow" : "engine_usual",
+               { { "upstream", node.upstream.id },
+                 { "time_percent", static_cast<std::int64_t>( factor * percent ) },
+                 { "measured_percent", static_cast<std::int64_t>( speed.timeRatio * percent ) },
+                 { "usual_percent", static_cast<std::int64_t>( node.usualTimeRatio * percent ) },
+                 { "step_ms", static_cast<std::int64_t>( speed.stepMs ) },
+                 { "reading_step_ms", static_cast<std::int64_t>( speed.readingStepMs ) },
+                 { "certainty_percent", static_cast<std::int64_t>( speed.certainty * percent ) },
+                 { "age_ms", speed.ageMs } } );
+    if( m_settings.metrics != nullptr ) {
+        m_settings.metrics->count( "engine_speed_changes", slow ? "slow" : "usual" );
+    }
+}
+
 void Fleet::noteFirstEvent( const Generation& generation, const Choice& choice,
                             double measuredMs ) {
     if( choice.unqueued ) {
-        m_pace.note( generation.model, static_cast<double>( choice.uncachedTokens ), measuredMs );
+        m_pace.note( generation.model, static_cast<double>( choice.uncachedTokens ), measuredMs,
+                     choice.timeFactor );
     }
 }
 
--- a/src/gateway/choice/health.cpp
+++ b/src/gateway/choice/health.cpp
@@ -46,6 +46,10 @@
     return 1.0 + ( health.slowness - 1.0 ) * decay;
 }
 
+double unexplainedSlowness( const Health& health, double timeFactor, MonoTime now ) {
+    return std::max( slownessNow( health, now ) / std::max( timeFactor, 1.0 ), 1.0 );
+}
+
 void noteSuccess( Health& health, double measuredMs, double expectedMs, MonoTime now ) {
     health.connectFailures = 0;
     health.avoidUntil = {};
--- a/src/gateway/choice/health.hpp
+++ b/src/gateway/choice/health.hpp
@@ -26,6 +26,9 @@
 void noteSuccess( Health& health, double measuredMs, double expectedMs, MonoTime now );
 //! The slowness, decayed towards 1 since the last measurement.
 double slownessNow( const Health& health, MonoTime now );
+//! The part of the slowness that the measured speed of the upstream does not explain: the upstream
+//! may have turned slow since it was measured. `timeFactor`: see Candidate.
+double unexplainedSlowness( const Health& health, double timeFactor, MonoTime now );
 
 } // namespace coursehead::gateway
 
--- a/src/gateway/choice/node.cpp
+++ b/src/gateway/choice/node.cpp
@@ -71,6 +71,7 @@
     replaced = false;
     leavesAt.reset();
     readingWaitMs = 0;
+    slowState = {};
     loading.clear();
     sentParts.clear();
     adaptersUsed.clear();
@@ -130,6 +131,22 @@
     report->load.sentParts.clear();
 }
 
+decide::EngineSpeed Node::speed( MonoTime now ) const {
+    if( !reportFresh( now ) ) {
+        return {};
+    }
+    auto out = report->load.speed;
+    const auto since = std::chrono::duration_cast<Millis>( now - reportAt );
+    out.certainty = decide::certaintyNow( out, since );
+    out.ageMs += since.count();
+    return out;
+}
+
+double Node::timeFactor( MonoTime now ) const {
+    const auto known = speed( now );
+    return decide::timeFactor( known, usualTimeRatio, known.certainty );
+}
+
 void Node::takeReadingWait( double waitMs, MonoTime now ) {
     readingWaitMs = waitMs;
     readingWaitAt = now;
--- a/src/gateway/choice/node.hpp
+++ b/src/gateway/choice/node.hpp
@@ -5,6 +5,7 @@
 #include "decide/announcement.hpp"
 #include "decide/backoff.hpp"
 #include "decide/cold_gate.hpp"
+#include "decide/engine_speed.hpp"
 #include "decide/gateway_limits.hpp"
 #include "gateway/choice/connection_pool.hpp"
 #include "gateway/choice/health.hpp"
@@ -57,11 +58,13 @@
     std::optional<MonoTime> leavesAt; //!< announced time by which the upstream will have ended
     std::optional<MonoTime> stopAt;   //!< its hall is evacuated: no request is sent from then on
     int inFlight = 0;
-    int prefilling = 0;       //!< requests in flight without a first event yet
-    double prefillMs = 0;     //!< estimated prompt reading time of those requests
-    MonoTime lastReceivedAt;  //!< last time that bytes arrived over any of its connections
-    double readingWaitMs = 0; //!< until the engine could begin with a prompt, by its sidecar
-    MonoTime readingWaitAt;   //!< when the sidecar sent that value
+    int prefilling = 0;          //!< requests in flight without a first event yet
+    double prefillMs = 0;        //!< estimated prompt reading time of those requests
+    MonoTime lastReceivedAt;     //!< last time that bytes arrived over any of its connections
+    double readingWaitMs = 0;    //!< until the engine could begin with a prompt, by its sidecar
+    MonoTime readingWaitAt;      //!< when the sidecar sent that value
+    double usualTimeRatio = 1;   //!< of the service's engines, see decide::usualTimeRatio()
+    decide::SlowState slowState; //!< as last logged
     //! Models that this gateway waits for, with the wait's start.
     std::map<std::string, MonoTime> loading;
     std::vector<SentPart> sentParts;    //!< shared prompt parts sent since the last demand message
@@ -107,6 +110,10 @@
     //! Applies a report of the sidecar on the engine: a complete one, or the load alone.
     void takeReport( const SidecarReport& next, MonoTime now );
     void takeLoad( const EngineLoad& load, MonoTime now );
+    //! The engine's speed by its sidecar, with its certainty as of now; none if it is not fresh.
+    decide::EngineSpeed speed( MonoTime now ) const;
+    //! Factor on the usual time for reading prompts; 1 while nothing is known.
+    double timeFactor( MonoTime now ) const;
     //! Sets how long the engine needs until it could begin with a prompt, by the sidecar.
     void takeReadingWait( double waitMs, MonoTime now );
     //! Remaining part of that time, in milliseconds.
--- a/src/gateway/choice/pace.cpp
+++ b/src/gateway/choice/pace.cpp
@@ -28,12 +28,13 @@
     return tokens * ( it == m_msPerToken.end() ? initialMsPerToken : it->second );
 }
 
-void ModelPace::note( std::string_view model, double tokens, double measuredMs ) {
+void ModelPace::note( std::string_view model, double tokens, double measuredMs,
+                      double timeFactor ) {
     if( tokens < minMeasuredTokens ) {
         return;
     }
-    const double measured =
-        std::clamp( ( measuredMs - overheadMs ) / tokens, minMsPerToken, maxMsPerToken );
+    const double measured = std::clamp( ( measuredMs - overheadMs ) / ( tokens * timeFactor ),
+                                        minMsPerToken, maxMsPerToken );
     const auto it = m_msPerToken.emplace( model, initialMsPerToken ).first;
     const double weight = measured < it->second ? fasterSmoothing : slowerSmoothing;
     it->second += weight * ( measured - it->second );
--- a/src/gateway/choice/pace.hpp
+++ b/src/gateway/choice/pace.hpp
@@ -17,8 +17,8 @@
     //! Estimated milliseconds to read `tokens` tokens of a prompt.
     double readingMs( std::string_view model, double tokens ) const;
     //! Records that the first event came after `measuredMs` for a prompt with `tokens` uncached
-    //! tokens.
-    void note( std::string_view model, double tokens, double measuredMs );
+    //! tokens, at an engine that takes `timeFactor` times as long as usual.
+    void note( std::string_view model, double tokens, double measuredMs, double timeFactor = 1 );
 
 private:
     std::map<std::string, double, std::less<>> m_msPerToken;
--- a/src/gateway/choice/selection.cpp
+++ b/src/gateway/choice/selection.cpp
@@ -12,6 +12,9 @@
 //! Cost of a stream that is certain to pause too long: it loses as much value as a stream whose
 //! first event is late, and a goal is about a second.
 constexpr double latePausePenaltyMs = 800;
+//! Costs that differ by less may be drawn among: one short prompt that another gateway has sent
+//! since the last report changes a cost by as much.
+constexpr double nearCostMs = 40;
 
 } // namespace
 
@@ -64,8 +67,8 @@
 
 double costOf( const Candidate& candidate ) {
     return interference( candidate ) + candidate.latePauseShare * latePausePenaltyMs +
-           ( candidate.backlogMs + candidate.workMs ) * candidate.slowness + candidate.loadMs +
-           candidate.sendDelayMs + candidate.evacuationPenaltyMs +
+           ( candidate.backlogMs + candidate.workMs * candidate.timeFactor ) * candidate.slowness +
+           candidate.loadMs + candidate.sendDelayMs + candidate.evacuationPenaltyMs +
            candidate.failures * failurePenaltyMs +
            ( candidate.otherHall ? candidate.crossHallMs : 0 ) +
            ( candidate.otherRegion ? candidate.crossRegionMs : 0 );
@@ -96,4 +99,31 @@
     return best;
 }
 
+std::size_t spread( std::span<const Candidate> candidates, std::size_t best, double random ) {
+    const auto differs = []( const Candidate& it ) {
+        return it.timeFactor != 1;
+    };
+    if( std::none_of( candidates.begin(), candidates.end(), differs ) ) {
+        return best;
+    }
+    const auto& first = candidates[best];
+    const double limit = costOf( first ) + nearCostMs;
+    const auto isNear = [&]( const Candidate& it ) {
+        return it.avoided == first.avoided && it.loadMs <= first.loadMs &&
+               it.uncachedTokens <= first.uncachedTokens && costOf( it ) <= limit;
+    };
+    double speeds = 0;
+    for( const auto& it : candidates ) {
+        speeds += isNear( it ) ? 1 / it.timeFactor : 0;
+    }
+    double left = random * speeds;
+    for( std::size_t n = 0; n < candidates.size(); ++n ) {
+        left -= isNear( candidates[n] ) ? 1 / candidates[n].timeFactor : 0;
+        if( left < 0 ) {
+            return n;
+        }
+    }
+    return best;
+}
+
 } // namespace coursehead::gateway
--- a/src/gateway/choice/selection.hpp
+++ b/src/gateway/choice/selection.hpp
@@ -17,12 +17,13 @@
 //! milliseconds.
 struct Candidate {
     bool avoided = false; //!< recently unreachable: chosen only if all others are avoided too
-    double backlogMs = 0; //!< work queued ahead of the request
+    double backlogMs = 0; //!< time at the upstream for work queued ahead of the request
     std::int64_t uncachedTokens = 0; //!< prompt tokens that the engine has not cached
     double workMs = 0;               //!< reading the uncached prompt tokens; typical work if plain
     double loadMs = 0;               //!< until the model and the adapter are loaded
     double sendDelayMs = 0;          //!< delay before sending, for running streams or a slow start
-    double slowness = 1;             //!< factor on backlogMs and workMs
+    double timeFactor = 1;           //!< factor on workMs: the upstream's measured speed
+    double slowness = 1;             //!< factor on all of that, by this gateway's own requests
     double failures = 0;             //!< recent failures, each decaying with time
     std::uint32_t decoding = 0;      //!< running streams that pause while the engine reads prompts
     double latePauseShare = 0;       //!< share of recent streams with a pause above the gap target
@@ -50,6 +51,13 @@
 //! Index of the candidate with the lowest cost; an avoided one only if all are avoided. Nullopt if
 //! there are no candidates.
 std::optional<std::size_t> choose( std::span<const Candidate> candidates );
+/**
+ * Index of the candidate that takes the place of `best` where upstreams differ in speed: drawn
+ * among those that cost little more and have as much of the prompt cached, with weights by their
+ * speed. All gateways hear the same figures at the same time; without it all send to the same fast
+ * engine until the next report. `random` is in [0, 1). Where no speed differs, it is `best`.
+ */
+std::size_t spread( std::span<const Candidate> candidates, std::size_t best, double random );
 
 } // namespace coursehead::gateway
 
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -131,7 +131,7 @@
 
 EnsureRequest Exchange::admissionRequest( const Choice& choice, MonoTime now ) const {
     const auto& generation = *m_need.generation;
-    const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
+    const Millis work{ static_cast<std::int64_t>( choice.readingMs() ) };
     const auto goalEnd = m_request.arrived + maxWaitBeforeSend( { m_route->goal, {}, {} }, work );
     const auto latestEnd = std::min( m_deadline, waitDeadline( choice ) );
     EnsureRequest out;
@@ -210,7 +210,7 @@
 Millis Exchange::pacingDelay( const Choice& choice, MonoTime now ) const {
     // The delay is cut into short pauses: another upstream may become the better choice meanwhile.
     constexpr Millis maxPacingDelay{ 25 };
-    const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
+    const Millis work{ static_cast<std::int64_t>( choice.readingMs() ) };
     const auto latest = m_request.arrived + maxWaitBeforeSend( { m_route->goal, {}, {} }, work );
     if( choice.sendDelayMs <= 0 || now >= latest ) {
         return Millis{ 0 };
@@ -220,7 +220,7 @@
 }
 
 MonoTime Exchange::waitDeadline( const Choice& choice ) const {
-    const Millis work{ static_cast<std::int64_t>( choice.workMs ) };
+    const Millis work{ static_cast<std::int64_t>( choice.readingMs() ) };
     return m_request.arrived + maxWaitBeforeSend( m_clientTimeouts, work );
 }
 
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -89,6 +89,7 @@
         if( m_coldGate.isCold( now ) ) {
             m_coldGate.take( now );
         }
+        m_speed.notePrompt( due.key, due.workMs, now );
         m_callbacks.admitted( ensure );
         m_callbacks.answer( ensure, EnsureOutcome::ready, m_gate.typicalWait( now ), due.workMs );
     }
@@ -114,6 +115,7 @@
 
 void Admission::takeReport( const gateway::EngineReport& report, MonoTime now ) {
     const auto unread = report.queued + report.prefilling;
+    m_speed.takeReport( report, now );
     if( m_gapTarget.count() > 0 ) {
         m_eventPace.update( report.runs, unread > 0, now );
         updateReadingLimit();
@@ -124,6 +126,7 @@
 
 void Admission::forget( std::uint64_t key ) {
     m_waiting.erase( key );
+    m_speed.withdraw( key );
     m_gate.withdraw( key, MonoClock::now() );
     admitDue();
 }
@@ -142,6 +145,7 @@
 
 void Admission::failAll() {
     m_gate.clear();
+    m_speed.clear();
     for( const auto& it : std::exchange( m_waiting, {} ) ) {
         m_callbacks.answer( it.second, EnsureOutcome::failed, Millis{ 0 }, 0 );
     }
--- a/src/sidecar/admission.hpp
+++ b/src/sidecar/admission.hpp
@@ -4,6 +4,7 @@
 
 #include "decide/cold_gate.hpp"
 #include "decide/event_pace.hpp"
+#include "decide/speed_meter.hpp"
 #include "net/net.hpp"
 #include "sidecar/pending_ensure.hpp"
 #include "sidecar/prompt_gate.hpp"
@@ -53,6 +54,8 @@
     //! The engine has unloaded a model.
     void dropModel( const std::string& model ) { m_gate.dropModel( model ); }
 
+    //! How fast the engine reads, and its streams' time between events.
+    decide::EngineSpeed speed( MonoTime now ) const { return m_speed.speed( now ); }
     Millis typicalWait( MonoTime now ) const { return m_gate.typicalWait( now ); }
     bool busy( MonoTime now ) const { return m_gate.busy( now ); }
 
@@ -64,6 +67,7 @@
     net::Timer m_timer;
     PromptGate m_gate;
     decide::EventPace m_eventPace;
+    decide::SpeedMeter m_speed;
     std::map<std::uint64_t, PendingEnsure> m_waiting; //!< by key
     decide::ColdGate m_coldGate;
     double m_coldPerS = 0; //!< prompts a second while the engine is cold; 0: no limit
--- a/src/sidecar/publisher.cpp
+++ b/src/sidecar/publisher.cpp
@@ -48,6 +48,7 @@
     }
     out.readingPercent = static_cast<int>( readingShare * percent );
     out.readingWaitMs = m_sources.admission.typicalWait( now ).count();
+    out.speed = m_sources.admission.speed( now );
     out.latePausesPercent = static_cast<int>( m_sources.pauses.lateShare( now ) * percent );
     return out;
 }
--- a/tests/replay/emulated_engine.cpp
+++ b/tests/replay/emulated_engine.cpp
@@ -2,6 +2,7 @@
 #include "replay/emulated_engine.hpp"
 
 #include <algorithm>
+#include <string>
 
 namespace coursehead::replay {
 
@@ -12,13 +13,26 @@
     return m_queue.size() + static_cast<std::size_t>( reading );
 }
 
+gateway::EngineReport EmulatedEngine::report() const {
+    gateway::EngineReport out;
+    out.queued = static_cast<std::uint32_t>( m_queue.size() );
+    out.running = static_cast<std::uint32_t>( m_running.size() );
+    for( const auto& it : m_running ) {
+        const int perEvent = m_parameters.tokensPerEvent;
+        const int events = ( it.tokens + perEvent - 1 ) / perEvent;
+        out.prefilling += events == 0 ? 1 : 0;
+        out.runs.push_back( { std::to_string( it.request.key ), events } );
+    }
+    return out;
+}
+
 void EmulatedEngine::runUntil( double untilMs, std::vector<StreamRecord>& records ) {
     while( m_now < untilMs ) {
         if( empty() ) {
             m_now = untilMs;
             return;
         }
-        m_now += step();
+        m_now += step() * m_slowdown;
         for( auto& it : m_running ) {
             if( it.readTokens >= it.request.uncachedTokens ) {
                 generateToken( it );
--- a/tests/replay/emulated_engine.hpp
+++ b/tests/replay/emulated_engine.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_REPLAY_EMULATED_ENGINE_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
+#include "gateway/model.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -47,6 +48,10 @@
     void runUntil( double untilMs, std::vector<StreamRecord>& records );
     //! Number of prompts that are not completely read, as in an engine's report.
     std::size_t unreadPrompts() const;
+    //! The engine's report on its prompts and streams.
+    gateway::EngineReport report() const;
+    //! From now on everything takes `factor` times as long as by its parameters.
+    void setSlowdown( double factor ) { m_slowdown = factor; }
     bool empty() const { return m_queue.empty() && m_running.empty(); }
 
 private:
@@ -63,6 +68,7 @@
 
     EngineParameters m_parameters;
     double m_now = 0;
+    double m_slowdown = 1;
     std::deque<Run> m_queue;
     std::vector<Run> m_running;
 };
