--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -282,7 +282,7 @@
 }
 
 SendWindow Exchange::sendWindowFor( const Choice& choice ) const {
-    return sendWindowFor( Millis{ static_cast<std::int64_t>( choice.workMs ) } );
+    return sendWindowFor( Millis{ static_cast<std::int64_t>( choice.readingMs() ) } );
 }
 
 SendWindow Exchange::sendWindowFor( Millis work ) const {
--- a/src/sidecar/publisher.cpp
+++ b/src/sidecar/publisher.cpp
@@ -54,6 +54,7 @@
     out.freePlaces = room.places;
     out.freeTokens = room.tokens;
     out.promptsWaiting = static_cast<int>( m_sources.admission.promptsWaiting() );
+    out.speed = m_sources.admission.speed( now );
     out.latePausesPercent = static_cast<int>( m_sources.pauses.lateShare( now ) * percent );
     return out;
 }
