Gateway: says what it can carry, and refuses by rank beyond it

Cause: gateways differ by a factor of seven in processor time; a thin one took all that the hash sends it, and delayed requests of every rank. Change: decide/carrying_capacity judges loop delay, link, descriptors and memory against the limits of the settings, with hysteresis; the least urgent ranks are refused at once with Retry-After, on a connection that closes. Not ready only for seconds, in turns, with eight gateways or more. Off where no limits are stated. When the sum held for readers is full, a quarter is freed at once.

--- a/src/decide/reader_rule.cpp
+++ b/src/decide/reader_rule.cpp
@@ -2,6 +2,7 @@
 #include "decide/reader_rule.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace coursehead::decide {
 
@@ -17,6 +18,9 @@
 constexpr std::size_t maxAnswerBytes = std::size_t{ 256 } << 10U;
 //! No single answer gets more than this part of the store.
 constexpr std::size_t answerShareDivisor = 8;
+//! Part of the store that is freed when it is full. With less, all other answers would wait for
+//! room again at once, and stay unread for seconds while one reader after the other is cut.
+constexpr std::size_t freedShareDivisor = 4;
 //! A reader stands when it has taken no bytes for this long. Upstreams cut off an answer that is
 //! left unread for some seconds; a shorter time would cut clients after a single lost packet.
 constexpr Millis standingTime{ 1000 };
@@ -63,9 +67,11 @@
     return "unknown";
 }
 
-std::optional<ReaderCut> readerToCut( std::span<const ReaderState> readers, std::size_t totalBytes,
-                                      const ReaderLimits& limits, MonoTime now ) {
-    std::optional<std::size_t> longest;
+std::vector<ReaderCut> readersToCut( std::span<const ReaderState> readers, std::size_t totalBytes,
+                                     const ReaderLimits& limits, MonoTime now ) {
+    std::vector<ReaderCut> out;
+    std::vector<std::size_t> standing;
+    auto left = totalBytes;
     for( std::size_t n = 0; n < readers.size(); ++n ) {
         const auto& it = readers[n];
         if( it.heldBytes == 0 ) {
@@ -73,17 +79,27 @@
         }
         const auto cause = ownCause( it, limits, now );
         if( cause ) {
-            return ReaderCut{ n, *cause };
-        }
-        if( !longest || it.tookBytesAt < readers[*longest].tookBytesAt ) {
-            longest = n;
+            out.push_back( { n, *cause } );
+            left -= it.heldBytes;
+        } else if( now - it.tookBytesAt >= standingTime ) {
+            standing.push_back( n );
         }
     }
-    const bool full = longest && totalBytes >= limits.totalBytes;
-    if( full && now - readers[*longest].tookBytesAt >= standingTime ) {
-        return ReaderCut{ *longest, ReaderCutCause::totalFull };
+    if( left < limits.totalBytes ) {
+        return out;
     }
-    return std::nullopt;
+    std::sort( standing.begin(), standing.end(), [readers]( std::size_t a, std::size_t b ) {
+        return readers[a].tookBytesAt < readers[b].tookBytesAt;
+    } );
+    const auto enough = limits.totalBytes - limits.totalBytes / freedShareDivisor;
+    for( const auto n : standing ) {
+        if( left < enough ) {
+            break;
+        }
+        out.push_back( { n, ReaderCutCause::totalFull } );
+        left -= readers[n].heldBytes;
+    }
+    return out;
 }
 
 bool mayReadOn( std::size_t heldBytes, std::size_t totalBytes, const ReaderLimits& limits ) {
--- a/src/decide/reader_rule.hpp
+++ b/src/decide/reader_rule.hpp
@@ -6,9 +6,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 /**
  * Clients that read their answers slowly. It is designed for a load in which hundreds of clients of
@@ -53,11 +53,11 @@
 };
 
 /**
- * The next reader to cut; none if all may stay. `totalBytes` includes what is held for answers that
- * no client has begun to read. A reader that takes bytes steadily, however slowly, is not cut.
+ * The readers to cut. `totalBytes` includes what is held for answers that no client has begun to
+ * read. A reader that takes bytes steadily, however slowly, is not cut.
  */
-std::optional<ReaderCut> readerToCut( std::span<const ReaderState> readers, std::size_t totalBytes,
-                                      const ReaderLimits& limits, MonoTime now );
+std::vector<ReaderCut> readersToCut( std::span<const ReaderState> readers, std::size_t totalBytes,
+                                     const ReaderLimits& limits, MonoTime now );
 
 //! True if more of an answer, of which `heldBytes` are held, may be read from its upstream. Always
 //! true for a reader that has taken all bytes: slow readers must not delay it.
--- a/src/gateway/exchange/admit.cpp
+++ b/src/gateway/exchange/admit.cpp
@@ -4,6 +4,8 @@
 #include "gateway/exchange/exchange.hpp"
 #include "gateway/exchange/status.hpp"
 
+#include <algorithm>
+
 namespace coursehead::gateway {
 
 namespace {
@@ -79,6 +81,29 @@
         logEnd( "refused" );
         co_return false;
     }
+    const bool overloaded = co_await refuseOverload();
+    co_return !overloaded;
+}
+
+net::Task<bool> Exchange::refuseOverload() {
+    const auto& capacity = m_shared.capacity;
+    if( capacity.level() == 0 ) {
+        co_return false;
+    }
+    const bool hasOwnPriority = m_organisation != nullptr && m_organisation->priority;
+    const int priority = hasOwnPriority ? *m_organisation->priority : m_route->priority;
+    const auto& known = m_shared.priorities;
+    const auto rank = std::lower_bound( known.begin(), known.end(), priority ) - known.begin();
+    if( !capacity.refuses( static_cast<int>( rank ), static_cast<int>( known.size() ) ) ) {
+        co_return false;
+    }
+    const auto cause = decide::capacityCauseText( capacity.load().cause );
+    m_shared.metrics.count( "capacity_refusals", cause );
+    // The client's next connection goes through the load balancer, to another gateway by chance.
+    m_keepAlive = false;
+    std::string reason = "gateway at capacity";
+    co_await sendOwnAnswer( statusUnavailable, std::move( reason ), defaultRetryAfter );
+    logEnd( "refused" );
     co_return true;
 }
 
--- a/src/gateway/exchange/client_writer.cpp
+++ b/src/gateway/exchange/client_writer.cpp
@@ -46,28 +46,25 @@
             it->m_tookBytesAt = std::min( it->m_tookBytesAt + gap, now );
         }
     }
+    const std::vector<ClientWriter*> readers( m_holding.begin(), m_holding.end() );
     std::vector<decide::ReaderState> states;
-    for( const auto* it : m_holding ) {
+    for( const auto* it : readers ) {
         states.push_back( it->state() );
     }
-    for( ;; ) {
-        const auto next = decide::readerToCut( states, m_heldBytes, m_limits, now );
-        if( !next ) {
-            return out;
-        }
-        auto* reader = *std::next( m_holding.begin(), static_cast<std::ptrdiff_t>( next->index ) );
+    for( const auto& it : decide::readersToCut( states, m_heldBytes, m_limits, now ) ) {
+        auto* reader = readers[it.index];
         log::info( "reader_cut",
                    { { "id", reader->m_requestId },
-                     { "cause", decide::readerCutText( next->cause ) },
+                     { "cause", decide::readerCutText( it.cause ) },
                      { "held_bytes", static_cast<std::int64_t>( reader->m_heldBytes ) },
                      { "stood_ms", millisBetween( reader->m_tookBytesAt, now ) },
                      { "total_bytes", static_cast<std::int64_t>( m_heldBytes ) },
                      { "total_limit", static_cast<std::int64_t>( m_limits.totalBytes ) },
                      { "readers", static_cast<std::int64_t>( m_holding.size() ) } } );
-        out.push_back( next->cause );
         reader->cut();
-        states.erase( states.begin() + static_cast<std::ptrdiff_t>( next->index ) );
+        out.push_back( it.cause );
     }
+    return out;
 }
 
 // CollectedBytes
--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -38,6 +38,7 @@
                                            m_client, m_shared.readers, m_request.head.requestId ) ),
       m_keepAlive( clientKeepsAlive ) {
     m_client->writer = m_writer;
+    m_shared.linkUse.received += m_request.body->size();
     ++m_shared.inFlight;
 }
 
@@ -213,6 +214,7 @@
 
 net::Task<> Exchange::sendBufferedAnswer( BufferedAnswer answer ) {
     m_status = answer.status;
+    m_shared.linkUse.sent += answer.body.size();
     std::string framing = "Content-Length: " + std::to_string( answer.body.size() ) + "\r\n";
     std::string bytes =
         answerHeadText( answer.status, answer.reason, answer.fields, framing, keepsAlive() );
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -4,6 +4,7 @@
 
 #include "coursehead/kernel/random.hpp"
 #include "coursehead/metrics/metrics.hpp"
+#include "decide/carrying_capacity.hpp"
 #include "gateway/choice/fleet.hpp"
 #include "gateway/counts/limit_client.hpp"
 #include "gateway/counts/poison_guard.hpp"
@@ -29,6 +30,13 @@
 
 namespace http = boost::beast::http;
 
+//! Bytes of request and answer bodies that passed the gateway's link.
+struct LinkUse {
+    std::uint64_t received = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t descriptors = 0; //!< highest descriptor of a connection accepted lately, plus one
+};
+
 //! State of the gateway process that all requests share.
 struct SharedState {
     net::asio::io_context& context;
@@ -53,6 +61,9 @@
     std::set<net::Socket*> idleClients{}; //!< client connections without a request in progress
     //! Outlives this object in requests that end with the event loop.
     std::shared_ptr<ReaderTable> readers = std::make_shared<ReaderTable>();
+    decide::CarryingCapacity capacity{};
+    LinkUse linkUse{};
+    std::vector<int> priorities{}; //!< of the routes, each once; the most urgent one first
 };
 
 //! A request as received from the client.
@@ -142,6 +153,8 @@
     //! Charges the request to its organisation's quota; answers the client and returns false if the
     //! quota does not allow the request.
     net::Task<bool> charge();
+    //! Refuses the request if it is among those that the gateway can't carry now; true if refused.
+    net::Task<bool> refuseOverload();
     decide::Fingerprint fingerprint() const;
     //! Refuses the request if its content is quarantined as a poison request; true if refused.
     net::Task<bool> refuseQuarantined();
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -214,6 +214,7 @@
     auto& parser = transfer.parser;
     parser.body_limit( boost::none );
     parser.skip( m_request.method == "HEAD" );
+    m_shared.linkUse.sent += m_request.body->size();
     transfer.startWrite( requestHead( node ), m_request.body );
     const auto [error, n] = co_await http::async_read_header(
         transfer.connection->socket, transfer.connection->buf, parser, net::tupled );
@@ -306,6 +307,7 @@
     for( ;; ) {
         const auto [bytes, ec] = co_await transfer.readBody();
         std::string events;
+        m_shared.linkUse.received += bytes.size();
         const bool inOrder = splitter.feed( bytes, events );
         const bool finished = !ec && inOrder && transfer.parser.is_done() && splitter.atBoundary();
         if( inOrder && !events.empty() ) {
@@ -314,6 +316,7 @@
         }
         if( inOrder && ( !events.empty() || finished ) ) {
             auto text = streamText( events, finished );
+            m_shared.linkUse.sent += text.size();
             if( !m_writer->write( std::move( text ) ) ) {
                 out.end = SendOutcome::stopped;
                 transfer.close();
@@ -371,6 +374,7 @@
         const auto [bytes, ec] = co_await transfer.readBody();
         buffered.body.append( bytes );
         collected.add( bytes.size() );
+        m_shared.linkUse.received += bytes.size();
         if( ec || buffered.body.size() > maxBufferedAnswerBytes ) {
             out.failure = ec ? ec.message() : "answer too large";
             break;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,19 +6,25 @@
 #include "gateway/exchange/status.hpp"
 #include "gateway/links/store_feed.hpp"
 #include "gateway/probe_server.hpp"
+#include "kernel/hash.hpp"
 #include "kernel/platform_role.hpp"
+#include "kernel/resident_memory.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <set>
 
 namespace coursehead::gateway {
 
 namespace {
 
 constexpr Millis tickInterval{ 100 };
+//! Interval of reading the process's memory: it costs a system call, and grows over seconds.
+constexpr Millis memoryReadInterval{ 1000 };
 //! Interval of checks for a changed settings file: it may change without a signal, and a change
 //! must take effect within seconds.
 constexpr Millis settingsCheckInterval{ 1000 };
@@ -70,6 +76,11 @@
                     "metrics" );
         m_metrics.gauge( "reader_held_bytes",
                          [this] { return static_cast<double>( m_shared.readers->heldBytes() ); } );
+        m_metrics.gauge( "loop_delay_ms",
+                         [this] { return m_shared.capacity.medianLoopDelayMs(); } );
+        m_metrics.gauge( "capacity_level",
+                         [this] { return static_cast<double>( m_shared.capacity.level() ); } );
+        m_metrics.gauge( "capacity_load", [this] { return m_shared.capacity.load().load; } );
         m_feed.start();
         net::start( m_context, ticks(), "ticks" );
         net::start( m_context, handleSignals(), "signals" );
@@ -101,7 +112,7 @@
     }
 
     bool isReady() const {
-        return m_shared.table && m_feed.upstreamsListed() && !m_shared.draining;
+        return m_shared.table && m_feed.upstreamsListed() && !m_shared.draining && !m_showsNotReady;
     }
 
     ProbeAnswer readiness() const {
@@ -118,6 +129,9 @@
                 co_await net::pause( m_context, delay );
                 continue;
             }
+            auto& highest = m_shared.linkUse.descriptors;
+            // The kernel gives the lowest free number, so all below it are in use.
+            highest = std::max( highest, static_cast<std::uint64_t>( socket.native_handle() ) + 1 );
             auto task = serveClient( net::Socket( std::move( socket ) ), m_shared );
             net::start( m_context, std::move( task ), "client" );
         }
@@ -163,6 +177,8 @@
         m_fleet.setConfiguration( m_shared.table, MonoClock::now() );
         m_quota.setConfiguration( m_shared.table->configuration() );
         m_shared.readers->setLimits( readerLimits() );
+        m_shared.capacity.setLimits( capacityLimits() );
+        m_shared.priorities = priorities();
     }
 
     //! Warns of home regions that don't exist: no upstream can serve a request whose home regions
@@ -196,8 +212,10 @@
 
     net::Task<> ticks() {
         for( ;; ) {
+            const auto due = MonoClock::now() + tickInterval;
             co_await net::pause( m_context, tickInterval );
             const auto now = MonoClock::now();
+            m_loopDelay = std::max( now - due, MonoClock::duration{ 0 } );
             const auto before = m_registry.members().size();
             m_registry.expire( now );
             if( m_registry.members().size() != before ) {
@@ -208,6 +226,7 @@
             m_quota.tick( now );
             m_limits.tick( now );
             cutReaders( now );
+            measureCapacity( now );
             m_shared.listed = m_feed.upstreamsListed();
             m_shared.configurationUpToDate = m_feed.configurationCurrent();
             if( now - m_settingsCheckedAt >= settingsCheckInterval ) {
@@ -219,6 +238,77 @@
         }
     }
 
+    std::vector<int> priorities() const {
+        std::set<int> out;
+        for( const auto& it : m_shared.table->configuration().routes ) {
+            out.insert( it.priority );
+        }
+        return { out.begin(), out.end() };
+    }
+
+    decide::CapacityLimits capacityLimits() const {
+        decide::CapacityLimits out;
+        out.memoryBytes = m_settings.limits.memoryBytes;
+        out.descriptors = m_settings.limits.descriptors;
+        out.linkBytesPerS = m_settings.limits.linkBytesPerS;
+        for( const auto& it : m_shared.table->configuration().routes ) {
+            const bool shorter = out.shortestGoal.count() == 0 || it.goal < out.shortestGoal;
+            out.shortestGoal = shorter ? it.goal : out.shortestGoal;
+        }
+        return out;
+    }
+
+    decide::CapacityMeasure capacityMeasure( MonoTime now ) {
+        decide::CapacityMeasure out;
+        out.loopDelayMs = std::chrono::duration<double, std::milli>( m_loopDelay ).count();
+        auto& use = m_shared.linkUse;
+        const std::chrono::duration<double> passed = now - m_measuredAt;
+        // A link carries its rate in each direction.
+        const auto bytes = static_cast<double>( std::max( use.received, use.sent ) );
+        out.linkBytesPerS = bytes / std::max( passed.count(), 0.05 );
+        out.descriptors = use.descriptors;
+        if( now - m_memoryReadAt >= memoryReadInterval ) {
+            m_memoryReadAt = now;
+            m_memoryBytes = residentBytes();
+            use.descriptors = 0;
+        }
+        out.memoryBytes = m_memoryBytes;
+        m_measuredAt = now;
+        use.received = 0;
+        use.sent = 0;
+        return out;
+    }
+
+    void measureCapacity( MonoTime now ) {
+        auto& capacity = m_shared.capacity;
+        const auto measure = capacityMeasure( now );
+        const bool changed = capacity.note( measure, now );
+        const bool wasNotReady = m_showsNotReady;
+        m_showsNotReady = m_readinessRule.showsNotReady( capacity, m_fleet.gateways(),
+                                                         systemClock().wall(), now );
+        if( m_showsNotReady && !wasNotReady ) {
+            m_metrics.count( "not_ready", decide::capacityCauseText( capacity.load().cause ) );
+        }
+        if( changed || m_showsNotReady != wasNotReady ) {
+            logCapacity( measure );
+        }
+    }
+
+    void logCapacity( const decide::CapacityMeasure& measure ) const {
+        const auto& capacity = m_shared.capacity;
+        log::info( "capacity",
+                   { { "level", static_cast<std::int64_t>( capacity.level() ) },
+                     { "ready", m_showsNotReady ? "no" : "yes" },
+                     { "cause", decide::capacityCauseText( capacity.load().cause ) },
+                     { "load", log::decimal( capacity.load().load ) },
+                     { "loop_delay_ms", log::decimal( capacity.medianLoopDelayMs() ) },
+                     { "link_bytes_per_s", static_cast<std::int64_t>( measure.linkBytesPerS ) },
+                     { "descriptors", static_cast<std::int64_t>( measure.descriptors ) },
+                     { "memory_bytes", static_cast<std::int64_t>( measure.memoryBytes ) },
+                     { "in_flight", static_cast<std::int64_t>( m_shared.inFlight ) },
+                     { "gateways", static_cast<std::int64_t>( m_fleet.gateways() ) } } );
+    }
+
     void cutReaders( MonoTime now ) {
         for( const auto it : m_shared.readers->cutReaders( now ) ) {
             m_metrics.count( "readers_cut", decide::readerCutText( it ) );
@@ -281,6 +371,11 @@
         m_shared.bounds = read.settings.bounds;
         m_quota.setBounds( read.settings.bounds );
         m_settings.bounds = read.settings.bounds;
+        m_settings.limits = read.settings.limits;
+        if( m_shared.table ) {
+            m_shared.readers->setLimits( readerLimits() );
+            m_shared.capacity.setLimits( capacityLimits() );
+        }
         log::info( "settings_reloaded", { { "path", path } } );
     }
 
@@ -299,6 +394,12 @@
     std::unique_ptr<net::Acceptor> m_clientAcceptor;
     platform::SettingsWatch m_settingsWatch{ platform::settingsPath() };
     MonoTime m_settingsCheckedAt;
+    decide::ReadinessRule m_readinessRule{ hash64( m_settings.vm ) };
+    bool m_showsNotReady = false; //!< because of the load
+    MonoClock::duration m_loopDelay{};
+    MonoTime m_measuredAt = MonoClock::now();
+    MonoTime m_memoryReadAt{};
+    std::uint64_t m_memoryBytes = 0;
 };
 
 } // namespace
--- a/tests/unit/slow_readers.tests.cpp
+++ b/tests/unit/slow_readers.tests.cpp
@@ -254,3 +254,138 @@
     CHECK( endsWhole( slow.received ) );
     CHECK( slow.received.find( event( 240 ) ) != std::string::npos );
 }
+
+TEST_CASE( "A client that stands at its bound is cut, its upstream's answer ended, others unharmed",
+           "[gateway][exchange][readers]" ) {
+    SlowFixture setup;
+    setup.upstream.events = 4000;
+    auto& slow = setup.ask( "/stream/a" );
+    auto& readers = *setup.shared.readers;
+    REQUIRE( setup.run( [&] { return readers.heldBytes() >= readers.limits().answerBytes; } ) );
+    auto now = MonoClock::now();
+    setup.upstream.events = 50;
+    auto& normal = setup.ask( "/stream/b" );
+    setup.takeAll( normal );
+    REQUIRE( setup.run( [&] { return normal.ended; } ) );
+    CHECK( endsWhole( normal.received ) );
+    CHECK( setup.upstream.whole == 1 );
+    // One read from the upstream may come on top of the bound.
+    constexpr std::size_t readBytes = 17U << 10U;
+    CHECK( readers.heldBytes() <= readers.limits().answerBytes + readBytes );
+    std::vector<decide::ReaderCutCause> causes;
+    for( int n = 0; n < 20 && causes.empty(); ++n ) {
+        causes = readers.cutReaders( now );
+        now += 100ms;
+    }
+    REQUIRE( causes.size() == 1 );
+    CHECK( causes[0] == decide::ReaderCutCause::answerFull );
+    CHECK( readers.heldBytes() == 0 );
+    CHECK( setup.run( [&] { return setup.upstream.cut == 1; } ) );
+    setup.takeAll( slow );
+    REQUIRE( setup.run( [&] { return slow.ended; } ) );
+    CHECK( slow.error == net::asio::error::connection_reset );
+    CHECK_FALSE( endsWhole( slow.received ) );
+    CHECK( setup.run( [&] { return setup.shared.inFlight == 0; } ) );
+}
+
+TEST_CASE( "A client that takes a long answer a little at a time gets it whole",
+           "[gateway][exchange][readers]" ) {
+    SlowFixture setup;
+    setup.upstream.events = 600;
+    auto& slow = setup.ask( "/stream/a" );
+    auto& readers = *setup.shared.readers;
+    REQUIRE( setup.run( [&] { return readers.heldBytes() > 0; } ) );
+    auto reads = [&]() -> net::Task<> {
+        while( !slow.ended ) {
+            co_await slow.take( 2000 );
+            readers.cutReaders( MonoClock::now() );
+            co_await net::pause( setup.context, Millis( 1 ) );
+        }
+    };
+    net::asio::co_spawn( setup.context, reads, net::asio::detached );
+    REQUIRE( setup.run( [&] { return slow.ended; } ) );
+    CHECK( endsWhole( slow.received ) );
+    CHECK( slow.received.find( event( 600 ) ) != std::string::npos );
+}
+
+TEST_CASE(
+    "Many clients that stand are held within the gateway's bound, and beside them others served",
+    "[gateway][exchange][readers]" ) {
+    SlowFixture setup;
+    auto& readers = *setup.shared.readers;
+    constexpr std::size_t total = 2000000;
+    constexpr int slowClients = 40;
+    readers.setLimits( { 200000, total, 15s } );
+    setup.upstream.events = 150;
+    for( int n = 0; n < slowClients; ++n ) {
+        setup.ask( "/stream/a" );
+    }
+    REQUIRE( setup.run( [&] { return readers.heldBytes() >= total; } ) );
+    CHECK( readers.heldBytes() <= total + slowClients * ( 17U << 10U ) );
+    auto& normal = setup.ask( "/stream/b" );
+    setup.takeAll( normal );
+    REQUIRE( setup.run( [&] { return normal.ended; } ) );
+    CHECK( endsWhole( normal.received ) );
+    auto now = MonoClock::now();
+    int cut = 0;
+    for( int n = 0; n < 13; ++n ) {
+        now += 100ms;
+        for( const auto it : readers.cutReaders( now ) ) {
+            CHECK( it == decide::ReaderCutCause::totalFull );
+            ++cut;
+        }
+    }
+    CHECK( cut > 0 );
+    CHECK( readers.heldBytes() < total );
+    // With the room that this made the answers are read on.
+    CHECK( setup.run( [&] { return readers.heldBytes() >= total || setup.upstream.whole > 12; } ) );
+}
+
+TEST_CASE( "Whole answers that are collected at the bound don't wait for each other",
+           "[gateway][exchange][readers]" ) {
+    SlowFixture setup;
+    setup.shared.readers->setLimits( { 50000, 100000, 15s } );
+    setup.upstream.plainBytes = 300000;
+    for( int n = 0; n < 4; ++n ) {
+        setup.takeAll( setup.ask( "/safe/a" ) );
+    }
+    REQUIRE( setup.run( [&] {
+        return std::all_of( setup.clients.begin(), setup.clients.end(),
+                            []( const auto& it ) { return it->ended; } );
+    } ) );
+    for( const auto& it : setup.clients ) {
+        CHECK( it->received.ends_with( std::string( 300000, 'p' ) ) );
+    }
+    CHECK( setup.shared.readers->heldBytes() == 0 );
+}
+
+TEST_CASE( "A client that closes while much is held for it frees that at once",
+           "[gateway][exchange][readers]" ) {
+    SlowFixture setup;
+    setup.upstream.events = 4000;
+    auto& slow = setup.ask( "/stream/a" );
+    auto& readers = *setup.shared.readers;
+    REQUIRE( setup.run( [&] { return readers.heldBytes() >= readers.limits().answerBytes; } ) );
+    slow.socket.close();
+    CHECK( setup.run( [&] { return setup.upstream.cut == 1 && setup.shared.inFlight == 0; } ) );
+    CHECK( readers.heldBytes() == 0 );
+}
+
+TEST_CASE( "An upstream that takes a body slowly delays nobody else, and is left at the deadline",
+           "[gateway][exchange][readers]" ) {
+    SlowFixture setup;
+    setup.upstream.bodyPause = 20ms;
+    auto& slow = setup.ask( "/safe/a", std::string( 3000000, 'b' ), 1500 );
+    setup.takeAll( slow );
+    REQUIRE( setup.run( [&] { return setup.upstream.bodyBytes > 1000; } ) );
+    setup.upstream.bodyPause = Millis{ 0 };
+    setup.upstream.events = 10;
+    auto& normal = setup.ask( "/stream/b" );
+    setup.takeAll( normal );
+    REQUIRE( setup.run( [&] { return normal.ended; } ) );
+    CHECK( endsWhole( normal.received ) );
+    CHECK_FALSE( slow.ended );
+    REQUIRE( setup.run( [&] { return slow.ended && setup.upstream.bodyCut == 1; } ) );
+    CHECK( slow.received.starts_with( "HTTP/1.1 50" ) );
+    CHECK( setup.upstream.bodyBytes < 3000000 );
+}
