Fetched parts: only prompts that show it are judged, short parts are not offered

Change: a prompt is judged only if reading all takes at least twice the expected time; a gateway names no source that saves under 20 ms.

--- a/src/decide/fetch_record.cpp
+++ b/src/decide/fetch_record.cpp
@@ -14,11 +14,20 @@
 //! Transfers must save at least this much for their result to show: reports of the engine are up to
 //! 40 ms old while prompts are read.
 constexpr Millis minVisibleSaving{ 60 };
+//! The whole reading time must be this many times the expected time. Steps of running streams
+//! lengthen reading by up to about a half.
+constexpr int minVisibleFactor = 2;
 //! Number of prompts that are followed; more than an engine runs at the same time.
 constexpr std::size_t maxFollowed = 256;
 //! Number of sources that are remembered; the one that is avoided for the shortest time is dropped.
 constexpr std::size_t maxSources = 64;
 
+//! True if it shows in the engine's time for the prompt whether the parts were fetched.
+bool isVisible( const StartedFetch& fetch ) {
+    return fetch.readAll - fetch.expected >= minVisibleSaving &&
+           fetch.readAll >= fetch.expected * minVisibleFactor;
+}
+
 } // namespace
 
 Millis FetchRecord::queuedTransfers( MonoTime now ) const {
@@ -55,8 +64,8 @@
         const Sent read = std::move( m_sent.front() );
         m_sent.pop_front();
         const auto& fetch = read.fetch;
-        const bool visible = fetch.readAll - fetch.transfer >= minVisibleSaving;
-        if( !fetch.source.empty() && visible && now - read.startsAt >= fetch.readAll ) {
+        const bool readAll = now - read.startsAt >= fetch.readAll;
+        if( !fetch.source.empty() && isVisible( fetch ) && readAll ) {
             noteFailure( fetch.source, now );
             out.push_back( fetch );
         }
--- a/src/decide/fetch_record.hpp
+++ b/src/decide/fetch_record.hpp
@@ -18,7 +18,8 @@
     std::uint64_t key = 0; //!< identifies the prompt among all requests
     std::string source;    //!< IP:PORT of the engine that has the parts
     Millis transfer{ 0 };
-    Millis readAll{ 0 }; //!< reading the whole prompt without the transfer
+    Millis expected{ 0 }; //!< the transfer and the reading of the rest
+    Millis readAll{ 0 };  //!< reading the whole prompt without the transfer
 };
 
 /**
@@ -27,7 +28,9 @@
  * engine then reads them after all, and each prompt that names this source is late.
  *
  * Engines do not say what they fetched. A prompt counts as not fetched if the engine needed as long
- * for it as for reading all of it, from the time when it had read the prompt before.
+ * for it as for reading all of it, from the time when it had read the prompt before. Prompts of
+ * which the transfer saves only a small part are not judged: running streams lengthen the reading
+ * of the rest by as much.
  */
 class FetchRecord {
 public:
--- a/src/decide/part_fetch.cpp
+++ b/src/decide/part_fetch.cpp
@@ -15,9 +15,6 @@
 //! one transfer of the same size that this engine's sidecar does not know of, and the result should
 //! still be no later than reading.
 constexpr double maxTransferPart = 0.5;
-//! A transfer that saves less is not worth a failure: the prompt is sent this long ahead of the
-//! engine, so that a shorter reading time would not be noticed.
-constexpr double minSavedMs = 20;
 
 constexpr double bitsPerByte = 8;
 constexpr double bitsPerMsAndMbps = 1000;
@@ -44,7 +41,7 @@
     const double readingMs = static_cast<double>( option.tokens ) * option.msPerToken;
     const auto transfer = option.queuedTransfers + transferTime( link, option );
     const auto transferMs = static_cast<double>( transfer.count() );
-    if( transferMs > readingMs * maxTransferPart || readingMs - transferMs < minSavedMs ) {
+    if( transferMs > readingMs * maxTransferPart || readingMs - transferMs < minFetchSavingMs ) {
         return FetchDecision::noSavings;
     }
     if( option.readyIn > option.startIn ) {
--- a/src/decide/part_fetch.hpp
+++ b/src/decide/part_fetch.hpp
@@ -63,6 +63,10 @@
     return "unknown";
 }
 
+//! A transfer that saves less is not worth a failure: prompts are sent 15 ms before the engine is
+//! free, so that a slightly shorter reading time would not be noticed.
+inline constexpr double minFetchSavingMs = 20;
+
 //! Time to copy this number of tokens over the link, with its set-up and without the transfers that
 //! are queued. The link must be usable.
 Millis transferTime( const PartLink& link, const FetchOption& option );
--- a/src/gateway/choice/part_source.cpp
+++ b/src/gateway/choice/part_source.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "gateway/choice/part_source.hpp"
 
+#include "decide/part_fetch.hpp"
 #include "gateway/choice/fleet.hpp"
 #include "kernel/hash.hpp"
 
@@ -38,7 +39,8 @@
     }
     const auto there = node.prefixes.cachedPrefix( query.keys, query.generation );
     const auto here = query.target.prefixes.cachedTokens( query.keys, query.generation );
-    if( there.tokens <= here ) {
+    const auto gain = static_cast<double>( there.tokens - here ) * query.msPerToken;
+    if( gain < decide::minFetchSavingMs ) {
         return std::nullopt;
     }
     PartSource out;
--- a/src/gateway/choice/part_source.hpp
+++ b/src/gateway/choice/part_source.hpp
@@ -33,7 +33,8 @@
     MonoTime now;
 };
 
-//! The parts that `node` can give to the target; nullopt if it can't give any. Whether the node may
+//! The parts that `node` can give to the target; nullopt if it can't give any, or so few that the
+//! target reads them as fast. Whether the node may
 //! serve the request at all, by region and state, is for the caller to check.
 std::optional<PartSource> partSourceAt( const Node& node, const PartQuery& query );
 
--- a/src/sidecar/prompt_gate.cpp
+++ b/src/sidecar/prompt_gate.cpp
@@ -108,9 +108,10 @@
         m_typicalWorkMs += typicalSmoothing * ( next->workMs - m_typicalWorkMs );
         m_fetches.noteSent( next->key, now );
         if( plan.fetches() ) {
+            const Millis expected( static_cast<std::int64_t>( plan.workMs ) );
             const Millis readAll( static_cast<std::int64_t>( plan.readAllMs ) );
-            m_fetches.noteFetch( { next->key, request.prompt.cachedAt, plan.transfer, readAll },
-                                 now );
+            m_fetches.noteFetch(
+                { next->key, request.prompt.cachedAt, plan.transfer, expected, readAll }, now );
         }
         m_prefixes.insert( partKeysOf( request ), generationOf( request ) );
         m_waiting.erase( it );
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -319,6 +319,7 @@
             m_metrics.count( "part_fetch_failures", "not_faster" );
             log::info( "part_fetch_failed", { { "source", fetch.source },
                                               { "transfer_ms", fetch.transfer.count() },
+                                              { "expected_ms", fetch.expected.count() },
                                               { "read_all_ms", fetch.readAll.count() } } );
         };
         return out;
