Sidecar: a specification is requested at once when another one is wanted

Cause: after a request for one specification a sidecar asked for no other one for 200 ms, so with gateways of different configurations it learnt the newer one only at the next demand message. The test 'What an engine is built like is told once' saw that on a busy machine, when the real gateway had connected less than 200 ms before the pretended ones (0 requests, then 1). Change: the pause holds for the same specification only.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -212,11 +212,13 @@
     //! one.
     void requestSpec( Peer& peer ) {
         const auto now = MonoClock::now();
-        const bool alreadyRequested = now - m_specRequestedAt < specRetryDelay;
+        const bool alreadyRequested =
+            m_requestedSpec == m_wantedSpec && now - m_specRequestedAt < specRetryDelay;
         if( peer.spec != m_wantedSpec || m_knownSpec == m_wantedSpec || alreadyRequested ) {
             return;
         }
         m_specRequestedAt = now;
+        m_requestedSpec = m_wantedSpec;
         peer.channel->send(
             gateway::encode( gateway::Message( gateway::SpecRequest{ peer.spec } ) ) );
     }
@@ -538,8 +540,9 @@
     net::asio::signal_set m_signals;
     std::uint64_t m_lastConnectionNumber = 0;
     std::uint64_t m_configVersion = 0;
-    gateway::EngineSpecKey m_wantedSpec = 0; //!< specification named by the newest configuration
-    gateway::EngineSpecKey m_knownSpec = 0;  //!< specification that this sidecar has
+    gateway::EngineSpecKey m_wantedSpec = 0;    //!< specification named by the newest configuration
+    gateway::EngineSpecKey m_knownSpec = 0;     //!< specification that this sidecar has
+    gateway::EngineSpecKey m_requestedSpec = 0; //!< specification that was last requested
     MonoTime m_specRequestedAt;
     std::string m_upstreamId; //!< the engine's present start, as reported by gateways
     Millis m_gapTarget{ 0 };
