Prompt order: an organisation that comes back is not charged for its past; late prompts by property

Cause: an idle account was forgotten only when a new name came, so that an organisation kept what it had been served seconds before; prompts that lost their goal had no property test. Change: idle accounts are forgotten at each use. Test over random arrivals with late prompts: each starts, or is told in the first half of its time if it is late, and none is held longer than its latest start and the tolerance.

--- a/src/decide/fair_share.cpp
+++ b/src/decide/fair_share.cpp
@@ -40,11 +40,12 @@
 }
 
 FairShare::Account& FairShare::accountOf( std::string_view organisation, MonoTime now ) {
+    forgetIdle( now );
     const auto it = m_accounts.find( organisation );
     if( it != m_accounts.end() ) {
         return it->second;
     }
-    forgetIdle( now );
+    keepBelowBound();
     const Account account{ leastMs(), now };
     return m_accounts.emplace( organisation, account ).first->second;
 }
@@ -52,6 +53,9 @@
 void FairShare::forgetIdle( MonoTime now ) {
     std::erase_if( m_accounts,
                    [now]( const auto& it ) { return it.second.usedAt + idleLifetime <= now; } );
+}
+
+void FairShare::keepBelowBound() {
     if( m_accounts.size() < maxOrganisations ) {
         return;
     }
--- a/src/decide/fair_share.hpp
+++ b/src/decide/fair_share.hpp
@@ -37,6 +37,8 @@
     };
     Account& accountOf( std::string_view organisation, MonoTime now );
     void forgetIdle( MonoTime now );
+    //! Forgets the organisation that was idle the longest if there is no place for another one.
+    void keepBelowBound();
     double leastMs() const;
     double mostMs() const;
 
--- a/tests/replay/prompt_order.tests.cpp
+++ b/tests/replay/prompt_order.tests.cpp
@@ -148,6 +148,47 @@
     } );
 }
 
+TEST_CASE( "A prompt that has lost its goal starts or is displaced early, and none is held longer",
+           "[replay][order]" ) {
+    rc::check( "for any arrivals, while the engine keeps reading", [] {
+        decide::ReadingQueue queue;
+        std::map<std::uint64_t, decide::ReadingRequest> waiting;
+        auto at = begin;
+        const auto count = *rc::gen::inRange( 1, 60 );
+        const auto step = [&] {
+            while( const auto next = queue.takeNext( at ) ) {
+                RC_ASSERT( at <= next->startBy + 90ms );
+                RC_ASSERT( waiting.erase( next->key ) == 1 );
+            }
+            for( const auto& it : queue.takeExpired( at ) ) {
+                RC_ASSERT( !it.late || at - it.since < it.startBy - at );
+                RC_ASSERT( waiting.erase( it.key ) == 1 );
+            }
+            for( const auto& it : queue.takeDisplaced() ) {
+                RC_ASSERT( at - it.since < it.startBy - at );
+                RC_ASSERT( waiting.erase( it.key ) == 1 );
+            }
+            at += 1ms;
+        };
+        for( int n = 0; n < count; ++n ) {
+            auto prompt = anyPrompt( static_cast<std::uint64_t>( n ), at );
+            prompt.late = *rc::gen::arbitrary<bool>();
+            if( queue.ask( prompt, at ).accepted ) {
+                waiting.emplace( prompt.key, prompt );
+            }
+            const auto until = at + Millis( *rc::gen::inRange( 1, 200 ) );
+            while( at < until ) {
+                step();
+            }
+        }
+        const auto end = at + 20s;
+        while( at < end && !waiting.empty() ) {
+            step();
+        }
+        RC_ASSERT( waiting.empty() );
+    } );
+}
+
 TEST_CASE( "A prompt that lost its goal starts within its limit, however many urgent ones come",
            "[replay][order]" ) {
     // The urgent prompts alone take more than the engine's time.
--- a/tests/unit/yield_rule.tests.cpp
+++ b/tests/unit/yield_rule.tests.cpp
@@ -164,6 +164,16 @@
     CHECK( share.servedMs( "small" ) == Approx( 59000 ) );
 }
 
+TEST_CASE( "An organisation that comes back is not charged for what it was served before",
+           "[order][share]" ) {
+    FairShare share;
+    share.noteServed( "small", 10, now );
+    share.noteServed( "burst", 5000, now );
+    share.noteServed( "small", 10, now + 1900ms );
+    share.noteAsk( "burst", now + 3s );
+    CHECK( share.servedMs( "burst" ) == Approx( share.servedMs( "small" ) ) );
+}
+
 TEST_CASE( "Idle organisations are forgotten, and never more than a bound are known",
            "[order][share]" ) {
     FairShare share;
