Gateway: holds a place only at the engine asked last

Change: the place is given back before the next ask; the client is told the time of the place that is left, else the earliest.

--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -269,6 +269,21 @@
                             Millis{ 0 } );
 }
 
+std::optional<Millis> Exchange::timeOfReturn() {
+    const auto now = MonoClock::now();
+    const auto left = remaining( now, m_deadline );
+    if( m_returnPlace ) {
+        const decide::RefusalTimes place{ remaining( now, m_returnPlace->at() ), left,
+                                          m_returnPlace->held() };
+        if( const auto told = decide::returnTime( place, m_shared.random.unit() ) ) {
+            m_returnPlace->keep();
+            return told;
+        }
+    }
+    const decide::RefusalTimes earliest{ remaining( now, *m_returnAt ), left, std::nullopt };
+    return decide::returnTime( earliest, m_shared.random.unit() );
+}
+
 net::Task<> Exchange::answerNotRun( std::string reason ) {
     m_shared.metrics.count( "requests_refused", m_refusal );
     if( !m_returnAt ) {
@@ -276,17 +291,7 @@
         co_await sendOwnAnswer( statusUnavailable, std::move( reason ), after );
         co_return;
     }
-    const auto now = MonoClock::now();
-    decide::RefusalTimes times;
-    times.earliest = remaining( now, *m_returnAt );
-    times.clientLeft = remaining( now, m_deadline );
-    if( m_returnPlace ) {
-        times.placeHeld = m_returnPlace->held();
-    }
-    const auto told = decide::returnTime( times, m_shared.random.unit() );
-    if( told && m_returnPlace ) {
-        m_returnPlace->keep();
-    }
+    const auto told = timeOfReturn();
     if( !told ) {
         reason += ", and no engine can serve it in the time left";
     }
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -158,18 +158,20 @@
     net::Task<PrepareResult> prepare( Choice& choice );
     PrepareResult admitWithoutSidecar( Node& node );
     net::Task<PrepareResult> requestAdmission( Choice& choice );
-    //! Notes when an engine that refused the request could serve it. The earliest time is told to
-    //! the client; places held for later ones are given back.
+    //! Notes when an engine that refused the request could serve it, and the place that it holds.
     void noteReturn( const Choice& choice, const EnsureAnswer& answer, MonoTime now );
     //! Logs that the request does not wait for a load that ends too late, and starts the load for
     //! those that come next if they need it.
     void noteAvoidedLoad( const Choice& choice, MonoTime now );
     //! Time to the first event, from now, for an answer in time and until the client leaves.
     decide::FirstEventLimits firstEventLimits( MonoTime now ) const;
+    //! Time to tell the client: that of its place, else the earliest that an engine gave; nullopt:
+    //! it would not wait so long.
+    std::optional<Millis> timeOfReturn();
     //! Answers that the request was not run, with the time at which a return makes sense.
     net::Task<> answerNotRun( std::string reason );
     EnsureRequest admissionRequest( const Choice& choice, MonoTime now ) const;
-    PrepareResult applyAdmissionAnswer( Choice& choice, const EnsureAnswer& answer );
+    PrepareResult applyAdmissionAnswer( Choice& choice, const EnsureAnswer& answer, bool late );
     void logAdmission( const Choice& choice, const EnsureAnswer& answer, MonoTime since ) const;
     //! Obtains a permit under the chosen upstream's limit, if the upstream has announced one.
     net::Task<bool> obtainLimitPermit( const Choice& choice );
@@ -237,7 +239,7 @@
     std::string m_lastFailure;
     Millis m_retryAfter{ 0 };
     std::optional<MonoTime> m_returnAt;       //!< earliest time at which an engine could serve it
-    std::optional<ReturnPlace> m_returnPlace; //!< held from that time on
+    std::optional<ReturnPlace> m_returnPlace; //!< at the engine asked last
     std::string_view m_refusal = "other";     //!< cause of a refusal, for counters
     std::optional<BufferedAnswer> m_answer;   //!< an upstream's answer, not yet written to the
                                               //!< client; a failure is kept in case a retry fails
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -154,10 +154,13 @@
 net::Task<Exchange::PrepareResult> Exchange::requestAdmission( Choice& choice ) {
     const auto requestedAt = MonoClock::now();
     auto request = admissionRequest( choice, requestedAt );
+    const bool late = request.prompt.mayStartLate;
+    // A place would keep room from others while this request waits elsewhere.
+    m_returnPlace.reset();
     NodePtr node = choice.node;
     const auto answer = co_await m_shared.fleet.ensure( std::move( node ), std::move( request ) );
     logAdmission( choice, answer, requestedAt );
-    const auto next = applyAdmissionAnswer( choice, answer );
+    const auto next = applyAdmissionAnswer( choice, answer, late );
     if( answer.outcome == EnsureOutcome::needsWeightStore ) {
         // No other engine has a copy of the model: wait until the weight store's rate allows the
         // load.
@@ -166,12 +169,11 @@
     co_return next;
 }
 
-Exchange::PrepareResult Exchange::applyAdmissionAnswer( Choice& choice,
-                                                        const EnsureAnswer& answer ) {
+Exchange::PrepareResult Exchange::applyAdmissionAnswer( Choice& choice, const EnsureAnswer& answer,
+                                                        bool late ) {
     switch( answer.outcome ) {
     case EnsureOutcome::ready:
         m_promptPermit.emplace( choice.node, answer );
-        m_returnPlace.reset();
         choice.workMs = answer.workMs;
         choice.unqueued = choice.unqueued && answer.waitMs <= answer.workMs;
         return PrepareResult::send;
@@ -185,9 +187,7 @@
         m_refusal =
             answer.refusal == decide::PromptRefusal::none ? "busy" : nameOf( answer.refusal );
         noteReturn( choice, answer, MonoClock::now() );
-        // A prompt that waited for a load may still be served elsewhere before its client leaves.
-        return m_sidecarRefusals > maxInTimeRequests ? PrepareResult::giveUp
-                                                     : PrepareResult::chooseAgain;
+        return late ? PrepareResult::giveUp : PrepareResult::chooseAgain;
     case EnsureOutcome::noCapacity:
     case EnsureOutcome::failed:
         break;
@@ -204,20 +204,10 @@
 void Exchange::noteReturn( const Choice& choice, const EnsureAnswer& answer, MonoTime now ) {
     // A sidecar of the version before states no time of return.
     const auto at = now + Millis( std::max( answer.waitMs, answer.returnInMs ) );
-    if( answer.placeHeldMs <= 0 ) {
-        if( !m_returnAt || at < *m_returnAt ) {
-            m_returnPlace.reset();
-            m_returnAt = at;
-        }
-        return;
-    }
-    if( m_returnAt && at >= *m_returnAt ) {
-        // Gives this place back.
-        const ReturnPlace unused( choice.node, answer );
-        return;
+    m_returnAt = std::min( m_returnAt.value_or( at ), at );
+    if( answer.placeHeldMs > 0 ) {
+        m_returnPlace.emplace( choice.node, answer, at );
     }
-    m_returnPlace.emplace( choice.node, answer );
-    m_returnAt = at;
 }
 
 decide::FirstEventLimits Exchange::firstEventLimits( MonoTime now ) const {
--- a/src/gateway/exchange/prompt_permit.hpp
+++ b/src/gateway/exchange/prompt_permit.hpp
@@ -33,8 +33,8 @@
 //! it back.
 class ReturnPlace {
 public:
-    ReturnPlace( NodePtr node, EnsureAnswer answer )
-        : m_node( std::move( node ) ), m_answer( answer ) {}
+    ReturnPlace( NodePtr node, EnsureAnswer answer, MonoTime at )
+        : m_node( std::move( node ) ), m_answer( answer ), m_at( at ) {}
     ~ReturnPlace() {
         if( m_node ) {
             Fleet::returnPermit( *m_node, m_answer );
@@ -45,11 +45,13 @@
 
     //! The client is told its time.
     void keep() { m_node.reset(); }
+    MonoTime at() const { return m_at; } //!< when it opens
     Millis held() const { return Millis( m_answer.placeHeldMs ); }
 
 private:
     NodePtr m_node; //!< null once the place is kept
     EnsureAnswer m_answer;
+    MonoTime m_at;
 };
 
 } // namespace coursehead::gateway
