--- a/tests/replay/part_fetch.tests.cpp
+++ b/tests/replay/part_fetch.tests.cpp
@@ -239,7 +239,8 @@
         if( isDue( now, reportEveryMs ) ) {
             it.gate.noteUnread( it.engine.unreadPrompts() + it.sends.size(), at( now ) );
         }
-        for( const auto key : it.gate.takeExpired( at( now ) ) ) {
+        for( const auto& refused : it.gate.takeRefused( at( now ) ) ) {
+            const auto key = refused.key;
             m_arrivals.erase( key );
             ++m_out.refused;
         }
--- a/tests/replay/uneven_world.cpp
+++ b/tests/replay/uneven_world.cpp
@@ -269,7 +269,8 @@
             m_waiting.erase( due.key );
             m_unread[n].insert( due.key );
         }
-        for( const auto key : it.gate.takeExpired( at( time ) ) ) {
+        for( const auto& refused : it.gate.takeRefused( at( time ) ) ) {
+            const auto key = refused.key;
             auto sent = std::move( m_waiting.at( key ) );
             m_waiting.erase( key );
             ask( std::move( sent ), time );
