--- a/tests/unit/speed.tests.cpp
+++ b/tests/unit/speed.tests.cpp
@@ -1,12 +1,15 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "decide/engine_speed.hpp"
 #include "decide/speed_meter.hpp"
+#include "gateway/choice/estimate.hpp"
 #include "gateway/choice/node.hpp"
 #include "gateway/choice/pace.hpp"
 #include "gateway/choice/selection.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+
 using namespace coursehead;
 using namespace coursehead::decide;
 using namespace std::chrono_literals;
@@ -260,3 +263,36 @@
     CHECK( gateway::unexplainedSlowness( health, 4, start ) == 1 );
     CHECK( gateway::unexplainedSlowness( health, 0.5, start ) == Approx( 3 ) );
 }
+
+TEST_CASE( "An estimate counts reading, and the pauses to expect, at the engine's speed",
+           "[speed][gateway]" ) {
+    gateway::Node node( {}, start );
+    gateway::EngineSpec spec;
+    spec.models.push_back( { "m", 72700, 66, 4, 4200ms, 840ms, 400ms } );
+    node.engine = std::make_shared<const gateway::EngineSpec>( spec );
+    node.gapTarget = 300ms;
+    gateway::SidecarReport report;
+    report.residents = { { "m", {} } };
+    node.takeReport( report, start );
+    node.prefillMs = 40;
+    gateway::Generation generation;
+    generation.model = "m";
+    generation.promptTokens = 3800;
+    gateway::RequestNeeds need;
+    need.generation = &generation;
+    const auto usual = estimate( node, need, {}, {}, start );
+    CHECK( usual.timeFactor == 1 );
+    CHECK( usual.latePauseShare == 0 );
+    report.load.speed = { 2.4, 400, 1, 0, 0 };
+    node.usualTimeRatio = 1.2;
+    node.takeReport( report, start );
+    const auto slow = estimate( node, need, {}, {}, start );
+    CHECK( slow.timeFactor == Approx( 2 ) );
+    CHECK( slow.workMs == Approx( usual.workMs ) );
+    CHECK( slow.backlogMs == Approx( usual.backlogMs + 40 ) );
+    CHECK( slow.latePauseShare == 1 );
+    // An old sidecar tells no speed.
+    report.load.speed = {};
+    node.takeReport( report, start );
+    CHECK( costOf( estimate( node, need, {}, {}, start ) ) == Approx( costOf( usual ) ) );
+}
