--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -52,9 +52,15 @@
                             { "adapters", adapterCount },
                             { "adapterMb", adapterMb } } );
     }
-    return { { "slots", engineSlots },        { "cacheTokens", 100000 },
-             { "weightsMb", engineMb },       { "adapterSlots", engineAdapters },
-             { "loadsPerS", storeLoadsPerS }, { "models", models } };
+    return { { "slots", engineSlots },
+             { "cacheTokens", 100000 },
+             { "weightsMb", engineMb },
+             { "adapterSlots", engineAdapters },
+             { "loadsPerS", storeLoadsPerS },
+             { "models", models },
+             { "moves", true },
+             { "tokenBytes", tokenBytes },
+             { "linkMbps", linkMbps } };
 }
 
 } // namespace
--- a/tests/soak/models.hpp
+++ b/tests/soak/models.hpp
@@ -14,6 +14,8 @@
 inline constexpr int engineSlots = 32;
 inline constexpr double loadS = 0.3;
 inline constexpr double storeLoadsPerS = 6;
+inline constexpr double tokenBytes = 163840; //!< size of a cached token
+inline constexpr double linkMbps = 740000;   //!< of the links between engines
 
 } // namespace coursehead::soak
 
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -280,6 +280,19 @@
     return "Server-Leaving: 1\r\n";
 }
 
+//! Counts an instruction to fetch cached parts, which must name another engine.
+void Runner::countFetch( const Request& request ) {
+    const auto source = field( request, "Kv-Fetch" );
+    if( source.empty() ) {
+        return;
+    }
+    m_record.count( std::string( toldToFetch ) );
+    const auto own = m_settings.advertisedIp + ":" + std::to_string( m_settings.port );
+    if( source == own || !m_settings.engine ) {
+        m_record.breach( "parts are fetched from another engine", source + " is told to " + own );
+    }
+}
+
 void Runner::noteArrival( Instance& instance, const std::string& id ) {
     countIgnoredAnnouncements( instance );
     const auto now = MonoClock::now();
@@ -323,6 +336,7 @@
         auto bytes = refusal( *instance, id );
         co_return co_await send( socket, std::move( bytes ) );
     }
+    countFetch( request );
     m_record.runStarted( id );
     m_record.countRunInHall( m_settings.hall );
     ++instance->runs[id];
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -119,6 +119,7 @@
     net::Task<> executeOrder( InstancePtr instance, nlohmann::json order );
     void checkOrder( Instance& instance, const nlohmann::json& order );
     std::string report( const Instance& instance ) const;
+    void countFetch( const Request& request );
     void noteArrival( Instance& instance, const std::string& id );
     //! Counts requests that ignore the upstream's announcements. All requests are treated as if
     //! they came from one gateway.
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -51,6 +51,7 @@
     std::unique_ptr<Deployment> deployment;
     int sent = 0;
     bool sharedPrefix = true; //!< prompts share their prefix, so that gateways prefer one engine
+    bool ownEnds = false;     //!< each prompt ends with a part of its own
     bool oneGateway = false;  //!< all requests go to the first gateway
     bool finished = false;
 
@@ -104,6 +105,7 @@
         auto& gateway = *gateways[gatewayIndex];
         const auto id = "r" + std::to_string( ++sent );
         record.asked( id, path.starts_with( "/safe" ) ? Kind::safe : Kind::stream );
+        const auto ownEnd = ownEnds ? "c" + std::to_string( sent ) : "b";
         net::Socket socket( context );
         net::ErrorCode ec;
         const auto to = net::endpointOf( gateway.reachedIp, frontPort, ec );
@@ -112,8 +114,8 @@
             method + " " + path + " HTTP/1.1\r\nHost: " + hostName + "\r\nX-Request-Id: " + id +
             "\r\nX-Deadline-Ms: 3500\r\nX-Model: m0\r\n"
             "X-Token-Counts: 2000,100\r\nX-Prompt-Prefix: " +
-            ( sharedPrefix ? "a" : std::to_string( sent ) ) +
-            ":1500,b:500\r\nContent-Length: " + std::to_string( body.size() ) + "\r\n\r\n" + body;
+            ( sharedPrefix ? "a" : std::to_string( sent ) ) + ":1500," + ownEnd +
+            ":500\r\nContent-Length: " + std::to_string( body.size() ) + "\r\n\r\n" + body;
         const auto bytes = net::asio::buffer( text );
         co_await net::asio::async_write( socket, bytes, net::tupled );
         boost::beast::flat_buffer buf;
