Test: a gateway process cuts a client that takes a byte a second

A real gateway before an upstream of long streams: one client takes a byte a second, another asks for whole streams meanwhile and gets each. The slow one is cut for a full answer, its upstream's connection ends, and the gateway stays under 100 MB.

--- a/tests/unit/slow_readers.tests.cpp
+++ b/tests/unit/slow_readers.tests.cpp
@@ -2,6 +2,7 @@
 #include "gateway/exchange/client_session.hpp"
 #include "support/run_until.hpp"
 #include "support/scripted_upstream.hpp"
+#include "support/world.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -10,6 +11,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <fstream>
+#include <iterator>
+
 // Clients that take their answer slowly or not at all, and an upstream that takes a body slowly.
 // Guards against an answer that is read from its upstream only as fast as its client takes it: the
 // upstream then stops, keeps its place and memory, and cuts the answer off after some seconds. And
@@ -80,8 +84,9 @@
                                                           std::string( plainBytes, 'p' ) )
                                : streamHead();
         head.replace( head.find( "{id}" ), 4, id );
+        const int count = events;
         bool open = co_await write( socket, std::move( head ) );
-        for( int i = 1; open && plainBytes == 0 && i <= events; ++i ) {
+        for( int i = 1; open && plainBytes == 0 && i <= count; ++i ) {
             std::string piece = chunk( event( i ) );
             open = co_await write( socket, std::move( piece ) );
         }
@@ -389,3 +394,106 @@
     CHECK( slow.received.starts_with( "HTTP/1.1 50" ) );
     CHECK( setup.upstream.bodyBytes < 3000000 );
 }
+
+namespace {
+
+//! A configuration with one route, whose streams go to plain upstreams.
+nlohmann::json longStreamConfiguration() {
+    nlohmann::json route{
+        { "name", "long" },      { "host", soak::hostName }, { "pathPrefix", "/long/" },
+        { "kind", "streaming" }, { "timeoutMs", 60000 },     { "goalMs", 800 },
+        { "priority", 1 },       { "service", "plain" },     { "attempts", 1 },
+        { "gapTargetMs", 400 },  { "resumable", false } };
+    nlohmann::json service{ { "name", "plain" }, { "connectionLimit", 100 } };
+    return { { "version", 1000 },
+             { "routes", nlohmann::json::array( { route } ) },
+             { "services", nlohmann::json::array( { service } ) } };
+}
+
+//! A request for a long stream through the gateway of a deployment.
+std::string longStreamRequest( const std::string& id ) {
+    return std::string( "GET /long/a HTTP/1.1\r\nHost: " ) + soak::hostName +
+           "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 50000\r\nConnection: close\r\n\r\n";
+}
+
+std::string logOf( const support::World& world, const std::string& process ) {
+    std::ifstream in( world.folder + "/" + process + ".log" );
+    return { std::istreambuf_iterator<char>( in ), {} };
+}
+
+} // namespace
+
+TEST_CASE(
+    "A gateway process cuts a client that takes a byte a second, and serves another meanwhile",
+    "[promise][readers][process]" ) {
+    support::World world( support::WorldSize{ 1, 0, 0 } );
+    LongUpstream upstream( world.context );
+    upstream.events = 20;
+    SlowClient slow( world.context );
+    int wholeBefore = 0;
+    int wholeMeanwhile = 0;
+    long peakKb = 0;
+    std::string log;
+    const auto heartbeats = [&]() -> net::Task<> {
+        const nlohmann::json entry{
+            { "service", "plain" },
+            { "address",
+              "127.0.0.1:" + std::to_string( upstream.acceptor.local_endpoint().port() ) },
+            { "zone", "hall-0" },
+            { "version", "1" },
+            { "slots", 8 },
+            { "state", "ready" },
+            { "sequence", 1 },
+            { "models", nlohmann::json::array() } };
+        for( ;; ) {
+            world.deployment->store().put( "servers", "long-1", entry );
+            co_await net::pause( world.context, Millis( 300 ) );
+        }
+    };
+    const auto askWhole = [&]() -> net::Task<bool> {
+        SlowClient client( world.context );
+        net::ErrorCode ec;
+        auto& gateway = *world.deployment->gateways()[0];
+        const auto to = net::endpointOf( gateway.reachedIp, soak::frontPort, ec );
+        std::string request = longStreamRequest( "normal" );
+        co_await client.ask( to, std::move( request ) );
+        co_await client.takeAll();
+        co_return endsWhole( client.received );
+    };
+    world.runScenario( [&]() -> net::Task<> {
+        world.deployment->store().put( "config", "main", longStreamConfiguration() );
+        net::start( world.context, heartbeats(), "heartbeats" );
+        while( wholeBefore == 0 ) {
+            const bool whole = co_await askWhole();
+            wholeBefore += whole ? 1 : 0;
+            co_await net::pause( world.context, support::pollInterval );
+        }
+        upstream.events = 20000;
+        net::ErrorCode ec;
+        // Straight to the gateway: a link in between would take bytes for the client.
+        const auto to = net::endpointOf( world.deployment->gateways()[0]->ip, soak::frontPort, ec );
+        std::string request = longStreamRequest( "slow" );
+        co_await slow.ask( to, std::move( request ) );
+        const auto wholeAtStart = upstream.whole;
+        while( upstream.cut == 0 ) {
+            co_await slow.take( 1 );
+            upstream.events = 20;
+            const bool whole = co_await askWhole();
+            wholeMeanwhile += whole ? 1 : 0;
+            co_await net::pause( world.context, Millis( 1000 ) );
+        }
+        CHECK( upstream.whole - wholeAtStart == wholeMeanwhile );
+        co_await slow.takeAll();
+        peakKb = world.deployment->gateways()[0]->child->peakKb();
+        while( log.find( "event=reader_cut" ) == std::string::npos ) {
+            log = logOf( world, "gateway-0" );
+            co_await net::pause( world.context, support::pollInterval );
+        }
+    } );
+    CHECK( wholeMeanwhile > 0 );
+    CHECK_FALSE( endsWhole( slow.received ) );
+    CHECK( log.find( "event=reader_cut id=slow cause=answer_full" ) != std::string::npos );
+    INFO( "peak " << peakKb << " kB" );
+    constexpr long maxPeakKb = 100000;
+    CHECK( peakKb < maxPeakKb );
+}
