--- a/src/gateway/exchange/client_writer.cpp
+++ b/src/gateway/exchange/client_writer.cpp
@@ -48,6 +48,7 @@
     }
     const std::vector<ClientWriter*> readers( m_holding.begin(), m_holding.end() );
     std::vector<decide::ReaderState> states;
+    states.reserve( readers.size() );
     for( const auto* it : readers ) {
         states.push_back( it->state() );
     }
