--- a/tests/replay/uneven_engines.tests.cpp
+++ b/tests/replay/uneven_engines.tests.cpp
@@ -7,7 +7,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <cstdio>
 
 using namespace coursehead::replay;
 
@@ -30,19 +29,16 @@
 
 } // namespace
 
-TEST_CASE( "Ways to choose among uneven engines", "[.][uneven-ways]" ) {
-    for( const auto way : { Way::ownGuess, Way::expectedTime, Way::powerOfTwo, Way::weighted } ) {
-        for( const auto& speeds : { uneven, even } ) {
-            for( std::uint64_t seed = 1; seed <= 3; ++seed ) {
-                const auto out = replay( way, seed, speeds );
-                std::printf( "way %d speed %.2f seed %d: slow %d late %.3f usual %d late %.3f "
-                             "refused %d in time %.3f\n",
-                             static_cast<int>( way ), speeds.front(), static_cast<int>( seed ),
-                             out.slow.requests, lateShare( out.slow ), out.usual.requests,
-                             lateShare( out.usual ), out.refused, out.inTime() );
-            }
-        }
-    }
+TEST_CASE( "Of the ways to choose among uneven engines, drawing by speed serves more than the "
+           "shortest expected time",
+           "[replay][speed]" ) {
+    const auto seed = GENERATE( std::uint64_t{ 1 }, std::uint64_t{ 2 }, std::uint64_t{ 3 } );
+    const auto shortest = replay( Way::expectedTime, seed, uneven );
+    const auto two = replay( Way::powerOfTwo, seed, uneven );
+    const auto drawn = replay( Way::weighted, seed, uneven );
+    CAPTURE( seed, shortest.inTime(), two.inTime(), drawn.inTime() );
+    CHECK( drawn.inTime() > shortest.inTime() );
+    CHECK( drawn.refused < shortest.refused );
 }
 
 TEST_CASE( "Slow engines are sent what they can do in time", "[replay][speed]" ) {
