--- a/src/sidecar/return_gate.hpp
+++ b/src/sidecar/return_gate.hpp
@@ -10,7 +10,7 @@
 //! What the gate says about a prompt.
 struct ReturnGateAnswer {
     bool accepted = false;
-    Millis wait{ 0 };        //!< if not accepted: until the engine could start to read it
+    Millis wait{ 0 }; //!< if not accepted: until the engine could start to read it
     decide::PromptRefusal refusal = decide::PromptRefusal::none; //!< why it is not accepted
     decide::HeldPlace place; //!< if not accepted: the time to tell, and the place held
 };
