Test of an agent killed in a load: the fault is set before the model exists

Trace: with a pause of 1.5 s between the two the old order fails so each time. Change: the fault first. The checks stay.

--- a/tests/promise/memory.tests.cpp
+++ b/tests/promise/memory.tests.cpp
@@ -304,9 +304,10 @@
     fleet.waitForAgents( entry, 1 );
     fleet::Fleet::require( entry, fleet::defaultConfig( checks, latenessBoundMs ) );
     fleet::Fleet::waitForOrders( entry, 1 );
-    fleet::Fleet::require( entry, "create model n memory=900MiB" );
     // The first load reaches the engine late, after the agent that sent the order has been killed.
+    // The fault precedes the model, since the model may be loaded as soon as it is created.
     fleet::Fleet::setFaults( engine, { { "late_orders", 1 }, { "late_ms", 300 } } );
+    fleet::Fleet::require( entry, "create model n memory=900MiB" );
     std::jthread caller( [&] { fleet::streamCall( entry.url, fleet::chatBody( "n", "x", 4 ) ); } );
     fleet::waitUntil( "the order", [&] {
         return fleet.node( "a" ).process->output().find( "outcome=unknown" ) != std::string::npos;
