--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -292,12 +292,13 @@
         co_await sendOwnAnswer( statusUnavailable, std::move( reason ), after );
         co_return;
     }
-    const auto told = timeOfReturn();
+    auto told = timeOfReturn();
     if( !told ) {
+        // The client would not wait that long; the time is still the true one.
         reason += ", and no engine can serve it in the time left";
+        told = std::max( remaining( MonoClock::now(), *m_returnAt ), defaultRetryAfter );
     }
-    // Without Retry-After: the client would not wait until an engine could serve it.
-    co_await sendOwnAnswer( statusUnavailable, std::move( reason ), told.value_or( Millis{ 0 } ) );
+    co_await sendOwnAnswer( statusUnavailable, std::move( reason ), *told );
 }
 
 void Exchange::logEnd( std::string_view outcome ) const {
