Gateway: each retry is logged with the share that it was judged by

The line `retry` says the outcome, the retries and requests in the window, what the share allows, the number of gateways that it was divided by and the age of the process, so that a forgotten window, a low number of gateways, sends past the budget and late arrivals differ. No decision changes.

--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -169,13 +169,8 @@
             m_excluded.insert( choice.node->upstream.id );
             continue;
         }
-        if( m_sends > 0 ) {
-            const RetryShare share{ m_shared.bounds.retryRatio, m_shared.bounds.retrySlack,
-                                    m_shared.bounds.retryWindow, m_shared.fleet.gateways() };
-            if( !retries.take( share, now ) ) {
-                m_shared.metrics.count( "retries_denied" );
-                break;
-            }
+        if( m_sends > 0 && !takeRetry( retries, now ) ) {
+            break;
         }
         const auto sent = co_await sendTo( choice.node, choice );
         dropPermits();
@@ -194,6 +189,23 @@
     }
 }
 
+bool Exchange::takeRetry( RetryWindow& retries, MonoTime now ) {
+    const RetryShare share{ m_shared.bounds.retryRatio, m_shared.bounds.retrySlack,
+                            m_shared.bounds.retryWindow, m_shared.fleet.gateways() };
+    const auto decision = retries.take( share, now );
+    m_shared.metrics.count( decision.granted ? "retries" : "retries_denied" );
+    log::info( "retry", { { "id", m_request.head.requestId },
+                          { "service", m_service },
+                          { "outcome", decision.granted ? "granted" : "denied" },
+                          { "sends", static_cast<std::int64_t>( m_sends ) },
+                          { "window_requests", static_cast<std::int64_t>( decision.firstSends ) },
+                          { "window_retries", static_cast<std::int64_t>( decision.retries ) },
+                          { "allowed", log::decimal( decision.allowed ) },
+                          { "gateways", static_cast<std::int64_t>( share.gateways ) },
+                          { "process_age_ms", millisBetween( m_shared.started, now ) } } );
+    return decision.granted;
+}
+
 void Exchange::noteNoUpstream( const Choice& choice ) {
     if( choice.unavailableFor.count() > 0 ) {
         m_lastFailure =
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -223,6 +223,8 @@
     bool loadTooLate( const Choice& choice, MonoTime now );
     int urgency() const;
     bool mayRetry( const SendResult& sent );
+    //! Takes a retry from this gateway's share of the service's budget; false if there is none.
+    bool takeRetry( RetryWindow& retries, MonoTime now );
     bool hasTimeLeft( MonoTime now ) const { return now < m_deadline; }
     void logSend( const Node& node, const Choice& choice, MonoTime now ) const;
     void noteEvents( Transfer& transfer );
--- a/src/gateway/exchange/retry_window.cpp
+++ b/src/gateway/exchange/retry_window.cpp
@@ -29,16 +29,18 @@
     }
 }
 
-bool RetryWindow::take( const RetryShare& share, MonoTime now ) {
+RetryDecision RetryWindow::take( const RetryShare& share, MonoTime now ) {
     forget( share.window, now );
+    RetryDecision out;
+    out.firstSends = m_firstSends.size();
+    out.retries = m_retries.size();
     const double slack = share.slack / static_cast<double>( share.gateways );
-    const double allowed =
-        usedPart * ( share.ratio * static_cast<double>( m_firstSends.size() ) + slack );
-    if( static_cast<double>( m_retries.size() ) + 1.0 > allowed ) {
-        return false;
+    out.allowed = usedPart * ( share.ratio * static_cast<double>( out.firstSends ) + slack );
+    out.granted = static_cast<double>( out.retries ) + 1.0 <= out.allowed;
+    if( out.granted ) {
+        m_retries.push_back( now );
     }
-    m_retries.push_back( now );
-    return true;
+    return out;
 }
 
 } // namespace coursehead::gateway
--- a/src/gateway/exchange/retry_window.hpp
+++ b/src/gateway/exchange/retry_window.hpp
@@ -4,6 +4,7 @@
 
 #include "coursehead/kernel/clock.hpp"
 
+#include <cstddef>
 #include <deque>
 
 namespace coursehead::gateway {
@@ -16,12 +17,20 @@
     int gateways = 1;       //!< number of gateways that share the budget
 };
 
+//! Verdict on one retry, with the figures that it is based on.
+struct RetryDecision {
+    bool granted = false;
+    std::size_t firstSends = 0; //!< within the window
+    std::size_t retries = 0;    //!< within the window, before this one
+    double allowed = 0;         //!< retries that the share allows within the window
+};
+
 //! First sends and retries of one service within a sliding window.
 class RetryWindow {
 public:
     void countFirstSend( MonoTime now );
-    //! Counts one retry against the share; false if the share is used up.
-    bool take( const RetryShare& share, MonoTime now );
+    //! Counts one retry against the share, unless the share is used up.
+    RetryDecision take( const RetryShare& share, MonoTime now );
 
 private:
     void forget( Millis window, MonoTime now );
--- a/tests/unit/gateway.tests.cpp
+++ b/tests/unit/gateway.tests.cpp
@@ -140,7 +140,7 @@
             now += Millis( step );
             window.countFirstSend( now );
             firstSends.push_back( now );
-            if( window.take( share, now ) ) {
+            if( window.take( share, now ).granted ) {
                 retries.push_back( now );
             }
             const auto recent = [now]( const std::vector<MonoTime>& times ) {
