A restarted gateway does not spend the retry budget of a service again

What callers saw: while upstreams turned work away, gateways that had been killed sent them more retries than their budget allows (366 in 10 s, 316 allowed), which displaced first requests.

Cause: first sends and retries of the last window were counted in the process's memory, and a new process read its empty count as "nothing was sent". The window grants ten seconds' worth of retries at once when a failure begins; a restart a few seconds later granted as much again, and its share of the slack.

Evidence: the `retry` lines of the logged play: each process within its share, 158 and 207 granted before and after the kill; four gateways counted throughout, as many sends as grants. Clean without the kill.

Change: a token bucket for each service (decide/retry_budget) that starts empty, is credited by requests and, with half of the slack, over time, and keeps at most the other half. In any window all processes of one gateway send at most what the first had kept plus what they earn in it, so a restart grants nothing. A share of less than one retry is granted by chance: before, hundreds of gateways with little slack could use it only through their requests.

--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -122,10 +122,9 @@
             noteNoUpstream( choice );
             break;
         }
-        auto& retries = m_shared.retries[m_service];
         if( !demandCounted ) {
             demandCounted = true;
-            retries.countFirstSend( now );
+            decide::earnRetry( retryBudget(), retryShare(), now );
             m_shared.fleet.countDemand( m_need, choice );
         }
         // The limit's permit comes first: a sidecar might load an adapter for a request that the
@@ -169,7 +168,7 @@
             m_excluded.insert( choice.node->upstream.id );
             continue;
         }
-        if( m_sends > 0 && !takeRetry( retries, now ) ) {
+        if( m_sends > 0 && !takeRetry( now ) ) {
             break;
         }
         const auto sent = co_await sendTo( choice.node, choice );
@@ -189,19 +188,31 @@
     }
 }
 
-bool Exchange::takeRetry( RetryWindow& retries, MonoTime now ) {
-    const RetryShare share{ m_shared.bounds.retryRatio, m_shared.bounds.retrySlack,
-                            m_shared.bounds.retryWindow, m_shared.fleet.gateways() };
-    const auto decision = retries.take( share, now );
+decide::RetryBudget& Exchange::retryBudget() {
+    // The slack is divided by the number of gateways, which a process may not know earlier.
+    const auto slackFrom = m_shared.started + m_shared.bounds.contact;
+    return m_shared.retries
+        .try_emplace( m_service, decide::RetryBudget{ .earnedUntil = slackFrom } )
+        .first->second;
+}
+
+decide::RetryShare Exchange::retryShare() const {
+    const auto& bounds = m_shared.bounds;
+    const decide::RetryBound bound{ bounds.retryRatio, bounds.retrySlack, bounds.retryWindow };
+    return decide::retryShare( bound, m_shared.fleet.gateways() );
+}
+
+bool Exchange::takeRetry( MonoTime now ) {
+    const auto share = retryShare();
+    const auto decision = decide::takeRetry( retryBudget(), share, m_shared.random.unit(), now );
     m_shared.metrics.count( decision.granted ? "retries" : "retries_denied" );
     log::info( "retry", { { "id", m_request.head.requestId },
                           { "service", m_service },
                           { "outcome", decision.granted ? "granted" : "denied" },
                           { "sends", static_cast<std::int64_t>( m_sends ) },
-                          { "window_requests", static_cast<std::int64_t>( decision.firstSends ) },
-                          { "window_retries", static_cast<std::int64_t>( decision.retries ) },
-                          { "allowed", log::decimal( decision.allowed ) },
-                          { "gateways", static_cast<std::int64_t>( share.gateways ) },
+                          { "balance", log::decimal( decision.balance ) },
+                          { "max_balance", log::decimal( share.maxBalance ) },
+                          { "gateways", static_cast<std::int64_t>( m_shared.fleet.gateways() ) },
                           { "process_age_ms", millisBetween( m_shared.started, now ) } } );
     return decision.granted;
 }
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -5,6 +5,7 @@
 #include "coursehead/kernel/random.hpp"
 #include "coursehead/metrics/metrics.hpp"
 #include "decide/carrying_capacity.hpp"
+#include "decide/retry_budget.hpp"
 #include "gateway/choice/fleet.hpp"
 #include "gateway/counts/limit_client.hpp"
 #include "gateway/counts/poison_guard.hpp"
@@ -14,7 +15,6 @@
 #include "gateway/exchange/client_writer.hpp"
 #include "gateway/exchange/event_stream.hpp"
 #include "gateway/exchange/prompt_permit.hpp"
-#include "gateway/exchange/retry_window.hpp"
 #include "platform/headers.hpp"
 #include "platform/node_settings.hpp"
 
@@ -44,8 +44,8 @@
     RandomSource& random;
     metrics::Metrics& metrics;
     platform::Bounds bounds;
-    std::shared_ptr<const RouteTable> table;    //!< null until a configuration is known
-    std::map<std::string, RetryWindow> retries; //!< by service
+    std::shared_ptr<const RouteTable> table;            //!< null until a configuration is known
+    std::map<std::string, decide::RetryBudget> retries; //!< by service
     std::size_t inFlight = 0;
     QuotaClient* quota = nullptr;        //!< null: no quotas are enforced
     LimitClient* limits = nullptr;       //!< null: limits that upstreams announce are ignored
@@ -224,7 +224,9 @@
     int urgency() const;
     bool mayRetry( const SendResult& sent );
     //! Takes a retry from this gateway's share of the service's budget; false if there is none.
-    bool takeRetry( RetryWindow& retries, MonoTime now );
+    bool takeRetry( MonoTime now );
+    decide::RetryBudget& retryBudget();
+    decide::RetryShare retryShare() const;
     bool hasTimeLeft( MonoTime now ) const { return now < m_deadline; }
     void logSend( const Node& node, const Choice& choice, MonoTime now ) const;
     void noteEvents( Transfer& transfer );
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -72,6 +72,8 @@
 
     GatewayFixture() {
         const auto now = MonoClock::now();
+        // The gateway has served requests before, and earned retries.
+        shared.retries["s"].balance = 2;
         shared.table = std::make_shared<RouteTable>( configuration() );
         fleet.setConfiguration( shared.table, now );
         std::map<std::string, Member> members;
--- a/tests/unit/slow_readers.tests.cpp
+++ b/tests/unit/slow_readers.tests.cpp
@@ -187,6 +187,8 @@
         // Connections inherit it, so that the kernel holds little for a client.
         acceptor.set_option( net::asio::socket_base::send_buffer_size( smallSocketBuffer ) );
         const auto now = MonoClock::now();
+        // The gateway has served requests before, and earned retries.
+        shared.retries["s"].balance = 2;
         shared.table = std::make_shared<RouteTable>( configuration() );
         fleet.setConfiguration( shared.table, now );
         Upstream it;
