Gateways that no sidecar sees still count for the retry budget's slack

What callers would see: upstreams get retries beyond their budget while a part of the gateways is cut off from the sidecars.

Cause: the slack was divided by the number of gateways that sidecars had reported within the last 6 s (the window of loads). Gateways that are cut off from all sidecars keep their own share and still reach upstreams; the others divided the slack by their own number.

Change: retries use the largest number reported within a minute. A smaller share for a minute after gateways have gone costs little, since requests earn most retries.

--- a/src/decide/retry_budget.hpp
+++ b/src/decide/retry_budget.hpp
@@ -13,6 +13,10 @@
     Millis window{ 10000 };
 };
 
+//! The slack is divided by the largest number of gateways reported within this time: a gateway that
+//! sidecars see no longer may only be cut off from them, and still send to upstreams.
+inline constexpr Millis retryGatewaysHold{ 60000 };
+
 //! One gateway's share of the bound.
 struct RetryShare {
     double perRequest = 0; //!< retries earned by each request
--- a/src/gateway/choice/fleet.cpp
+++ b/src/gateway/choice/fleet.cpp
@@ -28,7 +28,8 @@
     : m_context( context ), m_random( random ), m_settings( std::move( settings ) ),
       m_grants( m_settings.ceilingWindow + storeGrantLifetime ), m_started( MonoClock::now() ),
       m_lastTick( m_started ),
-      m_gateways( assumedGateways, m_settings.ceilingWindow + storeGrantLifetime ) {}
+      m_gateways( assumedGateways, m_settings.ceilingWindow + storeGrantLifetime ),
+      m_retryingGateways( assumedGateways, decide::retryGatewaysHold ) {}
 
 Fleet::~Fleet() {
     adopt( nullptr );
@@ -183,6 +184,7 @@
 }
 
 void Fleet::noteGatewayCount( const Node& node, int seen, MonoTime now ) {
+    m_retryingGateways.note( seen, now );
     if( m_gateways.note( seen, now ) ) {
         log::info( "gateways_counted", { { "gateways", m_gateways.count() },
                                          { "upstream", node.upstream.id },
--- a/src/gateway/choice/fleet.hpp
+++ b/src/gateway/choice/fleet.hpp
@@ -9,6 +9,7 @@
 #include "decide/link_choice.hpp"
 #include "decide/model_shortage.hpp"
 #include "decide/replica_rule.hpp"
+#include "decide/retry_budget.hpp"
 #include "gateway/choice/estimate.hpp"
 #include "gateway/choice/node.hpp"
 #include "gateway/choice/pace.hpp"
@@ -134,6 +135,8 @@
 
     //! Number of gateways that share budgets, including this one.
     int gateways() const noexcept { return m_gateways.count(); }
+    //! Number of gateways that share the retry budgets; see decide::retryGatewaysHold.
+    int retryingGateways() const noexcept { return m_retryingGateways.count(); }
     std::size_t size() const noexcept { return m_nodes.size(); }
 
 private:
@@ -217,6 +220,7 @@
     MonoTime m_started;
     MonoTime m_lastTick;
     decide::GatewayCount m_gateways;
+    decide::GatewayCount m_retryingGateways;
 };
 
 } // namespace coursehead::gateway
--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -199,21 +199,22 @@
 decide::RetryShare Exchange::retryShare() const {
     const auto& bounds = m_shared.bounds;
     const decide::RetryBound bound{ bounds.retryRatio, bounds.retrySlack, bounds.retryWindow };
-    return decide::retryShare( bound, m_shared.fleet.gateways() );
+    return decide::retryShare( bound, m_shared.fleet.retryingGateways() );
 }
 
 bool Exchange::takeRetry( MonoTime now ) {
     const auto share = retryShare();
     const auto decision = decide::takeRetry( retryBudget(), share, m_shared.random.unit(), now );
     m_shared.metrics.count( decision.granted ? "retries" : "retries_denied" );
-    log::info( "retry", { { "id", m_request.head.requestId },
-                          { "service", m_service },
-                          { "outcome", decision.granted ? "granted" : "denied" },
-                          { "sends", static_cast<std::int64_t>( m_sends ) },
-                          { "balance", log::decimal( decision.balance ) },
-                          { "max_balance", log::decimal( share.maxBalance ) },
-                          { "gateways", static_cast<std::int64_t>( m_shared.fleet.gateways() ) },
-                          { "process_age_ms", millisBetween( m_shared.started, now ) } } );
+    log::info( "retry",
+               { { "id", m_request.head.requestId },
+                 { "service", m_service },
+                 { "outcome", decision.granted ? "granted" : "denied" },
+                 { "sends", static_cast<std::int64_t>( m_sends ) },
+                 { "balance", log::decimal( decision.balance ) },
+                 { "max_balance", log::decimal( share.maxBalance ) },
+                 { "gateways", static_cast<std::int64_t>( m_shared.fleet.retryingGateways() ) },
+                 { "process_age_ms", millisBetween( m_shared.started, now ) } } );
     return decision.granted;
 }
 
--- a/tests/replay/retries.tests.cpp
+++ b/tests/replay/retries.tests.cpp
@@ -87,6 +87,9 @@
     load.failingFraction = 1;
     checkBound( load, fourKills(), "few requests, all killed four times" );
     checkBound( load, { { RetryFault::split, 2000ms, 14000ms } }, "few requests, half seen" );
+    load.failingFrom = 18000ms;
+    checkBound( load, { { RetryFault::split, 2000ms, 30000ms } },
+                "few requests, half seen before" );
 }
 
 TEST_CASE( "Four hundred gateways keep the retry budget through restarts", "[replay][retries]" ) {
--- a/tests/replay/retry_world.cpp
+++ b/tests/replay/retry_world.cpp
@@ -18,7 +18,6 @@
 constexpr Millis connectTime{ 100 };
 //! As in the product.
 constexpr int assumedGateways = 8;
-constexpr Millis countHold{ 6000 };
 constexpr int maxSends = 4;
 constexpr MonoTime start{ std::chrono::seconds( 1000 ) };
 
@@ -50,7 +49,7 @@
 //! One process of a gateway.
 struct GatewayProcess {
     MonoTime startedAt;
-    decide::GatewayCount count{ assumedGateways, countHold };
+    decide::GatewayCount count{ assumedGateways, decide::retryGatewaysHold };
     MonoTime nextReportAt;
     SlidingWindow window;
     decide::RetryBudget budget;
