Test deployments reserve their loopback network

Cause: a deployment took the loopback network of its process id modulo 250. Two test processes at once whose ids differ by a multiple of 250 use the same addresses; beside a build, which starts hundreds of processes a minute, that is one start in some hundred.

Evidence: two deployments in one process, which share its id, fail with the same error before ("Deployments that exist at once have addresses of their own") and pass now.

Change: a deployment reserves the first free network from there on by a listener on an address that no process uses, for as long as it exists. No check has changed.

--- a/src/decide/retry_budget.hpp
+++ b/src/decide/retry_budget.hpp
@@ -34,7 +34,7 @@
  */
 struct RetryBudget {
     double balance = 0;
-    MonoTime earnedUntil; //!< `perS` is credited up to this time; at first, not before it
+    MonoTime earnedUntil; //!< time up to which `perS` is credited; at first, from which it is
 };
 
 struct RetryDecision {
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <stdexcept>
 
 namespace coursehead::soak {
 
@@ -19,6 +20,8 @@
 
 constexpr int upstreamPort = 7003;
 constexpr int storePort = 7004;
+constexpr int reservationPort = 7005;
+constexpr const char* reservationHost = "255.254"; // not among the addresses of processes
 constexpr int firstPort = 7380;
 constexpr int lastPort = 7395;
 constexpr int addressesPerNet = 250;
@@ -63,13 +66,29 @@
              { "linkMbps", linkMbps } };
 }
 
+//! Reserves the first free network, from one that the process id selects.
+ReservedNetwork reserveNetwork( net::asio::io_context& context ) {
+    for( int n = 0; n < addressesPerNet; ++n ) {
+        const int network = 1 + ( ::getpid() + n ) % addressesPerNet;
+        const auto prefix = "127." + std::to_string( network ) + ".";
+        try {
+            return { prefix, net::listen( context, prefix + reservationHost, reservationPort ) };
+        } catch( const boost::system::system_error& ex ) {
+            if( ex.code() != boost::asio::error::address_in_use ) {
+                throw;
+            }
+        }
+    }
+    throw std::runtime_error( "all loopback networks are in use" );
+}
+
 } // namespace
 
 Deployment::Deployment( net::asio::io_context& context, Record& record, RandomSource& random,
                         SoakOptions options )
     : m_context( context ), m_record( record ), m_random( random ),
       m_options( std::move( options ) ), m_store( context ),
-      m_network( "127." + std::to_string( 1 + ::getpid() % addressesPerNet ) + "." ) {
+      m_network( reserveNetwork( context ) ) {
     for( int n = 0; n < m_options.gateways; ++n ) {
         addGateway( n );
     }
@@ -80,7 +99,7 @@
 }
 
 std::string Deployment::address( int index ) const {
-    return m_network + std::to_string( index / addressesPerNet ) + "." +
+    return m_network.prefix + std::to_string( index / addressesPerNet ) + "." +
            std::to_string( 1 + index % addressesPerNet );
 }
 
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -58,8 +58,13 @@
     bool starting = false; //!< the upstream crashed, and the schedule still delays its restart
 };
 
-//! All processes, upstreams and links of a soak, on loopback addresses of a network that the
-//! process id selects.
+//! A loopback network that only one deployment uses, as long as the listener exists.
+struct ReservedNetwork {
+    std::string prefix; //!< the first octet and the second one, each with a full stop
+    net::Acceptor reservation;
+};
+
+//! All processes, upstreams and links of a soak, on loopback addresses of a reserved network.
 class Deployment {
 public:
     Deployment( net::asio::io_context& context, Record& record, RandomSource& random,
@@ -108,7 +113,7 @@
     RandomSource& m_random;
     SoakOptions m_options;
     support::ObjectStore m_store;
-    std::string m_network;
+    ReservedNetwork m_network;
     std::vector<std::unique_ptr<Process>> m_gateways;
     std::vector<std::unique_ptr<Process>> m_sidecars;
     std::vector<Upstream> m_upstreams;
