Logs name the software version that a stream began and goes on at

No log could tell at which gateway, within one answer or over a client's attempts, since no log named a version and nothing joined the attempts of one stream.

Change: the version in an upstream's entry is read, relayed and logged (upstream_added, send, request_end); the Resumes header is read and logged as began_as; send says after which event it goes on; request_end says where the stream was resumed, its last event, and the versions of its first and last event here. No decision uses any of it.

--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -30,6 +30,11 @@
     return ec ? std::string{} : end.address().to_string();
 }
 
+//! Event after which the client resumes its stream; -1: it begins a stream.
+std::int64_t resumedAfter( const platform::RequestHead& head ) {
+    return head.lastEventId ? static_cast<std::int64_t>( *head.lastEventId ) : -1;
+}
+
 } // namespace
 
 Exchange::Exchange( SharedState& shared, ClientRequest request,
@@ -335,6 +340,11 @@
                  { "client", addressOf( m_client->socket ) },
                  { "outcome", outcome },
                  { "status", static_cast<std::int64_t>( m_status ) },
+                 { "began_as", m_request.head.streamBeganAs },
+                 { "resumed_after", resumedAfter( m_request.head ) },
+                 { "last_event", m_lastEvent ? static_cast<std::int64_t>( *m_lastEvent ) : -1 },
+                 { "first_version", m_firstVersion },
+                 { "last_version", m_lastVersion },
                  { "sends", static_cast<std::int64_t>( m_sends ) },
                  { "first_event_ms", m_timeToFirstEvent ? m_timeToFirstEvent->count() : -1 },
                  { "expected_ms", static_cast<std::int64_t>( m_expectedMs ) },
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -270,6 +270,8 @@
     bool m_answered = false;
     unsigned m_status = 0;
     std::optional<std::uint64_t> m_lastEvent; //!< id of the last event written to the client
+    std::string m_firstVersion; //!< software version of the upstream of the first event
+    std::string m_lastVersion;  //!< likewise, of the last event
     MonoTime m_lastEventAt;
     std::optional<Millis> m_timeToFirstEvent; //!< from arrival to the first event for the client
     Millis m_longestPause{ 0 };               //!< between events for the client
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -120,6 +120,9 @@
                  { "route", m_route->name },
                  { "config", static_cast<std::int64_t>( m_table->configuration().version ) },
                  { "upstream", node.upstream.id },
+                 { "version", node.upstream.softwareVersion.value_or( "unknown" ) },
+                 { "after_event", m_lastEvent ? static_cast<std::int64_t>( *m_lastEvent ) : -1 },
+                 { "began_as", m_request.head.streamBeganAs },
                  { "hall", node.upstream.hall },
                  { "send", static_cast<std::int64_t>( m_sends ) },
                  { "candidates", static_cast<std::int64_t>( choice.candidates ) },
@@ -431,6 +434,8 @@
     if( !transfer.receivedEvents ) {
         transfer.receivedEvents = true;
         m_firstEventAt = now;
+        m_lastVersion = transfer.node.upstream.softwareVersion.value_or( "unknown" );
+        m_firstVersion = m_timeToFirstEvent ? m_firstVersion : m_lastVersion;
         transfer.inFlight.prefillDone();
         const auto measured = static_cast<double>( millisBetween( transfer.sentAt, now ) );
         if( m_need.generation != nullptr ) {
--- a/src/gateway/links/fleet_members.cpp
+++ b/src/gateway/links/fleet_members.cpp
@@ -19,6 +19,7 @@
     log::info( "upstream_added",
                { { "upstream", upstream.id },
                  { "service", upstream.service },
+                 { "version", upstream.softwareVersion.value_or( "" ) },
                  { "address", upstream.ip + ":" + std::to_string( upstream.port ) } } );
 }
 
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -398,7 +398,7 @@
     const auto remainingMs = in.remaining ? in.remaining->count() : std::int64_t{ -1 };
     out = Json::array( { in.id, created, in.service, in.ip, in.port, in.hall, in.slots,
                          in.state == UpstreamState::draining, remainingMs, in.residents, in.born,
-                         in.cold.count() } );
+                         in.cold.count(), in.softwareVersion.value_or( "" ) } );
 }
 
 void from_json( const Json& in, Upstream& out ) {
@@ -417,6 +417,7 @@
     out.residents = in.at( 9 ).get<std::vector<Resident>>();
     out.born = in.at( 10 ).get<StartTime>();
     out.cold = Millis( in.at( 11 ).get<std::int64_t>() );
+    readAddedField( in, 12, *out.softwareVersion );
 }
 
 // clang-format off
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -135,6 +135,9 @@
     std::optional<Millis> remaining; //!< time until it stops; set if it stops at short notice
     Millis cold{ 0 };                //!< remaining time for which it is cold, by its entry
     std::vector<Resident> residents;
+    //! Version of the upstream's software, not of its models' weights; versions have no order.
+    //! Empty: the entry names none. Nullopt: not known yet for this start.
+    std::optional<std::string> softwareVersion{ "" };
 };
 
 //! A request that an engine runs.
--- a/src/platform/headers.cpp
+++ b/src/platform/headers.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view requestIdHeader = "X-Request-Id";
 constexpr std::string_view deadlineHeader = "X-Deadline-Ms";
 constexpr std::string_view lastEventIdHeader = "Last-Event-Id";
+constexpr std::string_view resumesHeader = "Resumes";
 constexpr std::string_view modelHeader = "X-Model";
 constexpr std::string_view tokenCountsHeader = "X-Token-Counts";
 constexpr std::string_view promptPrefixHeader = "X-Prompt-Prefix";
@@ -194,6 +195,7 @@
         out.deadline = Millis( *n );
     }
     out.lastEventId = readNumber<std::uint64_t>( field( fields, lastEventIdHeader ) );
+    out.streamBeganAs = std::string( field( fields, resumesHeader ) );
     if( fields.find( tokenCountsHeader ) != fields.end() ) {
         const auto counts = readTokenCounts( fields );
         out.tokens = counts.prompt + counts.maxGenerated;
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -107,6 +107,15 @@
     return out;
 }
 
+//! The version of an upstream's software as text, whatever its type; empty if it is absent.
+std::string softwareVersionOf( const Json& in ) {
+    const auto it = in.find( "version" );
+    if( it == in.end() || it->is_null() ) {
+        return {};
+    }
+    return it->is_string() ? it->get<std::string>() : it->dump();
+}
+
 } // namespace
 
 //! Returns nullopt for an unknown state, so that it is not mistaken for a known one.
@@ -165,6 +174,7 @@
             out.cold = Millis( static_cast<std::int64_t>( cold->get<double>() ) );
         }
         out.residents = readResidents( in.value( "models", Json::array() ) );
+        out.softwareVersion = softwareVersionOf( in );
         return out;
     } catch( const Json::exception& ex ) {
         problem = ex.what();
--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -42,7 +42,8 @@
 bool needsUpdate( const Upstream& a, const Upstream& b ) {
     return a.created != b.created || a.born != b.born || a.service != b.service || a.ip != b.ip ||
            a.port != b.port || a.hall != b.hall || a.slots != b.slots || a.state != b.state ||
-           a.remaining != b.remaining || !holdsSameModels( a, b ) || coldTimeGrew( a, b );
+           a.remaining != b.remaining || a.softwareVersion != b.softwareVersion ||
+           !holdsSameModels( a, b ) || coldTimeGrew( a, b );
 }
 
 //! The store's kind of object for a part.
