A stream goes on only at the software version that began it

Cause: the next upstream of a stream was chosen as for a new request. Nothing in a gateway knew a version, and what began a stream was known only to the gateway that had begun it, which the client may not reach again.

Change: from its first event on a stream is sent only to upstreams of that version. The gateway notes the origin (service, version) before it forwards the first event, and sends it to two common sidecars, the first of which passes it to other gateways; a sidecar that has restarted is told again. A client that resumes is served at the version of the origin that it names; without an origin only where no other version can have been missed; otherwise it is refused as not run, with a time only where waiting helps. An upstream that started again under its id has no known version until its entry is read, and the sidecar's answer names the engine's start.

--- a/src/gateway/choice/estimate.hpp
+++ b/src/gateway/choice/estimate.hpp
@@ -25,6 +25,8 @@
     std::size_t requestBytes = 0;
     //! From now on; nullopt: loads and holders are compared by cost alone.
     std::optional<decide::FirstEventLimits> firstEvent{};
+    //! Software version of the upstreams that may serve it; nullopt: any.
+    std::optional<std::string> softwareVersion{};
 };
 
 //! Whether an upstream is in another hall or region than the gateway.
--- a/src/gateway/choice/fleet.cpp
+++ b/src/gateway/choice/fleet.cpp
@@ -130,6 +130,9 @@
     out.connected = [this, find] {
         if( auto* node = find() ) {
             node->sidecar->send( demandFor( *node, MonoClock::now() ) );
+            if( m_onSidecarConnected ) {
+                m_onSidecarConnected( node->sidecar );
+            }
         }
     };
     out.report = [this, find]( const SidecarReport& report ) {
@@ -152,6 +155,11 @@
             m_onLimitUpdate( update );
         }
     };
+    out.origins = [this]( const decide::OriginUpdate& update ) {
+        if( m_onOriginUpdate ) {
+            m_onOriginUpdate( update );
+        }
+    };
     out.storeUpdate = [this, id]( const StoreUpdate& update ) {
         if( m_onStoreUpdate ) {
             m_onStoreUpdate( id, update );
--- a/src/gateway/choice/fleet.hpp
+++ b/src/gateway/choice/fleet.hpp
@@ -128,6 +128,16 @@
     //! Called with the upstream limits that a sidecar sends.
     using LimitUpdateHandler = std::function<void( const decide::LimitUpdate& update )>;
     void onLimitUpdate( LimitUpdateHandler handler ) { m_onLimitUpdate = std::move( handler ); }
+    //! Called with the origins of streams that a sidecar sends.
+    using OriginUpdateHandler = std::function<void( const decide::OriginUpdate& update )>;
+    void onOriginUpdate( OriginUpdateHandler handler ) { m_onOriginUpdate = std::move( handler ); }
+    //! Called when the connection to a sidecar has come up.
+    using ConnectedHandler = std::function<void( const std::shared_ptr<SidecarLink>& link )>;
+    void onSidecarConnected( ConnectedHandler handler ) {
+        m_onSidecarConnected = std::move( handler );
+    }
+    //! True if an upstream of the service with this software version is listed.
+    bool listsVersion( std::string_view service, std::string_view version ) const;
     const std::map<std::string, NodePtr>& nodes() const noexcept { return m_nodes; }
 
     //! Fails every wait for a model, as the process is about to stop.
@@ -217,6 +227,8 @@
     StoreUpdateHandler m_onStoreUpdate;
     QuarantineUpdateHandler m_onQuarantineUpdate;
     LimitUpdateHandler m_onLimitUpdate;
+    OriginUpdateHandler m_onOriginUpdate;
+    ConnectedHandler m_onSidecarConnected;
     MonoTime m_started;
     MonoTime m_lastTick;
     decide::GatewayCount m_gateways;
--- a/src/gateway/choice/fleet_choice.cpp
+++ b/src/gateway/choice/fleet_choice.cpp
@@ -25,11 +25,21 @@
     if( node.upstream.service != need.service || !node.takesRequests( now ) ) {
         return false;
     }
+    if( need.softwareVersion && !node.isCertainlyAt( *need.softwareVersion, now ) ) {
+        return false;
+    }
     const bool unrestricted =
         need.allowedRegions.route.empty() && need.allowedRegions.organisation.empty();
     return unrestricted || decide::mayServe( need.allowedRegions, regionOf( node ) );
 }
 
+bool Fleet::listsVersion( std::string_view service, std::string_view version ) const {
+    return std::any_of( m_nodes.begin(), m_nodes.end(), [&]( const auto& it ) {
+        const auto& upstream = it.second->upstream;
+        return upstream.service == service && upstream.softwareVersion == version;
+    } );
+}
+
 Fleet::Unavailability Fleet::unavailabilityOf( const Node& node, MonoTime now ) {
     Unavailability out;
     const auto backoff = node.announced.backoffLeft( now );
--- a/src/gateway/choice/node.cpp
+++ b/src/gateway/choice/node.cpp
@@ -17,6 +17,8 @@
 //! once. Without the wait such an engine counts as one without models, and requests (182 in one
 //! case) are refused with a Retry-After of 6 s, the time of a load from the weight store.
 constexpr Millis firstReportTimeout{ 500 };
+//! The store shows the next start of an upstream within this time.
+constexpr Millis restartNewsTime{ 3000 };
 
 const Resident* findModel( const std::vector<Resident>& residents, std::string_view model ) {
     const auto it = std::find_if( residents.begin(), residents.end(),
@@ -57,6 +59,7 @@
 void Node::resetForRestart( StartTime born, MonoTime now ) {
     upstream.born = born;
     upstream.residents.clear();
+    upstream.softwareVersion.reset();
     addedAt = now;
     pool = {};
     health = {};
@@ -162,6 +165,12 @@
     return engine && sidecar && sidecar->isResponsive( now ) && reportFresh( now );
 }
 
+bool Node::isCertainlyAt( std::string_view softwareVersion, MonoTime now ) const {
+    // A sidecar that admits the prompt names the engine's start in its answer.
+    const bool noticed = sidecarAdmitsPrompts( now ) || now - brokenAt >= restartNewsTime;
+    return noticed && upstream.softwareVersion == softwareVersion;
+}
+
 std::set<std::string> Node::modelsHeldOrInFlight( MonoTime now ) const {
     std::set<std::string> out;
     for( const auto& it : residents( now ) ) {
--- a/src/gateway/choice/node.hpp
+++ b/src/gateway/choice/node.hpp
@@ -53,6 +53,7 @@
     decide::ColdGate cold;               //!< limits the request rate while the upstream is cold
     double coldPerS = 0;                 //!< requests a second allowed while cold; 0: no rule
     Millis coldDuration{ 0 }; //!< how long upstreams of this service stay cold after a start
+    MonoTime brokenAt{};      //!< last time that a connection to it broke or could not be opened
     bool replaced = false; //!< another upstream has its address; the store's entry will be removed
     bool gone = false;     //!< no longer in the fleet
     std::optional<MonoTime> leavesAt; //!< announced time by which the upstream will have ended
@@ -121,6 +122,8 @@
     double readingWaitLeft( MonoTime now ) const;
     //! True if prompts are sent only after the sidecar has admitted them.
     bool sidecarAdmitsPrompts( MonoTime now ) const;
+    //! True if it runs this software version, and has not started again at another one unnoticed.
+    bool isCertainlyAt( std::string_view softwareVersion, MonoTime now ) const;
     //! Number of this gateway's requests in flight for a model, or for MODEL/NAME.
     int runningOf( std::string_view key ) const;
     //! Adapters of a model with requests in flight, or sent since the last demand message.
--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -70,6 +70,10 @@
     if( refused ) {
         co_return ExchangeResult{ m_keepAlive };
     }
+    const bool known = co_await findOrigin();
+    if( !known ) {
+        co_return ExchangeResult{ m_keepAlive };
+    }
     const bool charged = co_await charge();
     if( !charged ) {
         co_return ExchangeResult{ m_keepAlive };
@@ -229,7 +233,10 @@
             choice.atLimit ? "upstreams are at their limits" : "upstreams asked for a back-off";
         m_retryAfter = choice.unavailableFor;
     } else if( choice.candidates == 0 && m_excluded.empty() ) {
-        m_lastFailure = "no upstream";
+        m_versionGone = m_need.softwareVersion &&
+                        !m_shared.fleet.listsVersion( m_service, *m_need.softwareVersion );
+        m_lastFailure =
+            m_versionGone ? "no upstream of the stream's software version" : "no upstream";
     }
 }
 
@@ -239,8 +246,8 @@
         return true;
     }
     m_mayHaveRun = true;
-    const bool again =
-        sent.end == SendOutcome::streamCut ? m_route->resumable : m_route->idempotent();
+    const bool continues = m_route->resumable && !m_versionUnknown;
+    const bool again = sent.end == SendOutcome::streamCut ? continues : m_route->idempotent();
     return again && m_runs < m_route->attempts;
 }
 
@@ -316,6 +323,11 @@
 
 net::Task<> Exchange::answerNotRun( std::string reason ) {
     m_shared.metrics.count( "requests_refused", m_refusal );
+    if( m_versionGone ) {
+        // Nothing tells whether the version will be back.
+        co_await sendOwnAnswer( statusUnavailable, std::move( reason ), Millis{ 0 } );
+        co_return;
+    }
     if( !m_returnAt ) {
         const auto after = m_retryAfter.count() > 0 ? m_retryAfter : defaultRetryAfter;
         co_await sendOwnAnswer( statusUnavailable, std::move( reason ), after );
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -8,6 +8,7 @@
 #include "decide/retry_budget.hpp"
 #include "gateway/choice/fleet.hpp"
 #include "gateway/counts/limit_client.hpp"
+#include "gateway/counts/origin_client.hpp"
 #include "gateway/counts/poison_guard.hpp"
 #include "gateway/counts/quota_client.hpp"
 #include "gateway/exchange/client_end.hpp"
@@ -50,6 +51,7 @@
     QuotaClient* quota = nullptr;        //!< null: no quotas are enforced
     LimitClient* limits = nullptr;       //!< null: limits that upstreams announce are ignored
     PoisonGuard* poison = nullptr;       //!< null: no request is quarantined
+    OriginClient* origins = nullptr;     //!< null: no stream is resumed
     MonoTime started = MonoClock::now(); //!< start of this process
     bool listed = true;                  //!< the list of upstreams is known
     int waitingForStart = 0;             //!< requests that wait for configuration and upstreams
@@ -164,6 +166,13 @@
     //! Reports to the poison guard whether the request completed or broke its upstream's
     //! connection.
     void recordPoisonEvidence( const NodePtr& node, const SendResult& sent, MonoTime now );
+    //! Finds where a stream that its client resumes may go on. Answers the client and returns false
+    //! if that is not known.
+    net::Task<bool> findOrigin();
+    //! Records where the client's stream began. Called before its first event is forwarded.
+    void noteBegan( const Transfer& transfer );
+    //! The chosen upstream's software version; nullopt: not known for its present start.
+    std::optional<std::string> versionOf( const Node& node ) const;
     net::Task<> forward();
     //! Sets failure text and Retry-After when no upstream can be chosen.
     void noteNoUpstream( const Choice& choice );
@@ -251,7 +260,8 @@
     bool m_loadAvoided = false;       //!< it did not wait for a load that would have been too late
     int m_sidecarRefusals = 0;        //!< sidecars that could not admit the prompt within the goal
     std::optional<PromptPermit> m_promptPermit; //!< from the chosen upstream's sidecar
-    std::string m_fetchFrom; //!< IP:PORT from which that upstream copies parts; empty: none
+    std::string m_fetchFrom;      //!< IP:PORT from which that upstream copies parts; empty: none
+    bool m_startConfirmed = true; //!< that sidecar knows of no other start of the upstream
     std::optional<LimitPermit> m_limitPermit; //!< permit under the chosen upstream's limit
     MonoTime m_limitPermitAt;                 //!< when the limit's permit was obtained
     int m_sends = 0;                          //!< sends over an open connection to an upstream
@@ -270,8 +280,10 @@
     bool m_answered = false;
     unsigned m_status = 0;
     std::optional<std::uint64_t> m_lastEvent; //!< id of the last event written to the client
-    std::string m_firstVersion; //!< software version of the upstream of the first event
-    std::string m_lastVersion;  //!< likewise, of the last event
+    std::string m_firstVersion;    //!< software version of the upstream of the first event
+    std::string m_lastVersion;     //!< likewise, of the last event
+    bool m_versionUnknown = false; //!< the stream began at an upstream of unknown version
+    bool m_versionGone = false;    //!< no upstream of the stream's version is left
     MonoTime m_lastEventAt;
     std::optional<Millis> m_timeToFirstEvent; //!< from arrival to the first event for the client
     Millis m_longestPause{ 0 };               //!< between events for the client
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -118,6 +118,7 @@
     m_promptPermit.reset();
     m_limitPermit.reset();
     m_fetchFrom.clear();
+    m_startConfirmed = true;
 }
 
 net::Task<Exchange::PrepareResult> Exchange::waitForSlowStart( const Choice& choice ) {
@@ -178,6 +179,11 @@
     switch( answer.outcome ) {
     case EnsureOutcome::ready:
         m_promptPermit.emplace( choice.node, answer );
+        m_startConfirmed = answer.born == 0 || answer.born == choice.node->upstream.born;
+        if( m_need.softwareVersion && !m_startConfirmed ) {
+            m_lastFailure = "the upstream has started again";
+            return PrepareResult::chooseAnother;
+        }
         choice.workMs = answer.workMs;
         // The first event of a prompt whose parts are copied does not show how fast they are read.
         choice.unqueued = choice.unqueued && !answer.fetchParts && answer.waitMs <= answer.workMs;
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -146,6 +146,7 @@
         co_return out;
     }
     if( !connection ) {
+        node->brokenAt = now;
         noteUnreachable( node->health, now );
         out.end = SendOutcome::notRun;
         out.failure = "connect failed";
@@ -184,6 +185,9 @@
     if( out.end != SendOutcome::notRun ) {
         ++m_runs;
     }
+    if( out.connectionBroke ) {
+        node->brokenAt = now;
+    }
     recordPoisonEvidence( node, out, now );
     if( out.end == SendOutcome::streamed ) {
         m_answered = co_await m_writer->drained();
@@ -220,6 +224,7 @@
     SendResult out;
     Transfer transfer( node, std::move( connection ), choice, m_need.generation,
                        m_deadline - answerMargin );
+    transfer.softwareVersion = versionOf( node );
     auto& parser = transfer.parser;
     parser.body_limit( boost::none );
     parser.skip( m_request.method == "HEAD" );
@@ -434,8 +439,7 @@
     if( !transfer.receivedEvents ) {
         transfer.receivedEvents = true;
         m_firstEventAt = now;
-        m_lastVersion = transfer.node.upstream.softwareVersion.value_or( "unknown" );
-        m_firstVersion = m_timeToFirstEvent ? m_firstVersion : m_lastVersion;
+        noteBegan( transfer );
         transfer.inFlight.prefillDone();
         const auto measured = static_cast<double>( millisBetween( transfer.sentAt, now ) );
         if( m_need.generation != nullptr ) {
--- a/src/gateway/exchange/transfer.hpp
+++ b/src/gateway/exchange/transfer.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -87,7 +88,8 @@
     http::response_parser<http::buffer_body> parser;
     platform::ResponseHead head;
     bool receivedEvents = false;
-    std::string buf; //!< the part of the body that was last read
+    std::optional<std::string> softwareVersion; //!< of the upstream; nullopt: not known
+    std::string buf;                            //!< the part of the body that was last read
 
     void close();
     //! Starts an asynchronous write of the request, so that the answer is read at the same time: an
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -47,7 +47,8 @@
                                                         m_metrics, m_settings.bounds, nullptr,
                                                         {} },
           m_quota( m_context, m_fleet, m_settings.vm, m_settings.bounds ),
-          m_limits( m_fleet, m_metrics, m_settings.vm ), m_poison( m_context, m_fleet, m_metrics ),
+          m_limits( m_fleet, m_metrics, m_settings.vm ), m_origins( m_context, m_fleet, m_metrics ),
+          m_poison( m_context, m_fleet, m_metrics ),
           m_feed( m_context, m_settings, m_random, m_metrics, m_fleet, m_registry, feedHandlers() ),
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
@@ -55,6 +56,7 @@
         m_shared.quota = &m_quota;
         m_shared.limits = &m_limits;
         m_shared.poison = &m_poison;
+        m_shared.origins = &m_origins;
         m_fleet.onLimitUpdate( [this]( const decide::LimitUpdate& update ) {
             m_limits.applyUpdate( update, MonoClock::now() );
         } );
@@ -225,6 +227,7 @@
             m_feed.tick( now );
             m_quota.tick( now );
             m_limits.tick( now );
+            m_origins.tick( m_feed.configurationCurrent(), now );
             cutReaders( now );
             measureCapacity( now );
             m_shared.listed = m_feed.upstreamsListed();
@@ -390,6 +393,7 @@
     SharedState m_shared;
     QuotaClient m_quota;
     LimitClient m_limits;
+    OriginClient m_origins;
     PoisonGuard m_poison;
     StoreFeed m_feed;
     net::asio::signal_set m_signals;
--- a/src/gateway/links/sidecar_link.cpp
+++ b/src/gateway/links/sidecar_link.cpp
@@ -217,6 +217,11 @@
     return requestAs<decide::LimitAnswer>( std::move( request ), limit );
 }
 
+net::Task<std::optional<decide::OriginAnswer>>
+SidecarLink::requestOrigin( decide::OriginRequest request, Millis limit ) {
+    return requestAs<decide::OriginAnswer>( request, limit );
+}
+
 void SidecarLink::cancel( std::uint64_t number ) {
     // A lost connection has ended the request and its permit at the sidecar already.
     if( up() ) {
@@ -273,6 +278,10 @@
     if( limits != nullptr && m_handlers.limits ) {
         m_handlers.limits( *limits );
     }
+    const auto* origins = std::get_if<decide::OriginUpdate>( &*message );
+    if( origins != nullptr && m_handlers.origins ) {
+        m_handlers.origins( *origins );
+    }
     const bool specRequested = std::holds_alternative<SpecRequest>( *message );
     if( specRequested && m_spec ) {
         transmit( "spec", m_spec->message );
@@ -286,6 +295,9 @@
     if( const auto* answer = std::get_if<decide::LimitAnswer>( &*message ) ) {
         completeWaiter( answer->number, *message );
     }
+    if( const auto* answer = std::get_if<decide::OriginAnswer>( &*message ) ) {
+        completeWaiter( answer->number, *message );
+    }
 }
 
 net::Task<> SidecarLink::serveConnection( net::Socket socket ) {
--- a/src/gateway/links/sidecar_link.hpp
+++ b/src/gateway/links/sidecar_link.hpp
@@ -37,6 +37,7 @@
         std::function<void( const StoreUpdate& update )> storeUpdate;
         std::function<void( const decide::QuarantineUpdate& update )> quarantines;
         std::function<void( const decide::LimitUpdate& update )> limits;
+        std::function<void( const decide::OriginUpdate& update )> origins;
     };
 
     SidecarLink( net::asio::io_context& context, std::string ip, int port );
@@ -84,6 +85,9 @@
     //! within `limit`.
     net::Task<std::optional<decide::LimitAnswer>> requestLimitPermit( decide::LimitRequest request,
                                                                       Millis limit );
+    //! Asks for the origin of a stream; nullopt when no answer came within `limit`.
+    net::Task<std::optional<decide::OriginAnswer>> requestOrigin( decide::OriginRequest request,
+                                                                  Millis limit );
     //! Sends a message, and opens the connection if needed. The message is dropped when the sidecar
     //! can't be reached.
     void send( const Message& message );
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -189,6 +189,54 @@
     out.entries = in.get<std::vector<Quarantine>>();
 }
 
+void to_json( Json& out, const StreamVersion& in ) {
+    out = Json::array( { in.service, in.version } );
+}
+
+void from_json( const Json& in, StreamVersion& out ) {
+    out.service = in.at( 0 ).get<std::string>();
+    out.version = in.at( 1 ).get<std::string>();
+}
+
+void to_json( Json& out, const StreamOrigin& in ) {
+    out = Json::array( { in.key, in.began, in.leftMs } );
+}
+
+void from_json( const Json& in, StreamOrigin& out ) {
+    out.key = in.at( 0 ).get<StreamKey>();
+    out.began = in.at( 1 ).get<StreamVersion>();
+    out.leftMs = in.at( 2 ).get<std::int64_t>();
+}
+
+void to_json( Json& out, const OriginUpdate& in ) {
+    out = Json::array( { in.origins, in.copy } );
+}
+
+void from_json( const Json& in, OriginUpdate& out ) {
+    out.origins = in.at( 0 ).get<std::vector<StreamOrigin>>();
+    out.copy = in.at( 1 ).get<bool>();
+}
+
+void to_json( Json& out, const OriginRequest& in ) {
+    out = Json::array( { in.number, in.key } );
+}
+
+void from_json( const Json& in, OriginRequest& out ) {
+    out.number = in.at( 0 ).get<std::uint64_t>();
+    out.key = in.at( 1 ).get<StreamKey>();
+}
+
+void to_json( Json& out, const OriginAnswer& in ) {
+    out = Json::array( { in.number, in.known, in.began, in.holderAgeMs } );
+}
+
+void from_json( const Json& in, OriginAnswer& out ) {
+    out.number = in.at( 0 ).get<std::uint64_t>();
+    out.known = in.at( 1 ).get<bool>();
+    out.began = in.at( 2 ).get<StreamVersion>();
+    out.holderAgeMs = in.at( 3 ).get<std::int64_t>();
+}
+
 } // namespace coursehead::decide
 
 namespace coursehead::gateway {
@@ -352,7 +400,7 @@
 
 void to_json( Json& out, const EnsureAnswer& in ) {
     out = Json::array( { in.number, in.outcome, in.waitMs, in.workMs, in.modelWorkPerS, in.refusal,
-                         in.placeHeldMs, in.fetchParts, in.returnInMs } );
+                         in.placeHeldMs, in.fetchParts, in.returnInMs, in.born } );
 }
 
 void from_json( const Json& in, EnsureAnswer& out ) {
@@ -365,6 +413,7 @@
     readAddedField( in, 6, out.placeHeldMs );
     readAddedField( in, 7, out.fetchParts );
     readAddedField( in, 8, out.returnInMs );
+    readAddedField( in, 9, out.born );
 }
 
 // clang-format off
@@ -463,7 +512,7 @@
         "load_report", "relay_ask",      "store_news",    "ensure_cancel",   "quota_news",
         "quota_ask",   "quota_answer",   "quota_return",  "poison_evidence", "poison_cleared",
         "quarantines", "limit_news",     "limit_ask",     "limit_answer",    "limit_return",
-        "spec_ask",    "spec",
+        "spec_ask",    "spec",           "origin_news",   "origin_ask",      "origin_answer",
     };
     return names.at( message.index() );
 }
--- a/src/gateway/messages.hpp
+++ b/src/gateway/messages.hpp
@@ -7,6 +7,7 @@
 #include "decide/poison.hpp"
 #include "decide/prompt_refusal.hpp"
 #include "decide/quota.hpp"
+#include "decide/stream_origin.hpp"
 #include "gateway/model.hpp"
 
 #include <cstdint>
@@ -121,6 +122,7 @@
     //! Time until the prompt's place opens. It is not less than `waitMs`, since other places may
     //! open before it.
     std::int64_t returnInMs = 0;
+    StartTime born = 0; //!< start of the engine that the sidecar last heard from
 };
 
 //! Demand for a model, as one gateway measures it.
@@ -220,12 +222,13 @@
     std::vector<std::string> emptied;            //!< halls under evacuation
 };
 
-using Message = std::variant<EngineUpdate, EnsureRequest, EnsureAnswer, DemandUpdate, SidecarReport,
-                             LoadReport, RelayRequest, StoreUpdate, EnsureCancel,
-                             decide::QuotaUpdate, decide::QuotaRequest, decide::QuotaAnswer,
-                             decide::QuotaReturn, decide::PoisonEvidence, decide::PoisonCleared,
-                             decide::QuarantineUpdate, decide::LimitUpdate, decide::LimitRequest,
-                             decide::LimitAnswer, decide::LimitReturn, SpecRequest, SpecAnswer>;
+using Message =
+    std::variant<EngineUpdate, EnsureRequest, EnsureAnswer, DemandUpdate, SidecarReport, LoadReport,
+                 RelayRequest, StoreUpdate, EnsureCancel, decide::QuotaUpdate, decide::QuotaRequest,
+                 decide::QuotaAnswer, decide::QuotaReturn, decide::PoisonEvidence,
+                 decide::PoisonCleared, decide::QuarantineUpdate, decide::LimitUpdate,
+                 decide::LimitRequest, decide::LimitAnswer, decide::LimitReturn, SpecRequest,
+                 SpecAnswer, decide::OriginUpdate, decide::OriginRequest, decide::OriginAnswer>;
 
 //! Name of the message's type in logs and counters.
 std::string_view kindOf( const Message& message );
--- a/src/platform/headers.cpp
+++ b/src/platform/headers.cpp
@@ -195,6 +195,7 @@
         out.deadline = Millis( *n );
     }
     out.lastEventId = readNumber<std::uint64_t>( field( fields, lastEventIdHeader ) );
+    out.resumes = !field( fields, lastEventIdHeader ).empty();
     out.streamBeganAs = std::string( field( fields, resumesHeader ) );
     if( fields.find( tokenCountsHeader ) != fields.end() ) {
         const auto counts = readTokenCounts( fields );
--- a/src/platform/headers.hpp
+++ b/src/platform/headers.hpp
@@ -23,6 +23,7 @@
     std::optional<std::int64_t> tokens;       //!< tokens of the prompt plus the maximum to generate
     std::optional<Millis> deadline;           //!< how long the client waits
     std::optional<std::uint64_t> lastEventId; //!< the client resumes after this event
+    bool resumes = false;                     //!< the client resumes a stream
     //! Id of the client's attempt that received the stream's first event; empty: not stated.
     std::string streamBeganAs;
     std::optional<gateway::Generation> generation;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -12,6 +12,7 @@
 #include "sidecar/engine_client.hpp"
 #include "sidecar/engine_view.hpp"
 #include "sidecar/orders.hpp"
+#include "sidecar/origin_keeper.hpp"
 #include "sidecar/pause_meter.hpp"
 #include "sidecar/pending_ensure.hpp"
 #include "sidecar/prompt_counts.hpp"
@@ -145,7 +146,7 @@
             handleRelayRequest( peer, *relayRequest );
         } else if( const auto* cancel = std::get_if<gateway::EnsureCancel>( &*message ) ) {
             forgetEnsure( ensureKey( *peer, cancel->number ) );
-        } else if( !handlePoisonMessage( *message ) ) {
+        } else if( !handlePoisonMessage( *message ) && !m_origins.handle( *peer, *message ) ) {
             m_sharedCounts.handle( *peer, *message );
         }
     }
@@ -483,6 +484,7 @@
         out.fetchParts = outcome == EnsureOutcome::ready && ensure.fetchParts;
         out.placeHeldMs = ensure.placeHeld.count();
         out.returnInMs = ensure.returnIn.count();
+        out.born = m_view.report().born;
         const gateway::Message message( out );
         peer->channel->send( gateway::encode( message ) );
     }
@@ -532,6 +534,7 @@
     Orders m_orders;
     PromptCounts m_promptCounts{ m_metrics };
     SharedCounts m_sharedCounts{ m_peers, m_metrics };
+    OriginKeeper m_origins{ m_peers, m_metrics };
     Admission m_admission;
     SentParts m_sentParts;
     PauseMeter m_pauses;
--- a/tests/promise/software_versions.tests.cpp
+++ b/tests/promise/software_versions.tests.cpp
@@ -123,3 +123,20 @@
     CHECK( clients.world.record.streams().mixed() <= support::StreamWatch::maxMixed );
     CHECK( clients.countOf( []( const auto& it ) { return it.complete; } ) >= streamCount / 2 );
 }
+
+TEST_CASE(
+    "A stream does not go on at an engine that started again under its id at another version",
+    "[promise][versions]" ) {
+    constexpr Millis downtime{ 600 };
+    constexpr Millis entryDelay{ 500 };
+    Clients clients;
+    clients.breakStreams( [&] {
+        const auto engines = clients.world.runners( true );
+        for( std::size_t n = 0; n < 3; ++n ) {
+            engines[n]->restartUnderSameId( n < 2 ? "v2" : "v10", downtime, entryDelay );
+        }
+        clients.killGateways();
+    } );
+    CHECK( clients.world.record.streams().mixed() <= support::StreamWatch::maxMixed );
+    CHECK( clients.resumed() >= 12 );
+}
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -92,9 +92,29 @@
 // --- start and end
 
 void Runner::start() {
+    const auto number = hash64( m_settings.ip, std::to_string( ++m_starts ) ) % 1000000000;
+    startAs( "i-" + std::to_string( number ), Millis{ 0 } );
+}
+
+void Runner::restartUnderSameId( std::string version, Millis downtime, Millis entryDelay ) {
+    const auto instance = std::move( m_instance );
+    m_instance.reset();
+    close( *instance );
+    m_settings.version = std::move( version );
+    // The deployment does not start another instance meanwhile.
+    m_restartAllowedAt = MonoClock::now() + 2 * downtime;
+    net::start( m_context, startLater( instance->id, downtime, entryDelay ), "restart" );
+}
+
+net::Task<> Runner::startLater( std::string id, Millis downtime, Millis entryDelay ) {
+    co_await net::pause( m_context, downtime );
+    startAs( std::move( id ), entryDelay );
+}
+
+void Runner::startAs( std::string id, Millis entryDelay ) {
     m_instance = std::make_shared<Instance>();
-    m_instance->id =
-        "i-" + std::to_string( hash64( m_settings.ip, std::to_string( ++m_starts ) ) % 1000000000 );
+    m_instance->id = std::move( id );
+    m_instance->born = systemClock().wall();
     if( m_settings.engine ) {
         m_instance->models["m0"] = {};
         m_instance->models["m" + std::to_string( 1 + m_random.below( modelCount - 1 ) )] = {};
@@ -102,7 +122,7 @@
     m_acceptor =
         std::make_shared<net::Acceptor>( net::listen( m_context, m_settings.ip, m_settings.port ) );
     net::start( m_context, accept( m_instance, m_acceptor ), "runner" );
-    net::start( m_context, sendHeartbeats( m_instance ), "heartbeat" );
+    net::start( m_context, sendHeartbeats( m_instance, entryDelay ), "heartbeat" );
 }
 
 void Runner::close( Instance& instance ) {
@@ -157,6 +177,7 @@
                    { "address", address },
                    { "zone", m_settings.hall },
                    { "version", m_settings.version },
+                   { "born", instance.born },
                    { "slots", engineSlots },
                    { "state", instance.leavingSince ? "draining" : "ready" },
                    { "coldMs", 0 },
@@ -164,7 +185,10 @@
                    { "models", models } } );
 }
 
-net::Task<> Runner::sendHeartbeats( InstancePtr instance ) {
+net::Task<> Runner::sendHeartbeats( InstancePtr instance, Millis delay ) {
+    if( delay.count() > 0 ) {
+        co_await net::pause( m_context, delay );
+    }
     while( !instance->over ) {
         writeEntry( *instance );
         co_await net::pause( m_context, heartbeatInterval );
@@ -453,6 +477,7 @@
     }
     const Json available{ { "inMemory", Json::array() }, { "onDisk", { "m0", "m1", "m2" } } };
     return Json{ { "stage", "prefill_decode" },
+                 { "born", instance.born },
                  { "models", models },
                  { "busySlots", instance.orderInProgress },
                  { "sequence", instance.sequence },
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -56,6 +56,9 @@
     void start();
     //! Ends the instance at once, without an announcement.
     void crash();
+    //! Ends the instance at once; after `downtime` another one starts under the same id with
+    //! another software version, and writes its entry `entryDelay` later.
+    void restartUnderSameId( std::string version, Millis downtime, Millis entryDelay );
     //! Announces that the upstream leaves, keeps serving for a while, and then ends.
     void leave();
     void setMode( RunnerMode mode ) { m_mode = mode; }
@@ -87,6 +90,7 @@
     //! An instance of the upstream, from its start to its end.
     struct Instance {
         std::string id;
+        std::int64_t born = 0; //!< start time in Unix milliseconds
         bool over = false;
         std::optional<MonoTime> leavingSince;
         std::optional<MonoTime> announcedLeavingAt; //!< time of the first response that says so
@@ -130,7 +134,9 @@
     std::string announcementFields( Instance& instance );
     std::string leavingField( Instance& instance );
     void writeEntry( const Instance& instance );
-    net::Task<> sendHeartbeats( InstancePtr instance );
+    void startAs( std::string id, Millis entryDelay );
+    net::Task<> startLater( std::string id, Millis downtime, Millis entryDelay );
+    net::Task<> sendHeartbeats( InstancePtr instance, Millis delay );
     net::Task<> end( InstancePtr instance, Millis after, Millis entryExpiry );
     void close( Instance& instance );
     Millis workTime( int most );
--- a/tests/unit/exchange.tests.cpp
+++ b/tests/unit/exchange.tests.cpp
@@ -66,6 +66,7 @@
     metrics::Metrics metrics;
     Fleet fleet{ context, random, FleetSettings{ "vm", "hall", 1, 5000ms } };
     SharedState shared{ context, fleet, random, metrics, {}, nullptr, {} };
+    OriginClient origins{ context, fleet, metrics };
     ScriptedUpstream first{ context };
     ScriptedUpstream second{ context };
     net::Acceptor acceptor = net::listen( context, "127.0.0.1", 0 );
@@ -74,6 +75,7 @@
         const auto now = MonoClock::now();
         // The gateway has served requests before, and earned retries.
         shared.retries["s"].balance = 2;
+        shared.origins = &origins;
         shared.table = std::make_shared<RouteTable>( configuration() );
         fleet.setConfiguration( shared.table, now );
         std::map<std::string, Member> members;
@@ -86,12 +88,14 @@
     }
 
     //! Lists the two upstreams with these software versions.
-    void setVersions( const std::string& firstVersion, const std::string& secondVersion ) {
+    void setVersions( const std::string& firstVersion, const std::string& secondVersion,
+                      const std::string& firstHall = "hall",
+                      const std::string& secondHall = "other" ) {
         std::map<std::string, Member> members;
-        auto upstream = makeUpstream( "u1", first.port(), "hall" );
+        auto upstream = makeUpstream( "u1", first.port(), firstHall );
         upstream.softwareVersion = firstVersion;
         members.emplace( "u1", Member{ upstream, false } );
-        upstream = makeUpstream( "u2", second.port(), "other" );
+        upstream = makeUpstream( "u2", second.port(), secondHall );
         upstream.softwareVersion = secondVersion;
         members.emplace( "u2", Member{ upstream, false } );
         fleet.sync( members, MonoClock::now() );
@@ -138,6 +142,13 @@
         return out;
     }
 
+    //! One attempt of a client at a stream, with a short deadline.
+    std::string attempt( const std::string& id, const std::string& extra ) {
+        return send( "POST /stream/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id +
+                     "\r\nX-Deadline-Ms: 400\r\nContent-Length: 0\r\n" + extra +
+                     "Connection: close\r\n\r\n" );
+    }
+
     std::string sendRequest( const std::string& method, const std::string& target,
                              const std::string& extra = "" ) {
         return send( method + " " + target +
@@ -350,6 +361,48 @@
     CHECK( fixture.second.requests().empty() );
 }
 
+TEST_CASE( "A client's next attempt goes on at the version that began its stream",
+           "[gateway][exchange][versions]" ) {
+    GatewayFixture fixture;
+    fixture.setVersions( "v10", "v2" );
+    // The stream stands until the deadline.
+    fixture.first.addStep( { streamHead() + chunk( "id: 0\ndata: a\n\n" ) } );
+    CHECK( fixture.attempt( "r1", "" ).find( "data: a" ) != std::string::npos );
+    const std::string resumes = "Last-Event-Id: 0\r\nResumes: r1\r\n";
+    for( const auto* it : { "r2", "r3" } ) {
+        // The other upstream is nearer now.
+        fixture.setVersions( "v10", "v2", "other", "hall" );
+        fixture.first.addStep( { streamHead() + chunk( "id: 1\ndata: b\n\n" ) + "0\r\n\r\n" } );
+        CHECK( fixture.attempt( it, resumes ).find( "data: b" ) != std::string::npos );
+    }
+    CHECK( fixture.first.requests().size() == 3 );
+    CHECK( fixture.second.requests().empty() );
+}
+
+TEST_CASE( "A stream whose version has no upstream left is refused without a time to return",
+           "[gateway][exchange][versions]" ) {
+    GatewayFixture fixture;
+    fixture.setVersions( "v10", "v2" );
+    fixture.first.addStep( { streamHead() + chunk( "id: 0\ndata: a\n\n" ) } );
+    fixture.attempt( "r1", "" );
+    fixture.setVersions( "v2", "v2" );
+    const auto answer = fixture.attempt( "r2", "Last-Event-Id: 0\r\nResumes: r1\r\n" );
+    CHECK( startsWith( answer, "HTTP/1.1 503" ) );
+    CHECK( answer.find( "no upstream of the stream's software version" ) != std::string::npos );
+    CHECK( answer.find( "Retry-After" ) == std::string::npos );
+    CHECK( fixture.first.requests().size() == 1 );
+    CHECK( fixture.second.requests().empty() );
+}
+
+TEST_CASE( "A client that names no attempt is resumed while the service has one version",
+           "[gateway][exchange][versions]" ) {
+    GatewayFixture fixture;
+    fixture.setVersions( "v2", "v2" );
+    fixture.first.addStep( { streamHead() + chunk( "id: 4\ndata: b\n\n" ) + "0\r\n\r\n" } );
+    const auto answer = fixture.attempt( "r2", "Last-Event-Id: 3\r\n" );
+    CHECK( startsWith( answer, "HTTP/1.1 200" ) );
+}
+
 TEST_CASE( "A stream that may run only once ends unmistakably incomplete when it breaks",
            "[gateway][exchange]" ) {
     GatewayFixture fixture;
