Prompt parts are not fetched from an engine of another software version

An engine was told to copy cached prompt parts from any engine that had them.

Change: both must have the same version. The new section of the test of part sources fails without it.

--- a/src/gateway/choice/part_source.cpp
+++ b/src/gateway/choice/part_source.cpp
@@ -34,7 +34,9 @@
 } // namespace
 
 std::optional<PartSource> partSourceAt( const Node& node, const PartQuery& query ) {
-    if( node.upstream.id == query.target.upstream.id || !canGiveParts( node, query ) ) {
+    const bool sameVersion = node.upstream.softwareVersion == query.target.upstream.softwareVersion;
+    const bool isTarget = node.upstream.id == query.target.upstream.id;
+    if( isTarget || !sameVersion || !canGiveParts( node, query ) ) {
         return std::nullopt;
     }
     const auto there = node.prefixes.cachedPrefix( query.keys, query.generation );
--- a/tests/unit/part_fetch.tests.cpp
+++ b/tests/unit/part_fetch.tests.cpp
@@ -360,6 +360,10 @@
         f.at += 2s;
         CHECK( f.describe().cachedAt.empty() );
     }
+    SECTION( "not if it runs another software version" ) {
+        f.node( 2 ).upstream.softwareVersion = "v2";
+        CHECK( f.describe().cachedAt.empty() );
+    }
     SECTION( "not if it leaves" ) {
         f.node( 2 ).upstream.state = gateway::UpstreamState::draining;
         CHECK( f.describe().cachedAt.empty() );
