A new stream begins at no known version where a restart may be unnoticed

What callers could see: a stream that began at a plain upstream, or at an engine without its sidecar, just after it had started again under its id at another version, was recorded at the version before. Found by reading; not seen.

Evidence: unit test of the rule; [versions] and [exchange] pass (68 cases).

--- a/src/gateway/choice/fleet_choice.cpp
+++ b/src/gateway/choice/fleet_choice.cpp
@@ -25,7 +25,7 @@
     if( node.upstream.service != need.service || !node.takesRequests( now ) ) {
         return false;
     }
-    if( need.softwareVersion && !node.isCertainlyAt( *need.softwareVersion, now ) ) {
+    if( need.softwareVersion && node.certainVersion( now ) != need.softwareVersion ) {
         return false;
     }
     const bool unrestricted =
--- a/src/gateway/choice/node.cpp
+++ b/src/gateway/choice/node.cpp
@@ -165,10 +165,10 @@
     return engine && sidecar && sidecar->isResponsive( now ) && reportFresh( now );
 }
 
-bool Node::isCertainlyAt( std::string_view softwareVersion, MonoTime now ) const {
+std::optional<std::string> Node::certainVersion( MonoTime now ) const {
     // A sidecar that admits the prompt names the engine's start in its answer.
-    const bool noticed = sidecarAdmitsPrompts( now ) || now - brokenAt >= restartNewsTime;
-    return noticed && upstream.softwareVersion == softwareVersion;
+    const bool restartNoticed = sidecarAdmitsPrompts( now ) || now - brokenAt >= restartNewsTime;
+    return restartNoticed ? upstream.softwareVersion : std::nullopt;
 }
 
 std::set<std::string> Node::modelsHeldOrInFlight( MonoTime now ) const {
--- a/src/gateway/choice/node.hpp
+++ b/src/gateway/choice/node.hpp
@@ -122,8 +122,8 @@
     double readingWaitLeft( MonoTime now ) const;
     //! True if prompts are sent only after the sidecar has admitted them.
     bool sidecarAdmitsPrompts( MonoTime now ) const;
-    //! True if it runs this software version, and has not started again at another one unnoticed.
-    bool isCertainlyAt( std::string_view softwareVersion, MonoTime now ) const;
+    //! Its software version; nullopt if it may have started again at another one unnoticed.
+    std::optional<std::string> certainVersion( MonoTime now ) const;
     //! Number of this gateway's requests in flight for a model, or for MODEL/NAME.
     int runningOf( std::string_view key ) const;
     //! Adapters of a model with requests in flight, or sent since the last demand message.
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -169,8 +169,9 @@
     //! Finds where a stream that its client resumes may go on. Answers the client and returns false
     //! if that is not known.
     net::Task<bool> findOrigin();
-    //! Records where the client's stream began. Called before its first event is forwarded.
-    void noteBegan( const Transfer& transfer );
+    //! Records the software version of a send's events and, if they are the client's first ones,
+    //! where its stream began. Called before the first event of the send is forwarded.
+    void noteVersion( const Transfer& transfer );
     //! The chosen upstream's software version; nullopt: not known for its present start.
     std::optional<std::string> versionOf( const Node& node ) const;
     net::Task<> forward();
--- a/src/gateway/exchange/resume.cpp
+++ b/src/gateway/exchange/resume.cpp
@@ -60,10 +60,10 @@
 }
 
 std::optional<std::string> Exchange::versionOf( const Node& node ) const {
-    return m_startConfirmed ? node.upstream.softwareVersion : std::nullopt;
+    return m_startConfirmed ? node.certainVersion( MonoClock::now() ) : std::nullopt;
 }
 
-void Exchange::noteBegan( const Transfer& transfer ) {
+void Exchange::noteVersion( const Transfer& transfer ) {
     m_lastVersion = transfer.softwareVersion.value_or( std::string( unknownVersion ) );
     if( m_timeToFirstEvent ) {
         return;
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -439,7 +439,7 @@
     if( !transfer.receivedEvents ) {
         transfer.receivedEvents = true;
         m_firstEventAt = now;
-        noteBegan( transfer );
+        noteVersion( transfer );
         transfer.inFlight.prefillDone();
         const auto measured = static_cast<double>( millisBetween( transfer.sentAt, now ) );
         if( m_need.generation != nullptr ) {
--- a/tests/unit/stream_versions.tests.cpp
+++ b/tests/unit/stream_versions.tests.cpp
@@ -193,11 +193,11 @@
     gateway::Upstream upstream;
     upstream.softwareVersion = "v2";
     gateway::Node node( upstream, start );
-    CHECK( node.isCertainlyAt( "v2", start + 1min ) );
+    CHECK( node.certainVersion( start + 1min ) == "v2" );
     node.brokenAt = start + 1min;
-    CHECK_FALSE( node.isCertainlyAt( "v2", start + 1min + 1s ) );
-    CHECK( node.isCertainlyAt( "v2", start + 2min ) );
+    CHECK_FALSE( node.certainVersion( start + 1min + 1s ) );
+    CHECK( node.certainVersion( start + 2min ) == "v2" );
     node.resetForRestart( 2, start + 2min );
-    CHECK_FALSE( node.isCertainlyAt( "v2", start + 3min ) );
+    CHECK_FALSE( node.certainVersion( start + 3min ) );
     CHECK_FALSE( node.upstream.softwareVersion );
 }
