Starts of an engine are told apart only if both are known; no wait without sidecars

A platform whose entries state no start, beside reports that do, would have left every new stream at an unknown version. Found by reading the diff; a unit test of the rule.

--- a/src/gateway/counts/origin_client.cpp
+++ b/src/gateway/counts/origin_client.cpp
@@ -178,7 +178,8 @@
 net::Task<std::optional<decide::StreamVersion>> OriginClient::askHolders( decide::StreamKey key,
                                                                           ResumeVersion& out ) {
     const auto holders = holdersOf( key, decide::askedOriginHolders );
-    out.mayBecomeKnown = holders.empty();
+    // Without any sidecar there is nothing to wait for.
+    out.mayBecomeKnown = holders.empty() && !m_links.all().empty();
     for( const auto& link : holders ) {
         decide::OriginRequest request;
         request.key = key;
--- a/src/gateway/exchange/prepare.cpp
+++ b/src/gateway/exchange/prepare.cpp
@@ -179,7 +179,7 @@
     switch( answer.outcome ) {
     case EnsureOutcome::ready:
         m_promptPermit.emplace( choice.node, answer );
-        m_startConfirmed = answer.born == 0 || answer.born == choice.node->upstream.born;
+        m_startConfirmed = mayBeSameStart( answer.born, choice.node->upstream.born );
         if( m_need.softwareVersion && !m_startConfirmed ) {
             m_lastFailure = "the upstream has started again";
             return PrepareResult::chooseAnother;
--- a/src/gateway/model.hpp
+++ b/src/gateway/model.hpp
@@ -121,6 +121,11 @@
     return messageStart != 0 && messageStart < knownStart;
 }
 
+//! True unless both start times are known and differ.
+inline bool mayBeSameStart( StartTime a, StartTime b ) noexcept {
+    return a == 0 || b == 0 || a == b;
+}
+
 //! An upstream as the platform lists it. It may restart under the same id and then has no state.
 struct Upstream {
     std::string id;
--- a/tests/unit/stream_versions.tests.cpp
+++ b/tests/unit/stream_versions.tests.cpp
@@ -188,6 +188,13 @@
     CHECK( platform::readRequestHead( fields ).resumes );
 }
 
+TEST_CASE( "Starts are told apart only if both are known", "[versions]" ) {
+    CHECK( gateway::mayBeSameStart( 0, 5 ) );
+    CHECK( gateway::mayBeSameStart( 5, 0 ) );
+    CHECK( gateway::mayBeSameStart( 5, 5 ) );
+    CHECK_FALSE( gateway::mayBeSameStart( 5, 6 ) );
+}
+
 TEST_CASE( "The version of an upstream that started again is unknown until its entry is read",
            "[versions]" ) {
     gateway::Upstream upstream;
