--- a/tests/promise/software_versions.tests.cpp
+++ b/tests/promise/software_versions.tests.cpp
@@ -25,6 +25,8 @@
 //! Clients that begin streams at all gateways and resume broken ones at one of them.
 struct Clients {
     World world{ twoVersions };
+    //! Of the engines. With slow ones most streams last longer than it takes to kill processes.
+    RunnerMode mode = RunnerMode::slow;
     std::size_t resumeAt = survivor; //!< the gateway at which broken streams are resumed
     std::vector<ClientStream> streams{ streamCount };
     std::size_t finished = 0;
@@ -65,9 +67,8 @@
     void breakStreamsTwice( const std::function<void()>& fault,
                             const std::function<void()>& secondFault ) {
         world.runScenario( [&]() -> net::Task<> {
-            // Most streams last longer than it takes to break them.
             for( auto* it : world.runners( true ) ) {
-                it->setMode( RunnerMode::slow );
+                it->setMode( mode );
             }
             beginAll();
             while( begun() < streamCount * 2 / 3 ) {
@@ -132,6 +133,7 @@
 TEST_CASE( "A stream whose engine crashed goes on at the version that began it",
            "[promise][versions]" ) {
     Clients clients;
+    clients.mode = RunnerMode::normal;
     clients.breakStreams( [&] {
         const auto engines = clients.world.runners( true );
         for( std::size_t n = 0; n < engines.size(); n += 2 ) {
