Tests of a prompt part that crashes engines (red)

Real gateways and sidecars before engines that crash soon after the first event of an answer on a certain part; requests with it are never alike.

The stand-in engine writes streams without length or chunks on demand, and ends them inside an event or between two when it crashes. The test client's two ways to send a request became one.

--- a/tests/soak/record.cpp
+++ b/tests/soak/record.cpp
@@ -99,6 +99,19 @@
     }
 }
 
+void Record::poisonPartArrived( const std::string& part ) {
+    const auto now = MonoClock::now();
+    const auto confirmedAt = m_parts.confirmedAt();
+    if( m_parts.countArrival( part, now ) && undisturbedSince( confirmedAt ) ) {
+        breach( "prompts with a part that crashes upstreams stop being sent", part );
+    }
+}
+
+void Record::poisonPartCrashed( const std::string& part ) {
+    m_parts.countCrash( part, MonoClock::now() );
+    count( "upstreams crashed by prompt parts" );
+}
+
 int Record::endings( const std::string& content ) const {
     const auto it = m_poison.find( content );
     return it == m_poison.end() ? 0 : it->second.endings;
--- a/tests/soak/record.hpp
+++ b/tests/soak/record.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_SOAK_RECORD_HPP_INCLUDED
 
 #include "coursehead/kernel/clock.hpp"
+#include "support/part_watch.hpp"
 #include "support/retry_watch.hpp"
 #include "support/stream_watch.hpp"
 
@@ -61,6 +62,13 @@
     //! An upstream starts to run a poison request, which crashes the upstream. `content` is the
     //! same for all attempts of the request.
     void poisonRunStarted( const std::string& content );
+    //! Prompt parts that crash the upstreams that begin to write an answer on them.
+    support::PartWatch& parts() { return m_parts; }
+    const support::PartWatch& parts() const { return m_parts; }
+    //! A request with such a part reaches an upstream.
+    void poisonPartArrived( const std::string& part );
+    //! An upstream crashes since it has begun to write an answer on the part.
+    void poisonPartCrashed( const std::string& part );
     //! Number of upstreams that the poison request has crashed.
     int endings( const std::string& content ) const;
 
@@ -111,6 +119,7 @@
     support::RetryWatch m_streamRetries{ { 0.2, maxRetrySlack, Millis{ 10000 } } };
     support::StreamWatch m_streams;
     std::map<std::string, PoisonRequest> m_poison; //!< by content
+    support::PartWatch m_parts{ knowledgeBound };
     std::map<std::string, int> m_counts;
     std::map<std::string, int> m_runsIn; //!< by hall
     int m_mostInBackoff = 0;
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -362,6 +362,10 @@
         auto bytes = refusal( *instance, id );
         co_return co_await send( socket, std::move( bytes ) );
     }
+    auto poisonPart = m_record.parts().poisonPartOf( field( request, "X-Prompt-Prefix" ) );
+    if( poisonPart ) {
+        m_record.poisonPartArrived( *poisonPart );
+    }
     countFetch( request );
     m_record.runStarted( id );
     m_record.countRunInHall( m_settings.hall );
@@ -377,7 +381,8 @@
     bool more = false;
     if( m_settings.engine ) {
         const auto resumed = field( request, "Resumes" );
-        more = co_await runStream( instance, socket, id, resumed.empty() ? id : resumed, after );
+        StreamRun run{ id, resumed.empty() ? id : resumed, after, std::move( poisonPart ) };
+        more = co_await runStream( instance, socket, std::move( run ) );
     } else {
         more = co_await runPlain( instance, socket, id );
     }
@@ -426,42 +431,67 @@
     co_return co_await send( socket, std::move( bytes ) );
 }
 
+std::string Runner::framed( const std::string& bytes ) const {
+    return m_unframed ? bytes : chunk( bytes );
+}
+
 net::Task<bool> Runner::runStream( InstancePtr instance, std::shared_ptr<net::Socket> socket,
-                                   std::string id, std::string stream, int after ) {
+                                   StreamRun run ) {
     co_await net::pause( m_context, workTime( maxPrefillMs ) );
     if( m_mode == RunnerMode::unresponsive || m_mode == RunnerMode::dropping ) {
         const Millis wait = m_mode == RunnerMode::unresponsive ? unresponsiveTime : Millis{ 0 };
         co_await net::pause( m_context, wait );
         co_return false;
     }
-    StreamEvent event{ stream, "", std::to_string( m_random.below( 1000000 ) ),
+    const bool unframed = m_unframed;
+    StreamEvent event{ run.stream, "", std::to_string( m_random.below( 1000000 ) ),
                        m_settings.version };
-    std::string head = "HTTP/1.1 200 OK\r\n" + idField( id ) + announcementFields( *instance ) +
-                       "X-Response-Seal: " + sealFor( id, "stream" ) +
-                       "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    const int all = eventsFor( stream );
+    std::string head =
+        "HTTP/1.1 200 OK\r\n" + idField( run.id ) + announcementFields( *instance ) +
+        "X-Response-Seal: " + sealFor( run.id, "stream" ) +
+        "\r\nContent-Type: text/event-stream\r\n" +
+        ( unframed ? "Connection: close\r\n\r\n" : "Transfer-Encoding: chunked\r\n\r\n" );
+    const int all = eventsFor( run.stream );
     bool sent = co_await send( socket, std::move( head ) );
-    for( int n = after + 1; n <= all && sent && !instance->over; ++n ) {
+    for( int n = run.after + 1; n <= all && sent && !instance->over; ++n ) {
         co_await net::pause( m_context, workTime( maxEventIntervalMs ) );
         event.number = std::to_string( n ) + "/" + std::to_string( all );
-        auto bytes = chunk( textOf( event, n ) );
+        auto bytes = framed( textOf( event, n ) );
         const bool truncates = m_mode == RunnerMode::truncating && n > all / 2;
         if( truncates ) {
             bytes.resize( bytes.size() / 2 );
         }
-        instance->runEvents[id] = n - after;
+        instance->runEvents[run.id] = n - run.after;
         sent = co_await send( socket, std::move( bytes ) );
         if( truncates ) {
             co_return false;
         }
+        if( run.poisonPart ) {
+            co_await crashDuringStream( instance, socket, std::move( run ) );
+            co_return false;
+        }
     }
-    if( !sent || instance->over ) {
+    if( !sent || instance->over || unframed ) {
         co_return false;
     }
     std::string end = "0\r\n\r\n";
     co_return co_await send( socket, std::move( end ) );
 }
 
+net::Task<> Runner::crashDuringStream( InstancePtr instance, std::shared_ptr<net::Socket> socket,
+                                       StreamRun run ) {
+    co_await net::pause( m_context, workTime( maxPrefillMs ) );
+    if( m_random.below( 2 ) == 0 ) {
+        auto bytes = framed( "id: " );
+        co_await send( socket, std::move( bytes ) );
+    }
+    if( m_instance == instance ) {
+        m_record.poisonPartCrashed( *run.poisonPart );
+        m_restartAllowedAt = MonoClock::now() + restartDelay;
+        crash();
+    }
+}
+
 // --- orders
 
 std::string Runner::report( const Instance& instance ) const {
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -68,6 +68,8 @@
     //! Announces a rate limit in all responses from now on; nullopt: no limit any more.
     void nameLimit( std::optional<double> perS ) { m_limit.setLimit( perS, MonoClock::now() ); }
     const support::LimitWatch& limit() const { return m_limit; }
+    //! Streams end with their connection, without a length or chunks.
+    void setUnframed( bool unframed ) { m_unframed = unframed; }
     bool alive() const { return m_instance != nullptr; }
     bool isEngine() const { return m_settings.engine; }
     //! Earliest time of the next start after a crash that a request has caused.
@@ -117,8 +119,20 @@
     net::Task<> crashDuringRequest( InstancePtr instance, std::string content );
     net::Task<bool> runPlain( InstancePtr instance, std::shared_ptr<net::Socket> socket,
                               std::string id );
+    //! A run of a stream.
+    struct StreamRun {
+        std::string id;
+        std::string stream; //!< id of the attempt that began it
+        int after = 0;      //!< it goes on after this event
+        //! Part of its prompt that crashes the upstream after the first event; nullopt: none.
+        std::optional<std::string> poisonPart;
+    };
     net::Task<bool> runStream( InstancePtr instance, std::shared_ptr<net::Socket> socket,
-                               std::string id, std::string stream, int after );
+                               StreamRun run );
+    //! Writes half of an event, or nothing more, and crashes.
+    net::Task<> crashDuringStream( InstancePtr instance, std::shared_ptr<net::Socket> socket,
+                                   StreamRun run );
+    std::string framed( const std::string& bytes ) const;
     net::Task<bool> send( std::shared_ptr<net::Socket> socket, std::string bytes );
     std::string receiveOrder( Instance& instance, const Request& request );
     net::Task<> executeOrder( InstancePtr instance, nlohmann::json order );
@@ -147,6 +161,7 @@
     RandomSource& m_random;
     RunnerSettings m_settings;
     RunnerMode m_mode = RunnerMode::normal;
+    bool m_unframed = false;
     int m_requestsToRefuse = 0;
     Millis m_backoff{ 0 };
     support::LimitWatch m_limit{ knowledgeBound };
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -116,24 +116,31 @@
         auto& gateways = deployment->gateways();
         const auto gatewayIndex =
             oneGateway ? 0 : static_cast<std::size_t>( sent ) % gateways.size();
-        auto& gateway = *gateways[gatewayIndex];
         const auto id = "r" + std::to_string( ++sent );
         record.asked( id, path.starts_with( "/safe" ) ? Kind::safe : Kind::stream );
         const auto ownEnd = ownEnds ? "c" + std::to_string( sent ) : "b";
-        net::Socket socket( context );
-        net::ErrorCode ec;
-        const auto to = net::endpointOf( gateway.reachedIp, frontPort, ec );
-        co_await socket.async_connect( to, net::tupled );
-        const std::string text =
+        std::string text =
             method + " " + path + " HTTP/1.1\r\nHost: " + hostName + "\r\nX-Request-Id: " + id +
             "\r\nX-Deadline-Ms: 3500\r\nX-Model: m0\r\n"
             "X-Token-Counts: 2000,100\r\nX-Prompt-Prefix: " +
             ( sharedPrefix ? "a" : std::to_string( sent ) ) + ":1500," + ownEnd +
             ":500\r\nContent-Length: " + std::to_string( body.size() ) + "\r\n\r\n" + body;
+        co_return co_await exchange( gatewayIndex, std::move( text ) );
+    }
+
+    //! Sends the bytes of a request to a gateway; returns the status, or 0 if no complete answer
+    //! arrives within `streamTimeout`.
+    net::Task<unsigned> exchange( std::size_t gatewayIndex, std::string text ) {
+        net::Socket socket( context );
+        net::ErrorCode ec;
+        const auto& ip = deployment->gateways()[gatewayIndex]->reachedIp;
+        const auto to = net::endpointOf( ip, frontPort, ec );
+        ec = co_await net::connect( socket, to, streamTimeout );
         const auto bytes = net::asio::buffer( text );
         co_await net::asio::async_write( socket, bytes, net::tupled );
         boost::beast::flat_buffer buf;
         boost::beast::http::response<boost::beast::http::string_body> response;
+        net::SocketDeadline deadline( socket, MonoClock::now() + streamTimeout );
         const auto [readError, n] =
             co_await boost::beast::http::async_read( socket, buf, response, net::tupled );
         co_return readError ? 0 : response.result_int();
