A prompt part that crashes engines is counted and quarantined by itself

What callers saw: on a deployment of 5 gateways and 18 engines requests that shared one part of their prompts crashed 89 and 90 engines; 55 and 56 of them were sent after five had ended, and a tenth to a half of the requests beside them failed or were late for 30 s.

Cause: ends of upstreams were counted by a fingerprint of the whole request. Requests that share a part and differ elsewhere have no fingerprint in common, so no count ever passed one or two.

The fix: the parts of a prompt but the last are counted too, each by its id alone, by the same sidecars and told and stored in the same way. What tells a poison part from those that it shares prompts with: a run that begins to write after an end, and goes on for a second or to its end, shows that its parts are sound, at whatever gateway. An end of an upstream counts against parts only once its sidecar or the store shows it, not by a broken link.

--- a/src/decide/poison.cpp
+++ b/src/decide/poison.cpp
@@ -16,16 +16,29 @@
 //! Durations of the first and later quarantines. Two minutes are longer than a client keeps
 //! retrying. The last is a day, because at most three attempts may follow a content's third end.
 constexpr std::array<Millis, 4> quarantineDurations{ 2min, 8min, 32min, 24h };
+constexpr std::array<Millis, 4> partQuarantineDurations{ 10s, 2min, 32min, 24h };
+
+Millis durationOf( std::span<const Millis> durations, int times ) {
+    const auto lastIndex = static_cast<int>( durations.size() ) - 1;
+    return durations[static_cast<std::size_t>( std::clamp( times - 1, 0, lastIndex ) )];
+}
 
 } // namespace
 
+std::string_view poisonKindText( PoisonKind kind ) {
+    return kind == PoisonKind::part ? "part" : "content";
+}
+
 double evidenceWeight( std::int64_t eventsMs ) {
     return eventsMs >= longRunTime.count() ? provenWeight : 1.0;
 }
 
 Millis quarantineDuration( int times ) {
-    const auto lastIndex = static_cast<int>( quarantineDurations.size() ) - 1;
-    return quarantineDurations[static_cast<std::size_t>( std::clamp( times - 1, 0, lastIndex ) )];
+    return durationOf( quarantineDurations, times );
+}
+
+Millis partQuarantineDuration( int times ) {
+    return durationOf( partQuarantineDurations, times );
 }
 
 std::vector<std::size_t> poisonHolders( Fingerprint fingerprint,
--- a/src/decide/quarantine_list.cpp
+++ b/src/decide/quarantine_list.cpp
@@ -24,13 +24,22 @@
 
 bool QuarantineList::put( const Quarantine& entry, MonoTime now ) {
     const auto it = m_entries.find( entry.fingerprint );
+    const bool firstEndKnown = entry.firstEndMsAgo >= 0;
+    const auto since = firstEndKnown ? now - Millis( entry.firstEndMsAgo ) : now;
     if( it != m_entries.end() && it->second.times >= entry.times ) {
+        const bool learnt = it->second.times == entry.times && firstEndKnown;
+        if( learnt && !it->second.firstEndKnown ) {
+            it->second.since = since;
+            it->second.firstEndKnown = true;
+        }
         return false;
     }
     if( it == m_entries.end() ) {
         evictIfFull();
     }
-    m_entries[entry.fingerprint] = { entry.times, now + Millis( entry.holdMs ) };
+    m_entries[entry.fingerprint] = { entry.times, now + Millis( entry.holdMs ),
+                                     since,       firstEndKnown,
+                                     entry.kind,  entry.soundBefore };
     return true;
 }
 
@@ -44,12 +53,24 @@
     return it == m_entries.end() ? 0 : it->second.times;
 }
 
+bool QuarantineList::firstEndKnown( Fingerprint fingerprint ) const {
+    const auto it = m_entries.find( fingerprint );
+    return it != m_entries.end() && it->second.firstEndKnown;
+}
+
+bool QuarantineList::isRefuted( Fingerprint fingerprint, MonoTime begunAt ) const {
+    const auto it = m_entries.find( fingerprint );
+    return it != m_entries.end() && it->second.since < begunAt;
+}
+
 std::vector<Quarantine> QuarantineList::all( MonoTime now ) const {
     std::vector<Quarantine> out;
     for( const auto& [fingerprint, entry] : m_entries ) {
         const auto left = remaining( now, entry.until );
         if( left.count() > 0 ) {
-            out.push_back( { fingerprint, entry.times, left.count() } );
+            const auto firstEndMsAgo = entry.firstEndKnown ? millisBetween( entry.since, now ) : -1;
+            out.push_back( { fingerprint, entry.times, left.count(), entry.kind, firstEndMsAgo,
+                             entry.soundBefore } );
         }
     }
     return out;
--- a/src/gateway/choice/fleet.cpp
+++ b/src/gateway/choice/fleet.cpp
@@ -150,6 +150,11 @@
             m_onQuarantineUpdate( update );
         }
     };
+    out.cleared = [this]( const decide::PoisonCleared& cleared ) {
+        if( m_onPoisonCleared ) {
+            m_onPoisonCleared( cleared );
+        }
+    };
     out.limits = [this]( const decide::LimitUpdate& update ) {
         if( m_onLimitUpdate ) {
             m_onLimitUpdate( update );
--- a/src/gateway/choice/fleet.hpp
+++ b/src/gateway/choice/fleet.hpp
@@ -125,6 +125,11 @@
     void onQuarantineUpdate( QuarantineUpdateHandler handler ) {
         m_onQuarantineUpdate = std::move( handler );
     }
+    //! Called with the prompt parts that a sidecar declares to be sound.
+    using PoisonClearedHandler = std::function<void( const decide::PoisonCleared& cleared )>;
+    void onPoisonCleared( PoisonClearedHandler handler ) {
+        m_onPoisonCleared = std::move( handler );
+    }
     //! Called with the upstream limits that a sidecar sends.
     using LimitUpdateHandler = std::function<void( const decide::LimitUpdate& update )>;
     void onLimitUpdate( LimitUpdateHandler handler ) { m_onLimitUpdate = std::move( handler ); }
@@ -226,6 +231,7 @@
     StoreGrants m_grants;
     StoreUpdateHandler m_onStoreUpdate;
     QuarantineUpdateHandler m_onQuarantineUpdate;
+    PoisonClearedHandler m_onPoisonCleared;
     LimitUpdateHandler m_onLimitUpdate;
     OriginUpdateHandler m_onOriginUpdate;
     ConnectedHandler m_onSidecarConnected;
--- a/src/gateway/counts/poison_guard.cpp
+++ b/src/gateway/counts/poison_guard.cpp
@@ -3,6 +3,7 @@
 
 #include "coursehead/kernel/log.hpp"
 #include "decide/fingerprint.hpp"
+#include "gateway/counts/evidence_holders.hpp"
 
 namespace coursehead::gateway {
 
@@ -16,8 +17,12 @@
 constexpr Millis openConnectionWait{ 60 };
 //! The sidecar's reports or the store show an engine's end or next start within this time.
 constexpr Millis endVisibleWithin{ 1000 };
+constexpr Millis endCheckInterval{ 20 };
+//! Without its sidecar an upstream's end shows when its entry in the store lapses.
+constexpr Millis endShownWithin{ 8000 };
 //! Broken runs kept for one upstream: as many as it has slots, and as many requests that waited.
 constexpr std::size_t maxBrokenRuns = 128;
+constexpr std::size_t maxBrokenParts = 512;
 //! Fingerprints listed in one log line.
 constexpr std::size_t maxLoggedFingerprints = 8;
 
@@ -29,34 +34,73 @@
     return out;
 }
 
+std::string partList( const std::set<decide::Fingerprint>& parts ) {
+    std::string out;
+    std::size_t n = 0;
+    for( const auto it : parts ) {
+        if( n++ < maxLoggedFingerprints ) {
+            out += ( out.empty() ? "" : "," ) + decide::fingerprintText( it );
+        }
+    }
+    return out;
+}
+
 } // namespace
 
-PoisonGuard::PoisonGuard( net::asio::io_context& context, Fleet& fleet, metrics::Metrics& metrics )
-    : m_context( context ), m_fleet( fleet ), m_metrics( metrics ) {
+PoisonGuard::PoisonGuard( net::asio::io_context& context, Fleet& fleet, metrics::Metrics& metrics,
+                          const platform::Endpoint& store )
+    : m_context( context ), m_fleet( fleet ), m_metrics( metrics ),
+      m_parts( context, fleet, metrics, store ) {
     m_fleet.onQuarantineUpdate( [this]( const decide::QuarantineUpdate& update ) {
         applyUpdate( update.entries, "sidecar" );
     } );
 }
 
-void PoisonGuard::noteBrokenRun( const NodePtr& node, decide::Fingerprint fingerprint,
-                                 double weight ) {
+void PoisonGuard::noteBrokenRun( const NodePtr& node, const FinishedRun& run ) {
     // An upstream that was about to shut down breaks connections whatever their content.
-    const bool leaving = node->leaving() || node->leavesAt;
-    // Sends that were in progress when their content was quarantined add no evidence.
-    const bool alreadyQuarantined = quarantineLeft( fingerprint, MonoClock::now() ).count() > 0;
-    if( leaving || alreadyQuarantined || m_completedRuns.consume( fingerprint ) ) {
+    if( node->leaving() || node->leavesAt ) {
         return;
     }
     auto [it, firstRun] = m_brokenRuns.try_emplace( node->upstream.id );
-    if( it->second.size() < maxBrokenRuns ) {
-        it->second.push_back( { fingerprint, weight, m_quarantines.times( fingerprint ) } );
-    }
+    auto& broken = it->second;
+    addEvidence( broken, run );
     if( firstRun ) {
+        broken.since = run.endedAt;
+        broken.born = node->upstream.born;
         net::start( m_context, investigateBrokenRuns( node ), "upstream's end" );
     }
 }
 
-void PoisonGuard::noteCompletedRun( decide::Fingerprint fingerprint ) {
+void PoisonGuard::addEvidence( BrokenRuns& broken, const FinishedRun& run ) {
+    if( m_parts.suspects( run.parts ) ) {
+        broken.explained = true;
+        return;
+    }
+    // Sends that were in progress when their content was quarantined add no evidence.
+    const bool alreadyQuarantined = quarantineLeft( run.content, MonoClock::now() ).count() > 0;
+    if( !alreadyQuarantined && !m_completedRuns.consume( run.content ) &&
+        broken.runs.size() < maxBrokenRuns ) {
+        broken.runs.push_back( { run.content, decide::evidenceWeight( run.eventsMs ),
+                                 m_quarantines.times( run.content ) } );
+    }
+    if( run.partsSound ) {
+        return;
+    }
+    for( const auto& part : run.parts ) {
+        if( broken.parts.size() < maxBrokenParts ) {
+            broken.parts.insert( part.fingerprint );
+        }
+    }
+}
+
+void PoisonGuard::noteCompletedRun( const FinishedRun& run ) {
+    clearContent( run.content );
+    if( run.succeeded ) {
+        m_parts.noteSound( run.parts, run.begunAt );
+    }
+}
+
+void PoisonGuard::clearContent( decide::Fingerprint fingerprint ) {
     m_completedRuns.note( fingerprint );
     const bool suspected = m_poisonCounter.clear( fingerprint );
     const bool quarantined = m_quarantines.times( fingerprint ) > 0;
@@ -65,12 +109,41 @@
     }
     m_quarantines.clear( fingerprint );
     log::info( "poison_cleared", { { "fingerprint", decide::fingerprintText( fingerprint ) },
+                                   { "kind", "content" },
                                    { "quarantined", quarantined ? "yes" : "no" } } );
-    for( const auto& it : evidenceHolders( fingerprint, MonoClock::now() ) ) {
+    for( const auto& it : evidenceHolders( m_fleet, fingerprint, MonoClock::now() ) ) {
         it->send( Message( decide::PoisonCleared{ fingerprint } ) );
     }
 }
 
+void PoisonGuard::noteUnframedEnd( const NodePtr& node, const FinishedRun& run ) {
+    std::vector<decide::SharedPart> parts( run.parts.begin(), run.parts.end() );
+    net::start( m_context, watchUnframedEnd( node, run, std::move( parts ) ), "unframed answer" );
+}
+
+net::Task<> PoisonGuard::watchUnframedEnd( NodePtr node, FinishedRun run,
+                                           std::vector<decide::SharedPart> parts ) {
+    run.parts = parts;
+    const auto until = run.endedAt + endVisibleWithin;
+    const bool ended = co_await endShown( *node, node->upstream.born, until );
+    if( ended ) {
+        noteBrokenRun( node, run );
+    } else {
+        noteCompletedRun( run );
+    }
+}
+
+net::Task<bool> PoisonGuard::endShown( const Node& node, StartTime born, MonoTime until ) {
+    while( MonoClock::now() < until ) {
+        const bool restarted = node.upstream.born != born;
+        if( node.gone || node.replaced || restarted || !node.engineReachable ) {
+            co_return true;
+        }
+        co_await net::pause( m_context, endCheckInterval );
+    }
+    co_return false;
+}
+
 net::Task<bool> PoisonGuard::hasEnded( const Node& node ) {
     const auto born = node.upstream.born;
     net::Socket socket( m_context );
@@ -87,47 +160,36 @@
         co_return true;
     }
     // Some process listens there: the same one, or one that was started after it ended.
-    const auto until = MonoClock::now() + endVisibleWithin;
-    while( MonoClock::now() < until ) {
-        const bool restarted = node.upstream.born != born;
-        if( node.gone || node.replaced || restarted || !node.engineReachable ) {
-            co_return true;
-        }
-        co_await net::pause( m_context, openConnectionWait );
-    }
-    co_return false;
+    co_return co_await endShown( node, born, MonoClock::now() + endVisibleWithin );
 }
 
 net::Task<> PoisonGuard::investigateBrokenRuns( NodePtr node ) {
     const bool ended = co_await hasEnded( *node );
     auto found = m_brokenRuns.extract( node->upstream.id );
-    auto& runs = found.mapped();
+    const auto& broken = found.mapped();
     log::info( ended ? "upstream_ended" : "upstream_lives",
                { { "upstream", node->upstream.id },
-                 { "broken", static_cast<std::int64_t>( runs.size() ) },
-                 { "fingerprints", fingerprintList( runs ) } } );
-    if( ended ) {
-        m_metrics.count( "upstreams_ended" );
-        sendEvidence( node->upstream.id, runs );
+                 { "broken", static_cast<std::int64_t>( broken.runs.size() ) },
+                 { "fingerprints", fingerprintList( broken.runs ) },
+                 { "parts", partList( broken.parts ) },
+                 { "explained", broken.explained ? "yes" : "no" } } );
+    if( !ended ) {
+        co_return;
     }
-}
-
-std::vector<std::shared_ptr<SidecarLink>>
-PoisonGuard::evidenceHolders( decide::Fingerprint fingerprint, MonoTime now ) const {
-    std::vector<std::string_view> ips;
-    std::vector<std::shared_ptr<SidecarLink>> links;
-    for( const auto& [id, node] : m_fleet.nodes() ) {
-        if( node->sidecar && node->connectedToAllGateways &&
-            node->sidecar->mayBeResponsive( now ) ) {
-            ips.emplace_back( node->upstream.ip );
-            links.push_back( node->sidecar );
-        }
+    m_metrics.count( "upstreams_ended" );
+    if( broken.explained ) {
+        co_return;
     }
-    std::vector<std::shared_ptr<SidecarLink>> out;
-    for( const auto n : decide::poisonHolders( fingerprint, ips ) ) {
-        out.push_back( links[n] );
+    sendEvidence( node->upstream.id, broken.runs );
+    if( broken.parts.empty() ) {
+        co_return;
+    }
+    const bool shown = co_await endShown( *node, broken.born, broken.since + endShownWithin );
+    if( shown ) {
+        m_parts.reportEnd( node->upstream.id, broken.parts, broken.since );
+    } else {
+        log::info( "upstream_end_not_shown", { { "upstream", node->upstream.id } } );
     }
-    return out;
 }
 
 void PoisonGuard::sendEvidence( const std::string& upstreamId,
@@ -139,7 +201,7 @@
         if( const auto quarantine = m_poisonCounter.note( it, upstreamId, now ) ) {
             own.push_back( *quarantine );
         }
-        for( const auto& holder : evidenceHolders( it.fingerprint, now ) ) {
+        for( const auto& holder : evidenceHolders( m_fleet, it.fingerprint, now ) ) {
             auto& evidence = evidenceByHolder[holder];
             evidence.upstreamId = upstreamId;
             evidence.runs.push_back( it );
@@ -155,11 +217,16 @@
                                std::string_view from ) {
     const auto now = MonoClock::now();
     for( const auto& it : entries ) {
+        if( it.kind == decide::PoisonKind::part ) {
+            m_parts.applyQuarantine( it, from );
+            continue;
+        }
         if( !m_quarantines.put( it, now ) ) {
             continue;
         }
         m_metrics.count( "quarantines", from );
         log::info( "quarantine", { { "fingerprint", decide::fingerprintText( it.fingerprint ) },
+                                   { "kind", decide::poisonKindText( it.kind ) },
                                    { "from", from },
                                    { "times", static_cast<std::int64_t>( it.times ) },
                                    { "hold_ms", it.holdMs } } );
--- a/src/gateway/counts/poison_guard.hpp
+++ b/src/gateway/counts/poison_guard.hpp
@@ -7,6 +7,7 @@
 #include "decide/poison_counter.hpp"
 #include "decide/quarantine_list.hpp"
 #include "gateway/choice/fleet.hpp"
+#include "gateway/counts/part_guard.hpp"
 
 #include <map>
 #include <string>
@@ -14,6 +15,17 @@
 
 namespace coursehead::gateway {
 
+//! A run of a request that has ended, as its gateway saw it.
+struct FinishedRun {
+    decide::Fingerprint content = 0;
+    std::span<const decide::SharedPart> parts;
+    MonoTime begunAt; //!< first event; of an answer that is no stream, when it was sent
+    MonoTime endedAt;
+    std::int64_t eventsMs = -1; //!< for which it had produced events; -1: it had produced none
+    bool succeeded = false;     //!< its answer was complete and no failure
+    bool partsSound = false;    //!< it went on for long enough to show that its parts are sound
+};
+
 /**
  * A gateway's protection against poison requests, whose content makes upstreams crash. After broken
  * runs it checks whether the upstream has ended, sends the evidence to the sidecars that count the
@@ -22,7 +34,10 @@
  */
 class PoisonGuard {
 public:
-    PoisonGuard( net::asio::io_context& context, Fleet& fleet, metrics::Metrics& metrics );
+    PoisonGuard( net::asio::io_context& context, Fleet& fleet, metrics::Metrics& metrics,
+                 const platform::Endpoint& store );
+
+    PartGuard& parts() { return m_parts; }
 
     //! Time for which a content stays quarantined; zero if it may be sent.
     Millis quarantineLeft( decide::Fingerprint fingerprint, MonoTime now ) const {
@@ -33,23 +48,38 @@
         return m_quarantines.times( fingerprint ) > 0;
     }
 
-    //! Records that a request's connection to an upstream broke; `weight` is from
-    //! decide::evidenceWeight().
-    void noteBrokenRun( const NodePtr& node, decide::Fingerprint fingerprint, double weight );
+    //! Records that a request's connection to an upstream broke.
+    void noteBrokenRun( const NodePtr& node, const FinishedRun& run );
     //! Records that a request has run to completion.
-    void noteCompletedRun( decide::Fingerprint fingerprint );
+    void noteCompletedRun( const FinishedRun& run );
+    //! Records that an answer without a length ended with its connection, as if it were complete.
+    //! Whether it was depends on what becomes of the upstream.
+    void noteUnframedEnd( const NodePtr& node, const FinishedRun& run );
     //! Adds quarantines; `from` names their source: a sidecar, the store or this gateway.
     void applyUpdate( std::span<const decide::Quarantine> entries, std::string_view from );
 
 private:
+    //! Runs whose connection to an upstream broke.
+    struct BrokenRuns {
+        std::vector<decide::InterruptedRun> runs;
+        std::set<decide::Fingerprint> parts; //!< not shown to be sound by their runs
+        bool explained = false;              //!< one of the runs had a quarantined prompt part
+        MonoTime since;
+        StartTime born = 0; //!< start of the upstream
+    };
+
+    void clearContent( decide::Fingerprint fingerprint );
+    void addEvidence( BrokenRuns& broken, const FinishedRun& run );
+    net::Task<> watchUnframedEnd( NodePtr node, FinishedRun run,
+                                  std::vector<decide::SharedPart> parts );
+    //! Waits until a sidecar or the store shows that the upstream has ended; false if neither does.
+    //! Other than a broken connection, a broken link does not look like it.
+    net::Task<bool> endShown( const Node& node, StartTime born, MonoTime until );
     //! Checks whether the upstream of broken runs has ended, and sends the evidence if so.
     net::Task<> investigateBrokenRuns( NodePtr node );
     net::Task<bool> hasEnded( const Node& node );
     void sendEvidence( const std::string& upstreamId,
                        std::span<const decide::InterruptedRun> runs );
-    //! Links to the sidecars that count the ends of upstreams for a content.
-    std::vector<std::shared_ptr<SidecarLink>> evidenceHolders( decide::Fingerprint fingerprint,
-                                                               MonoTime now ) const;
 
     net::asio::io_context& m_context;
     Fleet& m_fleet;
@@ -57,8 +87,8 @@
     decide::PoisonCounter m_poisonCounter; //!< evidence of this gateway alone
     decide::QuarantineList m_quarantines;
     decide::CompletedRuns m_completedRuns;
-    //! Runs whose upstream is still being checked, by upstream.
-    std::map<std::string, std::vector<decide::InterruptedRun>> m_brokenRuns;
+    PartGuard m_parts;
+    std::map<std::string, BrokenRuns> m_brokenRuns; //!< while their upstream is checked; by its id
 };
 
 } // namespace coursehead::gateway
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -163,8 +163,13 @@
     decide::Fingerprint fingerprint() const;
     //! Refuses the request if its content is quarantined as a poison request; true if refused.
     net::Task<bool> refuseQuarantined();
-    //! True unless the request's content is quarantined, or is on trial after a quarantine and was
-    //! sent already.
+    net::Task<bool> refuseQuarantinedPart();
+    bool partsMayBeSent();
+    void logWithheldPart( const PartVerdict& verdict ) const;
+    //! Notes that the run's prompt parts are sound once it has written events for long enough.
+    void noteProgress( MonoTime now );
+    //! True unless the request's content or a part of its prompt is quarantined, or is on trial
+    //! after a quarantine and was sent already.
     bool contentMayBeSent();
     //! Reports to the poison guard whether the request completed or broke its upstream's
     //! connection.
@@ -271,7 +276,8 @@
     int m_sends = 0;                          //!< sends over an open connection to an upstream
     MonoTime m_sentAt;                        //!< time of the last send
     std::optional<MonoTime> m_firstEventAt;   //!< first event of the last send
-    int m_runs = 0;                           //!< sends that the upstream may have run
+    bool m_partsSound = false; //!< the last send's run has shown its prompt parts to be sound
+    int m_runs = 0;            //!< sends that the upstream may have run
     bool m_mayHaveRun = false;
     std::string_view m_framing = noFraming; //!< of the last send's answer, see Transfer::framing()
     std::string m_lastFailure;
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -176,6 +176,10 @@
     m_sentAt = now;
     m_firstEventAt.reset();
     m_framing = noFraming;
+    m_partsSound = false;
+    if( m_shared.poison != nullptr ) {
+        m_shared.poison->parts().noteSent( m_request.head.sharedParts );
+    }
     logSend( *node, choice, now );
     if( generates ) {
         node->notePrompt( m_prefix, *m_need.generation, now );
@@ -350,7 +354,8 @@
         if( ec || !inOrder || transfer.parser.is_done() ) {
             const auto broken = m_headSent ? SendOutcome::streamCut : SendOutcome::lost;
             out.end = isAborted( transfer ) ? SendOutcome::stopped : broken;
-            out.connectionBroke = ec && !isAborted( transfer );
+            const bool cut = ec || ( inOrder && m_framing == unframed );
+            out.connectionBroke = cut && !isAborted( transfer );
             out.failure = !inOrder ? "events out of order"
                           : ec     ? ec.message()
                                    : "cut inside an event";
@@ -462,6 +467,7 @@
                                   static_cast<double>( m_timeToFirstEvent->count() ) );
     }
     m_lastEventAt = now;
+    noteProgress( now );
 }
 
 } // namespace coursehead::gateway
--- a/src/gateway/exchange/transfer.cpp
+++ b/src/gateway/exchange/transfer.cpp
@@ -108,7 +108,7 @@
     if( parser.chunked() ) {
         return "chunks";
     }
-    return parser.need_eof() ? "close" : "length";
+    return parser.need_eof() ? unframed : "length";
 }
 
 BufferedAnswer Transfer::answerHead() const {
--- a/src/gateway/exchange/transfer.hpp
+++ b/src/gateway/exchange/transfer.hpp
@@ -72,6 +72,9 @@
     bool done = false;
 };
 
+//! Framing of an answer that ends with its connection.
+inline constexpr std::string_view unframed = "close";
+
 //! One send of a request to an upstream, with the part of the answer that was read so far.
 struct Transfer {
     //! `generation` is null for plain services.
@@ -99,8 +102,8 @@
     net::Task<std::pair<std::string_view, net::ErrorCode>> readBody();
     //! Returns the connection to the pool if it can serve another request; closes it otherwise.
     void release( bool complete );
-    //! What marks the end of the answer's body: "length", "chunks", or "close" if only the end of
-    //! the connection does. Valid once the head is read.
+    //! What marks the end of the answer's body: "length", "chunks", or `unframed` if only the end
+    //! of the connection does. Valid once the head is read.
     std::string_view framing() const;
     //! The answer's status and fields, without a body.
     BufferedAnswer answerHead() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,7 +48,7 @@
                                                         {} },
           m_quota( m_context, m_fleet, m_settings.vm, m_settings.bounds ),
           m_limits( m_fleet, m_metrics, m_settings.vm ), m_origins( m_context, m_fleet, m_metrics ),
-          m_poison( m_context, m_fleet, m_metrics ),
+          m_poison( m_context, m_fleet, m_metrics, m_settings.store ),
           m_feed( m_context, m_settings, m_random, m_metrics, m_fleet, m_registry, feedHandlers() ),
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
@@ -150,6 +150,9 @@
         out.quarantines = [this]( std::span<const decide::Quarantine> entries ) {
             m_poison.applyUpdate( entries, "store" );
         };
+        out.partCleared = [this]( const decide::Quarantine& removed ) {
+            m_poison.parts().applyRemoval( removed );
+        };
         out.evacuations = [this]( const std::set<std::string>& halls ) {
             m_fleet.setEvacuations( halls, MonoClock::now() );
         };
--- a/src/gateway/links/sidecar_link.cpp
+++ b/src/gateway/links/sidecar_link.cpp
@@ -274,6 +274,10 @@
     if( quarantines != nullptr && m_handlers.quarantines ) {
         m_handlers.quarantines( *quarantines );
     }
+    const auto* cleared = std::get_if<decide::PoisonCleared>( &*message );
+    if( cleared != nullptr && m_handlers.cleared ) {
+        m_handlers.cleared( *cleared );
+    }
     const auto* limits = std::get_if<decide::LimitUpdate>( &*message );
     if( limits != nullptr && m_handlers.limits ) {
         m_handlers.limits( *limits );
--- a/src/gateway/links/sidecar_link.hpp
+++ b/src/gateway/links/sidecar_link.hpp
@@ -36,6 +36,7 @@
         std::function<void( const EngineLoad& load )> load;
         std::function<void( const StoreUpdate& update )> storeUpdate;
         std::function<void( const decide::QuarantineUpdate& update )> quarantines;
+        std::function<void( const decide::PoisonCleared& cleared )> cleared;
         std::function<void( const decide::LimitUpdate& update )> limits;
         std::function<void( const decide::OriginUpdate& update )> origins;
     };
--- a/src/gateway/links/store_feed.cpp
+++ b/src/gateway/links/store_feed.cpp
@@ -92,7 +92,9 @@
         }
     };
     out.event = [this]( const platform::StoreEvent& event ) {
-        if( !event.removed ) {
+        if( event.removed ) {
+            applyQuarantineRemoval( event.object.name );
+        } else {
             applyQuarantine( event.object );
         }
     };
@@ -172,6 +174,13 @@
     }
 }
 
+void StoreFeed::applyQuarantineRemoval( std::string_view name ) {
+    const auto removed = platform::partQuarantineOf( name );
+    if( removed ) {
+        m_handlers.partCleared( *removed );
+    }
+}
+
 FollowerHandlers StoreFeed::upstreamHandlers() {
     FollowerHandlers out;
     out.listing = [this]( const std::vector<platform::StoreObject>& objects ) {
@@ -232,6 +241,9 @@
     if( update.part == StorePart::quarantines ) {
         if( m_quarantines.acceptRelayed( update.position, update.whole, until ) ) {
             m_handlers.quarantines( update.quarantines );
+            for( const auto& it : update.gone ) {
+                applyQuarantineRemoval( it );
+            }
         }
         return;
     }
--- a/src/gateway/links/store_feed.hpp
+++ b/src/gateway/links/store_feed.hpp
@@ -24,6 +24,8 @@
     std::function<void()> upstreams;
     //! Quarantined contents, which must not be sent; some may be known already.
     std::function<void( std::span<const decide::Quarantine> entries )> quarantines;
+    //! A prompt part's quarantine was removed from the store.
+    std::function<void( const decide::Quarantine& removed )> partCleared;
     //! All halls under evacuation.
     std::function<void( const std::set<std::string>& halls )> evacuations;
     //! The evacuation of a hall has started or ended.
@@ -63,6 +65,7 @@
     //! they have not been written again in time.
     void expireHeldHalls( MonoTime now );
     void applyQuarantine( const platform::StoreObject& object );
+    void applyQuarantineRemoval( std::string_view name );
     void applyConfiguration( const platform::StoreObject& object ) const;
     void applyUpstreamListing( std::vector<Upstream> upstreams );
     void applyUpdate( const std::string& upstreamId, const StoreUpdate& update );
--- a/src/gateway/messages.cpp
+++ b/src/gateway/messages.cpp
@@ -154,31 +154,54 @@
     out.quarantines = in.at( 2 ).get<int>();
 }
 
+void to_json( Json& out, const InterruptedPart& in ) {
+    out = Json::array( { in.fingerprint, in.soundMsAgo } );
+}
+
+void from_json( const Json& in, InterruptedPart& out ) {
+    out.fingerprint = in.at( 0 ).get<Fingerprint>();
+    out.soundMsAgo = in.at( 1 ).get<std::int64_t>();
+}
+
 void to_json( Json& out, const PoisonEvidence& in ) {
-    out = Json::array( { in.upstreamId, in.runs } );
+    out = Json::array( { in.upstreamId, in.runs, in.parts, in.endedMsAgo } );
 }
 
 void from_json( const Json& in, PoisonEvidence& out ) {
     out.upstreamId = in.at( 0 ).get<std::string>();
     out.runs = in.at( 1 ).get<std::vector<InterruptedRun>>();
+    if( in.size() > 2 ) {
+        out.parts = in.at( 2 ).get<std::vector<InterruptedPart>>();
+        out.endedMsAgo = in.at( 3 ).get<std::int64_t>();
+    }
 }
 
 void to_json( Json& out, const PoisonCleared& in ) {
-    out = Json::array( { in.fingerprint } );
+    out = Json::array( { in.fingerprint, in.soundMsAgo, in.times } );
 }
 
 void from_json( const Json& in, PoisonCleared& out ) {
     out.fingerprint = in.at( 0 ).get<Fingerprint>();
+    if( in.size() > 1 ) {
+        out.soundMsAgo = in.at( 1 ).get<std::int64_t>();
+        out.times = in.at( 2 ).get<int>();
+    }
 }
 
 void to_json( Json& out, const Quarantine& in ) {
-    out = Json::array( { in.fingerprint, in.times, in.holdMs } );
+    out = Json::array(
+        { in.fingerprint, in.times, in.holdMs, in.kind, in.firstEndMsAgo, in.soundBefore } );
 }
 
 void from_json( const Json& in, Quarantine& out ) {
     out.fingerprint = in.at( 0 ).get<Fingerprint>();
     out.times = in.at( 1 ).get<int>();
     out.holdMs = in.at( 2 ).get<std::int64_t>();
+    if( in.size() > 3 ) {
+        out.kind = in.at( 3 ).get<PoisonKind>();
+        out.firstEndMsAgo = in.at( 4 ).get<std::int64_t>();
+        out.soundBefore = in.at( 5 ).get<bool>();
+    }
 }
 
 void to_json( Json& out, const QuarantineUpdate& in ) {
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -137,20 +137,33 @@
     co_return out;
 }
 
-net::Task<StoreStatus> StoreClient::create( std::string_view kind, std::string body,
-                                            Millis limit ) {
+net::Task<net::JsonResponse> StoreClient::post( std::string_view kind, std::string body,
+                                                Millis limit ) {
     count( "create", kind );
     net::JsonCall request;
     request.method = "POST";
     request.target = listPath( kind, "", ListAge::now );
     request.body = std::move( body );
     request.limit = limit;
-    const auto response = co_await call( std::move( request ) );
+    co_return co_await call( std::move( request ) );
+}
+
+net::Task<StoreStatus> StoreClient::create( std::string_view kind, std::string body,
+                                            Millis limit ) {
+    const auto response = co_await post( kind, std::move( body ), limit );
     const bool exists = response.outcome == net::CallOutcome::answered &&
                         ( response.status == statusCreated || response.status == statusConflict );
     co_return exists ? StoreStatus::ok : statusOf( response );
 }
 
+net::Task<StoreStatus> StoreClient::createNew( std::string_view kind, std::string body,
+                                               Millis limit ) {
+    const auto response = co_await post( kind, std::move( body ), limit );
+    const bool created =
+        response.outcome == net::CallOutcome::answered && response.status == statusCreated;
+    co_return created ? StoreStatus::ok : statusOf( response );
+}
+
 net::Task<StoreStatus> StoreClient::remove( std::string_view kind, std::string_view name,
                                             Millis limit ) {
     count( "remove", kind );
--- a/src/platform/store_client.hpp
+++ b/src/platform/store_client.hpp
@@ -54,10 +54,13 @@
 
     //! Creates an object from `body`; also ok if the object already exists.
     net::Task<StoreStatus> create( std::string_view kind, std::string body, Millis limit );
+    //! Creates an object from `body`; `refused` if it already exists.
+    net::Task<StoreStatus> createNew( std::string_view kind, std::string body, Millis limit );
     net::Task<StoreStatus> remove( std::string_view kind, std::string_view name, Millis limit );
 
 private:
     net::Task<net::JsonResponse> call( net::JsonCall call );
+    net::Task<net::JsonResponse> post( std::string_view kind, std::string body, Millis limit );
     net::Task<ListResult> listPages( std::string_view kind, Millis limit, ListAge age,
                                      std::size_t maxPages );
     //! Records the era of a response; false if the response is from an earlier era.
--- a/src/platform/store_wire.cpp
+++ b/src/platform/store_wire.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+//! Begin of the names of objects that are about a prompt part.
+constexpr std::string_view partNamePrefix = "part-";
+constexpr std::string_view kindPart = "part";
+constexpr std::string_view kindContent = "content";
+
 using Json = nlohmann::json;
 
 constexpr unsigned char firstNonAscii = 0x80;
@@ -141,16 +146,39 @@
 }
 
 std::string quarantineName( const decide::Quarantine& quarantine ) {
-    return decide::fingerprintText( quarantine.fingerprint ) + "-" +
+    const bool ofPart = quarantine.kind == decide::PoisonKind::part;
+    return ( ofPart ? std::string( partNamePrefix ) : "" ) +
+           decide::fingerprintText( quarantine.fingerprint ) + "-" +
            std::to_string( quarantine.times );
 }
 
+std::optional<decide::Quarantine> partQuarantineOf( std::string_view name ) {
+    if( !name.starts_with( partNamePrefix ) ) {
+        return std::nullopt;
+    }
+    name.remove_prefix( partNamePrefix.size() );
+    const auto dash = name.find( '-' );
+    const auto fingerprint = decide::parseFingerprint( name.substr( 0, dash ) );
+    if( !fingerprint || dash == std::string_view::npos ) {
+        return std::nullopt;
+    }
+    decide::Quarantine out;
+    out.kind = decide::PoisonKind::part;
+    out.fingerprint = *fingerprint;
+    const auto number = name.substr( dash + 1 );
+    const auto* end = number.data() + number.size();
+    const auto [ptr, ec] = std::from_chars( number.data(), end, out.times );
+    return ec == std::errc() && ptr == end ? std::optional( out ) : std::nullopt;
+}
+
 std::string encodeQuarantine( const decide::Quarantine& quarantine, WallMillis now ) {
-    const Json out{ { "metadata", { { "name", quarantineName( quarantine ) } } },
-                    { "specification",
-                      { { "fingerprint", decide::fingerprintText( quarantine.fingerprint ) },
-                        { "times", quarantine.times },
-                        { "untilMs", now + quarantine.holdMs } } } };
+    const Json out{
+        { "metadata", { { "name", quarantineName( quarantine ) } } },
+        { "specification",
+          { { "fingerprint", decide::fingerprintText( quarantine.fingerprint ) },
+            { "times", quarantine.times },
+            { "kind", quarantine.kind == decide::PoisonKind::part ? kindPart : kindContent },
+            { "untilMs", now + quarantine.holdMs } } } };
     return out.dump();
 }
 
@@ -163,7 +191,11 @@
         const auto until = in.at( "untilMs" ).get<WallMillis>();
         decide::Quarantine out;
         out.times = in.at( "times" ).get<int>();
-        const auto longest = decide::quarantineDuration( out.times ).count();
+        const bool ofPart = in.value( "kind", std::string( kindContent ) ) == kindPart;
+        out.kind = ofPart ? decide::PoisonKind::part : decide::PoisonKind::content;
+        const auto longest = ( ofPart ? decide::partQuarantineDuration( out.times )
+                                      : decide::quarantineDuration( out.times ) )
+                                 .count();
         if( !fingerprint || out.times < 1 ) {
             problem = "fingerprint or times out of range: " + text;
             return std::nullopt;
--- a/src/platform/store_wire.hpp
+++ b/src/platform/store_wire.hpp
@@ -39,11 +39,14 @@
 //! Evacuated halls: one object per hall, with the hall's name. Written by the operator.
 inline constexpr std::string_view evacuationKind = "evacuations";
 
-// Quarantined contents. Written by coursehead.
+// Quarantined contents and prompt parts. Written by coursehead.
 
 inline constexpr std::string_view quarantineKind = "quarantines";
 //! Each quarantine is a separate object: a later quarantine of the same content has another name.
 std::string quarantineName( const decide::Quarantine& quarantine );
+//! The quarantine of a prompt part, with fingerprint and number, that an object's name stands for;
+//! nullopt for any other object.
+std::optional<decide::Quarantine> partQuarantineOf( std::string_view name );
 //! The body of the call that creates a quarantine's object.
 std::string encodeQuarantine( const decide::Quarantine& quarantine, WallMillis now );
 //! Parses a quarantine. `holdMs` of the result is the remaining time, negative if the quarantine
--- a/src/sidecar/quarantine_keeper.cpp
+++ b/src/sidecar/quarantine_keeper.cpp
@@ -21,6 +21,8 @@
 //! Objects are kept for this time after the quarantine has ended, because the content's next
 //! quarantine continues its count from them.
 constexpr std::int64_t keptAfterEndMs = Millis( std::chrono::hours( 24 ) ).count();
+//! A removal that the store has refused so often is dropped: the object is probably gone.
+constexpr int maxRefusals = 4;
 //! At most this many old objects are removed after one write, because each removal costs a store
 //! call.
 constexpr int maxRemovedPerWrite = 8;
@@ -32,6 +34,17 @@
     : m_context( context ), m_store( context, store ), m_metrics( metrics ),
       m_broadcast( std::move( broadcast ) ) {}
 
+decide::QuarantineList& QuarantineKeeper::listOf( decide::PoisonKind kind ) {
+    return kind == decide::PoisonKind::part ? m_partQuarantines : m_quarantines;
+}
+
+std::vector<decide::Quarantine> QuarantineKeeper::all( MonoTime now ) const {
+    auto out = m_quarantines.all( now );
+    const auto parts = m_partQuarantines.all( now );
+    out.insert( out.end(), parts.begin(), parts.end() );
+    return out;
+}
+
 void QuarantineKeeper::countUpstreamEnds( const decide::PoisonEvidence& evidence, MonoTime now ) {
     m_metrics.count( "upstream_ends_told" );
     for( const auto& it : evidence.runs ) {
@@ -42,41 +55,108 @@
             quarantine( *found, now );
         }
     }
+    countParts( evidence, now );
+}
+
+void QuarantineKeeper::countParts( const decide::PoisonEvidence& evidence, MonoTime now ) {
+    const auto endedAt = now - Millis( evidence.endedMsAgo );
+    for( const auto& it : evidence.parts ) {
+        if( m_partQuarantines.left( it.fingerprint, now ).count() > 0 ) {
+            continue;
+        }
+        const auto found = m_partCounter.note( it, evidence.upstreamId, endedAt, now );
+        if( found ) {
+            quarantine( *found, now );
+        }
+    }
 }
 
 void QuarantineKeeper::quarantine( const decide::Quarantine& entry, MonoTime now ) {
-    if( !m_quarantines.put( entry, now ) ) {
+    if( !listOf( entry.kind ).put( entry, now ) ) {
         return;
     }
-    m_metrics.count( "quarantines" );
+    if( entry.kind == decide::PoisonKind::part ) {
+        m_partsCleared.erase( entry.fingerprint );
+    }
+    m_metrics.count( "quarantines", decide::poisonKindText( entry.kind ) );
     log::info( "quarantine", { { "fingerprint", decide::fingerprintText( entry.fingerprint ) },
+                               { "kind", decide::poisonKindText( entry.kind ) },
                                { "times", static_cast<std::int64_t>( entry.times ) },
+                               { "first_end_ms", entry.firstEndMsAgo },
+                               { "sound_before", entry.soundBefore ? "yes" : "no" },
                                { "hold_ms", entry.holdMs } } );
-    m_broadcast( entry );
+    m_broadcast.quarantined( entry );
+    queueWrite( { entry, false } );
+}
+
+void QuarantineKeeper::clear( const decide::PoisonCleared& cleared, MonoTime now ) {
+    if( cleared.soundMsAgo >= 0 ) {
+        clearPart( cleared, now );
+        return;
+    }
+    m_poisonCounter.clear( cleared.fingerprint );
+    m_quarantines.clear( cleared.fingerprint );
+}
+
+void QuarantineKeeper::clearPart( const decide::PoisonCleared& cleared, MonoTime now ) {
+    const auto begunAt = now - Millis( cleared.soundMsAgo );
+    const int known = m_partQuarantines.times( cleared.fingerprint );
+    const bool refuted = m_partQuarantines.isRefuted( cleared.fingerprint, begunAt );
+    const bool lifted = m_partCounter.noteSound( cleared.fingerprint, begunAt );
+    // A quarantine of an earlier process. Many gateways may tell of it, and one of them suffices.
+    const bool unknown =
+        known == 0 && cleared.times > 0 && m_partsCleared.insert( cleared.fingerprint ).second;
+    if( !( known > 0 && ( refuted || lifted ) ) && !unknown ) {
+        return;
+    }
+    m_partQuarantines.clear( cleared.fingerprint );
+    m_partsCleared.insert( cleared.fingerprint );
+    m_metrics.count( "parts_cleared" );
+    log::info( "poison_cleared",
+               { { "fingerprint", decide::fingerprintText( cleared.fingerprint ) },
+                 { "kind", "part" },
+                 { "sound_ms", cleared.soundMsAgo } } );
+    auto out = cleared;
+    out.times = std::max( known, cleared.times );
+    m_broadcast.cleared( out );
+    for( int n = 1; n <= out.times; ++n ) {
+        queueWrite( { { cleared.fingerprint, n, 0, decide::PoisonKind::part }, true } );
+    }
+}
+
+void QuarantineKeeper::queueWrite( const Write& write ) {
     if( m_unwritten.size() >= maxUnwritten ) {
         log::warn( "quarantine_unwritten",
-                   { { "fingerprint", decide::fingerprintText( entry.fingerprint ) } } );
+                   { { "fingerprint", decide::fingerprintText( write.entry.fingerprint ) },
+                     { "removal", write.removal ? "yes" : "no" } } );
         return;
     }
-    m_unwritten.push_back( entry );
+    m_unwritten.push_back( write );
     if( !m_writing ) {
         m_writing = true;
-        net::start( m_context, writeUnwritten(), "quarantines" );
+        net::start( m_context, writeQueued(), "quarantines" );
     }
 }
 
-void QuarantineKeeper::clear( decide::Fingerprint fingerprint ) {
-    m_poisonCounter.clear( fingerprint );
-    m_quarantines.clear( fingerprint );
+net::Task<bool> QuarantineKeeper::makeWrite( Write& write ) {
+    if( write.removal ) {
+        const auto name = platform::quarantineName( write.entry );
+        const auto status =
+            co_await m_store.remove( platform::quarantineKind, name, storeCallLimit );
+        // The store refuses the call if the object does not exist, but also at its rate limit.
+        write.refusals += status == StoreStatus::refused ? 1 : 0;
+        co_return status == StoreStatus::ok || write.refusals >= maxRefusals;
+    }
+    std::string body = platform::encodeQuarantine( write.entry, systemClock().wall() );
+    const auto status =
+        co_await m_store.create( platform::quarantineKind, std::move( body ), storeCallLimit );
+    co_return status == StoreStatus::ok;
 }
 
-net::Task<> QuarantineKeeper::writeUnwritten() {
+net::Task<> QuarantineKeeper::writeQueued() {
     while( !m_unwritten.empty() ) {
-        const auto entry = m_unwritten.front();
-        std::string body = platform::encodeQuarantine( entry, systemClock().wall() );
-        const auto status =
-            co_await m_store.create( platform::quarantineKind, std::move( body ), storeCallLimit );
-        if( status != StoreStatus::ok ) {
+        const bool made = co_await makeWrite( m_unwritten.front() );
+        if( !made ) {
             co_await net::pause( m_context, storeRetryDelay );
             continue;
         }
--- a/src/sidecar/quarantine_keeper.hpp
+++ b/src/sidecar/quarantine_keeper.hpp
@@ -3,36 +3,56 @@
 #define COURSEHEAD_SIDECAR_QUARANTINE_KEEPER_HPP_INCLUDED
 
 #include "coursehead/metrics/metrics.hpp"
+#include "decide/part_counter.hpp"
 #include "decide/poison_counter.hpp"
 #include "decide/quarantine_list.hpp"
 #include "platform/store_client.hpp"
 
 #include <deque>
 #include <functional>
+#include <set>
 
 namespace coursehead::sidecar {
 
-//! Counts the upstreams that ended while they ran a content, for each content assigned to this
-//! process; sends the resulting quarantines to gateways, and writes them to the store for gateways
-//! that start later.
+//! Counts the upstreams that ended while they ran a content or a prompt part, for each that is
+//! assigned to this process; sends the resulting quarantines to gateways, and writes them to the
+//! store for gateways that start later.
 class QuarantineKeeper {
 public:
-    using Broadcast = std::function<void( const decide::Quarantine& quarantine )>;
+    //! Send to all gateways.
+    struct Broadcast {
+        std::function<void( const decide::Quarantine& quarantine )> quarantined;
+        std::function<void( const decide::PoisonCleared& cleared )> cleared;
+    };
 
     QuarantineKeeper( net::asio::io_context& context, const platform::Endpoint& store,
                       metrics::Metrics& metrics, Broadcast broadcast );
 
     //! Counts an end of an upstream that a gateway has reported.
     void countUpstreamEnds( const decide::PoisonEvidence& evidence, MonoTime now );
-    //! Drops evidence and quarantine of a content: a request with it has run to completion.
-    void clear( decide::Fingerprint fingerprint );
+    //! Drops evidence and quarantine of a content, or of a prompt part that a run has shown to be
+    //! sound.
+    void clear( const decide::PoisonCleared& cleared, MonoTime now );
     //! The quarantines in force that this process knows of.
-    std::vector<decide::Quarantine> all( MonoTime now ) const { return m_quarantines.all( now ); }
+    std::vector<decide::Quarantine> all( MonoTime now ) const;
 
 private:
+    //! A call to the store.
+    struct Write {
+        decide::Quarantine entry;
+        bool removal = false;
+        int refusals = 0; //!< by the store, so far
+    };
+
+    void countParts( const decide::PoisonEvidence& evidence, MonoTime now );
+    void clearPart( const decide::PoisonCleared& cleared, MonoTime now );
     void quarantine( const decide::Quarantine& entry, MonoTime now );
-    //! Writes the queued quarantines one after the other, and retries until the store accepts them.
-    net::Task<> writeUnwritten();
+    decide::QuarantineList& listOf( decide::PoisonKind kind );
+    void queueWrite( const Write& write );
+    //! Makes the queued writes one after the other, and retries each until the store accepts it.
+    net::Task<> writeQueued();
+    //! True if nothing is left to do.
+    net::Task<bool> makeWrite( Write& write );
     //! Removes objects of quarantines that ended long ago.
     net::Task<> removeOld();
 
@@ -42,7 +62,10 @@
     Broadcast m_broadcast;
     decide::PoisonCounter m_poisonCounter;
     decide::QuarantineList m_quarantines;
-    std::deque<decide::Quarantine> m_unwritten;
+    decide::PartCounter m_partCounter;
+    decide::QuarantineList m_partQuarantines;
+    std::set<decide::Fingerprint> m_partsCleared; //!< and not quarantined since
+    std::deque<Write> m_unwritten;
     bool m_writing = false;
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -73,8 +73,7 @@
                     ordersCallbacks() ),
           m_admission( m_context, admissionCallbacks() ),
           m_publisher( { m_peers, m_view, m_orders, m_admission, m_sentParts, m_pauses } ),
-          m_quarantines( m_context, m_settings.store, m_metrics,
-                         [this]( const decide::Quarantine& it ) { broadcastQuarantine( it ); } ),
+          m_quarantines( m_context, m_settings.store, m_metrics, quarantineBroadcast() ),
           m_signals( m_context, SIGTERM, SIGINT, SIGHUP ) {}
 
     int run() {
@@ -159,15 +158,25 @@
             return true;
         }
         if( const auto* cleared = std::get_if<decide::PoisonCleared>( &message ) ) {
-            m_quarantines.clear( cleared->fingerprint );
+            m_quarantines.clear( *cleared, now );
             return true;
         }
         return false;
     }
 
-    void broadcastQuarantine( const decide::Quarantine& quarantine ) {
-        const auto encoded =
-            gateway::encode( gateway::Message( decide::QuarantineUpdate{ { quarantine } } ) );
+    QuarantineKeeper::Broadcast quarantineBroadcast() {
+        QuarantineKeeper::Broadcast out;
+        out.quarantined = [this]( const decide::Quarantine& it ) {
+            broadcast( gateway::Message( decide::QuarantineUpdate{ { it } } ) );
+        };
+        out.cleared = [this]( const decide::PoisonCleared& it ) {
+            broadcast( gateway::Message( it ) );
+        };
+        return out;
+    }
+
+    void broadcast( const gateway::Message& message ) {
+        const auto encoded = gateway::encode( message );
         for( const auto& it : m_peers ) {
             it->channel->send( encoded );
         }
--- a/tests/support/part_watch.hpp
+++ b/tests/support/part_watch.hpp
@@ -50,6 +50,7 @@
         return late && it.lateArrivals == maxLateArrivals + 1;
     }
     void countCrash( const std::string& part, MonoTime now ) {
+        m_firstCrashAt = m_firstCrashAt == MonoTime{} ? now : m_firstCrashAt;
         auto& it = m_parts[part];
         if( ++it.crashes <= confirmingCrashes ) {
             it.confirmedAt = now;
@@ -58,6 +59,8 @@
 
     int crashes( const std::string& part ) const { return find( part ).crashes; }
     int lateArrivals( const std::string& part ) const { return find( part ).lateArrivals; }
+    //! Time of the first crash, over all parts.
+    MonoTime firstCrashAt() const { return m_firstCrashAt; }
     //! Time of the fifth crash, or of the last one if there were fewer, over all parts.
     MonoTime confirmedAt() const {
         MonoTime out;
@@ -82,6 +85,7 @@
     Millis m_grace;
     std::set<std::string> m_poison;
     std::map<std::string, Part> m_parts;
+    MonoTime m_firstCrashAt{};
 };
 
 } // namespace coursehead::support
--- a/tests/support/prompt_load.hpp
+++ b/tests/support/prompt_load.hpp
@@ -106,7 +106,7 @@
     }
     void checkOthersServed() const {
         constexpr double leastShare = 0.5;
-        const auto from = world.record.parts().confirmedAt() + 2 * soak::contactBound;
+        const auto from = world.record.parts().firstCrashAt() + 2 * soak::contactBound;
         CHECK( servedShare( from ) >= leastShare );
     }
     void check() const {
