Soak and tests: prompt parts that crash engines, one gateway with most connections, answers without length

The soak had no prompt part that crashes engines, never handed most connections to one gateway, and all answers had a length or chunks. Its callers now put such a part into a seventh of their streams for two seconds now and then, beside all faults; after the faults every other upstream ends its answers with their connection for three seconds, then all new connections go to one gateway, then such a part is offered alone: at most three late requests with it, half of the others served.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -27,6 +27,8 @@
 //! request was sent.
 constexpr Millis faultEffectTime{ 1000 };
 constexpr int earlyDisconnectPercent = 4;
+//! Of the streams that begin, while a poison part is offered.
+constexpr std::uint64_t poisonPercent = 15;
 constexpr Millis earlyDisconnectAfter{ 150 };
 constexpr Millis probeInterval{ 150 };
 constexpr Millis configurationTolerance{ 400 };
@@ -91,8 +93,11 @@
             out << "/a" << 1 + random.below( adapterCount );
         }
         out << "\r\nX-Token-Counts: 2000,100\r\nX-Prompt-Prefix: " << std::hex
-            << 1 + random.below( 9 ) << ":1500," << request.id << ":500\r\n"
-            << std::dec;
+            << 1 + random.below( 9 ) << ":1500,";
+        if( !request.poisonPart.empty() ) {
+            out << request.poisonPart << ":300,";
+        }
+        out << request.id << ":500\r\n" << std::dec;
     }
     if( request.resumed.last > 0 ) {
         out << "Last-Event-Id: " << request.resumed.last
@@ -119,9 +124,14 @@
         request.resumed = *broken;
         m_deployment.record().count( "streams resumed" );
     }
+    const bool beginsStream =
+        !broken && ( request.kind == Kind::stream || request.kind == Kind::fragile );
+    if( beginsStream && m_partRandom.below( 100 ) < poisonPercent ) {
+        request.poisonPart = m_deployment.poisonPart();
+    }
     request.sentAt = MonoClock::now();
     m_deployment.record().asked( request.id, request.kind );
-    ++m_tally.sent;
+    m_tally.sent += request.poisonPart.empty() ? 1 : 0;
     const auto text = requestFor( request );
     const auto bytes = net::asio::buffer( text );
     const auto [writeError, n] =
@@ -137,15 +147,21 @@
             co_await http::async_read( connection->socket, connection->buf, parser, net::tupled );
         ec = readError;
     }
-    connection->usable = !ec && parser.keep_alive() && connection->buf.size() == 0;
+    connection->usable =
+        !ec && parser.keep_alive() && connection->buf.size() == 0 && !m_connectForEach;
     if( !connection->usable ) {
         net::ErrorCode ignored;
         connection->socket.close( ignored );
     }
+    if( !request.poisonPart.empty() ) {
+        // It earns nothing, and whatever becomes of it is right.
+        m_deployment.record().count( "asked with a poison part" );
+        co_return std::nullopt;
+    }
     const bool headReceived = parser.is_header_done();
     if( request.disconnectsEarly && ec ) {
         m_deployment.record().count( "left" );
-        --m_tally.sent;
+        m_tally.sent -= request.poisonPart.empty() ? 1 : 0;
         co_return std::nullopt;
     }
     if( !headReceived ) {
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -16,16 +16,21 @@
 struct Tally {
     int sent = 0;
     int served = 0;
+
+    double share() const { return sent > 0 ? static_cast<double>( served ) / sent : 0; }
 };
 
 //! Simulated clients: each reuses its connection until the connection closes, and checks every
 //! response.
 class Callers {
 public:
-    explicit Callers( Deployment& deployment ) : m_deployment( deployment ) {}
+    explicit Callers( Deployment& deployment )
+        : m_deployment( deployment ), m_partRandom( deployment.options().seed ^ 0x9a57 ) {}
 
     void start();
     void stop() { m_stopped = true; }
+    //! From now on callers use each connection for one request only.
+    void connectForEachRequest( bool each ) { m_connectForEach = each; }
     //! Returns the numbers since the previous call and resets them.
     Tally takeTally() { return std::exchange( m_tally, {} ); }
 
@@ -43,6 +48,7 @@
         MonoTime sentAt;
         bool disconnectsEarly = false; //!< the caller closes before the response is complete
         BrokenStream resumed;          //!< the stream that it resumes; default value if none
+        std::string poisonPart;        //!< part of its prompt that crashes engines; empty: none
     };
 
     net::Task<> call();
@@ -64,7 +70,9 @@
     void checkCutResponse( const SentRequest& request );
 
     Deployment& m_deployment;
+    RandomSource m_partRandom; //!< of its own, so that the other draws do not change
     bool m_stopped = false;
+    bool m_connectForEach = false;
     std::uint64_t m_next = 0;
     Tally m_tally;
 };
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -309,7 +309,17 @@
     }
 }
 
+void Deployment::offerPoisonPart( std::string part ) {
+    m_poisonPart = std::move( part );
+    if( !m_poisonPart.empty() ) {
+        m_record.parts().poison( m_poisonPart );
+    }
+}
+
 Process& Deployment::pickGateway() {
+    if( m_favoured != nullptr && m_favoured->misses < missesToExclude ) {
+        return *m_favoured;
+    }
     std::vector<Process*> accepting;
     for( auto& it : m_gateways ) {
         if( it->misses < missesToExclude ) {
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -99,6 +99,12 @@
     void look();
     //! Picks a random gateway that the platform's load balancer would send callers to.
     Process& pickGateway();
+    //! From now on pickGateway() picks this gateway, as long as it is ready; null: any.
+    void favour( Process* gateway ) { m_favoured = gateway; }
+    //! From now on some streams that callers ask for hold this prompt part, which crashes engines;
+    //! empty: none does.
+    void offerPoisonPart( std::string part );
+    const std::string& poisonPart() const { return m_poisonPart; }
 
 private:
     std::string address( int index ) const;
@@ -122,6 +128,8 @@
     std::vector<std::string> m_homeRegions;
     MonoTime m_changedAt;
     bool m_firstStart = true;
+    Process* m_favoured = nullptr;
+    std::string m_poisonPart;
 };
 
 } // namespace coursehead::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,15 @@
 //! must be served.
 constexpr Millis recoveryTrafficTime{ 3000 };
 constexpr double minServedShare = 0.9;
+//! Time for which all new connections go to one gateway, after the contact time, and least part of
+//! the usual share that it must serve.
+constexpr Millis favourTime{ 2000 };
+constexpr double minFavouredShare = 0.75;
+//! Time for which a poison part is offered, after twice the contact time, and least share of the
+//! other requests that must be served meanwhile.
+constexpr Millis poisonTime{ 3000 };
+constexpr double minShareBesidePoison = 0.5;
+constexpr Millis settlingTime{ 4000 };
 constexpr Millis superviseInterval{ 100 };
 //! Memory limit for a gateway or sidecar process; equal to the target for control traffic alone.
 constexpr long memoryLimitKb = 64L * 1024;
@@ -84,8 +93,12 @@
         co_await m_schedule.run( length );
         co_await waitUntilReady( recoveryLimit, "after the faults" );
         m_callers.takeTally();
+        setUnframed( true );
         co_await net::pause( m_context, recoveryTrafficTime );
-        checkRecovery();
+        setUnframed( false );
+        const auto usual = checkRecovery();
+        co_await favourOneGateway( usual );
+        co_await offerPoisonPart();
         checkMemory();
         m_finished = true;
         m_context.stop();
@@ -116,13 +129,63 @@
         }
     }
 
-    void checkRecovery() {
+    //! Streams of every other engine end with their connection.
+    void setUnframed( bool unframed ) {
+        auto& upstreams = m_deployment.upstreams();
+        for( std::size_t n = 0; n < upstreams.size(); n += 2 ) {
+            upstreams[n].runner->setUnframed( unframed );
+        }
+    }
+
+    //! All new connections go to one gateway, and callers open one for each request.
+    net::Task<> favourOneGateway( double usualShare ) {
+        const auto& gateways = m_deployment.gateways();
+        m_deployment.favour( gateways[m_deployment.options().seed % gateways.size()].get() );
+        m_callers.connectForEachRequest( true );
+        co_await net::pause( m_context, contactBound );
+        m_callers.takeTally();
+        co_await net::pause( m_context, favourTime );
+        const auto tally = m_callers.takeTally();
+        m_deployment.favour( nullptr );
+        m_callers.connectForEachRequest( false );
+        if( tally.share() < minFavouredShare * usualShare ) {
+            m_record.breach( "a gateway that gets most connections serves them",
+                             std::to_string( tally.served ) + " of " +
+                                 std::to_string( tally.sent ) + " are served" );
+        }
+    }
+
+    //! Some streams hold a prompt part that crashes engines, without any other fault.
+    net::Task<> offerPoisonPart() {
+        m_record.markDisturbed( MonoClock::now() + poisonTime + settlingTime );
+        const std::string part = "bad0";
+        m_deployment.offerPoisonPart( part );
+        co_await net::pause( m_context, 2 * contactBound );
+        m_callers.takeTally();
+        co_await net::pause( m_context, poisonTime );
+        m_deployment.offerPoisonPart( "" );
+        const auto tally = m_callers.takeTally();
+        const int late = m_record.parts().lateArrivals( part );
+        if( late > support::PartWatch::maxLateArrivals ) {
+            m_record.breach( "prompts with a part that crashes upstreams stop being sent",
+                             std::to_string( late ) + " are sent late" );
+        }
+        if( tally.share() < minShareBesidePoison ) {
+            m_record.breach( "requests beside a poison part are served",
+                             std::to_string( tally.served ) + " of " +
+                                 std::to_string( tally.sent ) );
+        }
+    }
+
+    //! Returns the share of requests that are served.
+    double checkRecovery() {
         const auto tally = m_callers.takeTally();
         if( tally.served < minServedShare * tally.sent ) {
             m_record.breach( "serving again", std::to_string( tally.served ) + " of " +
                                                   std::to_string( tally.sent ) +
                                                   " are served after the faults" );
         }
+        return tally.share();
     }
 
     void checkMemory() {
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -407,6 +407,11 @@
     const auto seal =
         announcementFields( *instance ) + "X-Response-Seal: " + sealFor( id, body ) + "\r\n";
     auto bytes = httpResponse( 200, idField( id ) + seal, body );
+    if( m_unframed && m_mode == RunnerMode::normal ) {
+        bytes = "HTTP/1.1 200 X\r\n" + idField( id ) + seal + "Connection: close\r\n\r\n" + body;
+        co_await send( socket, std::move( bytes ) );
+        co_return false;
+    }
     switch( m_mode ) {
     case RunnerMode::unresponsive:
         co_await net::pause( m_context, unresponsiveTime );
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -68,7 +68,7 @@
     //! Announces a rate limit in all responses from now on; nullopt: no limit any more.
     void nameLimit( std::optional<double> perS ) { m_limit.setLimit( perS, MonoClock::now() ); }
     const support::LimitWatch& limit() const { return m_limit; }
-    //! Streams end with their connection, without a length or chunks.
+    //! Answers, streams too, end with their connection, without a length or chunks.
     void setUnframed( bool unframed ) { m_unframed = unframed; }
     bool alive() const { return m_instance != nullptr; }
     bool isEngine() const { return m_settings.engine; }
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -243,9 +243,29 @@
     }
 }
 
+net::Task<> Schedule::offerPoisonParts( Millis length ) {
+    constexpr std::uint64_t stream = 0x9a27;
+    constexpr std::uint64_t pauseMs = 6000;
+    constexpr Millis offered{ 2000 };
+    RandomSource random( m_deployment.options().seed ^ stream );
+    const auto end = MonoClock::now() + length;
+    int offers = 0;
+    while( MonoClock::now() < end ) {
+        const Millis pause( static_cast<std::int64_t>( random.below( pauseMs ) ) );
+        co_await net::pause( m_deployment.context(), pause );
+        m_deployment.record().markDisturbed( MonoClock::now() + offered + settlingTime );
+        const auto at = std::chrono::duration<double>( MonoClock::now() - m_start );
+        std::cout << at.count() << " s: a prompt part that crashes engines" << std::endl;
+        m_deployment.offerPoisonPart( "bad" + std::to_string( ++offers ) );
+        co_await net::pause( m_deployment.context(), offered );
+        m_deployment.offerPoisonPart( "" );
+    }
+}
+
 net::Task<> Schedule::run( Millis length ) {
     m_start = MonoClock::now();
     net::start( m_deployment.context(), announceLimits( length ), "limits" );
+    net::start( m_deployment.context(), offerPoisonParts( length ), "poison parts" );
     auto& random = m_deployment.random();
     int faultIndex = 0;
     while( MonoClock::now() - m_start < length ) {
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -42,6 +42,9 @@
     //! Lets random upstreams announce limits, in parallel with the faults. Uses a random source of
     //! its own, so that the draws of the faults do not change.
     net::Task<> announceLimits( Millis length );
+    //! Lets callers ask for streams with a prompt part that crashes engines, in parallel with the
+    //! faults and with draws of its own.
+    net::Task<> offerPoisonParts( Millis length );
     net::Task<> inject( Fault fault );
     net::Task<> injectProcessFault( Fault fault, Process& process, Millis length );
     net::Task<> injectUpstreamFault( Fault fault, Millis length );
--- a/tests/support/prompt_load.hpp
+++ b/tests/support/prompt_load.hpp
@@ -20,7 +20,9 @@
     static constexpr const char* firstPart = "f1";
     static constexpr int subjects = 8; //!< number of second parts
 
-    World world{ WorldSize{ 3, 12, 1 } };
+    static constexpr int engines = 12;
+
+    World world{ WorldSize{ 3, engines, 1 } };
     int requests = 300;
     Millis gap{ 40 };
     int poisonEvery = 10; //!< every so many requests one with a poison part; 0: none
@@ -81,12 +83,13 @@
         } );
     }
 
-    //! Share of the requests without a poison part that were served, of those sent from `from` on.
-    double servedShare( MonoTime from ) const {
+    //! Share of the requests with, or without, a poison part that were served, of those sent in
+    //! [`from`, `to`).
+    double servedShare( MonoTime from, MonoTime to = MonoTime::max(), bool poison = false ) const {
         int asked = 0;
         int served = 0;
         for( const auto& it : results ) {
-            const bool counts = !it.poison && it.sentAt >= from;
+            const bool counts = it.poison == poison && it.sentAt >= from && it.sentAt < to;
             asked += counts ? 1 : 0;
             served += counts && it.status == 200 ? 1 : 0;
         }
@@ -114,6 +117,9 @@
         checkOthersServed();
     }
 
+    //! Crashes engine `n` of the deployment; it starts again soon.
+    void crashEngine( std::size_t n ) { world.runners( true )[n % engines]->crash(); }
+
     void kill( Process& process ) {
         process.down = true;
         process.misses = 2;
--- a/tests/unit/poison_parts.tests.cpp
+++ b/tests/unit/poison_parts.tests.cpp
@@ -5,7 +5,10 @@
 #include "decide/sound_parts.hpp"
 #include "gateway/messages.hpp"
 #include "platform/headers.hpp"
+#include "platform/store_client.hpp"
 #include "platform/store_wire.hpp"
+#include "support/object_store.hpp"
+#include "support/run_until.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -207,3 +210,24 @@
     REQUIRE( readCleared );
     CHECK( std::get<PoisonCleared>( *readCleared ).times == 2 );
 }
+
+TEST_CASE( "Of two gateways one tries a part after its quarantine", "[poison-parts][platform]" ) {
+    net::asio::io_context context{ 1 };
+    support::ObjectStore store( context );
+    const platform::Endpoint endpoint{ "127.0.0.1", store.port() };
+    platform::StoreClient first( context, endpoint );
+    platform::StoreClient second( context, endpoint );
+    std::vector<platform::StoreStatus> got;
+    const auto apply = [&got]( platform::StoreClient& client ) -> net::Task<> {
+        std::string body =
+            platform::encodeQuarantine( { part, 2, 60000, PoisonKind::part }, 1790000000000 );
+        const auto status =
+            co_await client.createNew( platform::quarantineKind, std::move( body ), 1000ms );
+        got.push_back( status );
+    };
+    net::start( context, apply( first ), "first" );
+    net::start( context, apply( second ), "second" );
+    REQUIRE( support::runUntil( context, [&got] { return got.size() == 2; } ) );
+    CHECK( std::count( got.begin(), got.end(), platform::StoreStatus::ok ) == 1 );
+    CHECK( std::count( got.begin(), got.end(), platform::StoreStatus::refused ) == 1 );
+}
