A gateway that starts after a part's quarantine knows that only one request is tried

Gateways that start after the time of a part's quarantine, and before a trial, took nothing of it from the store, since objects whose time is over were passed over, and sent the part freely. Sidecars counted the ends anew, but passed over their own verdict because they knew a quarantine of that number.

The fix: quarantines of parts are told to gateways also when their time is over, by the store and by sidecars; a part that is counted again gets the next number. A gateway ignores the store's object of a quarantine for a minute after it was lifted, as the store may lose contact between the two. What a sidecar remembers of lifted quarantines is bounded.

--- a/src/decide/poison.hpp
+++ b/src/decide/poison.hpp
@@ -98,6 +98,12 @@
     bool operator==( const Quarantine& ) const = default;
 };
 
+//! True while gateways have to know of a quarantine: after the time of a prompt part's quarantine
+//! only one request is tried, so it must not be forgotten.
+inline bool mustBeKnown( const Quarantine& quarantine ) {
+    return quarantine.holdMs > 0 || quarantine.kind == PoisonKind::part;
+}
+
 //! The quarantines that a holder or the store knows of.
 struct QuarantineUpdate {
     std::vector<Quarantine> entries;
--- a/src/decide/quarantine_list.cpp
+++ b/src/decide/quarantine_list.cpp
@@ -63,17 +63,21 @@
     return it != m_entries.end() && it->second.since < begunAt;
 }
 
-std::vector<Quarantine> QuarantineList::all( MonoTime now ) const {
+std::vector<Quarantine> QuarantineList::known( MonoTime now ) const {
     std::vector<Quarantine> out;
+    out.reserve( m_entries.size() );
     for( const auto& [fingerprint, entry] : m_entries ) {
-        const auto left = remaining( now, entry.until );
-        if( left.count() > 0 ) {
-            const auto firstEndMsAgo = entry.firstEndKnown ? millisBetween( entry.since, now ) : -1;
-            out.push_back( { fingerprint, entry.times, left.count(), entry.kind, firstEndMsAgo,
-                             entry.soundBefore } );
-        }
+        const auto firstEndMsAgo = entry.firstEndKnown ? millisBetween( entry.since, now ) : -1;
+        out.push_back( { fingerprint, entry.times, remaining( now, entry.until ).count(),
+                         entry.kind, firstEndMsAgo, entry.soundBefore } );
     }
     return out;
 }
 
+std::vector<Quarantine> QuarantineList::all( MonoTime now ) const {
+    auto out = known( now );
+    std::erase_if( out, []( const Quarantine& it ) { return it.holdMs <= 0; } );
+    return out;
+}
+
 } // namespace coursehead::decide
--- a/src/decide/quarantine_list.hpp
+++ b/src/decide/quarantine_list.hpp
@@ -29,6 +29,8 @@
     void clear( Fingerprint fingerprint ) { m_entries.erase( fingerprint ); }
     //! The quarantines in force.
     std::vector<Quarantine> all( MonoTime now ) const;
+    //! All quarantines, also those whose time is over.
+    std::vector<Quarantine> known( MonoTime now ) const;
 
 private:
     struct Entry {
--- a/src/gateway/counts/part_guard.cpp
+++ b/src/gateway/counts/part_guard.cpp
@@ -19,6 +19,8 @@
 //! Shortest time between two applications of this gateway for a trial of one part. Another gateway
 //! tries the part if one is refused, and its result arrives within this time.
 constexpr Millis applicationInterval{ 2000 };
+//! How long the store's objects of a lifted quarantine may be seen.
+constexpr Millis liftedTime{ 60000 };
 
 } // namespace
 
@@ -161,6 +163,9 @@
 
 void PartGuard::applyQuarantine( const decide::Quarantine& entry, std::string_view from ) {
     const auto now = MonoClock::now();
+    if( isOutdated( entry, now ) ) {
+        return;
+    }
     const bool added = m_quarantines.put( entry, now );
     const auto soundAt = m_soundParts.begunAt( entry.fingerprint, now );
     const bool refuted = soundAt && m_quarantines.isRefuted( entry.fingerprint, *soundAt );
@@ -182,6 +187,13 @@
                                { "hold_ms", entry.holdMs } } );
 }
 
+//! The store shows a quarantine later than sidecars do, and may lose contact before it shows that
+//! the quarantine was lifted.
+bool PartGuard::isOutdated( const decide::Quarantine& entry, MonoTime now ) const {
+    const auto it = m_lifted.find( entry.fingerprint );
+    return entry.firstEndMsAgo < 0 && it != m_lifted.end() && now < it->second;
+}
+
 void PartGuard::applyCleared( const decide::PoisonCleared& cleared ) {
     const int times = m_quarantines.times( cleared.fingerprint );
     if( times > 0 && times <= cleared.times ) {
@@ -199,6 +211,9 @@
 }
 
 void PartGuard::lift( decide::Fingerprint part, std::string_view why ) {
+    const auto now = MonoClock::now();
+    std::erase_if( m_lifted, [now]( const auto& it ) { return it.second <= now; } );
+    m_lifted[part] = now + liftedTime;
     m_quarantines.clear( part );
     m_trials.erase( part );
     m_appliedAt.erase( part );
--- a/src/gateway/counts/part_guard.hpp
+++ b/src/gateway/counts/part_guard.hpp
@@ -65,6 +65,7 @@
     void sendCleared( decide::Fingerprint part, MonoTime begunAt, int times, MonoTime now );
     void lift( decide::Fingerprint part, std::string_view why );
     bool onTrial( decide::Fingerprint part, MonoTime now ) const;
+    bool isOutdated( const decide::Quarantine& entry, MonoTime now ) const;
     bool mayApplyForTrial( decide::Fingerprint part, MonoTime now ) const;
     net::Task<> applyForTrial( const decide::SharedPart& part );
 
@@ -74,7 +75,9 @@
     decide::SoundParts m_soundParts;
     decide::PartCounter m_counter; //!< evidence of this gateway alone
     decide::QuarantineList m_quarantines;
-    std::map<decide::Fingerprint, MonoTime> m_trials;    //!< unused ones, with their end
+    std::map<decide::Fingerprint, MonoTime> m_trials; //!< unused ones, with their end
+    //! Lifted quarantines, with the time until which the store's objects of them are ignored.
+    std::map<decide::Fingerprint, MonoTime> m_lifted;
     std::map<decide::Fingerprint, MonoTime> m_appliedAt; //!< last application for a trial
 };
 
--- a/src/gateway/links/store_feed.cpp
+++ b/src/gateway/links/store_feed.cpp
@@ -169,7 +169,7 @@
 
 void StoreFeed::applyQuarantine( const platform::StoreObject& object ) {
     const auto quarantine = m_reader.quarantine( object );
-    if( quarantine && quarantine->holdMs > 0 ) {
+    if( quarantine && decide::mustBeKnown( *quarantine ) ) {
         m_handlers.quarantines( std::span( &*quarantine, 1 ) );
     }
 }
--- a/src/sidecar/quarantine_keeper.cpp
+++ b/src/sidecar/quarantine_keeper.cpp
@@ -23,6 +23,9 @@
 constexpr std::int64_t keptAfterEndMs = Millis( std::chrono::hours( 24 ) ).count();
 //! A removal that the store has refused so often is dropped: the object is probably gone.
 constexpr int maxRefusals = 4;
+//! Lifted quarantines that are remembered, so that several gateways' messages on one part cause one
+//! removal.
+constexpr std::size_t maxPartsCleared = 4096;
 //! At most this many old objects are removed after one write, because each removal costs a store
 //! call.
 constexpr int maxRemovedPerWrite = 8;
@@ -40,7 +43,7 @@
 
 std::vector<decide::Quarantine> QuarantineKeeper::all( MonoTime now ) const {
     auto out = m_quarantines.all( now );
-    const auto parts = m_partQuarantines.all( now );
+    const auto parts = m_partQuarantines.known( now );
     out.insert( out.end(), parts.begin(), parts.end() );
     return out;
 }
@@ -64,8 +67,10 @@
         if( m_partQuarantines.left( it.fingerprint, now ).count() > 0 ) {
             continue;
         }
-        const auto found = m_partCounter.note( it, evidence.upstreamId, endedAt, now );
+        auto found = m_partCounter.note( it, evidence.upstreamId, endedAt, now );
         if( found ) {
+            found->times = m_partQuarantines.times( it.fingerprint ) + 1;
+            found->holdMs = decide::partQuarantineDuration( found->times ).count();
             quarantine( *found, now );
         }
     }
@@ -104,6 +109,9 @@
     const bool refuted = m_partQuarantines.isRefuted( cleared.fingerprint, begunAt );
     const bool lifted = m_partCounter.noteSound( cleared.fingerprint, begunAt );
     // A quarantine of an earlier process. Many gateways may tell of it, and one of them suffices.
+    if( m_partsCleared.size() >= maxPartsCleared ) {
+        m_partsCleared.clear();
+    }
     const bool unknown =
         known == 0 && cleared.times > 0 && m_partsCleared.insert( cleared.fingerprint ).second;
     if( !( known > 0 && ( refuted || lifted ) ) && !unknown ) {
--- a/src/sidecar/quarantine_keeper.hpp
+++ b/src/sidecar/quarantine_keeper.hpp
@@ -33,7 +33,8 @@
     //! Drops evidence and quarantine of a content, or of a prompt part that a run has shown to be
     //! sound.
     void clear( const decide::PoisonCleared& cleared, MonoTime now );
-    //! The quarantines in force that this process knows of.
+    //! The quarantines that gateways have to know: those in force, and of prompt parts also those
+    //! whose time is over, since after that only one request is tried.
     std::vector<decide::Quarantine> all( MonoTime now ) const;
 
 private:
--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -69,7 +69,7 @@
     }
     std::string problem;
     const auto quarantine = platform::readQuarantine( object, systemClock().wall(), problem );
-    if( quarantine && quarantine->holdMs > 0 ) {
+    if( quarantine && decide::mustBeKnown( *quarantine ) ) {
         update.quarantines.push_back( *quarantine );
     }
 }
--- a/tests/promise/poison_parts.tests.cpp
+++ b/tests/promise/poison_parts.tests.cpp
@@ -112,6 +112,20 @@
     load.check();
 }
 
+TEST_CASE( "A prompt part whose quarantine has ended is not sent freely by restarted gateways",
+           "[promise][poison-parts]" ) {
+    PromptLoad load;
+    load.requests = 550;
+    load.withoutPoison = { 60, 320 };
+    load.before[300] = [&load] {
+        for( auto& it : load.world.deployment->gateways() ) {
+            load.kill( *it );
+        }
+    };
+    load.run();
+    load.check();
+}
+
 TEST_CASE( "A prompt part that crashes engines stops being sent while gateways are killed in turn",
            "[promise][poison-parts]" ) {
     PromptLoad load;
--- a/tests/support/prompt_load.hpp
+++ b/tests/support/prompt_load.hpp
@@ -26,6 +26,8 @@
     int requests = 300;
     Millis gap{ 40 };
     int poisonEvery = 10; //!< every so many requests one with a poison part; 0: none
+    //! No request from the first of these up to the second one has a poison part.
+    std::pair<int, int> withoutPoison{ 0, 0 };
     //! The parts of request `n` but the last, in the platform's format.
     std::function<std::string( int n, bool poison )> shared = []( int n, bool poison ) {
         const auto subject =
@@ -63,6 +65,11 @@
         ++finished;
     }
 
+    bool isPoison( int n ) const {
+        const bool paused = n >= withoutPoison.first && n < withoutPoison.second;
+        return !paused && poisonEvery > 0 && n % poisonEvery == poisonEvery - 1;
+    }
+
     void run() {
         world.record.parts().poison( poisonPart );
         world.record.parts().poison( otherPoisonPart );
@@ -72,8 +79,7 @@
                 if( const auto it = before.find( n ); it != before.end() ) {
                     it->second();
                 }
-                results[static_cast<std::size_t>( n )].poison =
-                    poisonEvery > 0 && n % poisonEvery == poisonEvery - 1;
+                results[static_cast<std::size_t>( n )].poison = isPoison( n );
                 net::start( world.context, ask( n ), "client" );
                 co_await net::pause( world.context, gap );
             }
