Soak: no poison part is offered after the faults

An engine that crashed then ended such streams between two events, where nothing shows that they are incomplete (framing=close and upstream_ended in the logs of each).

--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -253,6 +253,11 @@
     while( MonoClock::now() < end ) {
         const Millis pause( static_cast<std::int64_t>( random.below( pauseMs ) ) );
         co_await net::pause( m_deployment.context(), pause );
+        if( MonoClock::now() + offered > end ) {
+            // An engine that crashes later would end streams without length between two events,
+            // where nothing shows that they are incomplete.
+            co_return;
+        }
         m_deployment.record().markDisturbed( MonoClock::now() + offered + settlingTime );
         const auto at = std::chrono::duration<double>( MonoClock::now() - m_start );
         std::cout << at.count() << " s: a prompt part that crashes engines" << std::endl;
