Sidecars tell gateways that connect of part quarantines that ended lately, not of all

Cause, found by reading: a sidecar that was not among a part's holders when its quarantine was lifted would tell each gateway that connects of it for ever, and each such gateway would hold the part back until a trial. The store tells of all quarantines and removals; a sidecar now tells of those that ended within a minute.

--- a/src/decide/quarantine_list.cpp
+++ b/src/decide/quarantine_list.cpp
@@ -63,10 +63,12 @@
     return it != m_entries.end() && it->second.since < begunAt;
 }
 
-std::vector<Quarantine> QuarantineList::known( MonoTime now ) const {
+std::vector<Quarantine> QuarantineList::known( MonoTime now, Millis endedWithin ) const {
     std::vector<Quarantine> out;
-    out.reserve( m_entries.size() );
     for( const auto& [fingerprint, entry] : m_entries ) {
+        if( now - entry.until > endedWithin ) {
+            continue;
+        }
         const auto firstEndMsAgo = entry.firstEndKnown ? millisBetween( entry.since, now ) : -1;
         out.push_back( { fingerprint, entry.times, remaining( now, entry.until ).count(),
                          entry.kind, firstEndMsAgo, entry.soundBefore } );
@@ -75,7 +77,7 @@
 }
 
 std::vector<Quarantine> QuarantineList::all( MonoTime now ) const {
-    auto out = known( now );
+    auto out = known( now, Millis{ 0 } );
     std::erase_if( out, []( const Quarantine& it ) { return it.holdMs <= 0; } );
     return out;
 }
--- a/src/decide/quarantine_list.hpp
+++ b/src/decide/quarantine_list.hpp
@@ -29,8 +29,8 @@
     void clear( Fingerprint fingerprint ) { m_entries.erase( fingerprint ); }
     //! The quarantines in force.
     std::vector<Quarantine> all( MonoTime now ) const;
-    //! All quarantines, also those whose time is over.
-    std::vector<Quarantine> known( MonoTime now ) const;
+    //! The quarantines in force, and those whose time was over within `endedWithin`.
+    std::vector<Quarantine> known( MonoTime now, Millis endedWithin ) const;
 
 private:
     struct Entry {
--- a/src/sidecar/quarantine_keeper.cpp
+++ b/src/sidecar/quarantine_keeper.cpp
@@ -26,6 +26,9 @@
 //! Lifted quarantines that are remembered, so that several gateways' messages on one part cause one
 //! removal.
 constexpr std::size_t maxPartsCleared = 4096;
+//! Gateways that connect are told of part quarantines that ended within this time. The store tells
+//! of earlier ones, and of those that were lifted without this process's knowledge.
+constexpr Millis endedWithin{ 60000 };
 //! At most this many old objects are removed after one write, because each removal costs a store
 //! call.
 constexpr int maxRemovedPerWrite = 8;
@@ -43,7 +46,7 @@
 
 std::vector<decide::Quarantine> QuarantineKeeper::all( MonoTime now ) const {
     auto out = m_quarantines.all( now );
-    const auto parts = m_partQuarantines.known( now );
+    const auto parts = m_partQuarantines.known( now, endedWithin );
     out.insert( out.end(), parts.begin(), parts.end() );
     return out;
 }
--- a/src/sidecar/quarantine_keeper.hpp
+++ b/src/sidecar/quarantine_keeper.hpp
@@ -34,7 +34,7 @@
     //! sound.
     void clear( const decide::PoisonCleared& cleared, MonoTime now );
     //! The quarantines that gateways have to know: those in force, and of prompt parts also those
-    //! whose time is over, since after that only one request is tried.
+    //! that ended lately, since after that only one request is tried.
     std::vector<decide::Quarantine> all( MonoTime now ) const;
 
 private:
--- a/tests/unit/poison_parts.tests.cpp
+++ b/tests/unit/poison_parts.tests.cpp
@@ -163,6 +163,9 @@
     REQUIRE( all.size() == 1 );
     CHECK( all[0].kind == PoisonKind::part );
     CHECK( all[0].firstEndMsAgo == 4000 );
+    CHECK( list.all( start + 11s ).empty() );
+    CHECK( list.known( start + 11s, 2000ms ).size() == 1 );
+    CHECK( list.known( start + 13s, 2000ms ).empty() );
 }
 
 TEST_CASE( "A part's quarantine is read from the store as it was written, and from its name",
