A quarantined content is not also charged to the parts of its prompt

All requests so far had been the poison content, so that its part was behind three ends and nothing had shown it to be sound.

Cause: a content that ends engines by itself was evidence against each part of its prompt as well.

The fix: parts are reported only for runs whose content is not quarantined by then; a report waits 50 ms for the sidecars' verdict on the contents, which the third end brings about. Requests with a poison part are no two alike, so that their contents are hardly ever quarantined before the part.

--- a/src/gateway/counts/poison_guard.cpp
+++ b/src/gateway/counts/poison_guard.cpp
@@ -5,6 +5,8 @@
 #include "decide/fingerprint.hpp"
 #include "gateway/counts/evidence_holders.hpp"
 
+#include <algorithm>
+
 namespace coursehead::gateway {
 
 namespace {
@@ -18,6 +20,8 @@
 //! The sidecar's reports or the store show an engine's end or next start within this time.
 constexpr Millis endVisibleWithin{ 1000 };
 constexpr Millis endCheckInterval{ 20 };
+//! By then the sidecars' verdict on the contents has arrived.
+constexpr Millis contentVerdictTime{ 50 };
 //! Without its sidecar an upstream's end shows when its entry in the store lapses.
 constexpr Millis endShownWithin{ 8000 };
 //! Broken runs kept for one upstream: as many as it has slots, and as many requests that waited.
@@ -34,12 +38,12 @@
     return out;
 }
 
-std::string partList( const std::set<decide::Fingerprint>& parts ) {
+std::string partList( const std::map<decide::Fingerprint, std::set<decide::Fingerprint>>& parts ) {
     std::string out;
     std::size_t n = 0;
-    for( const auto it : parts ) {
+    for( const auto& [part, contents] : parts ) {
         if( n++ < maxLoggedFingerprints ) {
-            out += ( out.empty() ? "" : "," ) + decide::fingerprintText( it );
+            out += ( out.empty() ? "" : "," ) + decide::fingerprintText( part );
         }
     }
     return out;
@@ -88,7 +92,7 @@
     }
     for( const auto& part : run.parts ) {
         if( broken.parts.size() < maxBrokenParts ) {
-            broken.parts.insert( part.fingerprint );
+            broken.parts[part.fingerprint].insert( run.content );
         }
     }
 }
@@ -186,12 +190,27 @@
     }
     const bool shown = co_await endShown( *node, broken.born, broken.since + endShownWithin );
     if( shown ) {
-        m_parts.reportEnd( node->upstream.id, broken.parts, broken.since );
+        co_await net::pause( m_context, contentVerdictTime );
+        m_parts.reportEnd( node->upstream.id, unexplainedParts( broken ), broken.since );
     } else {
         log::info( "upstream_end_not_shown", { { "upstream", node->upstream.id } } );
     }
 }
 
+std::set<decide::Fingerprint> PoisonGuard::unexplainedParts( const BrokenRuns& broken ) const {
+    const auto now = MonoClock::now();
+    const auto mayBeSent = [&]( decide::Fingerprint content ) {
+        return quarantineLeft( content, now ).count() == 0;
+    };
+    std::set<decide::Fingerprint> out;
+    for( const auto& [part, contents] : broken.parts ) {
+        if( std::any_of( contents.begin(), contents.end(), mayBeSent ) ) {
+            out.insert( part );
+        }
+    }
+    return out;
+}
+
 void PoisonGuard::sendEvidence( const std::string& upstreamId,
                                 std::span<const decide::InterruptedRun> runs ) {
     const auto now = MonoClock::now();
--- a/src/gateway/counts/poison_guard.hpp
+++ b/src/gateway/counts/poison_guard.hpp
@@ -62,12 +62,16 @@
     //! Runs whose connection to an upstream broke.
     struct BrokenRuns {
         std::vector<decide::InterruptedRun> runs;
-        std::set<decide::Fingerprint> parts; //!< not shown to be sound by their runs
-        bool explained = false;              //!< one of the runs had a quarantined prompt part
+        //! Prompt parts that their runs have not shown to be sound, with the runs' contents.
+        std::map<decide::Fingerprint, std::set<decide::Fingerprint>> parts;
+        bool explained = false; //!< one of the runs had a quarantined prompt part
         MonoTime since;
         StartTime born = 0; //!< start of the upstream
     };
 
+    //! Parts of which some run's content is not quarantined: a quarantined content explains the end
+    //! by itself.
+    std::set<decide::Fingerprint> unexplainedParts( const BrokenRuns& broken ) const;
     void clearContent( decide::Fingerprint fingerprint );
     void addEvidence( BrokenRuns& broken, const FinishedRun& run );
     net::Task<> watchUnframedEnd( NodePtr node, FinishedRun run,
