A refusal that names no request is not taken for this request's

Callers saw unsafe requests answered 503 that had run or ran later (REFUSED), and some that ran twice (TWICE).

Cause: Exchange::receive() compared the request id of an answer only where it named a request or said that it had run. A refusal without X-Request-Id was believed by its place on the connection; a surplus copy of an earlier one, in front of the due answer, made the gateway refuse or send again a request that its upstream was running.

Why the fix works: an answer is this request's only by its id, whatever it says.

--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -252,18 +252,16 @@
     node.lastReceivedAt = MonoClock::now();
     const auto status = parser.get().result_int();
     transfer.head = platform::readResponseHead( status, parser.get() );
-    const bool ran = transfer.head.responseClass == ResponseClass::complete;
-    const bool namesNone = transfer.head.requestId.empty();
-    const bool belongsHere = transfer.head.requestId == m_request.head.requestId;
-    if( !belongsHere && ( ran || !namesNone ) ) {
-        // Whatever it says is about an earlier request, and this one's outcome is unknown: the
-        // upstream may be running it.
+    if( transfer.head.requestId != m_request.head.requestId ) {
+        // Whatever it says is not about this request, whose outcome is unknown: the upstream may be
+        // running it.
         out.failure = "answer to another request";
         transfer.close();
         co_return out;
     }
     noteAnnouncement( transfer );
     m_framing = transfer.framing();
+    const bool ran = transfer.head.responseClass == ResponseClass::complete;
     const bool streams =
         ran && transfer.head.sealed && status == statusOk && m_route->kind == RequestKind::stream;
     if( streams ) {
@@ -313,9 +311,7 @@
         }
         return;
     }
-    // An answer to another request may be old, so it does not show that the limit has ended.
-    const bool answersThisRequest = transfer.head.requestId == m_request.head.requestId;
-    const bool noLimit = answersThisRequest && received.limit == decide::LimitAnnouncement::none;
+    const bool noLimit = received.limit == decide::LimitAnnouncement::none;
     if( noLimit && node.limit.known.noteNone( transfer.sentAt, now ) ) {
         log::info( "upstream_limit_ended",
                    { { "id", m_request.head.requestId }, { "upstream", node.upstream.id } } );
--- a/tests/soak/record.hpp
+++ b/tests/soak/record.hpp
@@ -33,6 +33,7 @@
 //! Names of counts: announcements that upstreams send in responses, and requests that ignore them.
 inline constexpr std::string_view askedForBackoff = "back-offs asked for";
 inline constexpr std::string_view saidItLeaves = "upstreams that said in an answer that they leave";
+inline constexpr std::string_view surplusAnswers = "surplus answers";
 inline constexpr std::string_view toldToFetch = "requests with a source of cached parts";
 inline constexpr std::string_view cameAfterLeaving = "requests long after such an answer";
 
--- a/tests/soak/runner.cpp
+++ b/tests/soak/runner.cpp
@@ -2,7 +2,6 @@
 #include "soak/runner.hpp"
 
 #include "kernel/hash.hpp"
-#include "soak/models.hpp"
 #include "soak/stream_events.hpp"
 
 #include <boost/asio/write.hpp>
@@ -48,8 +47,10 @@
            "Content-Length: " + std::to_string( body.size() ) + "\r\n\r\n" + body;
 }
 
+constexpr std::string_view requestIdName = "X-Request-Id: ";
+
 std::string idField( const std::string& id ) {
-    return "X-Request-Id: " + id + "\r\n";
+    return std::string( requestIdName ) + id + "\r\n";
 }
 
 std::string chunk( const std::string& bytes ) {
@@ -63,7 +64,7 @@
 Runner::Runner( net::asio::io_context& context, support::ObjectStore& store, Record& record,
                 RandomSource& random, RunnerSettings settings )
     : m_context( context ), m_store( store ), m_record( record ), m_random( random ),
-      m_settings( std::move( settings ) ) {}
+      m_settings( std::move( settings ) ), m_surplusRandom( hash64( m_settings.ip, "surplus" ) ) {}
 
 std::string Runner::bodyFor( const std::string& id ) {
     std::string out = "answer to " + id + ":";
@@ -216,9 +217,15 @@
         if( ec || instance->over ) {
             break;
         }
+        if( auto surplus = m_surplusCopies.extract( socket.get() ) ) {
+            m_record.count( std::string( surplusAnswers ) );
+            auto bytes = std::move( surplus.mapped() );
+            co_await send( socket, std::move( bytes ) );
+        }
         auto moved = std::move( request );
         more = co_await answer( instance, socket, std::move( moved ) );
     }
+    m_surplusCopies.erase( socket.get() );
     net::ErrorCode ec;
     socket->close( ec );
     instance->sockets.erase( socket );
@@ -230,6 +237,24 @@
     co_return !ec;
 }
 
+net::Task<bool> Runner::sendAnswer( std::shared_ptr<net::Socket> socket, std::string bytes ) {
+    if( m_surplus.share > 0 && m_surplusRandom.unit() < m_surplus.share ) {
+        m_surplusCopies[socket.get()] = surplusCopy( bytes );
+    }
+    co_return co_await send( socket, std::move( bytes ) );
+}
+
+std::string Runner::surplusCopy( std::string bytes ) {
+    if( !m_surplus.named ) {
+        const auto begin = bytes.find( requestIdName );
+        bytes.erase( begin, bytes.find( "\r\n", begin ) + 2 - begin );
+    }
+    if( !m_surplus.whole ) {
+        bytes.resize( 1 + m_surplusRandom.below( bytes.size() - 1 ) );
+    }
+    return bytes;
+}
+
 // --- requests
 
 net::Task<bool> Runner::answer( InstancePtr instance, std::shared_ptr<net::Socket> socket,
@@ -357,10 +382,9 @@
             co_return co_await send( socket, std::move( bytes ) );
         }
     }
-    if( m_mode == RunnerMode::full || m_requestsToRefuse > 0 ||
-        instance->runs.size() >= engineSlots ) {
+    if( m_mode == RunnerMode::full || m_requestsToRefuse > 0 || instance->runs.size() >= m_slots ) {
         auto bytes = refusal( *instance, id );
-        co_return co_await send( socket, std::move( bytes ) );
+        co_return co_await sendAnswer( socket, std::move( bytes ) );
     }
     auto poisonPart = m_record.parts().poisonPartOf( field( request, "X-Prompt-Prefix" ) );
     if( poisonPart ) {
@@ -433,7 +457,7 @@
     default:
         break;
     }
-    co_return co_await send( socket, std::move( bytes ) );
+    co_return co_await sendAnswer( socket, std::move( bytes ) );
 }
 
 std::string Runner::framed( const std::string& bytes ) const {
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -3,6 +3,7 @@
 #define COURSEHEAD_SOAK_RUNNER_HPP_INCLUDED
 
 #include "coursehead/kernel/random.hpp"
+#include "soak/models.hpp"
 #include "soak/record.hpp"
 #include "support/limit_watch.hpp"
 #include "support/object_store.hpp"
@@ -33,6 +34,13 @@
     duplicating,  //!< sends each complete response twice
 };
 
+//! Copies of answers that an upstream sends again where the next answer on the connection is due.
+struct SurplusAnswers {
+    double share = 0;  //!< of all answers that are not streams
+    bool named = true; //!< the copies carry the id of the request that they answered
+    bool whole = true; //!< false: each copy ends at a random byte, without an end of its connection
+};
+
 //! Service, addresses and hall of an upstream.
 struct RunnerSettings {
     std::string service;
@@ -70,6 +78,9 @@
     const support::LimitWatch& limit() const { return m_limit; }
     //! Answers, streams too, end with their connection, without a length or chunks.
     void setUnframed( bool unframed ) { m_unframed = unframed; }
+    void setSurplus( SurplusAnswers surplus ) { m_surplus = surplus; }
+    //! Number of requests that run at once; more are refused.
+    void setSlots( std::size_t slots ) { m_slots = slots; }
     bool alive() const { return m_instance != nullptr; }
     bool isEngine() const { return m_settings.engine; }
     //! Earliest time of the next start after a crash that a request has caused.
@@ -134,6 +145,10 @@
                                    StreamRun run );
     std::string framed( const std::string& bytes ) const;
     net::Task<bool> send( std::shared_ptr<net::Socket> socket, std::string bytes );
+    //! Sends a complete answer, and may keep a copy of it for the next request's place.
+    net::Task<bool> sendAnswer( std::shared_ptr<net::Socket> socket, std::string bytes );
+    //! A copy of the answer, changed as SurplusAnswers says.
+    std::string surplusCopy( std::string bytes );
     std::string receiveOrder( Instance& instance, const Request& request );
     net::Task<> executeOrder( InstancePtr instance, nlohmann::json order );
     void checkOrder( Instance& instance, const nlohmann::json& order );
@@ -162,6 +177,11 @@
     RunnerSettings m_settings;
     RunnerMode m_mode = RunnerMode::normal;
     bool m_unframed = false;
+    SurplusAnswers m_surplus;
+    //! Draws surplus answers, so that other draws do not depend on them.
+    RandomSource m_surplusRandom;
+    std::map<net::Socket*, std::string> m_surplusCopies; //!< not yet sent, by connection
+    std::size_t m_slots = engineSlots;
     int m_requestsToRefuse = 0;
     Millis m_backoff{ 0 };
     support::LimitWatch m_limit{ knowledgeBound };
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -55,6 +55,12 @@
     bool complete = false;
 };
 
+//! A whole answer as its client received it; status 0: none.
+struct PlainAnswer {
+    unsigned status = 0;
+    std::string body;
+};
+
 //! A deployment of real gateways and sidecars in front of simulated engines and plain upstreams, by
 //! default three gateways, six engines and three plain upstreams; with a client that sends
 //! requests.
@@ -136,6 +142,13 @@
     //! Sends the bytes of a request to a gateway; returns the status, or 0 if no complete answer
     //! arrives within `streamTimeout`.
     net::Task<unsigned> exchange( std::size_t gatewayIndex, std::string text ) {
+        const auto answer = co_await receiveAnswer( gatewayIndex, std::move( text ) );
+        co_return answer.status;
+    }
+
+    //! Sends the bytes of a request to a gateway; returns the answer, with status 0 if it is not
+    //! complete within `streamTimeout`.
+    net::Task<PlainAnswer> receiveAnswer( std::size_t gatewayIndex, std::string text ) {
         net::Socket socket( context );
         net::ErrorCode ec;
         const auto& ip = deployment->gateways()[gatewayIndex]->reachedIp;
@@ -148,7 +161,12 @@
         net::SocketDeadline deadline( socket, MonoClock::now() + streamTimeout );
         const auto [readError, n] =
             co_await boost::beast::http::async_read( socket, buf, response, net::tupled );
-        co_return readError ? 0 : response.result_int();
+        PlainAnswer out;
+        if( !readError ) {
+            out.status = response.result_int();
+            out.body = std::move( response.body() );
+        }
+        co_return out;
     }
 
     //! Receives the stream from a gateway until its end or until the connection breaks; resumes it
--- a/tests/unit/surplus_answers.tests.cpp
+++ b/tests/unit/surplus_answers.tests.cpp
@@ -31,8 +31,12 @@
 //! the next answer is due.
 enum class Arrival { together, idle, inFlight };
 
+std::string unnamedAnswer( const std::string& head ) {
+    return "HTTP/1.1 " + head + "\r\nContent-Length: 7\r\n\r\n" + marker;
+}
+
 std::string surplusAnswer( const std::string& head ) {
-    return "HTTP/1.1 " + head + "\r\nX-Request-Id: other\r\nContent-Length: 7\r\n\r\n" + marker;
+    return unnamedAnswer( head + "\r\nX-Request-Id: other" );
 }
 
 //! A complete answer to a request on the route.
@@ -103,6 +107,10 @@
         surplusAnswer( "503 X\r\nX-Not-Run: 1" ),
         surplusAnswer( "429 X\r\nX-Not-Run: 1" ),
         surplusAnswer( "421 X\r\nX-Instance-Id: i-2" ),
+        unnamedAnswer( "200 OK\r\nX-Response-Seal: s" ),
+        unnamedAnswer( "503 X\r\nX-Not-Run: 1" ),
+        unnamedAnswer( "429 X\r\nX-Not-Run: 1" ),
+        unnamedAnswer( "421 X\r\nX-Instance-Id: i-2" ),
         std::string( "garbage \r\n\r\n" ) + marker,
     };
     for( const auto& it : surplus ) {
@@ -143,6 +151,20 @@
     }
 }
 
+TEST_CASE( "A refusal that names no request is not taken for the answer to an unsafe one",
+           "[gateway][exchange][surplus]" ) {
+    for( const auto* head :
+         { "503 X\r\nX-Not-Run: 1", "429 X\r\nX-Not-Run: 1", "421 X\r\nX-Instance-Id: i-2" } ) {
+        GatewayFixture fixture;
+        fixture.first.addStep( { unnamedAnswer( head ), true } );
+        fixture.second.addStep( { dueAnswer( "/unsafe/a" ) } );
+        const auto answer = fixture.send( request( "/unsafe/a", "q1" ) );
+        INFO( head << ": " << answer );
+        CHECK( startsWith( answer, "HTTP/1.1 502" ) );
+        CHECK( timesSent( fixture, "q1" ) == 1 );
+    }
+}
+
 TEST_CASE( "A surplus answer of an engine is not taken for that to the sidecar's next call",
            "[sidecar][surplus]" ) {
     net::asio::io_context context{ 1 };
