A cut answer in front of the due one is not read as one head with it

Callers saw an unsafe request that ran answered 503, or sent to a second upstream (REFUSED, TWICE), and could get a failure's body as a success (MIXED).

Cause: an upstream may cut an answer short and leave the connection open. Its bytes and those of the due answer then form one head: "503 X", "X-Not-Run: 1", "Server: HTTP/1.1 200 OK", and the due answer's own X-Request-Id. The id is right, so everything in the head was believed.

Why the fix works: wherever the first answer is cut, the status line of the next one follows whole. In a field's name or a status it is no valid head anyway; in a value or a reason it is found. A head that names two requests, or a success that says X-Not-Run, is not believed either. The outcome of the request is unknown then. readResponseHead() is the one place that reads heads of upstreams.

--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -251,11 +251,14 @@
     }
     node.lastReceivedAt = MonoClock::now();
     const auto status = parser.get().result_int();
-    transfer.head = platform::readResponseHead( status, parser.get() );
-    if( transfer.head.requestId != m_request.head.requestId ) {
+    const auto reason = parser.get().reason();
+    transfer.head =
+        platform::readResponseHead( status, parser.get(), { reason.data(), reason.size() } );
+    if( transfer.head.contradictory || transfer.head.requestId != m_request.head.requestId ) {
         // Whatever it says is not about this request, whose outcome is unknown: the upstream may be
         // running it.
-        out.failure = "answer to another request";
+        out.failure =
+            transfer.head.contradictory ? "contradictory answer" : "answer to another request";
         transfer.close();
         co_return out;
     }
--- a/src/platform/headers.cpp
+++ b/src/platform/headers.cpp
@@ -54,6 +54,7 @@
 constexpr std::string_view leavingValue = "1";
 constexpr unsigned statusTooManyRequests = 429;
 constexpr unsigned statusUnavailable = 503;
+constexpr unsigned firstFailureStatus = 400;
 
 std::string_view field( const http::fields& fields, std::string_view name ) {
     const auto it = fields.find( name );
@@ -220,6 +221,46 @@
     }
 }
 
+bool isDigit( char c ) {
+    return c >= '0' && c <= '9';
+}
+
+//! True if `text` holds the begin of a status line.
+bool holdsStatusLine( std::string_view text ) {
+    constexpr std::string_view protocol = "HTTP/1.";
+    for( auto at = text.find( protocol ); at != std::string_view::npos;
+         at = text.find( protocol, at + 1 ) ) {
+        const auto rest = text.substr( at + protocol.size() );
+        constexpr std::size_t length = 5; // "1 200"
+        const bool found = rest.size() >= length && isDigit( rest[0] ) && rest[1] == ' ' &&
+                           std::all_of( rest.begin() + 2, rest.begin() + length, isDigit );
+        if( found ) {
+            return true;
+        }
+    }
+    return false;
+}
+
+//! True if the fields name different requests.
+bool namesSeveralRequests( const http::fields& fields ) {
+    const auto [begin, end] =
+        fields.equal_range( { requestIdHeader.data(), requestIdHeader.size() } );
+    const auto first = begin;
+    return std::any_of( begin, end,
+                        [first]( const auto& it ) { return it.value() != first->value(); } );
+}
+
+//! True if the fields of a response contradict each other, or hold the begin of another response.
+bool isContradictory( unsigned status, const http::fields& fields, std::string_view reason ) {
+    const bool successNotRun =
+        status < firstFailureStatus && fields.find( notRunHeader ) != fields.end();
+    const auto holdsAnother = []( const auto& it ) {
+        return holdsStatusLine( { it.value().data(), it.value().size() } );
+    };
+    return successNotRun || namesSeveralRequests( fields ) || holdsStatusLine( reason ) ||
+           std::any_of( fields.begin(), fields.end(), holdsAnother );
+}
+
 std::string numberText( std::int64_t n ) {
     return std::to_string( n );
 }
@@ -307,9 +348,11 @@
     return out;
 }
 
-ResponseHead readResponseHead( unsigned status, const http::fields& fields ) {
+ResponseHead readResponseHead( unsigned status, const http::fields& fields,
+                               std::string_view reason ) {
     ResponseHead out;
     out.requestId = std::string( field( fields, requestIdHeader ) );
+    out.contradictory = isContradictory( status, fields, reason );
     out.sealed = fields.find( responseSealHeader ) != fields.end();
     if( status == statusMisdirected ) {
         out.responseClass = ResponseClass::moved;
--- a/src/platform/headers.hpp
+++ b/src/platform/headers.hpp
@@ -62,14 +62,18 @@
     moved,    //!< not run: another upstream now has the address, or the upstream lacks the model
 };
 struct ResponseHead {
-    std::string requestId;
+    std::string requestId; //!< of the request that it answers; empty: it names none
+    //! Its fields contradict each other, or it holds the begin of another response, which a cut one
+    //! in front of it has run into. Nothing that it says is known to be true.
+    bool contradictory = false;
     ResponseClass responseClass = ResponseClass::complete;
     bool sealed = false;        //!< carries the upstream's signature
     std::string actualUpstream; //!< upstream that has the address, if not the expected one
     decide::Announcement announcement;
     std::string unreadableField; //!< name and value of an announcement header that can't be parsed
 };
-ResponseHead readResponseHead( unsigned status, const http::fields& fields );
+ResponseHead readResponseHead( unsigned status, const http::fields& fields,
+                               std::string_view reason = {} );
 
 //! Formats a delay in seconds with two decimals, for the Retry-After header.
 std::string retryAfterText( Millis delay );
--- a/tests/promise/surplus_answers.tests.cpp
+++ b/tests/promise/surplus_answers.tests.cpp
@@ -102,3 +102,8 @@
            "[promise][surplus]" ) {
     loadWith( { surplusShare, false, true } );
 }
+
+TEST_CASE( "Surplus answers that are cut at any byte do not make a refusal untrue",
+           "[promise][surplus]" ) {
+    loadWith( { surplusShare, true, false } );
+}
--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -215,6 +215,26 @@
     CHECK( moved.actualUpstream == "i-2" );
 }
 
+TEST_CASE( "An answer that holds the begin of another one is contradictory", "[platform][wire]" ) {
+    const auto contradictory = []( const std::string& value ) {
+        return platform::readResponseHead( 503, withField( "Server", value ) ).contradictory;
+    };
+    CHECK( contradictory( "HTTP/1.1 200 OK" ) );
+    CHECK( contradictory( "aHTTP/1.0 503 " ) );
+    CHECK( contradictory( "HTTP/1.1 HTTP/1.1 200" ) );
+    CHECK_FALSE( contradictory( "HTTP/1.1" ) );
+    CHECK_FALSE( contradictory( "HTTP/1.1 proxy" ) );
+    CHECK_FALSE( contradictory( "HTTP/2 200" ) );
+    CHECK( platform::readResponseHead( 503, {}, "XHTTP/1.1 200 OK" ).contradictory );
+    CHECK_FALSE( platform::readResponseHead( 503, {}, "Service Unavailable" ).contradictory );
+    CHECK( platform::readResponseHead( 200, withField( "X-Not-Run", "1" ) ).contradictory );
+    auto fields = withField( "X-Request-Id", "q1" );
+    fields.insert( "X-Request-Id", "q1" );
+    CHECK_FALSE( platform::readResponseHead( 200, fields ).contradictory );
+    fields.insert( "X-Request-Id", "q2" );
+    CHECK( platform::readResponseHead( 200, fields ).contradictory );
+}
+
 TEST_CASE( "An engine's report counts the requests that still read their prompt",
            "[platform][wire]" ) {
     const auto report = platform::readEngineReport(
--- a/tests/unit/surplus_answers.tests.cpp
+++ b/tests/unit/surplus_answers.tests.cpp
@@ -165,6 +165,36 @@
     }
 }
 
+TEST_CASE( "A surplus answer that is cut and runs into the due one is not read as one with it",
+           "[gateway][exchange][surplus]" ) {
+    const std::array surplus{
+        surplusAnswer( "503 Service Unavailable\r\nX-Not-Run: 1\r\nServer: a b" ),
+        unnamedAnswer( "503 X\r\nX-Not-Run: 1\r\nDate: Fri" ),
+        surplusAnswer( "200 OK\r\nX-Response-Seal: s\r\nServer: a" ),
+        unnamedAnswer( "421 X\r\nX-Instance-Id: i-2" ),
+    };
+    const std::array due{
+        completeAnswer( 200, sealField, "due" ),
+        completeAnswer( 500, sealField, "failed" ),
+    };
+    for( const auto& answerDue : due ) {
+        for( const auto& it : surplus ) {
+            for( std::size_t n = 1; n < it.size(); ++n ) {
+                GatewayFixture fixture;
+                fixture.first.addStep( { it.substr( 0, n ) + answerDue } );
+                fixture.second.addStep( { answerDue } );
+                const auto answer = fixture.send( request( "/unsafe/a", "q1" ) );
+                INFO( it.substr( 0, n ) << "|" << answerDue << " answer: " << answer );
+                const bool whole = answer.ends_with( "\r\n\r\ndue" );
+                CHECK( startsWith( answer, "HTTP/1.1 200" ) == whole );
+                CHECK( ( whole || startsWith( answer, "HTTP/1.1 50" ) ) );
+                CHECK_FALSE( startsWith( answer, "HTTP/1.1 503" ) );
+                CHECK( timesSent( fixture, "q1" ) == 1 );
+            }
+        }
+    }
+}
+
 TEST_CASE( "A surplus answer of an engine is not taken for that to the sidecar's next call",
            "[sidecar][surplus]" ) {
     net::asio::io_context context{ 1 };
