An unsafe request that ran is not answered with an upstream's 408, 429 or 503

Callers could see an unsafe request that had run answered 503, 429 or 408 (REFUSED): these statuses promise a client that it has not run.

Cause: an upstream's own failure is passed on unchanged. Without X-Not-Run it makes no promise ("Only an answer with X-Not-Run says that the runner did not run the request"), but the client, who sees the status alone, takes it for one.

Why the fix works: the answer becomes a 502 of the gateway's own, without a signature, so that no signed status is changed. What may be repeated gets the upstream's status as before.

--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -126,7 +126,7 @@
 
     //! Outcome of one send to an upstream.
     enum class SendOutcome {
-        answered,  //!< m_answer holds the complete answer
+        answered,  //!< m_answer holds the complete answer, unless it may not be passed on
         streamed,  //!< the complete stream was written to the client
         notRun,    //!< the upstream did not run the request and never will
         lost,      //!< the upstream may have run the request; no usable answer
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -43,6 +43,12 @@
     return status >= firstServerError;
 }
 
+//! True for the statuses that tell a client that its request has not run and never will.
+bool promisesNotRun( unsigned status ) {
+    return status == statusRequestTimeout || status == statusTooManyRequests ||
+           status == statusUnavailable;
+}
+
 } // namespace
 
 int Exchange::urgency() const {
@@ -432,6 +438,12 @@
     }
     out.end = outcomeOfAnswer( transfer, buffered.status );
     out.failure = "status " + std::to_string( buffered.status );
+    if( promisesNotRun( buffered.status ) && !m_route->idempotent() ) {
+        // The client would take the status for a promise that the request has not run.
+        m_mayHaveRun = true;
+        m_lastFailure = out.failure + " without a promise";
+        co_return out;
+    }
     m_answer = std::move( buffered );
     co_return out;
 }
--- a/tests/unit/surplus_answers.tests.cpp
+++ b/tests/unit/surplus_answers.tests.cpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 // Guards against an answer that is taken for that to another request, whatever it says and whenever
-// it comes.
+// it comes, and against promises to clients that no upstream has made.
 
 using namespace coursehead;
 using namespace std::chrono_literals;
@@ -195,6 +195,21 @@
     }
 }
 
+TEST_CASE( "A status that promises not to have run is not passed on without X-Not-Run",
+           "[gateway][exchange][surplus]" ) {
+    for( const auto* path : { "/unsafe/a", "/fragile/a" } ) {
+        for( const int status : { 408, 429, 503 } ) {
+            GatewayFixture fixture;
+            fixture.first.addStep( { completeAnswer( status, sealField, "ran" ) } );
+            fixture.second.addStep( { dueAnswer( path ) } );
+            const auto answer = fixture.send( request( path, "q1" ) );
+            INFO( path << ", " << status << ": " << answer );
+            CHECK( startsWith( answer, "HTTP/1.1 502" ) );
+            CHECK( timesSent( fixture, "q1" ) == 1 );
+        }
+    }
+}
+
 TEST_CASE( "A surplus answer of an engine is not taken for that to the sidecar's next call",
            "[sidecar][surplus]" ) {
     net::asio::io_context context{ 1 };
