Bytes of a body's framing that never end are not held in memory

Cause: body_limit counts a body's bytes and header_limit those of a head. The size line of a chunk, its extension and the trailers are counted by neither, and the parser leaves them in the connection's buffer until they are complete; the buffer had no limit.

Why the fix works: one type of buffer, with a limit on what is read and not yet parsed, for clients, upstreams, JSON calls and probes. A request refused while it is read is logged with its id, if its head was whole, and the cause.

--- a/src/gateway/choice/connection_pool.hpp
+++ b/src/gateway/choice/connection_pool.hpp
@@ -3,8 +3,7 @@
 #define COURSEHEAD_GATEWAY_CHOICE_CONNECTION_POOL_HPP_INCLUDED
 
 #include "net/net.hpp"
-
-#include <boost/beast/core/flat_buffer.hpp>
+#include "net/read_buffer.hpp"
 
 #include <memory>
 #include <vector>
@@ -16,7 +15,7 @@
     explicit UpstreamConnection( net::asio::io_context& context ) : socket( context ) {}
 
     net::Socket socket;
-    boost::beast::flat_buffer buf;
+    net::ReadBuffer buf;
     bool reused = false;    //!< the connection has served a request before
     MonoTime reusableUntil; //!< the connection is not reused after this time
 };
--- a/src/gateway/exchange/client_session.cpp
+++ b/src/gateway/exchange/client_session.cpp
@@ -6,6 +6,7 @@
 #include "gateway/exchange/client_writer.hpp"
 #include "gateway/exchange/http_text.hpp"
 #include "gateway/exchange/status.hpp"
+#include "net/read_buffer.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
@@ -77,9 +78,10 @@
 
 //! Result of reading a request.
 struct ReadResult {
-    bool closed = true;     //!< the connection has ended without a further request
-    unsigned refusal = 0;   //!< status of the refusal; 0: not refused
-    Millis retryAfter{ 0 }; //!< of the refusal; 0: not stated
+    bool closed = true;            //!< the connection has ended without a further request
+    unsigned refusal = 0;          //!< status of the refusal; 0: not refused
+    std::string refusalCause = {}; //!< of a malformed request
+    Millis retryAfter{ 0 };        //!< of the refusal; 0: not stated
     bool keepAlive = true;
     std::size_t bytes = 0; //!< read from the client, of a whole request or not
     ClientRequest request;
@@ -201,7 +203,11 @@
             failure.category() == http::make_error_code( http::error::bad_method ).category() &&
             failure != http::error::end_of_stream && failure != http::error::partial_message;
         out.refusal = malformed ? statusOf( failure ) : 0;
+        out.refusalCause = failure.message();
         out.closed = !malformed;
+        if( parser.is_header_done() ) {
+            out.request.head = platform::readRequestHead( parser.get() );
+        }
         co_return out;
     }
     out.closed = false;
@@ -234,9 +240,10 @@
         log::warn( "client_dropped", { { "detail", nonBlockingError.message() } } );
         co_return;
     }
-    boost::beast::flat_buffer buf;
+    net::ReadBuffer buf;
     for( ;; ) {
         const auto limits = limitsOf( shared );
+        buf.setHeadLimit( limits.headerBytes );
         shared.idleClients.insert( &socket );
         const bool hasRequest = co_await waitForRequest( socket, buf, limits.idleTime );
         shared.idleClients.erase( &socket );
@@ -246,9 +253,9 @@
         auto got = co_await readRequest( socket, buf, limits, shared );
         shared.linkUse.noteReceived( got.bytes );
         if( got.refusal != 0 ) {
-            log::info( "request_refused",
-                       { { "id", got.request.head.requestId },
-                         { "status", static_cast<std::int64_t>( got.refusal ) } } );
+            log::info( "request_refused", { { "id", got.request.head.requestId },
+                                            { "status", static_cast<std::int64_t>( got.refusal ) },
+                                            { "why", got.refusalCause } } );
             shared.metrics.count( "own_answers", std::to_string( got.refusal ) );
             co_await refuse( socket, got.refusal, got.retryAfter );
             co_return;
--- a/src/gateway/probe_server.cpp
+++ b/src/gateway/probe_server.cpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "gateway/probe_server.hpp"
 #include "gateway/exchange/status.hpp"
+#include "net/read_buffer.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 namespace coursehead::gateway {
@@ -17,7 +17,7 @@
 constexpr Millis idleLimit{ 10000 };
 
 net::Task<> serveConnection( net::Socket socket, ProbeHandler answer ) {
-    boost::beast::flat_buffer buf;
+    net::ReadBuffer buf;
     for( ;; ) {
         net::SocketDeadline deadline( socket, MonoClock::now() + idleLimit );
         http::request<http::empty_body> request;
--- a/src/net/json_client.hpp
+++ b/src/net/json_client.hpp
@@ -3,9 +3,9 @@
 #define COURSEHEAD_NET_JSON_CLIENT_HPP_INCLUDED
 
 #include "net/net.hpp"
+#include "net/read_buffer.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include <memory>
 #include <string>
@@ -57,7 +57,7 @@
     std::string m_ip;
     int m_port;
     std::unique_ptr<Socket> m_socket;
-    boost::beast::flat_buffer m_buf;
+    ReadBuffer m_buf;
 };
 
 } // namespace coursehead::net
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -87,6 +87,10 @@
             substituteRequestId( step.answer, std::string( request[requestIdField] ) );
         const auto out = net::asio::buffer( bytes );
         co_await net::asio::async_write( socket, out, net::tupled );
+        if( !step.endless.empty() ) {
+            co_await writeWithoutEnd( socket, step.endless );
+            co_return;
+        }
         if( !step.surplus.empty() ) {
             if( step.surplusDelay.count() > 0 ) {
                 co_await net::pause( m_context, step.surplusDelay );
@@ -100,4 +104,15 @@
     }
 }
 
+net::Task<> ScriptedUpstream::writeWithoutEnd( net::Socket& socket, const std::string& bytes ) {
+    constexpr std::size_t most = 64U << 20U; // so that a test ends
+    net::ErrorCode ec;
+    while( !ec && m_endlessBytes < most ) {
+        const auto buf = net::asio::buffer( bytes );
+        const auto [error, n] = co_await net::asio::async_write( socket, buf, net::tupled );
+        ec = error;
+        m_endlessBytes += n;
+    }
+}
+
 } // namespace coursehead::support
--- a/tests/support/scripted_upstream.hpp
+++ b/tests/support/scripted_upstream.hpp
@@ -19,6 +19,7 @@
     Millis delay{ 0 };        //!< before the answer
     std::string surplus = {}; //!< bytes behind the answer that no request asked for
     Millis surplusDelay{ 0 }; //!< between the answer and those
+    std::string endless = {}; //!< repeated behind the answer until the caller closes
 };
 
 //! An upstream on loopback that answers requests by a script, and records the requests.
@@ -29,6 +30,8 @@
     void addStep( ScriptStep step ) { m_steps.push_back( std::move( step ) ); }
     int port() const { return m_port; }
     const std::vector<std::string>& requests() const { return m_requests; }
+    //! Bytes that were written behind an answer without an end.
+    std::size_t endlessBytes() const { return m_endlessBytes; }
     //! Number of connections accepted so far.
     int connections() const { return m_connections; }
     //! Number of requests whose caller closed the connection before an answer.
@@ -37,6 +40,7 @@
 private:
     net::Task<> accept();
     net::Task<> serve( net::Socket socket );
+    net::Task<> writeWithoutEnd( net::Socket& socket, const std::string& bytes );
 
     net::asio::io_context& m_context;
     net::Acceptor m_acceptor;
@@ -44,6 +48,7 @@
     std::deque<ScriptStep> m_steps;
     std::vector<std::string> m_requests;
     int m_connections = 0;
+    std::size_t m_endlessBytes = 0;
     int m_abandoned = 0;
 };
 
