--- a/tests/promise/software_versions.tests.cpp
+++ b/tests/promise/software_versions.tests.cpp
@@ -66,6 +66,10 @@
     //! Likewise, and calls `secondFault`, if set, when some streams have been resumed.
     void breakStreamsTwice( const std::function<void()>& fault,
                             const std::function<void()>& secondFault ) {
+        world.progress = [this] {
+            return std::to_string( begun() ) + " streams begun, " + std::to_string( resumed() ) +
+                   " resumed, " + std::to_string( finished ) + " ended";
+        };
         world.runScenario( [&]() -> net::Task<> {
             for( auto* it : world.runners( true ) ) {
                 it->setMode( mode );
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <functional>
 
 namespace coursehead::support {
 
@@ -76,6 +77,7 @@
     bool ownEnds = false;     //!< each prompt ends with a part of its own
     bool oneGateway = false;  //!< all requests go to the first gateway
     bool finished = false;
+    std::function<std::string()> progress; //!< tells how far the scenario came, if it does not end
 
     explicit World( WorldSize size = {} ) {
         std::filesystem::create_directories( folder );
@@ -288,6 +290,7 @@
         };
         net::asio::co_spawn( context, all, net::asio::detached );
         context.run_for( scenarioTimeout );
+        INFO( ( !finished && progress ? progress() : "" ) );
         REQUIRE( finished );
     }
 };
