Soak: plain upstreams send answers again where the next one is due

The review's form that the soak did not generate: copies that name their request or none, whole or cut at a byte, from an upstream of one to four slots, beside all other faults and by draws of their own.

--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -35,9 +35,9 @@
     return all[m_deployment.random().below( all.size() )];
 }
 
-Upstream& Schedule::randomService() {
+Upstream& Schedule::randomService( RandomSource& random ) {
     const auto& options = m_deployment.options();
-    const auto n = m_deployment.random().below( static_cast<std::uint64_t>( options.services ) );
+    const auto n = random.below( static_cast<std::uint64_t>( options.services ) );
     return m_deployment.upstreams()[static_cast<std::size_t>( options.engines ) + n];
 }
 
@@ -174,7 +174,7 @@
     // least as often as all engines together.
     constexpr std::uint64_t modes = 7;
     const bool service = random.below( 2 ) == 0;
-    auto& target = service ? randomService() : upstream;
+    auto& target = service ? randomService( m_deployment.random() ) : upstream;
     logFault( fault, service ? "of a service" : "of an upstream" );
     target.runner->setMode( static_cast<RunnerMode>( 1 + random.below( modes ) ) );
     co_await net::pause( m_deployment.context(), length );
@@ -243,6 +243,31 @@
     }
 }
 
+net::Task<> Schedule::sendSurplusAnswers( Millis length ) {
+    constexpr std::uint64_t stream = 0x50b1;
+    constexpr std::uint64_t pauseMs = 3000;
+    constexpr Millis duration{ 2000 };
+    constexpr double maxShare = 0.5;
+    constexpr std::uint64_t maxSlots = 4; // so few that requests are refused
+    RandomSource random( m_deployment.options().seed ^ stream );
+    const auto end = MonoClock::now() + length;
+    while( MonoClock::now() < end ) {
+        const Millis pause( static_cast<std::int64_t>( random.below( pauseMs ) ) );
+        co_await net::pause( m_deployment.context(), pause );
+        if( MonoClock::now() >= end ) {
+            break;
+        }
+        auto& runner = *randomService( random ).runner;
+        const SurplusAnswers surplus{ random.unit() * maxShare, random.below( 2 ) == 0,
+                                      random.below( 3 ) > 0 };
+        runner.setSurplus( surplus );
+        runner.setSlots( 1 + random.below( maxSlots ) );
+        co_await net::pause( m_deployment.context(), duration );
+        runner.setSurplus( {} );
+        runner.setSlots( engineSlots );
+    }
+}
+
 net::Task<> Schedule::offerPoisonParts( Millis length ) {
     constexpr std::uint64_t stream = 0x9a27;
     constexpr std::uint64_t pauseMs = 6000;
@@ -271,6 +296,7 @@
     m_start = MonoClock::now();
     net::start( m_deployment.context(), announceLimits( length ), "limits" );
     net::start( m_deployment.context(), offerPoisonParts( length ), "poison parts" );
+    net::start( m_deployment.context(), sendSurplusAnswers( length ), "surplus answers" );
     auto& random = m_deployment.random();
     int faultIndex = 0;
     while( MonoClock::now() - m_start < length ) {
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -42,6 +42,9 @@
     //! Lets random upstreams announce limits, in parallel with the faults. Uses a random source of
     //! its own, so that the draws of the faults do not change.
     net::Task<> announceLimits( Millis length );
+    //! Lets random plain upstreams send copies of their answers where the next one is due, in
+    //! parallel with the faults and with draws of its own.
+    net::Task<> sendSurplusAnswers( Millis length );
     //! Lets callers ask for streams with a prompt part that crashes engines, in parallel with the
     //! faults and with draws of its own.
     net::Task<> offerPoisonParts( Millis length );
@@ -59,7 +62,7 @@
     bool isPlanned( Fault fault ) const;
     Process& randomProcess( std::vector<std::unique_ptr<Process>>& processes );
     Upstream& randomUpstream();
-    Upstream& randomService();
+    Upstream& randomService( RandomSource& random );
 
     Deployment& m_deployment;
     MonoTime m_start;
