--- a/src/gateway/exchange/due_answer.cpp
+++ b/src/gateway/exchange/due_answer.cpp
@@ -60,8 +60,11 @@
 
 bool Exchange::dueAnswerMayFollow( const Transfer& transfer ) const {
     const auto& parser = *transfer.parser;
-    if( transfer.head.contradictory || isInterim( parser.get().result_int() ) ) {
-        return !transfer.head.contradictory;
+    if( transfer.head.contradictory ) {
+        return false;
+    }
+    if( isInterim( parser.get().result_int() ) ) {
+        return true;
     }
     // Whether the answer to a request of another method has a body is not known.
     const bool endIsKnown = !parser.need_eof() && m_request.method != "HEAD";
