Test: a cut answer in front of the due one, on any use of a connection and route

The test of before tried an unsafe request on the first use of a connection alone. The test over real processes asks the deployment for its number of gateways.

--- a/tests/promise/surplus_answers.tests.cpp
+++ b/tests/promise/surplus_answers.tests.cpp
@@ -30,7 +30,8 @@
 };
 
 net::Task<> askOnce( World& world, Tally& tally ) {
-    const auto gateway = static_cast<std::size_t>( world.sent ) % 3;
+    const auto gateway =
+        static_cast<std::size_t>( world.sent ) % world.deployment->gateways().size();
     const auto id = "u" + std::to_string( ++world.sent );
     world.record.asked( id, Kind::once );
     std::string text = "POST /once/" + id + " HTTP/1.1\r\nHost: " + hostName +
--- a/tests/unit/surplus_answers.tests.cpp
+++ b/tests/unit/surplus_answers.tests.cpp
@@ -195,6 +195,39 @@
     }
 }
 
+TEST_CASE( "A cut surplus answer in front of the due one misleads nobody, whatever the use of its "
+           "connection",
+           "[gateway][exchange][surplus]" ) {
+    const std::array surplus{
+        surplusAnswer( "503 X\r\nX-Not-Run: 1\r\nServer: a" ),
+        unnamedAnswer( "200 OK\r\nX-Response-Seal: s\r\nServer: a" ),
+    };
+    for( const bool firstUse : { true, false } ) {
+        for( const auto* path : paths ) {
+            for( const auto& it : surplus ) {
+                for( std::size_t n = 1; n < it.size(); ++n ) {
+                    GatewayFixture fixture;
+                    if( !firstUse ) {
+                        fixture.first.addStep( { completeAnswer( 200, sealField, "before" ) } );
+                        REQUIRE( fixture.send( request( "/safe/a", "q0" ) ).ends_with( "before" ) );
+                    }
+                    fixture.first.addStep( { it.substr( 0, n ) + dueAnswer( path ) } );
+                    fixture.second.addStep( { dueAnswer( path ) } );
+                    const auto answer = fixture.send( request( path, "q1" ) );
+                    INFO( path << ", first use " << firstUse << ": " << it.substr( 0, n )
+                               << "|, answer: " << answer );
+                    CHECK( answer.find( marker ) == std::string::npos );
+                    const bool served = startsWith( answer, "HTTP/1.1 200" );
+                    CHECK( served == ( answer.find( "due" ) != std::string::npos ) );
+                    CHECK( ( served || startsWith( answer, "HTTP/1.1 502" ) ) );
+                    const bool unsafe = path == std::string( "/unsafe/a" );
+                    CHECK( ( unsafe ? timesSent( fixture, "q1" ) == 1 : served ) );
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE( "A status that promises not to have run is not passed on without X-Not-Run",
            "[gateway][exchange][surplus]" ) {
     for( const auto* path : { "/unsafe/a", "/fragile/a" } ) {
