--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -20,6 +20,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -129,6 +130,7 @@
     std::ofstream record;
     std::string prefix;
     std::string folder;
+    std::unique_ptr<net::Acceptor> reservation;
     MonoTime begin = MonoClock::now();
     bool trouble = true;
     int sent = 0;
@@ -163,7 +165,9 @@
         folder = std::string( temporary != nullptr ? temporary : "/tmp" ) + "/coursehead-review-" +
                  std::to_string( ::getpid() );
         std::filesystem::create_directories( folder );
-        prefix = "127." + std::to_string( 20 + ::getpid() % 200 ) + ".";
+        // What can't be set up makes the case one that could not run; the kernel ends the children.
+        std::set_terminate( [] { ::_exit( 2 ); } );
+        reserveNetwork();
         note( trouble ? "run with the disruption" : "run without the disruption (TROUBLE=0)" );
     }
     ~World() {
@@ -174,6 +178,20 @@
         }
     }
 
+    //! Takes a loopback network that no other run uses, as long as the listener exists.
+    void reserveNetwork() {
+        constexpr int networks = 200;
+        for( int n = 0; n < networks && !reservation; ++n ) {
+            prefix = "127." + std::to_string( 20 + ( ::getpid() + n ) % networks ) + ".";
+            try {
+                reservation = std::make_unique<net::Acceptor>(
+                    net::listen( context, prefix + "255.254", 7005 ) );
+            } catch( const boost::system::system_error& ) {
+                continue;
+            }
+        }
+    }
+
     std::int64_t ms() const {
         return std::chrono::duration_cast<Millis>( MonoClock::now() - begin ).count();
     }
