A part of an answer is no longer taken as whole when its connection is reset during the upload

Cause: a gateway writes the request and reads the answer at the same time, and Linux reports a reset or a timeout to the first operation alone. The write had it and dropped it; the read then found an orderly end, which is what marks the end of a body without a length.

Change: the write keeps its error. At the end of a body that only its connection ends, reading waits for one round of the event loop, in which the write's handler has run, and takes the write's error for its own. EPIPE is none: Linux reports it for a reset behind the peer's orderly end. This works whichever operation comes first, since one of the two always has the error.

An answer that ends in order during the upload, or in order with a reset behind it, is passed on as before. Calls for JSON were sound: test kept, no change. The scripted upstream read bodies up to 1 MiB only.

--- a/src/gateway/exchange/transfer.cpp
+++ b/src/gateway/exchange/transfer.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "gateway/exchange/transfer.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -74,6 +75,7 @@
     net::asio::async_write( connection->socket, bufs,
                             [state = write, held = connection]( net::ErrorCode ec, std::size_t ) {
                                 state->done = !ec;
+                                state->failure = ec;
                             } );
 }
 
@@ -114,10 +116,23 @@
     if( ec == http::error::need_buffer ) {
         ec = {};
     }
+    if( !ec && parser->is_done() && framing() == unframed ) {
+        ec = co_await connectionFailure();
+    }
     const auto got = buf.size() - parser->get().body().size;
     co_return std::pair( std::string_view( buf ).substr( 0, got ), ec );
 }
 
+net::Task<net::ErrorCode> Transfer::connectionFailure() {
+    // The system reports a reset or a timeout to one operation only. If that was the write of the
+    // request, reads find an orderly end. Its handler may still be queued.
+    const auto executor = connection->socket.get_executor();
+    co_await net::asio::post( executor, net::asio::use_awaitable );
+    // The system reports EPIPE for a reset behind the orderly end of the peer's stream.
+    const bool endedInOrder = write->failure == net::asio::error::broken_pipe;
+    co_return endedInOrder ? net::ErrorCode{} : write->failure;
+}
+
 void Transfer::release( bool complete ) {
     // An upstream that sent an answer too many may send another one.
     const bool reusable = complete && surplusAnswers == 0 && parser->keep_alive() &&
--- a/src/gateway/exchange/transfer.hpp
+++ b/src/gateway/exchange/transfer.hpp
@@ -70,6 +70,7 @@
     std::string head;
     std::shared_ptr<const std::string> body; //!< shared with the request
     bool done = false;
+    net::ErrorCode failure; //!< what ended the write
 };
 
 //! Framing of an answer that ends with its connection.
@@ -106,7 +107,8 @@
     //! Reads the rest of an answer whose head belongs to another request, and drops it. Returns
     //! false if no further answer can follow, or the bounds on surplus answers are exceeded.
     net::Task<bool> dropAnswer();
-    //! Reads a part of the body into `buf`. Returns the bytes and the error that ended the reading.
+    //! Reads a part of the body into `buf`. Returns the bytes and the error that ended the reading,
+    //! which for a body that ends with its connection includes a reset that the write received.
     net::Task<std::pair<std::string_view, net::ErrorCode>> readBody();
     //! Returns the connection to the pool if it can serve another request; closes it otherwise.
     void release( bool complete );
@@ -115,6 +117,11 @@
     std::string_view framing() const;
     //! The answer's status and fields, without a body.
     BufferedAnswer answerHead() const;
+
+private:
+    //! What broke the connection, if that is not its peer's orderly end. Valid once a read has
+    //! found the connection's end.
+    net::Task<net::ErrorCode> connectionFailure();
 };
 
 } // namespace coursehead::gateway
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -61,12 +61,13 @@
 net::Task<> ScriptedUpstream::serve( net::Socket socket ) {
     boost::beast::flat_buffer buf;
     for( ;; ) {
-        http::request<http::string_body> request;
-        auto [readError, bytesRead] =
-            co_await http::async_read( socket, buf, request, net::tupled );
+        http::request_parser<http::string_body> parser;
+        parser.body_limit( boost::none );
+        auto [readError, bytesRead] = co_await http::async_read( socket, buf, parser, net::tupled );
         if( readError ) {
             co_return;
         }
+        const auto& request = parser.get();
         std::ostringstream text;
         text << request;
         m_requests.push_back( text.str() );
--- /dev/null
+++ b/tests/unit/broken_answers.tests.cpp
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "net/json_client.hpp"
+#include "support/early_upstream.hpp"
+#include "support/gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+
+// Guards against answers that are taken as whole or valid although an upstream has broken them.
+
+using namespace coursehead;
+using namespace std::chrono_literals;
+using support::completeAnswer;
+using support::ConnectionEnd;
+using support::EarlyAnswer;
+using support::EarlyUpstream;
+using support::GatewayFixture;
+using support::sealField;
+using support::startsWith;
+
+namespace {
+
+constexpr std::size_t uploadBytes = 6U << 20U;
+
+//! A gateway whose first upstream answers before it has read the request's body.
+struct EarlyFixture {
+    GatewayFixture gateway;
+    EarlyUpstream early;
+
+    explicit EarlyFixture( EarlyAnswer answer ) : early( gateway.context, std::move( answer ) ) {
+        auto configuration = support::configuration();
+        configuration.limits.bodyBytes = 2 * uploadBytes;
+        for( auto& it : configuration.routes ) {
+            it.timeout = 8s;
+        }
+        const auto now = MonoClock::now();
+        gateway.shared.table = std::make_shared<gateway::RouteTable>( configuration );
+        gateway.fleet.setConfiguration( gateway.shared.table, now );
+        std::map<std::string, gateway::Member> members;
+        members.emplace(
+            "u0",
+            gateway::Member{ GatewayFixture::makeUpstream( "u0", early.port(), "hall" ), false } );
+        members.emplace( "u2", gateway::Member{ GatewayFixture::makeUpstream(
+                                                    "u2", gateway.second.port(), "other" ),
+                                                false } );
+        gateway.fleet.sync( members, now );
+    }
+
+    std::string upload( const std::string& path ) {
+        return gateway.send( "POST " + path +
+                             " HTTP/1.1\r\nHost: h\r\nX-Request-Id: q1\r\nX-Deadline-Ms: 6000\r\n"
+                             "Connection: close\r\nContent-Length: " +
+                             std::to_string( uploadBytes ) + "\r\n\r\n" +
+                             std::string( uploadBytes, 'u' ) );
+    }
+};
+
+//! An answer without a length, up to some point of its body.
+std::string partWithoutLength( const std::string& status, const std::string& body ) {
+    return "HTTP/1.1 " + status + "\r\nX-Request-Id: {id}\r\n" + sealField + "\r\n" + body;
+}
+
+//! Makes a call to a port on loopback, and runs the event loop until it ends.
+net::JsonResponse callForJson( net::asio::io_context& context, int port, net::JsonCall request ) {
+    net::JsonClient client( context, "127.0.0.1", port );
+    net::JsonResponse out;
+    request.target = "/a";
+    const auto call = [&]() -> net::Task<> {
+        out = co_await client.call( request );
+        context.stop();
+    };
+    net::asio::co_spawn( context, call, net::asio::detached );
+    context.run_for( 5s );
+    return out;
+}
+
+} // namespace
+
+TEST_CASE( "A part of an answer without a length is not taken as whole when its connection is "
+           "reset during the upload",
+           "[gateway][exchange][broken]" ) {
+    // The system reports a reset once: to the write of the request, if that is under way.
+    for( const auto delay : { 2ms, 30ms } ) {
+        for( const auto* status : { "200 OK", "404 Not Found", "500 Failed" } ) {
+            for( const auto* path : { "/unsafe/a", "/safe/a" } ) {
+                EarlyFixture fixture(
+                    { partWithoutLength( status, "PART" ), ConnectionEnd::reset, delay } );
+                fixture.gateway.second.addStep( { completeAnswer( 200, sealField, "due" ) } );
+                const auto answer = fixture.upload( path );
+                INFO( path << ", " << status << ", after " << delay.count()
+                           << " ms, answer: " << answer );
+                CHECK( fixture.early.requests() == 1 );
+                CHECK( answer.find( "PART" ) == std::string::npos );
+                if( path == std::string( "/unsafe/a" ) ) {
+                    CHECK( startsWith( answer, "HTTP/1.1 502" ) );
+                    CHECK( fixture.gateway.second.requests().empty() );
+                } else {
+                    CHECK( answer.ends_with( "due" ) );
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE( "A stream without chunks is not taken as whole when its connection is reset behind an "
+           "event during the upload",
+           "[gateway][exchange][broken]" ) {
+    for( const auto delay : { 2ms, 30ms } ) {
+        EarlyFixture fixture( { partWithoutLength( "200 OK", "id: 0\ndata: part\n\n" ),
+                                ConnectionEnd::reset, delay } );
+        const auto answer = fixture.upload( "/fragile/a" );
+        INFO( "after " << delay.count() << " ms, answer: " << answer );
+        CHECK( fixture.early.requests() == 1 );
+        CHECK_FALSE( answer.ends_with( "0\r\n\r\n" ) );
+    }
+}
+
+TEST_CASE( "A stream without chunks that is reset behind an event goes on at another upstream",
+           "[gateway][exchange][broken]" ) {
+    EarlyFixture fixture(
+        { partWithoutLength( "200 OK", "id: 0\ndata: part\n\n" ), ConnectionEnd::reset, 2ms } );
+    fixture.gateway.second.addStep(
+        { support::streamHead() + support::chunk( "id: 1\ndata: rest\n\n" ) + "0\r\n\r\n" } );
+    const auto answer = fixture.upload( "/stream/a" );
+    INFO( "answer: " << answer );
+    CHECK( answer.find( "data: part" ) != std::string::npos );
+    CHECK( answer.find( "data: rest" ) != std::string::npos );
+    CHECK( answer.ends_with( "0\r\n\r\n" ) );
+}
+
+TEST_CASE( "A part of an answer without a length is not taken as whole when its upstream stops "
+           "acknowledging the upload",
+           "[gateway][exchange][broken]" ) {
+    EarlyFixture fixture( { partWithoutLength( "200 OK", "PART" ), ConnectionEnd::notAtAll } );
+    const auto answer = fixture.upload( "/unsafe/a" );
+    INFO( "answer: " << answer );
+    CHECK( answer.find( "PART" ) == std::string::npos );
+    CHECK( startsWith( answer, "HTTP/1.1 50" ) );
+}
+
+TEST_CASE( "An answer without a length that ends in order during the upload is not refused",
+           "[gateway][exchange][broken]" ) {
+    for( const auto end : { ConnectionEnd::inOrder, ConnectionEnd::inOrderThenReset } ) {
+        for( const auto* path : { "/unsafe/a", "/safe/a" } ) {
+            EarlyFixture fixture( { partWithoutLength( "200 OK", "whole" ), end, 2ms } );
+            const auto answer = fixture.upload( path );
+            INFO( path << ", end " << static_cast<int>( end ) << ", answer: " << answer );
+            CHECK( startsWith( answer, "HTTP/1.1 200" ) );
+            CHECK( answer.ends_with( "whole" ) );
+        }
+    }
+}
+
+TEST_CASE(
+    "A part of a response without a length to a call for JSON is not taken as whole when its "
+    "connection is reset",
+    "[net][broken]" ) {
+    for( const std::size_t bytes : { std::size_t{ 10 }, uploadBytes } ) {
+        net::asio::io_context context{ 1 };
+        EarlyUpstream server( context, { "HTTP/1.1 200 OK\r\n\r\n{}", ConnectionEnd::reset, 2ms } );
+        net::JsonCall request;
+        request.method = "POST";
+        request.body = std::string( bytes, ' ' );
+        const auto response = callForJson( context, server.port(), request );
+        CHECK( response.outcome == net::CallOutcome::unknown );
+    }
+}
