A status that HTTP does not define is no answer

A 000 never reached a client here.

Cause: every status below 200 but 101 counted as interim, behind which the final answer follows, and all others as final. Calls for JSON (the engine, the store) took any status for the answer.

Change: one place says what is interim (100 to 199 without 101) and what is final (200 to 599). The rest is no answer: if it names this request or none, it stands in the due answer's place and the send has failed at once; if it names another request, it is dropped as any surplus answer, so that the due one behind it still arrives. A call for JSON has no response then.

--- a/src/gateway/exchange/due_answer.cpp
+++ b/src/gateway/exchange/due_answer.cpp
@@ -3,6 +3,7 @@
 #include "coursehead/kernel/log.hpp"
 #include "gateway/exchange/exchange.hpp"
 #include "gateway/exchange/transfer.hpp"
+#include "net/answer_status.hpp"
 
 #include <boost/beast/http.hpp>
 
@@ -10,12 +11,13 @@
 
 namespace {
 
-constexpr unsigned firstFinalStatus = 200;
-constexpr unsigned statusSwitchingProtocols = 101;
-
-//! True for an answer that the final one follows.
-bool isInterim( unsigned status ) {
-    return status < firstFinalStatus && status != statusSwitchingProtocols;
+//! Why an answer that is not the due one was not dropped.
+std::string failureOf( const Transfer& transfer ) {
+    const auto status = transfer.parser->get().result_int();
+    if( !net::isInterimStatus( status ) && !net::isFinalStatus( status ) ) {
+        return "invalid status " + std::to_string( status );
+    }
+    return transfer.head.contradictory ? "contradictory answer" : "answer to another request";
 }
 
 } // namespace
@@ -37,7 +39,8 @@
         const auto reason = answer.reason();
         transfer.head = platform::readResponseHead( answer.result_int(), answer,
                                                     { reason.data(), reason.size() } );
-        const bool isDue = !isInterim( answer.result_int() ) && !transfer.head.contradictory &&
+        const bool isDue = net::isFinalStatus( answer.result_int() ) &&
+                           !transfer.head.contradictory &&
                            transfer.head.requestId == m_request.head.requestId;
         if( isDue ) {
             co_return true;
@@ -51,8 +54,7 @@
         logSurplusAnswer( transfer, dropped );
         if( !dropped ) {
             out.end = isAborted( transfer ) ? SendOutcome::stopped : SendOutcome::lost;
-            out.failure =
-                transfer.head.contradictory ? "contradictory answer" : "answer to another request";
+            out.failure = failureOf( transfer );
             co_return false;
         }
     }
@@ -63,14 +65,20 @@
     if( transfer.head.contradictory ) {
         return false;
     }
-    if( isInterim( parser.get().result_int() ) ) {
+    const auto status = parser.get().result_int();
+    if( net::isInterimStatus( status ) ) {
         return true;
     }
+    const auto& named = transfer.head.requestId;
+    const bool namesAnother = !named.empty() && named != m_request.head.requestId;
+    if( !net::isFinalStatus( status ) && !namesAnother ) {
+        return false; // it stands in the due answer's place
+    }
     // Whether the answer to a request of another method has a body is not known.
     const bool endIsKnown = !parser.need_eof() && m_request.method != "HEAD";
     // An answer that names no request may stand in the due one's place. A request that may be
     // repeated goes elsewhere then, any other one has nothing else to wait for.
-    return endIsKnown && ( !transfer.head.requestId.empty() || !m_route->idempotent() );
+    return endIsKnown && ( !named.empty() || !m_route->idempotent() );
 }
 
 void Exchange::logSurplusAnswer( const Transfer& transfer, bool dropped ) const {
--- a/src/net/json_client.cpp
+++ b/src/net/json_client.cpp
@@ -2,6 +2,7 @@
 #include "net/json_client.hpp"
 
 #include "coursehead/kernel/log.hpp"
+#include "net/answer_status.hpp"
 
 #include <boost/beast/http.hpp>
 
@@ -91,8 +92,9 @@
         disconnect();
         co_return out;
     }
-    if( !answersCall( parser.get(), request, call.repeatedHeader ) ) {
-        log::info( "answer_to_another_call",
+    const bool isFinal = isFinalStatus( parser.get().result_int() );
+    if( !isFinal || !answersCall( parser.get(), request, call.repeatedHeader ) ) {
+        log::info( isFinal ? "answer_to_another_call" : "answer_with_invalid_status",
                    { { "target", call.target },
                      { "status", static_cast<std::int64_t>( parser.get().result_int() ) } } );
         disconnect();
--- a/tests/unit/broken_answers.tests.cpp
+++ b/tests/unit/broken_answers.tests.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include <array>
+#include <string>
+#include <vector>
 
 // Guards against answers that are taken as whole or valid although an upstream has broken them.
 
@@ -56,6 +58,13 @@
     }
 };
 
+//! A complete answer to a request on the route.
+std::string dueAnswer( const std::string& path ) {
+    return startsWith( path, "/stream/" )
+               ? support::streamHead() + support::chunk( "id: 0\ndata: due\n\n" ) + "0\r\n\r\n"
+               : completeAnswer( 200, sealField, "due" );
+}
+
 //! An answer without a length, up to some point of its body.
 std::string partWithoutLength( const std::string& status, const std::string& body ) {
     return "HTTP/1.1 " + status + "\r\nX-Request-Id: {id}\r\n" + sealField + "\r\n" + body;
@@ -166,3 +175,45 @@
         CHECK( response.outcome == net::CallOutcome::unknown );
     }
 }
+
+TEST_CASE( "An answer whose status HTTP does not define is neither passed on nor waited behind",
+           "[gateway][exchange][broken]" ) {
+    for( const auto* status : { "000", "001", "099", "101", "600", "999" } ) {
+        for( const auto* path : { "/unsafe/a", "/safe/a", "/stream/a" } ) {
+            const auto head =
+                std::string( "HTTP/1.1 " ) + status + " X\r\nX-Request-Id: {id}\r\n" + sealField;
+            for( const auto& body :
+                 { std::string( "Content-Length: 4\r\n\r\nPART" ), std::string( "\r\n" ) } ) {
+                GatewayFixture fixture;
+                fixture.first.addStep( { head + body } );
+                fixture.second.addStep( { dueAnswer( path ) } );
+                const auto answer = fixture.sendRequest( "POST", path );
+                INFO( path << ", " << status << ", answer: " << answer );
+                CHECK( answer.find( "PART" ) == std::string::npos );
+                CHECK_FALSE( startsWith( answer, "HTTP/1.1 504" ) );
+                if( path == std::string( "/safe/a" ) ) {
+                    CHECK( answer.ends_with( "due" ) );
+                } else if( path == std::string( "/unsafe/a" ) ) {
+                    CHECK( startsWith( answer, "HTTP/1.1 502" ) );
+                    CHECK( fixture.second.requests().empty() );
+                }
+                CHECK( !startsWith( answer, std::string( "HTTP/1.1 " ) + status ) );
+            }
+        }
+    }
+}
+
+TEST_CASE( "A response whose status HTTP does not define is not taken for one to a call for JSON",
+           "[net][broken]" ) {
+    for( const auto* status : { "000", "099", "100", "101", "199", "600", "999" } ) {
+        net::asio::io_context context{ 1 };
+        support::ScriptedUpstream server( context );
+        server.addStep(
+            { std::string( "HTTP/1.1 " ) + status + " X\r\nContent-Length: 2\r\n\r\n{}" } );
+        net::JsonCall request;
+        request.method = "POST";
+        const auto response = callForJson( context, server.port(), request );
+        INFO( status << ": " << response.status );
+        CHECK( response.outcome == net::CallOutcome::unknown );
+    }
+}
