The older roles read responses with the platform's parser and bounds

Cause: a second parser of HTTP, cpp-httplib's client, which checks neither statuses nor names, has no bounds, and matches the status line by a recursive regular expression (SIGSEGV some 52,000 frames deep).

Change: http::Client, with the same interface, reads by Boost.Beast, the bounded net::ReadBuffer and net::answer_status: heads up to 64 KiB, bodies that call() holds up to 16 MiB. A target is encoded as before. isOpenAndSilent moved to net, where the gateway's pool and this client use it. abort() also ends later calls.

--- a/include/coursehead/http/client.hpp
+++ b/include/coursehead/http/client.hpp
@@ -23,7 +23,7 @@
 
 struct Outcome {
     Failure failure = Failure::none;
-    std::string detail; //!< the library's text for the failure
+    std::string detail; //!< text for the failure
     Response response;  //!< valid when failure is none
 };
 
@@ -39,11 +39,11 @@
     Client( Client&& ) noexcept;
     Client& operator=( Client&& ) noexcept;
 
-    //! Sends a request and reads the complete response.
+    //! Sends a request and reads the complete response. One of more than 16 MiB is broken.
     Outcome call( const Request& request );
     //! Sends a request and passes the response's body to `receiver` as it arrives.
     Outcome stream( const Request& request, const Receiver& receiver );
-    //! Aborts the call in progress; may be called from another thread.
+    //! Aborts the call in progress, and all later ones; may be called from another thread.
     void abort();
 
 private:
--- a/include/coursehead/http/message.hpp
+++ b/include/coursehead/http/message.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-//! HTTP messages, independent of the HTTP library, which only two source files include.
+//! HTTP messages, independent of the libraries that read and write them.
 namespace coursehead::http {
 
 //! Compares header names case-insensitively.
--- a/src/gateway/choice/connection_pool.cpp
+++ b/src/gateway/choice/connection_pool.cpp
@@ -1,10 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "gateway/choice/connection_pool.hpp"
 
-#include <sys/socket.h>
-
-#include <cerrno>
-
 namespace coursehead::gateway {
 
 namespace {
@@ -13,20 +9,13 @@
 //! upstream accepts from all callers.
 constexpr std::size_t maxIdleConnections = 32;
 
-//! True if the upstream has neither closed the connection nor sent bytes that belong to no request.
-bool isOpenAndSilent( net::Socket& socket ) {
-    char byte = 0;
-    const auto n = ::recv( socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT );
-    return n < 0 && ( errno == EAGAIN || errno == EWOULDBLOCK );
-}
-
 } // namespace
 
 ConnectionPtr ConnectionPool::take( MonoTime now ) {
     while( !m_idle.empty() ) {
         auto out = std::move( m_idle.back() );
         m_idle.pop_back();
-        if( out->reusableUntil > now && isOpenAndSilent( out->socket ) ) {
+        if( out->reusableUntil > now && net::isOpenAndSilent( out->socket ) ) {
             return out;
         }
     }
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -9,6 +9,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 namespace coursehead::net {
 
 namespace {
@@ -49,6 +51,12 @@
     }
 }
 
+bool isOpenAndSilent( Socket& socket ) {
+    char byte = 0;
+    const auto n = ::recv( socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT );
+    return n < 0 && ( errno == EAGAIN || errno == EWOULDBLOCK );
+}
+
 tcp::endpoint endpointOf( const std::string& ip, int port, ErrorCode& ec ) {
     const auto address = asio::ip::make_address_v4( ip, ec );
     return { address, static_cast<unsigned short>( port ) };
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -49,6 +49,9 @@
 //! bytes then show that the peer reads.
 void limitUnsent( Socket& socket, std::size_t bytes );
 
+//! True if the peer has neither closed an idle connection nor sent bytes that belong to no request.
+bool isOpenAndSilent( Socket& socket );
+
 //! The endpoint of an IPv4 address in text; sets `ec` when the address is malformed.
 tcp::endpoint endpointOf( const std::string& ip, int port, ErrorCode& ec );
 
--- a/tests/unit/broken_answers.tests.cpp
+++ b/tests/unit/broken_answers.tests.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
+#include "coursehead/http/client.hpp"
 #include "net/json_client.hpp"
 #include "support/early_upstream.hpp"
 #include "support/gateway_fixture.hpp"
@@ -7,6 +8,8 @@
 
 #include <array>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 // Guards against answers that are taken as whole or valid although an upstream has broken them.
@@ -18,6 +21,7 @@
 using support::EarlyAnswer;
 using support::EarlyUpstream;
 using support::GatewayFixture;
+using support::ScriptStep;
 using support::sealField;
 using support::startsWith;
 
@@ -95,6 +99,66 @@
     return out;
 }
 
+//! Runs an event loop in a thread of its own, for clients that block. What runs on it is destroyed
+//! only after stop().
+class ServerThread {
+public:
+    net::asio::io_context context{ 1 };
+
+    ~ServerThread() { stop(); }
+    void start() {
+        m_thread = std::jthread( [this] { context.run(); } );
+    }
+    void stop() {
+        context.stop();
+        if( m_thread.joinable() ) {
+            m_thread.join();
+        }
+    }
+
+private:
+    std::jthread m_thread;
+};
+
+http::Request postRequest( std::size_t bytes ) {
+    http::Request out;
+    out.method = "POST";
+    out.path = "/a";
+    out.body = std::string( bytes, ' ' );
+    return out;
+}
+
+//! A call by the client of the older roles to a port on loopback.
+http::Outcome post( int port, std::size_t bytes ) {
+    http::Client client( "127.0.0.1:" + std::to_string( port ), {} );
+    return client.call( postRequest( bytes ) );
+}
+
+http::Outcome callOldServer( const ScriptStep& step ) {
+    ServerThread server;
+    support::ScriptedUpstream upstream( server.context );
+    upstream.addStep( step );
+    server.start();
+    auto out = post( upstream.port(), 10 );
+    server.stop();
+    return out;
+}
+
+//! Likewise, with the body passed on as it arrives.
+http::Outcome streamFromOldServer( const ScriptStep& step, std::string& body ) {
+    ServerThread server;
+    support::ScriptedUpstream upstream( server.context );
+    upstream.addStep( step );
+    server.start();
+    http::Client client( "127.0.0.1:" + std::to_string( upstream.port() ), {} );
+    auto out = client.stream( postRequest( 10 ), [&body]( int, std::string_view bytes ) {
+        body.append( bytes );
+        return true;
+    } );
+    server.stop();
+    return out;
+}
+
 } // namespace
 
 TEST_CASE( "A part of an answer without a length is not taken as whole when its connection is "
@@ -261,3 +325,67 @@
         CHECK( response.outcome == net::CallOutcome::unknown );
     }
 }
+
+TEST_CASE( "A broken response is not taken for one by the older roles", "[http][broken]" ) {
+    const std::string end = "Content-Length: 4\r\n\r\nPART";
+    std::vector<std::string> broken;
+    for( const auto* status : { "000", "099", "101", "600", "999" } ) {
+        broken.push_back( std::string( "HTTP/1.1 " ) + status + " X\r\n" + end );
+    }
+    for( const auto& line : invalidFields() ) {
+        broken.push_back( "HTTP/1.1 200 OK\r\n" + line + "\r\n" + end );
+    }
+    for( const auto& it : broken ) {
+        const auto outcome = callOldServer( { it, true } );
+        INFO( it << ": " << outcome.detail );
+        CHECK( outcome.failure == http::Failure::broken );
+        std::string streamed;
+        const auto streamOutcome = streamFromOldServer( { it, true }, streamed );
+        CHECK( streamOutcome.failure == http::Failure::broken );
+        CHECK( streamed.empty() );
+    }
+}
+
+TEST_CASE( "A part of a response without a length is not taken as whole by the older roles when "
+           "its connection is reset",
+           "[http][broken]" ) {
+    for( const std::size_t bytes : { std::size_t{ 10 }, uploadBytes } ) {
+        ServerThread server;
+        EarlyUpstream upstream( server.context,
+                                { "HTTP/1.1 200 OK\r\n\r\nPART", ConnectionEnd::reset, 2ms } );
+        server.start();
+        const auto outcome = post( upstream.port(), bytes );
+        server.stop();
+        CHECK( outcome.failure == http::Failure::broken );
+    }
+}
+
+TEST_CASE( "A response without an end is not held in memory by the older roles",
+           "[http][endless][broken]" ) {
+    constexpr std::size_t maxHeldBytes = 24U << 20U; // 16 MiB of a body, and the socket buffers
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string block( 4096, 'y' );
+    const std::vector<std::pair<std::string, std::string>> endless{
+        { "HTTP/1.1 200 ", block },
+        { ok + "X-A: ", block },
+        { ok, "X-A: 1\r\nX-B: 2\r\n" },
+        { ok + "\r\n", block },
+        { ok + "Content-Length: 99999999999\r\n\r\n", block },
+        { ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + "\r\n" },
+        { ok + "Transfer-Encoding: chunked\r\n\r\n5;x=", block },
+        { ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", block },
+    };
+    for( const auto& [begin, repeated] : endless ) {
+        ServerThread server;
+        support::ScriptedUpstream upstream( server.context );
+        ScriptStep step{ begin };
+        step.endless = repeated;
+        upstream.addStep( step );
+        server.start();
+        const auto outcome = post( upstream.port(), 10 );
+        server.stop();
+        INFO( begin << ": " << upstream.endlessBytes() << " bytes, " << outcome.detail );
+        CHECK( outcome.failure == http::Failure::broken );
+        CHECK( upstream.endlessBytes() < maxHeldBytes );
+    }
+}
