A stream whose client names no attempt goes on only where the version is known for sure

Cause: without Resumes the only version that the gateway had seen was taken for the service's only one. A gateway that has just started has seen only those that are still listed.

Change: without an origin a stream goes on only if the list of upstreams was complete, with one version, for as long as a stream lasts, whether the client names an attempt or not; else 503, not run.

Evidence: a new test (gateway just started, v1 gone) answered 200 from v2 before, 503 now.

--- a/src/decide/resume_rule.cpp
+++ b/src/decide/resume_rule.cpp
@@ -47,8 +47,7 @@
     if( facts.recorded ) {
         return facts.recorded;
     }
-    const bool sure = !facts.namesOrigin || facts.versionsComplete;
-    if( !sure || !facts.only ) {
+    if( !facts.versionsComplete || !facts.only ) {
         return std::nullopt;
     }
     return StreamVersion{ facts.service, *facts.only };
