Requests that outlast a planned stop of their gateway are answered, not cut

Here not those that come late in the grace, which are refused at once, but those taken in its first 2.6 s that still ran at its end.

Cause: the drain ended with the event loop, whatever was in flight. To a client a connection that ends without an answer looks like one whose request was not read, which it may repeat.

Change: 0.2 s before the drain's end the sends of requests whose answer has not begun are broken off; each gets 502, one that was never sent 503. A stream that has begun goes on to the end, as before.

--- a/src/gateway/exchange/client_end.hpp
+++ b/src/gateway/exchange/client_end.hpp
@@ -18,6 +18,7 @@
     bool disconnected = false;                  //!< the client closed its connection
     bool broken = false;                        //!< a write to it failed
     bool done = false;                          //!< the request has ended
+    bool streamBegun = false;                   //!< the head of a stream was written to it
     std::weak_ptr<UpstreamConnection> upstream; //!< closed when the client disconnects
     std::weak_ptr<ClientWriter> writer;         //!< told when the client disconnects
 };
--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -50,6 +50,21 @@
 
 } // namespace
 
+void breakOffSends( SharedState& shared ) {
+    shared.sendsStopped = true;
+    shared.sendsBrokenOff = true;
+    std::int64_t sends = 0;
+    for( const auto* it : shared.activeClients ) {
+        const auto upstream = it->upstream.lock();
+        if( upstream && !it->streamBegun ) {
+            net::ErrorCode ec;
+            upstream->socket.close( ec );
+            ++sends;
+        }
+    }
+    log::info( "sends_broken_off", { { "sends", sends } } );
+}
+
 Exchange::Exchange( SharedState& shared, ClientRequest request,
                     std::shared_ptr<ClientConnection> client, bool clientKeepsAlive )
     : m_shared( shared ), m_table( shared.table ), m_request( std::move( request ) ),
@@ -57,11 +72,13 @@
                                            m_client, m_shared.readers, m_request.head.requestId ) ),
       m_keepAlive( clientKeepsAlive ) {
     m_client->writer = m_writer;
+    m_shared.activeClients.insert( m_client.get() );
     ++m_shared.inFlight;
 }
 
 Exchange::~Exchange() {
     m_writer->end();
+    m_shared.activeClients.erase( m_client.get() );
     --m_shared.inFlight;
     if( m_charged > 0 && m_runs == 0 ) {
         m_shared.quota->refund( m_organisation->name, m_charged );
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -52,9 +52,11 @@
     int waitingForStart = 0;             //!< requests that wait for configuration and upstreams
     bool configurationUpToDate = true;   //!< this gateway receives changes of the configuration
     bool draining = false;
-    MonoTime stopAt{};         //!< when draining: the process stops at the latest then
-    bool pastHandover = false; //!< when draining: clients had time to switch to another gateway
-    bool sendsStopped = false; //!< the process is about to stop and sends no further requests
+    MonoTime stopAt{};           //!< when draining: the process stops at the latest then
+    bool pastHandover = false;   //!< when draining: clients had time to switch to another gateway
+    bool sendsStopped = false;   //!< the process is about to stop and sends no further requests
+    bool sendsBrokenOff = false; //!< see breakOffSends()
+    std::set<ClientConnection*> activeClients{}; //!< clients with a request in progress
     std::set<net::Socket*> idleClients{}; //!< client connections without a request in progress
     //! Outlives this object in requests that end with the event loop.
     std::shared_ptr<ReaderTable> readers = std::make_shared<ReaderTable>();
@@ -66,6 +68,11 @@
     std::vector<int> priorities{}; //!< of the routes, each once; the most urgent one first
 };
 
+//! Breaks off the sends of all requests whose answer has not begun, so that each gets one before
+//! the process stops: a connection that ends without an answer looks like one whose request was not
+//! read. No further request may be sent afterwards.
+void breakOffSends( SharedState& shared );
+
 //! A request as received from the client.
 struct ClientRequest {
     std::string method;
--- a/src/gateway/exchange/send.cpp
+++ b/src/gateway/exchange/send.cpp
@@ -207,6 +207,7 @@
     if( out.end == SendOutcome::stopped || m_client->disconnected ) {
         out.end = SendOutcome::stopped;
         m_mayHaveRun = true;
+        m_lastFailure = m_shared.sendsBrokenOff ? "leaving" : m_lastFailure;
         co_return out;
     }
     if( out.end == SendOutcome::lost || out.end == SendOutcome::streamCut ) {
@@ -307,7 +308,8 @@
 }
 
 bool Exchange::isAborted( const Transfer& transfer ) const {
-    return transfer.deadline.expired() || m_client->disconnected || m_client->broken;
+    return transfer.deadline.expired() || m_client->disconnected || m_client->broken ||
+           m_shared.sendsBrokenOff;
 }
 
 net::Task<Exchange::SendResult> Exchange::forwardStream( Transfer& transfer ) {
@@ -362,6 +364,7 @@
     std::string out;
     if( !m_headSent ) {
         m_headSent = true;
+        m_client->streamBegun = true;
         if( !m_route->resumable ) {
             m_request.body.reset(); // nothing sends it again
         }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,6 +43,8 @@
 //! A request that still waits for a model this long before the drain's end is refused; otherwise
 //! its connection would be cut without an answer.
 constexpr Millis lastSendMargin{ 1000 };
+//! Sends that have no answer yet are broken off this long before the drain's end.
+constexpr Millis lastAnswerMargin{ 200 };
 
 //! The gateway process; all its services run on one event loop.
 class Gateway {
@@ -428,6 +430,9 @@
                 m_shared.sendsStopped = true;
                 m_fleet.cancelModelWaits();
             }
+            if( !m_shared.sendsBrokenOff && MonoClock::now() >= limit - lastAnswerMargin ) {
+                breakOffSends( m_shared );
+            }
             co_await net::pause( m_context, step );
         }
         m_context.stop();
