Requests that end with the event loop no longer touch the table of active clients after its end

Cause: requests in flight are destroyed with the event loop, after the state that they share; the new table of active clients was a part of that.

Change: requests hold the table, as they hold the readers' and the bodies'.

Evidence: [exchange] passes twice (10,022 and 10,026 checks), the three tests of planned stops too.

--- a/src/gateway/exchange/exchange.cpp
+++ b/src/gateway/exchange/exchange.cpp
@@ -54,7 +54,7 @@
     shared.sendsStopped = true;
     shared.sendsBrokenOff = true;
     std::int64_t sends = 0;
-    for( const auto* it : shared.activeClients ) {
+    for( const auto* it : *shared.activeClients ) {
         const auto upstream = it->upstream.lock();
         if( upstream && !it->streamBegun ) {
             net::ErrorCode ec;
@@ -67,18 +67,19 @@
 
 Exchange::Exchange( SharedState& shared, ClientRequest request,
                     std::shared_ptr<ClientConnection> client, bool clientKeepsAlive )
-    : m_shared( shared ), m_table( shared.table ), m_request( std::move( request ) ),
-      m_client( std::move( client ) ), m_writer( std::make_shared<ClientWriter>(
-                                           m_client, m_shared.readers, m_request.head.requestId ) ),
+    : m_shared( shared ), m_activeClients( shared.activeClients ), m_table( shared.table ),
+      m_request( std::move( request ) ), m_client( std::move( client ) ),
+      m_writer(
+          std::make_shared<ClientWriter>( m_client, m_shared.readers, m_request.head.requestId ) ),
       m_keepAlive( clientKeepsAlive ) {
     m_client->writer = m_writer;
-    m_shared.activeClients.insert( m_client.get() );
+    m_activeClients->insert( m_client.get() );
     ++m_shared.inFlight;
 }
 
 Exchange::~Exchange() {
     m_writer->end();
-    m_shared.activeClients.erase( m_client.get() );
+    m_activeClients->erase( m_client.get() );
     --m_shared.inFlight;
     if( m_charged > 0 && m_runs == 0 ) {
         m_shared.quota->refund( m_organisation->name, m_charged );
--- a/src/gateway/exchange/exchange.hpp
+++ b/src/gateway/exchange/exchange.hpp
@@ -33,6 +33,9 @@
 
 namespace http = boost::beast::http;
 
+//! The clients with a request in progress.
+using ActiveClients = std::set<ClientConnection*>;
+
 //! State of the gateway process that all requests share.
 struct SharedState {
     net::asio::io_context& context;
@@ -56,11 +59,11 @@
     bool pastHandover = false;   //!< when draining: clients had time to switch to another gateway
     bool sendsStopped = false;   //!< the process is about to stop and sends no further requests
     bool sendsBrokenOff = false; //!< see breakOffSends()
-    std::set<ClientConnection*> activeClients{}; //!< clients with a request in progress
     std::set<net::Socket*> idleClients{}; //!< client connections without a request in progress
-    //! Outlives this object in requests that end with the event loop.
+    // These outlive this object in requests that end with the event loop.
     std::shared_ptr<ReaderTable> readers = std::make_shared<ReaderTable>();
     std::shared_ptr<BodyTable> bodies = std::make_shared<BodyTable>();
+    std::shared_ptr<ActiveClients> activeClients = std::make_shared<ActiveClients>();
     decide::CarryingCapacity capacity{};
     LinkUse linkUse{};
     std::uint64_t descriptors = 0; //!< highest descriptor of a connection accepted lately, plus one
@@ -262,6 +265,7 @@
     void logEnd( std::string_view outcome ) const;
 
     SharedState& m_shared;
+    std::shared_ptr<ActiveClients> m_activeClients;
     std::shared_ptr<const RouteTable> m_table; //!< in force when the request arrived
     ClientRequest m_request;
     std::shared_ptr<ClientConnection> m_client;
