--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -59,7 +59,7 @@
 
 struct Client::Impl {
     Impl( settings::HostPort server, Timeouts limits )
-        : peer( std::move( server ) ), timeouts( limits ), buf( maxHeadBytes ) {}
+        : m_peer( std::move( server ) ), m_timeouts( limits ), m_buf( maxHeadBytes ) {}
 
     //! Makes a call on the calling thread, which runs the event loop meanwhile.
     Outcome run( const Request& request, const Receiver& receiver );
@@ -74,51 +74,51 @@
     //! Passes the body on; asio::error::operation_aborted if the receiver ends the call.
     net::Task<net::ErrorCode> readBody( ResponseParser& parser, const Receiver& receiver );
     void disconnect();
-    MonoTime readDeadline() const { return MonoClock::now() + timeouts.read; }
+    MonoTime readDeadline() const { return MonoClock::now() + m_timeouts.read; }
 
-    settings::HostPort peer;
-    Timeouts timeouts;
-    net::asio::io_context context;
-    std::unique_ptr<net::Socket> socket; //!< null: not connected
-    net::ReadBuffer buf;
-    std::atomic<bool> aborted{ false };
+    settings::HostPort m_peer;
+    Timeouts m_timeouts;
+    net::asio::io_context m_context;
+    std::unique_ptr<net::Socket> m_socket; //!< null: not connected
+    net::ReadBuffer m_buf;
+    std::atomic<bool> m_aborted{ false };
 };
 
 void Client::Impl::disconnect() {
-    socket.reset();
-    buf.clear();
+    m_socket.reset();
+    m_buf.clear();
 }
 
 void Client::Impl::abort() {
-    aborted = true;
-    net::asio::post( context, [this] {
-        if( socket ) {
+    m_aborted = true;
+    net::asio::post( m_context, [this] {
+        if( m_socket ) {
             net::ErrorCode ec;
-            socket->close( ec );
+            m_socket->close( ec );
         }
     } );
 }
 
 net::Task<net::ErrorCode> Client::Impl::ensureConnected() {
     net::ErrorCode ec;
-    if( socket && buf.size() == 0 && net::isOpenAndSilent( *socket ) ) {
+    if( m_socket && m_buf.size() == 0 && net::isOpenAndSilent( *m_socket ) ) {
         co_return ec;
     }
     disconnect();
-    net::tcp::resolver resolver( context );
-    const auto found = resolver.resolve( peer.host, std::to_string( peer.port ), ec );
+    net::tcp::resolver resolver( m_context );
+    const auto found = resolver.resolve( m_peer.host, std::to_string( m_peer.port ), ec );
     if( ec ) {
         co_return ec;
     }
-    socket = std::make_unique<net::Socket>( context );
+    m_socket = std::make_unique<net::Socket>( m_context );
     const auto to = found.begin()->endpoint();
-    ec = co_await net::connect( *socket, to, timeouts.connect );
+    ec = co_await net::connect( *m_socket, to, m_timeouts.connect );
     if( ec ) {
         disconnect();
         co_return ec;
     }
     net::ErrorCode optionError;
-    socket->set_option( net::tcp::no_delay( true ), optionError );
+    m_socket->set_option( net::tcp::no_delay( true ), optionError );
     co_return ec;
 }
 
@@ -126,9 +126,9 @@
     beast::request_serializer<beast::string_body> serializer( message );
     net::ErrorCode ec;
     while( !ec && !serializer.is_done() ) {
-        net::SocketDeadline deadline( *socket, readDeadline() );
+        net::SocketDeadline deadline( *m_socket, readDeadline() );
         const auto [error, n] =
-            co_await beast::async_write_some( *socket, serializer, net::tupled );
+            co_await beast::async_write_some( *m_socket, serializer, net::tupled );
         ec = deadline.expired() ? net::asio::error::timed_out : error;
     }
     co_return ec;
@@ -141,9 +141,9 @@
         parser->body_limit( boost::none );
         parser->header_limit( maxHeadBytes );
         parser->skip( bodiless );
-        net::SocketDeadline deadline( *socket, readDeadline() );
+        net::SocketDeadline deadline( *m_socket, readDeadline() );
         const auto [error, n] =
-            co_await beast::async_read_header( *socket, buf, *parser, net::tupled );
+            co_await beast::async_read_header( *m_socket, m_buf, *parser, net::tupled );
         if( error ) {
             co_return deadline.expired() ? net::asio::error::timed_out : error;
         }
@@ -167,9 +167,9 @@
         body.data = part.data();
         body.size = part.size();
         body.more = true;
-        net::SocketDeadline deadline( *socket, readDeadline() );
+        net::SocketDeadline deadline( *m_socket, readDeadline() );
         const auto [error, n] =
-            co_await beast::async_read_some( *socket, buf, parser, net::tupled );
+            co_await beast::async_read_some( *m_socket, m_buf, parser, net::tupled );
         ec = error == beast::error::need_buffer ? net::ErrorCode{} : error;
         ec = deadline.expired() ? net::asio::error::timed_out : ec;
         const auto got = part.size() - parser.get().body().size;
@@ -183,12 +183,12 @@
 net::Task<Outcome> Client::Impl::exchange( const Request& request, const Receiver& receiver ) {
     Outcome out;
     auto ec = co_await ensureConnected();
-    if( ec || aborted ) {
+    if( ec || m_aborted ) {
         out.failure = Failure::notSent;
-        out.detail = ec ? ec.message() : "aborted";
+        out.detail = ec ? ec.message() : "m_aborted";
         co_return out;
     }
-    const auto message = messageOf( request, peer );
+    const auto message = messageOf( request, m_peer );
     std::optional<ResponseParser> parser;
     ec = co_await write( message );
     if( !ec ) {
@@ -211,13 +211,13 @@
 Outcome Client::Impl::run( const Request& request, const Receiver& receiver ) {
     Outcome out;
     std::exception_ptr thrown;
-    net::asio::co_spawn( context, exchange( request, receiver ),
+    net::asio::co_spawn( m_context, exchange( request, receiver ),
                          [&]( std::exception_ptr ex, Outcome result ) {
                              thrown = std::move( ex );
                              out = std::move( result );
                          } );
-    context.restart();
-    context.run();
+    m_context.restart();
+    m_context.run();
     if( thrown ) {
         disconnect();
         std::rethrow_exception( thrown );
