--- a/src/decide/resume_rule.cpp
+++ b/src/decide/resume_rule.cpp
@@ -47,7 +47,8 @@
     if( facts.recorded ) {
         return facts.recorded;
     }
-    if( !facts.versionsComplete || !facts.only ) {
+    const bool sure = !facts.namesOrigin || facts.versionsComplete;
+    if( !sure || !facts.only ) {
         return std::nullopt;
     }
     return StreamVersion{ facts.service, *facts.only };
--- a/src/decide/resume_rule.hpp
+++ b/src/decide/resume_rule.hpp
@@ -39,6 +39,7 @@
 
 //! What a gateway knows of a stream that a client resumes.
 struct ResumeFacts {
+    bool namesOrigin = false; //!< the client names the attempt that received the first event
     std::optional<StreamVersion> recorded; //!< origin of the stream
     std::string service;                   //!< service that the client's route leads to
     std::optional<std::string> only;       //!< the service's, see SoftwareVersions::only()
--- a/src/gateway/counts/origin_client.cpp
+++ b/src/gateway/counts/origin_client.cpp
@@ -219,7 +219,8 @@
 net::Task<ResumeVersion> OriginClient::find( std::string service, std::string beganAs ) {
     ResumeVersion out;
     decide::ResumeFacts facts;
-    if( !beganAs.empty() ) {
+    facts.namesOrigin = !beganAs.empty();
+    if( facts.namesOrigin ) {
         facts.recorded = co_await findOrigin( std::move( beganAs ), out );
     }
     const auto now = MonoClock::now();
--- a/tests/replay/origin_world.cpp
+++ b/tests/replay/origin_world.cpp
@@ -192,6 +192,7 @@
             return;
         }
         ResumeFacts facts;
+        facts.namesOrigin = true;
         facts.service = stream.began.service;
         facts.recorded = find( stream, m_gateways[n], now );
         if( const auto at = versionToResumeAt( facts ) ) {
--- a/tests/unit/stream_versions.tests.cpp
+++ b/tests/unit/stream_versions.tests.cpp
@@ -90,6 +90,8 @@
     ResumeFacts facts;
     facts.service = "s";
     facts.only = "v2";
+    CHECK( versionToResumeAt( facts ) == StreamVersion{ "s", "v2" } );
+    facts.namesOrigin = true;
     CHECK_FALSE( versionToResumeAt( facts ) );
     facts.versionsComplete = true;
     CHECK( versionToResumeAt( facts ) == StreamVersion{ "s", "v2" } );
