Tests: the stand-in of the store returns text as other systems may write it

Cause: the stand-in could only hold what a JSON library writes, took names undecoded from a target, and answered queries with unknown keys. A number of 400 digits, bytes that are no text or an '&' in a name could not be played.

Change: putText() returns an object's text as given, setPageSize() and repeatFirstPage() shape lists; targets are decoded as HTML forms encode them, and a query with a key that the protocol does not have gets 400. The fixture of a relay over this stand-in moves to a header of its own; no check changes.

--- a/tests/support/object_store.cpp
+++ b/tests/support/object_store.cpp
@@ -6,32 +6,81 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
 namespace coursehead::support {
 
 using Json = nlohmann::json;
 
 namespace {
 
-constexpr std::size_t pageSize = 50;
 constexpr std::size_t maxStoredEvents = 2000;
 constexpr unsigned statusCreated = 201;
+constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusConflict = 409;
 constexpr unsigned statusGone = 410;
 constexpr unsigned statusBusy = 503;
 
+//! The byte that two hexadecimal digits stand for; nullopt if `digits` does not begin with such.
+std::optional<char> byteOf( std::string_view digits ) {
+    unsigned value = 0;
+    constexpr int base = 16;
+    const auto* end = digits.data() + std::min<std::size_t>( digits.size(), 2 );
+    const auto [ptr, ec] = std::from_chars( digits.data(), end, value, base );
+    const bool valid = digits.size() >= 2 && ec == std::errc() && ptr == end;
+    return valid ? std::optional( static_cast<char>( value ) ) : std::nullopt;
+}
+
+std::string decodePart( std::string_view text, bool inQuery ) {
+    std::string out;
+    for( std::size_t n = 0; n < text.size(); ++n ) {
+        const auto byte = text[n] == '%' ? byteOf( text.substr( n + 1 ) ) : std::nullopt;
+        out += byte ? *byte : inQuery && text[n] == '+' ? ' ' : text[n];
+        n += byte ? 2 : 0;
+    }
+    return out;
+}
+
 std::string queryValue( std::string_view query, std::string_view name ) {
     while( !query.empty() ) {
         const auto pair = query.substr( 0, query.find( '&' ) );
         query.remove_prefix( std::min( query.size(), pair.size() + 1 ) );
         const auto equals = pair.find( '=' );
         if( pair.substr( 0, equals ) == name && equals != std::string_view::npos ) {
-            return std::string( pair.substr( equals + 1 ) );
+            return decodePart( pair.substr( equals + 1 ), true );
         }
     }
     return {};
 }
 
+//! True if every key of a query is one of the protocol's.
+bool hasKnownKeys( std::string_view query ) {
+    constexpr std::array<std::string_view, 5> known{ "after", "watch", "waitMs", "isStale",
+                                                     "revision" };
+    while( !query.empty() ) {
+        const auto pair = query.substr( 0, query.find( '&' ) );
+        query.remove_prefix( std::min( query.size(), pair.size() + 1 ) );
+        if( std::find( known.begin(), known.end(), pair.substr( 0, pair.find( '=' ) ) ) ==
+            known.end() ) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::string joined( const std::vector<std::string>& texts ) {
+    std::string out;
+    for( const auto& it : texts ) {
+        out += out.empty() ? "" : ",";
+        out += it;
+    }
+    return out;
+}
+
 } // namespace
 
 //! A request's method and the parts of its target.
@@ -43,7 +92,8 @@
     std::string query;
 
     explicit Call( const Request& request ) : method( request.method_string() ) {
-        const std::string target( request.target() );
+        std::string target( request.target() );
+        target.resize( std::min( target.size(), target.find( '#' ) ) );
         const auto mark = target.find( '?' );
         query = mark == std::string::npos ? "" : target.substr( mark + 1 );
         std::string rest = target.substr( 0, mark );
@@ -57,6 +107,7 @@
             name.resize( name.size() - suffix.size() );
             status = true;
         }
+        name = decodePart( name, false );
     }
 };
 
@@ -68,8 +119,8 @@
     net::asio::co_spawn( context, std::move( task ), net::asio::detached );
 }
 
-void ObjectStore::recordEvent( const std::string& kind, Json object, bool removed ) {
-    m_events.push_back( { m_revision, kind, std::move( object ), removed } );
+void ObjectStore::recordEvent( const std::string& kind, std::string text, bool removed ) {
+    m_events.push_back( { m_revision, kind, std::move( text ), removed } );
     if( m_events.size() > maxStoredEvents ) {
         m_oldestWatchable = m_events.front().revision;
         m_events.pop_front();
@@ -85,8 +136,21 @@
     if( !metadata.contains( "created" ) ) {
         metadata["created"] = m_revision;
     }
-    m_objects[kind][name] = object;
-    recordEvent( kind, std::move( object ), false );
+    m_objects[kind][name] = std::move( object );
+    recordEvent( kind, textOf( kind, name ), false );
+}
+
+std::string ObjectStore::textOf( const std::string& kind, const std::string& name ) const {
+    const auto texts = m_texts.find( kind );
+    if( texts != m_texts.end() && texts->second.contains( name ) ) {
+        return texts->second.at( name );
+    }
+    return m_objects.at( kind ).at( name ).dump();
+}
+
+void ObjectStore::putText( const std::string& kind, const std::string& name, std::string text ) {
+    m_texts[kind][name] = std::move( text );
+    writeObject( kind, name, Json::object() );
 }
 
 void ObjectStore::put( const std::string& kind, const std::string& name, Json specification ) {
@@ -95,6 +159,7 @@
     if( object.value( "specification", Json() ) == specification ) {
         return;
     }
+    m_texts[kind].erase( name );
     object["specification"] = std::move( specification );
     writeObject( kind, name, std::move( object ) );
 }
@@ -105,9 +170,10 @@
         return;
     }
     ++m_revision;
-    auto object = std::move( it->second );
+    auto text = textOf( kind, name );
     m_objects[kind].erase( it );
-    recordEvent( kind, std::move( object ), true );
+    m_texts[kind].erase( name );
+    recordEvent( kind, std::move( text ), true );
 }
 
 void ObjectStore::saveCopy() {
@@ -176,14 +242,14 @@
             co_return;
         }
         if( m_mode == StoreMode::busy ) {
-            got = { statusBusy, Json::object() };
+            got = { statusBusy };
         }
         http::response<http::string_body> response;
         response.result( got.status );
         response.set( http::field::content_type, "application/json" );
         response.set( "Store-Era", std::to_string( m_era ) );
         response.keep_alive( keepAlive );
-        response.body() = got.body.dump();
+        response.body() = std::move( got.body );
         response.prepare_payload();
         const auto [failed, sent] = co_await http::async_write( socket, response, net::tupled );
         if( failed || !keepAlive ) {
@@ -194,14 +260,17 @@
 
 net::Task<ObjectStore::Answer> ObjectStore::answer( Request request ) {
     const Call call( request );
+    if( !hasKnownKeys( call.query ) ) {
+        co_return Answer{ statusBadRequest, R"({"error":"unknown key in the query"})" };
+    }
     if( call.method != "GET" ) {
         co_return write( call, request.body() );
     }
     if( !call.name.empty() ) {
         const auto& objects = m_objects[call.kind];
         const auto it = objects.find( call.name );
-        co_return it == objects.end() ? Answer{ statusNotFound, Json::object() }
-                                      : Answer{ 200, it->second };
+        co_return it == objects.end() ? Answer{ statusNotFound }
+                                      : Answer{ 200, textOf( call.kind, call.name ) };
     }
     const auto from = queryValue( call.query, "watch" );
     if( from.empty() ) {
@@ -219,12 +288,13 @@
     const auto until = MonoClock::now() + wait;
     for( ;; ) {
         if( from < m_oldestWatchable || from > m_revision ) {
-            co_return Answer{ statusGone, Json::object() };
+            co_return Answer{ statusGone };
         }
-        auto got = events( kind, from );
+        const auto found = events( kind, from );
         const bool over = MonoClock::now() >= until || m_mode != StoreMode::up;
-        if( !got.body["events"].empty() || over ) {
-            co_return got;
+        if( !found.empty() || over ) {
+            co_return Answer{ 200, R"({"events":[)" + joined( found ) + R"(],"timestamp":)" +
+                                       std::to_string( m_revision ) + "}" };
         }
         // Shared ownership: the handler on m_changeSignal may run after this watch has ended.
         const auto timer = std::make_shared<net::Timer>( m_context );
@@ -234,38 +304,40 @@
     }
 }
 
-ObjectStore::Answer ObjectStore::events( const std::string& kind, std::uint64_t from ) const {
-    Json out = Json::array();
+std::vector<std::string> ObjectStore::events( const std::string& kind, std::uint64_t from ) const {
+    std::vector<std::string> out;
     for( const auto& it : m_events ) {
         if( it.revision > from && it.kind == kind ) {
-            out.push_back( { { "object", it.object }, { "isGone", it.removed } } );
+            out.push_back( R"({"object":)" + it.text + R"(,"isGone":)" +
+                           ( it.removed ? "true}" : "false}" ) );
         }
     }
-    return { 200, { { "events", std::move( out ) }, { "timestamp", m_revision } } };
+    return out;
 }
 
 ObjectStore::Answer ObjectStore::list( const std::string& kind, const std::string& after ) const {
-    Json items = Json::array();
+    std::vector<std::string> items;
     bool more = false;
     const auto objects = m_objects.find( kind );
     if( objects != m_objects.end() ) {
-        for( auto it = objects->second.upper_bound( after ); it != objects->second.end(); ++it ) {
-            if( items.size() == pageSize ) {
+        const auto from = m_repeatsFirstPage ? std::string() : after;
+        for( auto it = objects->second.upper_bound( from ); it != objects->second.end(); ++it ) {
+            if( items.size() == m_pageSize ) {
                 more = true;
                 break;
             }
-            items.push_back( it->second );
+            items.push_back( textOf( kind, it->first ) );
         }
     }
-    return {
-        200,
-        { { "items", std::move( items ) }, { "morePages", more }, { "timestamp", m_revision } } };
+    return { 200, R"({"items":[)" + joined( items ) + R"(],"morePages":)" +
+                      ( more ? "true" : "false" ) + R"(,"timestamp":)" +
+                      std::to_string( m_revision ) + "}" };
 }
 
 ObjectStore::Answer ObjectStore::write( const Call& call, const std::string& body ) {
     const auto given = Json::parse( body.empty() ? "{}" : body, nullptr, false );
     if( !given.is_object() ) {
-        return { 400, { { "error", "the body is not a JSON object" } } };
+        return { statusBadRequest, R"({"error":"the body is not a JSON object"})" };
     }
     const auto name = call.method == "POST"
                           ? given.value( "metadata", Json::object() ).value( "name", "" )
@@ -274,15 +346,15 @@
     const auto it = objects.find( name );
     if( call.method == "POST" ) {
         if( it != objects.end() ) {
-            return { statusConflict, it->second };
+            return { statusConflict, it->second.dump() };
         }
         writeObject( call.kind, name,
                      { { "specification", given.value( "specification", Json() ) },
                        { "status", given.value( "status", Json() ) } } );
-        return { statusCreated, objects[name] };
+        return { statusCreated, objects[name].dump() };
     }
     if( it == objects.end() ) {
-        return { statusNotFound, Json::object() };
+        return { statusNotFound };
     }
     return update( call, given, it->second );
 }
@@ -297,18 +369,18 @@
           expectedRevision.get<std::uint64_t>() != currentRevision ) ||
         ( !queryRevision.empty() && queryRevision != std::to_string( currentRevision ) );
     if( differs ) {
-        return { statusConflict, object };
+        return { statusConflict, object.dump() };
     }
     if( call.method == "DELETE" ) {
         remove( call.kind, call.name );
-        return { 200, object };
+        return { 200, object.dump() };
     }
     const char* part = call.status ? "status" : "specification";
     if( object.value( part, Json() ) != given.value( part, Json() ) ) {
         object[part] = given.value( part, Json() );
         writeObject( call.kind, call.name, object );
     }
-    return { 200, m_objects[call.kind][call.name] };
+    return { 200, m_objects[call.kind][call.name].dump() };
 }
 
 } // namespace coursehead::support
--- a/tests/support/object_store.hpp
+++ b/tests/support/object_store.hpp
@@ -13,6 +13,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace coursehead::support {
 
@@ -27,7 +29,8 @@
 };
 
 //! Stand-in for the platform's object store on loopback. Implements the published protocol (paged
-//! lists, watches, conditional writes) and can be made to fail at run time.
+//! lists, watches, conditional writes) and can be made to fail at run time. It decodes targets as
+//! HTML forms encode them, and refuses queries with a key that the protocol does not have.
 class ObjectStore {
 public:
     //! Listens on `port`; 0 chooses a free port.
@@ -42,6 +45,9 @@
     std::uint64_t staleListCalls() const { return m_staleListCalls; }
 
     void put( const std::string& kind, const std::string& name, nlohmann::json specification );
+    //! Writes an object as another system may write it: the store returns `text` for it, whatever
+    //! that is.
+    void putText( const std::string& kind, const std::string& name, std::string text );
     void remove( const std::string& kind, const std::string& name );
     //! Answers 410 to watches that start from an earlier revision.
     void discardHistory() { m_oldestWatchable = m_revision; }
@@ -53,6 +59,10 @@
     std::uint64_t era() const { return m_era; }
     void setMode( StoreMode mode );
     void setDelay( Millis delay ) { m_delay = delay; }
+    //! Largest number of objects on a page of a list.
+    void setPageSize( std::size_t objects ) { m_pageSize = objects; }
+    //! Answers each page of a list with the first one.
+    void repeatFirstPage() { m_repeatsFirstPage = true; }
     //! Closes the connections of all waiting watches and of the next `nextCalls` calls, unanswered.
     void cut( int nextCalls );
 
@@ -60,12 +70,12 @@
     using Request = http::request<http::string_body>;
     struct Answer {
         unsigned status = 200;
-        nlohmann::json body;
+        std::string body = "{}";
     };
     struct Event {
         std::uint64_t revision = 0;
         std::string kind;
-        nlohmann::json object;
+        std::string text; //!< of the object
         bool removed = false;
     };
     struct Call;
@@ -77,14 +87,18 @@
     Answer list( const std::string& kind, const std::string& after ) const;
     Answer write( const Call& call, const std::string& body );
     Answer update( const Call& call, const nlohmann::json& given, nlohmann::json object );
-    Answer events( const std::string& kind, std::uint64_t from ) const;
+    //! Texts of the events of a kind after a revision.
+    std::vector<std::string> events( const std::string& kind, std::uint64_t from ) const;
+    std::string textOf( const std::string& kind, const std::string& name ) const;
     void writeObject( const std::string& kind, const std::string& name, nlohmann::json object );
-    void recordEvent( const std::string& kind, nlohmann::json object, bool removed );
+    void recordEvent( const std::string& kind, std::string text, bool removed );
 
     net::asio::io_context& m_context;
     net::Acceptor m_acceptor;
     int m_port;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+    //! Texts returned in place of objects, by kind and name.
+    std::map<std::string, std::map<std::string, std::string>> m_texts;
     std::deque<Event> m_events;
     struct Copy {
         std::map<std::string, std::map<std::string, nlohmann::json>> objects;
@@ -100,6 +114,8 @@
     int m_callsToCut = 0;
     StoreMode m_mode = StoreMode::up;
     Millis m_delay{ 0 };
+    std::size_t m_pageSize = 50;
+    bool m_repeatsFirstPage = false;
     net::Timer m_changeSignal; //!< cancelled on each change to wake the waiting watches
 };
 
--- a/tests/unit/relay.tests.cpp
+++ b/tests/unit/relay.tests.cpp
@@ -3,8 +3,7 @@
 #include "gateway/links/relay_choice.hpp"
 #include "gateway/links/relay_times.hpp"
 #include "gateway/links/store_feed.hpp"
-#include "support/object_store.hpp"
-#include "support/run_until.hpp"
+#include "support/relay_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -14,64 +13,13 @@
 using namespace coursehead::gateway;
 using namespace std::chrono_literals;
 using support::ObjectStore;
+using support::RelayFixture;
 using support::runUntil;
 using support::StoreMode;
 using Json = nlohmann::json;
 
 namespace {
 
-Json entry( const std::string& state ) {
-    return { { "service", "s" },
-             { "address", "127.0.0.9:9" },
-             { "zone", "hall" },
-             { "version", "1" },
-             { "slots", 4 },
-             { "state", state },
-             { "coldMs", 0 },
-             { "sequence", 1 },
-             { "models", Json::array() } };
-}
-
-platform::NodeSettings settingsFor( const ObjectStore& store ) {
-    platform::NodeSettings out;
-    out.vm = "vm";
-    out.store.ip = "127.0.0.1";
-    out.store.port = store.port();
-    out.bounds.drain = 600ms;
-    out.bounds.contact = 600ms;
-    return out;
-}
-
-//! A relay with one subscriber and a store on the same event loop.
-struct RelayFixture {
-    net::asio::io_context context{ 1 };
-    ObjectStore store{ context };
-    platform::NodeSettings settings = settingsFor( store );
-    RandomSource random{ 1 };
-    metrics::Metrics metrics;
-    sidecar::Relay relay{ context, settings, random, metrics };
-    std::vector<StoreUpdate> updates;
-
-    void subscribe() {
-        relay.subscribe( this, [this]( std::string_view message ) {
-            const auto decoded = decode( message );
-            REQUIRE( decoded );
-            updates.push_back( std::get<StoreUpdate>( *decoded ) );
-        } );
-    }
-    const StoreUpdate* find( const std::function<bool( const StoreUpdate& )>& predicate ) const {
-        for( const auto& it : updates ) {
-            if( predicate( it ) ) {
-                return &it;
-            }
-        }
-        return nullptr;
-    }
-    bool receives( const std::function<bool( const StoreUpdate& )>& predicate ) {
-        return runUntil( context, [&] { return find( predicate ) != nullptr; } );
-    }
-};
-
 RelayCandidate candidate( std::string_view id, bool connected = true, bool avoided = false ) {
     return { id, connected, avoided };
 }
@@ -116,8 +64,8 @@
 
 TEST_CASE( "A relay gives all that exists first, then what changes", "[sidecar][relay]" ) {
     RelayFixture f;
-    f.store.put( "servers", "u1", entry( "ready" ) );
-    f.store.put( "servers", "u2", entry( "ready" ) );
+    f.store.put( "servers", "u1", support::upstreamEntry( "ready" ) );
+    f.store.put( "servers", "u2", support::upstreamEntry( "ready" ) );
     f.store.put( "config", "main", { { "version", 1 } } );
     f.subscribe();
     REQUIRE( f.receives( []( const auto& it ) { return it.whole && it.upstreams.size() == 2U; } ) );
@@ -128,7 +76,7 @@
         REQUIRE( f.receives( [part]( const auto& it ) { return it.part == part && it.whole; } ) );
     }
     f.updates.clear();
-    f.store.put( "servers", "u1", entry( "draining" ) );
+    f.store.put( "servers", "u1", support::upstreamEntry( "draining" ) );
     f.store.remove( "servers", "u2" );
     REQUIRE( f.receives( []( const auto& it ) {
         return it.upstreams.size() == 1U && it.upstreams[0].state == UpstreamState::draining;
@@ -141,12 +89,12 @@
 TEST_CASE( "Adapters that an engine loads are no news for a relay, models are",
            "[sidecar][relay]" ) {
     RelayFixture f;
-    f.store.put( "servers", "u1", entry( "ready" ) );
+    f.store.put( "servers", "u1", support::upstreamEntry( "ready" ) );
     f.subscribe();
     REQUIRE( f.receives( []( const auto& it ) { return it.whole; } ) );
     f.updates.clear();
     const auto entryWithAdapters = []( const Json& adapters ) {
-        auto out = entry( "ready" );
+        auto out = support::upstreamEntry( "ready" );
         out["models"] = { { { "name", "m" }, { "version", 1 }, { "adapters", adapters } } };
         return out;
     };
@@ -165,7 +113,7 @@
 
 TEST_CASE( "A relay without the store says so, and goes on when it is back", "[sidecar][relay]" ) {
     RelayFixture f;
-    f.store.put( "servers", "u1", entry( "ready" ) );
+    f.store.put( "servers", "u1", support::upstreamEntry( "ready" ) );
     f.subscribe();
     REQUIRE( f.receives( []( const auto& it ) { return it.whole; } ) );
     f.store.setMode( StoreMode::busy );
@@ -183,7 +131,7 @@
            "[sidecar][relay]" ) {
     constexpr int partCount = 4;
     RelayFixture f;
-    f.store.put( "servers", "u1", entry( "ready" ) );
+    f.store.put( "servers", "u1", support::upstreamEntry( "ready" ) );
     f.subscribe();
     for( const auto part : { StorePart::upstreams, StorePart::configuration, StorePart::quarantines,
                              StorePart::evacuations } ) {
@@ -193,7 +141,7 @@
     // The store loses its history too. The relay retries each cut call once, without delay.
     f.store.discardHistory();
     f.store.cut( partCount );
-    f.store.put( "servers", "u2", entry( "ready" ) );
+    f.store.put( "servers", "u2", support::upstreamEntry( "ready" ) );
     REQUIRE( f.receives( []( const auto& it ) {
         return it.upstreams.size() == 1U && it.upstreams[0].id == "u2";
     } ) );
@@ -238,7 +186,7 @@
     endpoint.ip = "127.0.0.1";
     endpoint.port = store.port();
     Follower follower( context, endpoint, settings, random, handlers );
-    store.put( "servers", "u1", entry( "ready" ) );
+    store.put( "servers", "u1", support::upstreamEntry( "ready" ) );
     const auto position = [&store] {
         return decide::StorePosition{ store.era(), store.revision() };
     };
@@ -248,7 +196,7 @@
     const auto quietEnd = MonoClock::now() + 300ms;
     runUntil( context, [&] { return MonoClock::now() > quietEnd; } );
     CHECK( store.calls() == 0U );
-    store.put( "servers", "u2", entry( "ready" ) );
+    store.put( "servers", "u2", support::upstreamEntry( "ready" ) );
     follower.relayLost( MonoClock::now() );
     REQUIRE( runUntil( context, [&] { return !seenNames.empty(); } ) );
     CHECK( seenNames == std::vector<std::string>{ "u2" } );
