One unreadable entry no longer hides the others of its response

What callers saw: while an entry of another writer with a number of 400 digits, or 1e400, stood in the list of upstreams, a process that started was never ready and knew no upstream; one that ran heard of nothing that followed. The same entry in 'config', under any name, had the same effect; 'quarantines' and 'evacuations' were no longer followed either.

Cause: a page of a list, and the events of a watch, were parsed as one document. The parser rejects a document with a number that a double does not hold, or with a control character in a string, and the call then counted as failed. When invalid UTF-8 was the reason, bytes outside ASCII were replaced in all entries of the response, so that a hall named 'zürich' was known as 'z??rich'.

Change: a response is split by its brackets and quotes alone, and each object is parsed by itself (platform/json_text). One that is not valid JSON, that is nested deeper than 32 levels, or that holds a number beyond 64 bits and double, keeps its name only and says why it can't be used: it names no upstream, an upstream whose entry it replaces is removed, and it is logged once (object_unreadable). An unreadable configuration leaves the known one in force.

The entry that is nested deeply or holds invalid text was used as an upstream before.

--- a/src/gateway/links/store_feed.cpp
+++ b/src/gateway/links/store_feed.cpp
@@ -78,9 +78,9 @@
     return out;
 }
 
-void StoreFeed::applyConfiguration( const platform::StoreObject& object ) const {
-    if( object.name == platform::configurationName ) {
-        m_handlers.configuration( object.spec );
+void StoreFeed::applyConfiguration( const platform::StoreObject& object ) {
+    if( const auto text = m_reader.configuration( object ) ) {
+        m_handlers.configuration( *text );
     }
 }
 
--- a/src/gateway/links/store_feed.hpp
+++ b/src/gateway/links/store_feed.hpp
@@ -66,7 +66,7 @@
     void expireHeldHalls( MonoTime now );
     void applyQuarantine( const platform::StoreObject& object );
     void applyQuarantineRemoval( std::string_view name );
-    void applyConfiguration( const platform::StoreObject& object ) const;
+    void applyConfiguration( const platform::StoreObject& object );
     void applyUpstreamListing( std::vector<Upstream> upstreams );
     void applyUpdate( const std::string& upstreamId, const StoreUpdate& update );
     void applyUpstreams( const StoreUpdate& update );
--- a/src/gateway/links/store_objects.cpp
+++ b/src/gateway/links/store_objects.cpp
@@ -33,8 +33,9 @@
 }
 
 std::optional<Upstream> ObjectReader::upstream( const platform::StoreObject& object ) {
-    std::string problem;
-    auto out = platform::readUpstream( object.name, object.spec, problem );
+    std::string problem = object.problem;
+    auto out = problem.empty() ? platform::readUpstream( object.name, object.spec, problem )
+                               : std::nullopt;
     if( !out ) {
         logUnreadable( object, "upstream", problem );
         return std::nullopt;
@@ -43,6 +44,17 @@
     return out;
 }
 
+std::optional<std::string> ObjectReader::configuration( const platform::StoreObject& object ) {
+    if( object.name != platform::configurationName ) {
+        return std::nullopt;
+    }
+    if( !object.problem.empty() ) {
+        logUnreadable( object, "configuration", object.problem );
+        return std::nullopt;
+    }
+    return object.spec;
+}
+
 std::optional<decide::Quarantine> ObjectReader::quarantine( const platform::StoreObject& object ) {
     std::string problem;
     const auto out = platform::readQuarantine( object, systemClock().wall(), problem );
--- a/src/gateway/links/store_objects.hpp
+++ b/src/gateway/links/store_objects.hpp
@@ -16,6 +16,8 @@
 class ObjectReader {
 public:
     std::optional<Upstream> upstream( const platform::StoreObject& object );
+    //! The text of the configuration; nullopt for other objects of its kind too.
+    std::optional<std::string> configuration( const platform::StoreObject& object );
     //! A quarantine, with the time that is left of it.
     std::optional<decide::Quarantine> quarantine( const platform::StoreObject& object );
 
--- a/src/platform/store_wire.cpp
+++ b/src/platform/store_wire.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "platform/store_wire.hpp"
 
+#include "platform/json_text.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -17,84 +19,42 @@
 
 using Json = nlohmann::json;
 
-constexpr unsigned char firstNonAscii = 0x80;
-//! Deeper JSON values are skipped: copying and writing JSON uses stack for each level, and an
-//! object of 1 MB may have 500,000 levels. The platform's own values have about 4.
-constexpr int maxJsonDepth = 32;
+constexpr std::string_view notReadable =
+    "not valid JSON, nested too deeply, or with a number that no type holds";
 
-int depthOf( std::string_view text ) {
-    int depth = 0;
-    int deepest = 0;
-    bool inString = false;
-    for( std::size_t n = 0; n < text.size(); ++n ) {
-        const char it = text[n];
-        if( inString ) {
-            n += it == '\\' ? 1 : 0;
-            inString = it != '"';
-            continue;
-        }
-        inString = it == '"';
-        depth += it == '[' || it == '{' ? 1 : it == ']' || it == '}' ? -1 : 0;
-        deepest = std::max( deepest, depth );
-    }
-    return deepest;
+//! The text of an object's name; empty if it has none.
+std::string_view nameTextOf( std::string_view object ) {
+    const auto members = splitObject( object );
+    const auto metadata = members ? splitObject( valueOf( *members, "metadata" ) ) : std::nullopt;
+    return metadata ? valueOf( *metadata, "name" ) : std::string_view();
 }
 
-Json parseText( std::string_view text ) {
-    if( depthOf( text ) <= maxJsonDepth ) {
-        return Json::parse( text, nullptr, false );
+//! Reads a field of the metadata that is 0 if it is absent.
+std::uint64_t readRevision( const Json& metadata, const char* name, std::string& problem ) {
+    const auto it = metadata.find( name );
+    if( it == metadata.end() ) {
+        return 0;
     }
-    const auto withinDepth = []( int depth, Json::parse_event_t, Json& ) {
-        return depth <= maxJsonDepth;
-    };
-    return Json::parse( text, withinDepth, false );
-}
-
-//! True if `rest` starts with a valid JSON escape sequence that is not half of a surrogate pair.
-bool isValidEscape( std::string_view rest ) {
-    constexpr std::string_view known = "\"\\/bfnrtu";
-    if( rest.size() < 2 || known.find( rest[1] ) == std::string_view::npos ) {
-        return false;
+    if( !it->is_number_unsigned() ) {
+        problem = std::string( name ) + " = " + it->dump() + ": expected a whole number, 0 or more";
+        return 0;
     }
-    // \ud800 to \udfff: surrogates, which may be unpaired.
-    const bool isSurrogate =
-        rest[1] == 'u' && rest.size() > 3 && ( rest[2] == 'd' || rest[2] == 'D' ) && rest[3] > '7';
-    return !isSurrogate;
+    return it->get<std::uint64_t>();
 }
 
-//! Replaces bytes outside ASCII, and the backslash of invalid escapes and of surrogates, by '?'.
-std::string replaceInvalidText( std::string_view text ) {
-    std::string out( text );
-    for( std::size_t n = 0; n < out.size(); ++n ) {
-        const bool isEscape = out[n] == '\\';
-        const bool valid = isEscape ? isValidEscape( std::string_view( out ).substr( n ) )
-                                    : static_cast<unsigned char>( out[n] ) < firstNonAscii;
-        if( !valid ) {
-            out[n] = '?';
-        } else if( isEscape ) {
-            ++n;
+//! Reads an object; nullopt if it has no name.
+std::optional<StoreObject> readObject( std::string_view text ) {
+    StoreObject out;
+    const auto in = parseJson( text );
+    if( in.is_discarded() ) {
+        auto name = parseText( nameTextOf( text ) );
+        if( !name ) {
+            return std::nullopt;
         }
+        out.name = std::move( *name );
+        out.problem = notReadable;
+        return out;
     }
-    return out;
-}
-
-//! Parses the store's response. Invalid text in one object makes the whole response invalid JSON;
-//! it is then replaced, so that the other objects can be used.
-Json parseResponse( std::string_view text ) {
-    auto out = parseText( text );
-    return out.is_discarded() ? parseText( replaceInvalidText( text ) ) : out;
-}
-
-//! The value of a field; nullopt if it is absent or not an unsigned integer.
-std::optional<std::uint64_t> numberOf( const Json& in, const char* name ) {
-    const auto it = in.find( name );
-    if( it == in.end() || !it->is_number_unsigned() ) {
-        return std::nullopt;
-    }
-    return it->get<std::uint64_t>();
-}
-
-std::optional<StoreObject> readObject( const Json& in ) {
     if( !in.is_object() || !in.contains( "metadata" ) || !in["metadata"].is_object() ) {
         return std::nullopt;
     }
@@ -103,10 +63,9 @@
     if( name == metadata.end() || !name->is_string() ) {
         return std::nullopt;
     }
-    StoreObject out;
     out.name = name->get<std::string>();
-    out.revision = numberOf( metadata, "revision" ).value_or( 0 );
-    out.created = numberOf( metadata, "created" ).value_or( 0 );
+    out.revision = readRevision( metadata, "revision", out.problem );
+    out.created = readRevision( metadata, "created", out.problem );
     out.spec = in.contains( "specification" ) ? in["specification"].dump() : "null";
     return out;
 }
@@ -184,6 +143,10 @@
 
 std::optional<decide::Quarantine> readQuarantine( const StoreObject& object, WallMillis now,
                                                   std::string& problem ) {
+    if( !object.problem.empty() ) {
+        problem = object.problem;
+        return std::nullopt;
+    }
     try {
         const auto in = Json::parse( object.spec );
         const auto text = in.at( "fingerprint" ).get<std::string>();
@@ -226,15 +189,17 @@
 }
 
 std::optional<StorePage> readPage( std::string_view json ) {
-    const auto in = parseResponse( json );
-    const auto revision = in.is_object() ? numberOf( in, "timestamp" ) : std::nullopt;
-    if( !revision || !in.contains( "items" ) || !in["items"].is_array() ) {
+    const auto members = splitObject( json );
+    const auto revision =
+        members ? parseUnsigned( valueOf( *members, "timestamp" ) ) : std::nullopt;
+    const auto items = revision ? splitArray( valueOf( *members, "items" ) ) : std::nullopt;
+    if( !items ) {
         return std::nullopt;
     }
     StorePage out;
     out.revision = *revision;
-    out.more = in.contains( "morePages" ) && in["morePages"] == true;
-    for( const auto& it : in["items"] ) {
+    out.more = valueOf( *members, "morePages" ) == "true";
+    for( const auto& it : *items ) {
         if( auto object = readObject( it ) ) {
             out.objects.push_back( std::move( *object ) );
         }
@@ -243,19 +208,20 @@
 }
 
 std::optional<StoreEvents> readEvents( std::string_view json ) {
-    const auto in = parseResponse( json );
-    const auto revision = in.is_object() ? numberOf( in, "timestamp" ) : std::nullopt;
-    if( !revision || !in.contains( "events" ) || !in["events"].is_array() ) {
+    const auto members = splitObject( json );
+    const auto revision =
+        members ? parseUnsigned( valueOf( *members, "timestamp" ) ) : std::nullopt;
+    const auto events = revision ? splitArray( valueOf( *members, "events" ) ) : std::nullopt;
+    if( !events ) {
         return std::nullopt;
     }
     StoreEvents out;
     out.revision = *revision;
-    for( const auto& it : in["events"] ) {
-        if( !it.is_object() || !it.contains( "object" ) ) {
-            continue;
-        }
-        if( auto object = readObject( it["object"] ) ) {
-            const bool gone = it.contains( "isGone" ) && it["isGone"] == true;
+    for( const auto& it : *events ) {
+        const auto event = splitObject( it );
+        auto object = event ? readObject( valueOf( *event, "object" ) ) : std::nullopt;
+        if( object ) {
+            const bool gone = valueOf( *event, "isGone" ) == "true";
             out.events.push_back( { std::move( *object ), gone } );
         }
     }
--- a/src/platform/store_wire.hpp
+++ b/src/platform/store_wire.hpp
@@ -21,7 +21,8 @@
     std::uint64_t era = 0;      //!< era of the response that held the object
     std::uint64_t revision = 0; //!< revision of the last change
     std::uint64_t created = 0;  //!< revision of the creation
-    std::string spec;           //!< JSON text
+    std::string spec = "null";  //!< JSON text
+    std::string problem;        //!< why the object can't be used; empty: it can
 };
 struct StorePage {
     std::vector<StoreObject> objects;
--- a/src/sidecar/relay.cpp
+++ b/src/sidecar/relay.cpp
@@ -238,8 +238,8 @@
 
 void Relay::put( WatchedPart& part, const platform::StoreObject& object ) {
     if( part.part == StorePart::configuration ) {
-        if( object.name == platform::configurationName ) {
-            part.configuration = object.spec;
+        if( auto text = part.reader.configuration( object ) ) {
+            part.configuration = std::move( *text );
             part.configurationChanged = true;
         }
         return;
