Names of the store's objects are percent-encoded in targets

What callers saw: a process that started while an entry with a blank, '&', '#', '+', '%39' or CR LF in its name was the last of its page was never ready, or knew none of the upstreams in between; with '#' or '+' on pages of one entry its list started over without a pause.

Cause: 'after' and the names of single objects went into the request's target as they are. Where a name had to be repaired to be text, the repaired one was sent, which the store does not have.

Change: http::encodeComponent, so far only used for queries of the older roles, now encodes names in both places. A list goes on behind the bytes of the last name on the page, also if that entry can't be read.

--- a/src/http/target.cpp
+++ b/src/http/target.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-//! Bytes other than letters and digits that stand for themselves in a query's value.
-constexpr std::string_view plainInValue = "-_.!~*()";
+//! Bytes other than letters and digits that stand for themselves in a part of a path or query.
+constexpr std::string_view plainInComponent = "-_.!~*()";
 //! Bytes of a path that servers may decode or split at.
 constexpr std::string_view encodedInPath = "+',;";
 
@@ -25,19 +25,21 @@
     out += digits[c & 0xfU];
 }
 
-void appendValue( std::string& out, std::string_view value ) {
-    for( const char it : value ) {
+} // namespace
+
+std::string encodeComponent( std::string_view text ) {
+    std::string out;
+    for( const char it : text ) {
         const auto c = static_cast<unsigned char>( it );
-        if( isAlphanumeric( c ) || plainInValue.find( it ) != std::string_view::npos ) {
+        if( isAlphanumeric( c ) || plainInComponent.find( it ) != std::string_view::npos ) {
             out += it;
         } else {
             appendEncoded( out, c );
         }
     }
+    return out;
 }
 
-} // namespace
-
 std::string targetOf( const Request& request ) {
     std::string out = request.path.empty() ? "/" : "";
     for( const char it : request.path ) {
@@ -51,9 +53,9 @@
     char separator = '?';
     for( const auto& [name, value] : request.query ) {
         out += separator;
-        appendValue( out, name );
+        out += encodeComponent( name );
         out += '=';
-        appendValue( out, value );
+        out += encodeComponent( value );
         separator = '&';
     }
     return out;
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -102,10 +102,10 @@
             it.era = m_era;
             out.objects.push_back( std::move( it ) );
         }
-        if( !page->more || page->objects.empty() || pages + 1 >= maxPages ) {
+        if( !page->more || page->lastName.empty() || pages + 1 >= maxPages ) {
             co_return out;
         }
-        after = out.objects.back().name;
+        after = std::move( page->lastName );
     }
 }
 
--- a/src/platform/store_wire.cpp
+++ b/src/platform/store_wire.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "platform/store_wire.hpp"
 
+#include "http/target.hpp"
 #include "platform/json_text.hpp"
 
 #include <nlohmann/json.hpp>
@@ -29,6 +30,16 @@
     return metadata ? valueOf( *metadata, "name" ) : std::string_view();
 }
 
+//! The bytes of an object's name, to list what follows it: unlike `StoreObject::name` they may be
+//! no valid text. Empty if the object has none.
+std::string listedName( std::string_view object ) {
+    const auto name = nameTextOf( object );
+    const bool isPlainText =
+        name.size() >= 2 && name.front() == '"' && name.find( '\\' ) == std::string_view::npos;
+    return isPlainText ? std::string( name.substr( 1, name.size() - 2 ) )
+                       : parseText( name ).value_or( "" );
+}
+
 //! Reads a field of the metadata that is 0 if it is absent.
 std::uint64_t readRevision( const Json& metadata, const char* name, std::string& problem ) {
     const auto it = metadata.find( name );
@@ -82,8 +93,7 @@
     }
     if( !after.empty() ) {
         out += separator;
-        out += "after=";
-        out += after;
+        out += "after=" + http::encodeComponent( after );
     }
     return out;
 }
@@ -99,8 +109,7 @@
 std::string objectPath( std::string_view kind, std::string_view name ) {
     std::string out = "/objects/";
     out += kind;
-    out += '/';
-    out += name;
+    out += '/' + http::encodeComponent( name );
     return out;
 }
 
@@ -200,7 +209,13 @@
     out.revision = *revision;
     out.more = valueOf( *members, "morePages" ) == "true";
     for( const auto& it : *items ) {
-        if( auto object = readObject( it ) ) {
+        auto object = readObject( it );
+        const bool isReadable = object && object->problem.empty();
+        auto name = isReadable ? object->name : listedName( it );
+        if( !name.empty() ) {
+            out.lastName = std::move( name );
+        }
+        if( object ) {
             out.objects.push_back( std::move( *object ) );
         }
     }
--- a/src/platform/store_wire.hpp
+++ b/src/platform/store_wire.hpp
@@ -27,6 +27,7 @@
 struct StorePage {
     std::vector<StoreObject> objects;
     bool more = false;
+    std::string lastName;       //!< bytes of the last name on the page; empty if it has none
     std::uint64_t revision = 0; //!< store revision at the time of the page
 };
 struct StoreEvent {
--- /dev/null
+++ b/tests/promise/odd_entries.tests.cpp
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: BSL-1.0
+#include "support/odd_entries.hpp"
+#include "support/world.hpp"
+
+// Guards against entries of another writer that stop the processes that read them.
+
+using namespace coursehead;
+using namespace coursehead::soak;
+using support::objectText;
+using support::quoted;
+using support::withField;
+using support::World;
+using support::WorldSize;
+
+namespace {
+
+constexpr WorldSize worldSize{ .gateways = 3, .engines = 3, .services = 3 };
+constexpr int requestCount = 12;
+constexpr std::size_t maxNestedBytes = 400000;
+
+//! An entry of a plain upstream that nothing listens for.
+nlohmann::json absentUpstream() {
+    return { { "service", "plain" }, { "address", "127.0.0.1:9" },
+             { "zone", "hall-0" },   { "version", "v1" },
+             { "slots", 8 },         { "state", "ready" },
+             { "coldMs", 0 },        { "sequence", 1 } };
+}
+
+//! Writes entries that name no upstream, some of them in front of all others, some behind.
+void putOddEntries( support::ObjectStore& store ) {
+    const auto huge = withField( absentUpstream(), "slots", support::hugeNumbers().front() );
+    for( const auto& name : support::oddNames() ) {
+        for( const std::string prefix : { "", "i", "z" } ) {
+            store.putText( "servers", prefix + name, objectText( quoted( prefix + name ), huge ) );
+        }
+    }
+    const std::vector<std::string> specifications{
+        withField( absentUpstream(), "other", support::nested( maxNestedBytes ) ),
+        withField( absentUpstream(), "address", "\"127.0.0.1:99999\"" ),
+        withField( absentUpstream(), "address", "\"127.0.0.1:-1\"" ),
+        withField( absentUpstream(), "born", "1e400" ),
+        withField( absentUpstream(), "zone", "\"\xff\"" ),
+    };
+    for( std::size_t n = 0; n < specifications.size(); ++n ) {
+        const auto name = quoted( "odd-" + std::to_string( n ) );
+        store.putText( "servers", "odd-" + std::to_string( n ),
+                       objectText( name, specifications[n] ) );
+    }
+    for( const std::string kind : { "config", "quarantines", "evacuations" } ) {
+        store.putText( kind, "a &", objectText( quoted( "a &" ), huge ) );
+    }
+}
+
+//! Requests of a client to all gateways, and how many of them were served.
+struct Served {
+    int plain = 0;
+    int streams = 0;
+};
+
+net::Task<Served> askAll( World& world ) {
+    Served out;
+    for( int n = 0; n < requestCount; ++n ) {
+        const auto status = co_await world.askPlain();
+        out.plain += status == 200 ? 1 : 0;
+    }
+    out.streams = co_await world.askStreams( requestCount );
+    co_return out;
+}
+
+//! True once each gateway serves the route of the newest configuration.
+net::Task<> waitForConfiguration( World& world ) {
+    const auto path = "/v" + std::to_string( world.deployment->version() ) + "/a";
+    for( std::size_t n = 0; n < world.deployment->gateways().size(); ++n ) {
+        for( unsigned status = 0; status != 200; ) {
+            const auto id = "c" + std::to_string( ++world.sent );
+            world.record.asked( id, Kind::safe );
+            std::string text = "GET " + path + " HTTP/1.1\r\nHost: " + hostName +
+                               "\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 2000\r\n\r\n";
+            status = co_await world.exchange( n, std::move( text ) );
+            co_await net::pause( world.context, support::pollInterval );
+        }
+    }
+}
+
+void restartUpstreams( World& world ) {
+    for( auto& it : world.deployment->upstreams() ) {
+        it.runner->crash();
+    }
+}
+
+} // namespace
+
+TEST_CASE( "Processes that start while odd entries stand in the store serve",
+           "[promise][foreign]" ) {
+    World world( worldSize );
+    Served served;
+    auto& store = world.deployment->store();
+    store.setPageSize( 1 );
+    putOddEntries( store );
+    world.runScenario( [&]() -> net::Task<> { served = co_await askAll( world ); } );
+    CHECK( served.plain == requestCount );
+    CHECK( served.streams == requestCount );
+    CHECK( world.record.breaches() == std::vector<std::string>{} );
+}
+
+TEST_CASE( "Processes hear of changes after odd entries were written", "[promise][foreign]" ) {
+    World world( worldSize );
+    Served served;
+    auto& store = world.deployment->store();
+    world.runScenario( [&]() -> net::Task<> {
+        putOddEntries( store );
+        world.deployment->changeConfiguration();
+        co_await waitForConfiguration( world );
+        restartUpstreams( world );
+        co_await net::pause( world.context, contactBound );
+        co_await world.waitUntilSettled();
+        served = co_await askAll( world );
+    } );
+    CHECK( served.plain == requestCount );
+    CHECK( served.streams == requestCount );
+    CHECK( world.record.breaches() == std::vector<std::string>{} );
+}
--- a/tests/unit/odd_entries.tests.cpp
+++ b/tests/unit/odd_entries.tests.cpp
@@ -2,6 +2,9 @@
 #include "support/odd_entries.hpp"
 #include "support/relay_fixture.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -23,6 +26,8 @@
 
 constexpr std::size_t entryCount = 12;
 constexpr std::size_t smallPage = 6;
+//! More calls than lists of four kinds take on pages of one object.
+constexpr std::uint64_t maxCalls = 40;
 
 std::string entryName( std::size_t n ) {
     return ( n < 10 ? "i-0" : "i-" ) + std::to_string( n );
@@ -174,3 +179,47 @@
         CHECK_FALSE( f.lists( "i-055" ) );
     }
 }
+
+TEST_CASE( "An entry whose name has a meaning in a URL does not hide the others",
+           "[relay][foreign]" ) {
+    const std::size_t lastOfItsPage = 7;
+    const auto specification =
+        withField( upstreamEntry( "ready" ), "slots", hugeNumbers().front() );
+    for( const auto& name : support::oddNames() ) {
+        for( const std::string prefix : { "", "i-", "i-05" } ) {
+            for( const auto pageSize : { std::size_t{ 1 }, lastOfItsPage } ) {
+                INFO( "name " << quoted( prefix + name ) << ", pages of " << pageSize );
+                OddEntryFixture f( pageSize );
+                f.store.putText( "servers", prefix + name,
+                                 objectText( quoted( prefix + name ), specification ) );
+                f.subscribe();
+                CHECK( f.receivesAll() );
+                CHECK( f.store.calls() <= maxCalls );
+            }
+        }
+    }
+}
+
+TEST_CASE( "The name of an upstream is sent to the store as it is, whatever characters it has",
+           "[relay][foreign]" ) {
+    for( const auto& name : support::oddNames() ) {
+        const bool isText = nlohmann::json::accept( quoted( name ) );
+        if( !isText ) {
+            continue;
+        }
+        INFO( quoted( name ) );
+        net::asio::io_context context{ 1 };
+        support::ObjectStore store( context );
+        store.put( "quarantines", name, nlohmann::json::object() );
+        const auto settings = support::settingsFor( store );
+        platform::StoreClient client( context, settings.store );
+        auto status = platform::StoreStatus::unreachable;
+        const auto call = [&]() -> net::Task<> {
+            status = co_await client.remove( "quarantines", name, Millis( 1000 ) );
+            context.stop();
+        };
+        net::asio::co_spawn( context, call, net::asio::detached );
+        context.run_for( Millis( 5000 ) );
+        CHECK( status == platform::StoreStatus::ok );
+    }
+}
