A page without a usable name no longer ends a list, and no list goes in circles

What callers saw: behind a page on which no object had a readable name (twenty entries whose name is a number, pages of six) the list ended and counted as whole: 5 of 12 upstreams were known. A list that the store started over was read again and again without a pause.

Cause: the end of a list was a page without readable objects, whatever 'morePages' said, and nothing checked that a page followed the one before.

Change: a list ends where the store says so. It goes on behind the last name that is text, else behind a name that is a number if that sorts later, else behind all names that begin with the last known one. A name that comes a second time makes no progress; the list then ends with a warning (store_list_incomplete).

Evidence: 'A page on which no object has a name...' failed before in its three variants, 'A list that starts over ends' made more than 40 calls and was never passed on. Both pass now.

--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -3,7 +3,9 @@
 
 #include "coursehead/kernel/log.hpp"
 
+#include <array>
 #include <limits>
+#include <set>
 
 namespace coursehead::platform {
 
@@ -24,6 +26,30 @@
     return response.status == statusOk ? StoreStatus::ok : StoreStatus::refused;
 }
 
+//! Sorts behind the other characters of ASCII.
+constexpr char lastCharacter = '\x7f';
+
+//! Position in a list, as a name that the next page follows.
+struct ListPosition {
+    std::string after;
+    std::set<std::string> passed; //!< the names so far; one that comes again makes no progress
+};
+
+//! Moves behind a page; false if nothing on the page tells where the next one begins. Without any
+//! name on it, that is behind all names that begin with the last known one.
+bool moveBehind( ListPosition& position, const StorePage& page ) {
+    const std::string& after = position.after;
+    std::array candidates{ page.lastName, page.lastNumber > after ? page.lastNumber : "",
+                           after.ends_with( lastCharacter ) ? "" : after + lastCharacter };
+    for( auto& it : candidates ) {
+        if( !it.empty() && position.passed.insert( it ).second ) {
+            position.after = std::move( it );
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 StoreClient::StoreClient( net::asio::io_context& context, const Endpoint& store,
@@ -70,12 +96,12 @@
 net::Task<ListResult> StoreClient::listPages( std::string_view kind, Millis limit, ListAge age,
                                               std::size_t maxPages ) {
     ListResult out;
-    std::string after;
+    ListPosition position;
     for( std::size_t pages = 0;; ++pages ) {
         const bool first = pages == 0;
         count( age == ListAge::now ? "list" : "list_old", kind );
         net::JsonCall request;
-        request.target = listPath( kind, after, age );
+        request.target = listPath( kind, position.after, age );
         request.limit = limit;
         const auto response = co_await call( std::move( request ) );
         out.status = statusOf( response );
@@ -102,10 +128,16 @@
             it.era = m_era;
             out.objects.push_back( std::move( it ) );
         }
-        if( !page->more || page->lastName.empty() || pages + 1 >= maxPages ) {
+        if( !page->more || pages + 1 >= maxPages ) {
+            co_return out;
+        }
+        if( !moveBehind( position, *page ) ) {
+            log::warn( "store_list_incomplete",
+                       { { "kind", kind },
+                         { "after", position.after },
+                         { "objects", static_cast<std::int64_t>( out.objects.size() ) } } );
             co_return out;
         }
-        after = std::move( page->lastName );
     }
 }
 
--- a/src/platform/store_wire.cpp
+++ b/src/platform/store_wire.cpp
@@ -30,6 +30,10 @@
     return metadata ? valueOf( *metadata, "name" ) : std::string_view();
 }
 
+bool isNumber( std::string_view text ) {
+    return !text.empty() && text.find_first_not_of( "+-.0123456789Ee" ) == std::string_view::npos;
+}
+
 //! The bytes of an object's name, to list what follows it: unlike `StoreObject::name` they may be
 //! no valid text. Empty if the object has none.
 std::string listedName( std::string_view object ) {
@@ -214,6 +218,8 @@
         auto name = isReadable ? object->name : listedName( it );
         if( !name.empty() ) {
             out.lastName = std::move( name );
+        } else if( const auto number = nameTextOf( it ); isNumber( number ) ) {
+            out.lastNumber = number;
         }
         if( object ) {
             out.objects.push_back( std::move( *object ) );
--- a/tests/unit/odd_entries.tests.cpp
+++ b/tests/unit/odd_entries.tests.cpp
@@ -223,3 +223,34 @@
         CHECK( status == platform::StoreStatus::ok );
     }
 }
+
+TEST_CASE( "A page on which no object has a name does not end the list", "[relay][foreign]" ) {
+    constexpr int unnamedCount = 20;
+    for( const std::string key : { "i-05-", "" } ) {
+        for( const bool isNumber : { true, false } ) {
+            INFO( "keys begin with '" << key << "', " << ( isNumber ? "numbers" : "no name" ) );
+            if( !isNumber && key.empty() ) {
+                continue;
+            }
+            OddEntryFixture f;
+            for( int n = 0; n < unnamedCount; ++n ) {
+                const auto number = std::to_string( 500 + n );
+                f.store.putText( "servers", key + number,
+                                 isNumber ? objectText( number, upstreamEntry( "ready" ).dump() )
+                                          : "{}" );
+            }
+            f.subscribe();
+            CHECK( f.receivesAll() );
+            CHECK( f.store.calls() <= maxCalls );
+        }
+    }
+}
+
+TEST_CASE( "A list that starts over ends", "[relay][foreign]" ) {
+    OddEntryFixture f;
+    f.store.repeatFirstPage();
+    f.subscribe();
+    CHECK( f.receives(
+        []( const auto& it ) { return it.whole && it.upstreams.size() == smallPage; } ) );
+    CHECK( f.store.calls() <= maxCalls );
+}
