Numbers that a field does not take are no longer taken from the store

Cause: numbers were converted to the type of a member without a look at their range, so that they wrapped or, from a double, had no defined value; fields of another type were passed over (remainingMs, models) or not looked at (sequence, stage).

Change: whole numbers and durations are read within bounds (platform/json_text, readWhole); a published field of another type makes the entry name no upstream, with the field and its value in the log. An address must be an IP address, and a name without control characters, since it is sent in a header.

--- a/src/platform/json_text.cpp
+++ b/src/platform/json_text.cpp
@@ -219,4 +219,16 @@
     return out.is_string() ? std::optional( out.get<std::string>() ) : std::nullopt;
 }
 
+InvalidField::InvalidField( std::string_view field, const Json& value, std::string_view expected )
+    : std::runtime_error( std::string( field ) + " = " + value.dump() + ": expected " +
+                          std::string( expected ) ) {}
+
+std::string requireText( const Json& in, const char* field ) {
+    const auto it = in.find( field );
+    if( it == in.end() || !it->is_string() ) {
+        throw InvalidField( field, it == in.end() ? Json() : *it, "a string" );
+    }
+    return it->get<std::string>();
+}
+
 } // namespace coursehead::platform
--- a/src/platform/json_text.hpp
+++ b/src/platform/json_text.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -56,6 +57,39 @@
                : std::nullopt;
 }
 
+//! Thrown for a field with an invalid value. The message holds the field and its value.
+struct InvalidField : std::runtime_error {
+    InvalidField( std::string_view field, const nlohmann::json& value, std::string_view expected );
+};
+
+//! Reads a field that holds a number without a fraction from `min` to `max`; nullopt if it is
+//! absent. Throws InvalidField for any other value.
+template <typename T>
+std::optional<T> readWhole( const nlohmann::json& in, const char* field, T min, T max,
+                            std::string_view expected ) {
+    const auto it = in.find( field );
+    if( it == in.end() ) {
+        return std::nullopt;
+    }
+    const auto out = wholeNumber( *it, min, max );
+    if( !out ) {
+        throw InvalidField( field, *it, expected );
+    }
+    return out;
+}
+//! The same for a field that must be there.
+template <typename T>
+T requireWhole( const nlohmann::json& in, const char* field, T min, T max,
+                std::string_view expected ) {
+    const auto out = readWhole( in, field, min, max, expected );
+    if( !out ) {
+        throw InvalidField( field, nlohmann::json(), expected );
+    }
+    return *out;
+}
+//! Reads a field that holds a string. Throws InvalidField for any other value.
+std::string requireText( const nlohmann::json& in, const char* field );
+
 } // namespace coursehead::platform
 
 #endif // COURSEHEAD_PLATFORM_JSON_TEXT_HPP_INCLUDED
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <arpa/inet.h>
+
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -155,7 +157,10 @@
     if( ec != std::errc() || ptr != digits.data() + digits.size() || port <= 0 || port > maxPort ) {
         return {};
     }
-    return { std::string( text.substr( 0, colon ) ), port };
+    std::string ip( text.substr( 0, colon ) );
+    in_addr address{};
+    return ::inet_pton( AF_INET, ip.c_str(), &address ) == 1 ? Endpoint{ std::move( ip ), port }
+                                                             : Endpoint{};
 }
 
 std::string settingsPath() {
--- a/src/platform/store_wire.cpp
+++ b/src/platform/store_wire.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace coursehead::platform {
 
@@ -85,6 +86,28 @@
     return out;
 }
 
+//! Throws InvalidField if a field is missing or invalid.
+decide::Quarantine quarantineOf( const Json& in, WallMillis now ) {
+    const auto text = requireText( in, "fingerprint" );
+    const auto fingerprint = decide::parseFingerprint( text );
+    if( !fingerprint ) {
+        throw InvalidField( "fingerprint", text, "up to 16 hexadecimal digits" );
+    }
+    const bool ofPart = in.contains( "kind" ) && requireText( in, "kind" ) == kindPart;
+    const auto until =
+        requireWhole( in, "untilMs", WallMillis{ 0 }, std::numeric_limits<WallMillis>::max(),
+                      "a whole number, 0 or more" );
+    decide::Quarantine out;
+    out.kind = ofPart ? decide::PoisonKind::part : decide::PoisonKind::content;
+    out.times = requireWhole( in, "times", 1, std::numeric_limits<int>::max(),
+                              "a whole number, 1 or more" );
+    out.fingerprint = *fingerprint;
+    const auto longest = ofPart ? decide::partQuarantineDuration( out.times )
+                                : decide::quarantineDuration( out.times );
+    out.holdMs = std::min( until - now, longest.count() );
+    return out;
+}
+
 } // namespace
 
 std::string listPath( std::string_view kind, std::string_view after, ListAge age ) {
@@ -160,26 +183,14 @@
         problem = object.problem;
         return std::nullopt;
     }
+    const auto in = parseJson( object.spec );
+    if( !in.is_object() ) {
+        problem = "not a JSON object";
+        return std::nullopt;
+    }
     try {
-        const auto in = Json::parse( object.spec );
-        const auto text = in.at( "fingerprint" ).get<std::string>();
-        const auto fingerprint = decide::parseFingerprint( text );
-        const auto until = in.at( "untilMs" ).get<WallMillis>();
-        decide::Quarantine out;
-        out.times = in.at( "times" ).get<int>();
-        const bool ofPart = in.value( "kind", std::string( kindContent ) ) == kindPart;
-        out.kind = ofPart ? decide::PoisonKind::part : decide::PoisonKind::content;
-        const auto longest = ( ofPart ? decide::partQuarantineDuration( out.times )
-                                      : decide::quarantineDuration( out.times ) )
-                                 .count();
-        if( !fingerprint || out.times < 1 ) {
-            problem = "fingerprint or times out of range: " + text;
-            return std::nullopt;
-        }
-        out.fingerprint = *fingerprint;
-        out.holdMs = std::min( until - now, longest );
-        return out;
-    } catch( const Json::exception& ex ) {
+        return quarantineOf( in, now );
+    } catch( const InvalidField& ex ) {
         problem = ex.what();
         return std::nullopt;
     }
--- a/src/platform/store_wire.hpp
+++ b/src/platform/store_wire.hpp
@@ -27,8 +27,8 @@
 struct StorePage {
     std::vector<StoreObject> objects;
     bool more = false;
-    std::string lastName;       //!< bytes of the last name on the page; empty if it has none
-    std::string lastNumber;     //!< the last name that is a number and no text; empty if there is none
+    std::string lastName;   //!< bytes of the last name on the page; empty if it has none
+    std::string lastNumber; //!< the last name that is a number and no text; empty if there is none
     std::uint64_t revision = 0; //!< store revision at the time of the page
 };
 struct StoreEvent {
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -1,9 +1,12 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "platform/wire.hpp"
 
+#include "platform/json_text.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace coursehead::platform {
 
@@ -75,10 +78,30 @@
     return out;
 }
 
-//! The start time of an upstream or engine, a whole number; 0 if it is absent.
+constexpr std::int64_t minInt64 = std::numeric_limits<std::int64_t>::min();
+constexpr std::int64_t maxInt64 = std::numeric_limits<std::int64_t>::max();
+//! Longest duration that an upstream may state: a number of milliseconds that a double holds
+//! exactly.
+constexpr double maxMillis = 9007199254740992.0;
+
+//! A duration in milliseconds; nullopt if the field is absent.
+std::optional<Millis> readMillis( const Json& in, const char* field, double min,
+                                  std::string_view expected ) {
+    const auto it = in.find( field );
+    if( it == in.end() ) {
+        return std::nullopt;
+    }
+    const bool valid =
+        it->is_number() && it->get<double>() >= min && it->get<double>() <= maxMillis;
+    if( !valid ) {
+        throw InvalidField( field, *it, expected );
+    }
+    return Millis( static_cast<std::int64_t>( it->get<double>() ) );
+}
+
+//! The start time of an upstream or engine; 0 if it is absent.
 gateway::StartTime startTimeOf( const Json& in ) {
-    const auto it = in.find( "born" );
-    return it == in.end() ? gateway::StartTime{ 0 } : it->get<gateway::StartTime>();
+    return readWhole( in, "born", minInt64, maxInt64, "a whole number" ).value_or( 0 );
 }
 
 EngineReport reportOf( const Json& in ) {
@@ -116,10 +139,25 @@
     return it->is_string() ? it->get<std::string>() : it->dump();
 }
 
-} // namespace
+bool isControlCharacter( char c ) {
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7f;
+    const auto byte = static_cast<unsigned char>( c );
+    return byte < firstPrintable || byte == deleteCharacter;
+}
+
+//! Throws if a field that nothing here uses has a type that no upstream writes.
+void checkUnusedFields( const Json& in ) {
+    readWhole( in, "sequence", std::uint64_t{ 0 }, std::numeric_limits<std::uint64_t>::max(),
+               "a whole number, 0 or more" );
+    const auto stage = in.find( "stage" );
+    if( stage != in.end() && !stage->is_null() && !stage->is_string() ) {
+        throw InvalidField( "stage", *stage, "a string" );
+    }
+}
 
 //! Returns nullopt for an unknown state, so that it is not mistaken for a known one.
-std::optional<gateway::UpstreamState> readState( std::string_view text ) {
+std::optional<gateway::UpstreamState> stateOf( std::string_view text ) {
     if( text == "ready" ) {
         return gateway::UpstreamState::ready;
     }
@@ -129,57 +167,64 @@
     return std::nullopt;
 }
 
+//! Throws InvalidField or Json::exception if a field is missing or invalid.
+gateway::Upstream upstreamOf( std::string_view id, const Json& in ) {
+    gateway::Upstream out;
+    out.id = std::string( id );
+    out.service = requireText( in, "service" );
+    const auto endpoint = readEndpoint( requireText( in, "address" ) );
+    if( !endpoint.valid() ) {
+        throw InvalidField( "address", in["address"], "IP:PORT" );
+    }
+    out.ip = endpoint.ip;
+    out.port = endpoint.port;
+    out.hall = requireText( in, "zone" );
+    out.slots = requireWhole( in, "slots", 1, std::numeric_limits<int>::max(),
+                              "a whole number, 1 or more" );
+    const auto state = stateOf( requireText( in, "state" ) );
+    if( !state ) {
+        throw InvalidField( "state", in["state"], "ready or draining" );
+    }
+    out.state = *state;
+    out.born = startTimeOf( in );
+    const auto remaining = in.find( "remainingMs" );
+    if( remaining != in.end() && !remaining->is_null() ) {
+        out.remaining = readMillis( in, "remainingMs", -maxMillis, "a number" );
+    }
+    out.cold = readMillis( in, "coldMs", 0, "a number, 0 or more" ).value_or( Millis{ 0 } );
+    const auto models = in.find( "models" );
+    if( models != in.end() && !models->is_null() ) {
+        if( !models->is_array() ) {
+            throw InvalidField( "models", *models, "an array" );
+        }
+        out.residents = readResidents( *models );
+    }
+    out.softwareVersion = softwareVersionOf( in );
+    checkUnusedFields( in );
+    return out;
+}
+
+} // namespace
+
 std::optional<gateway::Upstream> readUpstream( std::string_view id, std::string_view json,
                                                std::string& problem ) {
+    if( std::any_of( id.begin(), id.end(), isControlCharacter ) ) {
+        problem = "the name holds a control character, and is sent in a header";
+        return std::nullopt;
+    }
+    const auto in = parseJson( json );
+    if( !in.is_object() ) {
+        problem = "not a JSON object";
+        return std::nullopt;
+    }
     try {
-        const auto in = Json::parse( json );
-        gateway::Upstream out;
-        out.id = std::string( id );
-        out.service = in.at( "service" ).get<std::string>();
-        const auto address = in.at( "address" ).get<std::string>();
-        const auto endpoint = readEndpoint( address );
-        if( !endpoint.valid() ) {
-            problem = "address = " + address + ": expected IP:PORT";
-            return std::nullopt;
-        }
-        out.ip = endpoint.ip;
-        out.port = endpoint.port;
-        out.hall = in.at( "zone" ).get<std::string>();
-        out.slots = in.at( "slots" ).get<int>();
-        if( !in["slots"].is_number_unsigned() || out.slots < 1 ) {
-            problem = "slots = " + in["slots"].dump() + ": expected a whole number, 1 or more";
-            return std::nullopt;
-        }
-        const auto text = in.at( "state" ).get<std::string>();
-        const auto state = readState( text );
-        if( !state ) {
-            problem = "state = " + text + ": expected ready or draining";
-            return std::nullopt;
-        }
-        out.state = *state;
-        if( in.contains( "born" ) && !in["born"].is_number_integer() ) {
-            problem = "born = " + in["born"].dump() + ": expected a whole number";
-            return std::nullopt;
-        }
-        out.born = startTimeOf( in );
-        if( in.contains( "remainingMs" ) && in["remainingMs"].is_number() ) {
-            out.remaining = Millis( in["remainingMs"].get<std::int64_t>() );
-        }
-        const auto cold = in.find( "coldMs" );
-        if( cold != in.end() && ( !cold->is_number() || cold->get<double>() < 0 ) ) {
-            problem = "coldMs = " + cold->dump() + ": expected a number, 0 or more";
-            return std::nullopt;
-        }
-        if( cold != in.end() ) {
-            out.cold = Millis( static_cast<std::int64_t>( cold->get<double>() ) );
-        }
-        out.residents = readResidents( in.value( "models", Json::array() ) );
-        out.softwareVersion = softwareVersionOf( in );
-        return out;
+        return upstreamOf( id, in );
     } catch( const Json::exception& ex ) {
         problem = ex.what();
-        return std::nullopt;
+    } catch( const InvalidField& ex ) {
+        problem = ex.what();
     }
+    return std::nullopt;
 }
 
 std::optional<EngineReport> readEngineReport( std::string_view json ) {
@@ -187,6 +232,8 @@
         return reportOf( Json::parse( json ) );
     } catch( const Json::exception& ) {
         return std::nullopt;
+    } catch( const InvalidField& ) {
+        return std::nullopt;
     }
 }
 
--- a/tests/unit/foreign_objects.tests.cpp
+++ b/tests/unit/foreign_objects.tests.cpp
@@ -1,10 +1,13 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "gateway/links/store_objects.hpp"
+#include "support/odd_entries.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <nlohmann/json.hpp>
 
+#include <string>
+#include <utility>
 #include <vector>
 
 // Other systems may write objects to the store. Guards against one unreadable object that makes
@@ -138,3 +141,85 @@
         CHECK_FALSE( platform::readEvents( it ) );
     }
 }
+
+TEST_CASE( "An entry with a number that its field does not take names no upstream",
+           "[platform][foreign]" ) {
+    const std::vector<std::pair<const char*, std::vector<std::string>>> invalid{
+        { "slots",
+          { "0", "-1", "1.5", "\"4\"", "true", "1e30", "2147483648", "4294967300", "4294967312" } },
+        { "born", { "\"1\"", "1.5", "1e30", "true", "9223372036854775808" } },
+        { "remainingMs", { "\"5\"", "true", "[]", "1e30", "-1e30", "9223372036854775808" } },
+        { "coldMs", { "-1", "\"1\"", "true", "{}", "1e30", "9223372036854775808" } },
+        { "sequence", { "\"1\"", "-1", "1.5", "[]", "1e30" } },
+        { "models", { "\"m\"", "5", "{}", "true" } },
+        { "stage", { "5", "[]", "true" } },
+        { "zone", { "5" } },
+        { "address",
+          { "\"10.0.0.1:99999\"", "\"10.0.0.1:0\"", "\"10.0.0.1:-1\"", "\"10.0.0.1:4294967376\"",
+            "\"nowhere\"", "\":80\"", "\"not.an.address:80\"", "\"10.0.0.1.5:80\"" } },
+    };
+    for( const auto& [field, values] : invalid ) {
+        for( const auto& value : values ) {
+            INFO( field << " = " << value );
+            std::string problem;
+            CHECK_FALSE( platform::readUpstream(
+                "u", support::withField( validSpec(), field, value ), problem ) );
+            CHECK( problem.starts_with( std::string( field ) + " = " ) );
+        }
+    }
+}
+
+TEST_CASE( "An entry at the edges of its fields' numbers names an upstream",
+           "[platform][foreign]" ) {
+    const std::vector<std::pair<const char*, std::vector<std::string>>> valid{
+        { "slots", { "1", "2147483647" } },
+        { "born", { "0", "-5", "9223372036854775807" } },
+        { "remainingMs", { "null", "0", "12.5", "-3", "30000" } },
+        { "coldMs", { "0", "0.5", "30000" } },
+        { "sequence", { "0", "18446744073709551615" } },
+        { "models", { "null", "[]" } },
+        { "stage", { "null", "\"prefill\"" } },
+    };
+    for( const auto& [field, values] : valid ) {
+        for( const auto& value : values ) {
+            INFO( field << " = " << value );
+            std::string problem;
+            CHECK( platform::readUpstream( "u", support::withField( validSpec(), field, value ),
+                                           problem ) );
+            CHECK( problem.empty() );
+        }
+    }
+}
+
+TEST_CASE( "An entry whose name can't stand in a header names no upstream",
+           "[platform][foreign]" ) {
+    for( const auto& id : std::vector<std::string>{ "a\r\nX: 1", "a\n", { "a\0b", 3 }, "\x7f" } ) {
+        std::string problem;
+        CHECK_FALSE( platform::readUpstream( id, validSpec().dump(), problem ) );
+    }
+}
+
+TEST_CASE( "A quarantine with a number that its field does not take is none",
+           "[platform][foreign]" ) {
+    const Json quarantine{ { "fingerprint", "00000000000000ab" },
+                           { "times", 1 },
+                           { "kind", "content" },
+                           { "untilMs", 1000 } };
+    std::string problem;
+    platform::StoreObject object;
+    object.spec = quarantine.dump();
+    REQUIRE( platform::readQuarantine( object, 0, problem ) );
+    const std::vector<std::pair<const char*, std::vector<std::string>>> invalid{
+        { "times", { "0", "-1", "1.5", "\"1\"", "1e30", "true", "4294967297" } },
+        { "untilMs",
+          { "1e30", "-9223372036854775808", "9223372036854775808", "1.5", "true", "\"5\"" } },
+        { "kind", { "5" } },
+    };
+    for( const auto& [field, values] : invalid ) {
+        for( const auto& value : values ) {
+            INFO( field << " = " << value );
+            object.spec = support::withField( quarantine, field, value );
+            CHECK_FALSE( platform::readQuarantine( object, 1, problem ) );
+        }
+    }
+}
