An engine's report that is nested deeply no longer ends the sidecar

What callers saw: nothing yet; found by looking for the cause of the entries in other answers. A report with 400,000 nested arrays in a field that is read (models, runs, available, coming) ends the process that reads it (SIGSEGV), again after each start.

Cause: copying JSON values uses stack for each level, and the report was parsed without a bound on its depth; counts were converted without a look at their range.

Change: reports are parsed as the store's objects are, within 32 levels and with numbers that a type holds; counts are whole numbers in range. A report that can't be read counts as none, as before, and why is logged once for each reason (report_unreadable).

Evidence: 'A report of an engine that is nested deeply ends no process' ended the test by SIGSEGV at its first check before; 'A report of an engine with a number...' failed 24 of 43 checks.

--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -21,6 +21,9 @@
 constexpr unsigned statusConflict = 409;
 constexpr unsigned statusPrecondition = 412;
 
+constexpr std::int64_t minInt64 = std::numeric_limits<std::int64_t>::min();
+constexpr std::int64_t maxInt64 = std::numeric_limits<std::int64_t>::max();
+
 std::vector<gateway::Resident> readResidents( const Json& in ) {
     std::vector<gateway::Resident> out;
     if( !in.is_array() ) {
@@ -69,17 +72,16 @@
         return out;
     }
     for( const auto& it : in ) {
-        if( it.is_array() && it.size() > eventsIndex && it[eventsIndex].is_number() &&
-            it[idIndex].is_string() ) {
-            out.push_back(
-                { it[idIndex].get<std::string>(), it[eventsIndex].get<std::int64_t>() } );
+        if( !it.is_array() || it.size() <= eventsIndex || !it[idIndex].is_string() ) {
+            continue;
+        }
+        if( const auto events = wholeNumber( it[eventsIndex], std::int64_t{ 0 }, maxInt64 ) ) {
+            out.push_back( { it[idIndex].get<std::string>(), *events } );
         }
     }
     return out;
 }
 
-constexpr std::int64_t minInt64 = std::numeric_limits<std::int64_t>::min();
-constexpr std::int64_t maxInt64 = std::numeric_limits<std::int64_t>::max();
 //! Longest duration that an upstream may state: a number of milliseconds that a double holds
 //! exactly.
 constexpr double maxMillis = 9007199254740992.0;
@@ -104,6 +106,15 @@
     return readWhole( in, "born", minInt64, maxInt64, "a whole number" ).value_or( 0 );
 }
 
+//! A whole number, 0 or more; 0 if it is absent.
+template <typename T>
+T readCount( const Json& in, const char* field ) {
+    return readWhole( in, field, T{ 0 }, std::numeric_limits<T>::max(),
+                      "a whole number, 0 or more" )
+        .value_or( 0 );
+}
+
+//! Throws InvalidField or Json::exception if a field is invalid.
 EngineReport reportOf( const Json& in ) {
     EngineReport out;
     out.born = startTimeOf( in );
@@ -115,9 +126,9 @@
         out.inMemory = readNames( available.value( "inMemory", Json::array() ) );
     }
     out.orderInProgress = in.value( "busySlots", false ); // true while an order is in progress
-    out.sequence = in.value( "sequence", std::uint64_t{ 0 } );
-    out.queued = in.value( "queuedRequests", std::uint32_t{ 0 } );
-    out.running = in.value( "activeRequests", std::uint32_t{ 0 } );
+    out.sequence = readCount<std::uint64_t>( in, "sequence" );
+    out.queued = readCount<std::uint32_t>( in, "queuedRequests" );
+    out.running = readCount<std::uint32_t>( in, "activeRequests" );
     out.runs = readRuns( in.value( "runs", Json::array() ) );
     // The engine lists a request under `runs` from its first event on. The other active requests
     // are still reading their prompt.
@@ -125,8 +136,8 @@
                                               []( const auto& it ) { return it.events > 0; } );
     const auto streaming = std::min( out.running, static_cast<std::uint32_t>( streamingRuns ) );
     out.prefilling = out.running - streaming;
-    out.cacheUsed = in.value( "cacheUsed", std::int64_t{ 0 } );
-    out.cacheTotal = in.value( "cacheTotal", std::int64_t{ 0 } );
+    out.cacheUsed = readCount<std::int64_t>( in, "cacheUsed" );
+    out.cacheTotal = readCount<std::int64_t>( in, "cacheTotal" );
     return out;
 }
 
@@ -148,8 +159,7 @@
 
 //! Throws if a field that nothing here uses has a type that no upstream writes.
 void checkUnusedFields( const Json& in ) {
-    readWhole( in, "sequence", std::uint64_t{ 0 }, std::numeric_limits<std::uint64_t>::max(),
-               "a whole number, 0 or more" );
+    readCount<std::uint64_t>( in, "sequence" );
     const auto stage = in.find( "stage" );
     if( stage != in.end() && !stage->is_null() && !stage->is_string() ) {
         throw InvalidField( "stage", *stage, "a string" );
@@ -227,14 +237,22 @@
     return std::nullopt;
 }
 
-std::optional<EngineReport> readEngineReport( std::string_view json ) {
+std::optional<EngineReport> readEngineReport( std::string_view json, std::string* problem ) {
+    const auto in = parseJson( json );
+    std::string why = "not a JSON object";
     try {
-        return reportOf( Json::parse( json ) );
-    } catch( const Json::exception& ) {
-        return std::nullopt;
-    } catch( const InvalidField& ) {
-        return std::nullopt;
+        if( in.is_object() ) {
+            return reportOf( in );
+        }
+    } catch( const Json::exception& ex ) {
+        why = ex.what();
+    } catch( const InvalidField& ex ) {
+        why = ex.what();
     }
+    if( problem != nullptr ) {
+        *problem = std::move( why );
+    }
+    return std::nullopt;
 }
 
 std::string encodeOrder( const Order& order ) {
--- a/src/platform/wire.hpp
+++ b/src/platform/wire.hpp
@@ -29,8 +29,9 @@
 
 // Engines.
 
-//! Parses an engine's report.
-std::optional<gateway::EngineReport> readEngineReport( std::string_view json );
+//! Parses an engine's report. On failure, `problem`, unless it is null, holds the reason.
+std::optional<gateway::EngineReport> readEngineReport( std::string_view json,
+                                                       std::string* problem = nullptr );
 
 enum class OrderKind { load, unload };
 //! An order to an engine to load or unload a model, or an adapter if `adapter` is not empty.
--- a/src/sidecar/engine_client.cpp
+++ b/src/sidecar/engine_client.cpp
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "sidecar/engine_client.hpp"
 
+#include "coursehead/kernel/log.hpp"
 #include "platform/headers.hpp"
 
+#include <algorithm>
+
 namespace coursehead::sidecar {
 
 namespace {
@@ -11,6 +14,8 @@
 constexpr Millis reportLimit{ 300 };
 constexpr Millis orderLimit{ 400 };
 constexpr unsigned statusOk = 200;
+//! Largest length of a problem in the log, because it quotes the invalid value.
+constexpr std::size_t maxDetailLength = 200;
 
 } // namespace
 
@@ -29,7 +34,14 @@
     if( answer.outcome != net::CallOutcome::answered || answer.status != statusOk ) {
         co_return std::nullopt;
     }
-    co_return platform::readEngineReport( answer.body );
+    std::string problem;
+    auto out = platform::readEngineReport( answer.body, &problem );
+    problem.resize( std::min( problem.size(), maxDetailLength ) );
+    if( !out && problem != m_loggedProblem ) {
+        log::warn( "report_unreadable", { { "detail", problem } } );
+    }
+    m_loggedProblem = std::move( problem );
+    co_return out;
 }
 
 net::Task<EngineClient::OrderAnswer> EngineClient::sendOrder( platform::Order order,
--- a/src/sidecar/engine_client.hpp
+++ b/src/sidecar/engine_client.hpp
@@ -17,7 +17,8 @@
     EngineClient( net::asio::io_context& context, const platform::Endpoint& engine )
         : m_http( context, engine.ip, engine.port ), m_startedAt( systemClock().wall() ) {}
 
-    //! Requests the engine's report; nullopt when the engine does not answer.
+    //! Requests the engine's report; nullopt when the engine does not answer, or its
+    //! report can't be read.
     net::Task<std::optional<gateway::EngineReport>> report();
     //! The engine's answer to an order.
     struct OrderAnswer {
@@ -34,6 +35,7 @@
     net::JsonClient m_http;
     WallMillis m_startedAt; //!< tells the ids of this process from those of the one before
     std::uint64_t m_calls = 0;
+    std::string m_loggedProblem; //!< of the last report; empty if it could be read
 };
 
 } // namespace coursehead::sidecar
--- a/tests/unit/foreign_objects.tests.cpp
+++ b/tests/unit/foreign_objects.tests.cpp
@@ -223,3 +223,34 @@
         }
     }
 }
+
+TEST_CASE( "A report of an engine that is nested deeply ends no process", "[platform][foreign]" ) {
+    const auto deep = support::nested( 400000 );
+    for( const auto* field : { "models", "runs", "available", "coming", "other" } ) {
+        INFO( field );
+        const auto text = support::withField( { { "sequence", 1 } }, field, deep );
+        CHECK_FALSE( platform::readEngineReport( text ) );
+    }
+}
+
+TEST_CASE( "A report of an engine with a number that its field does not take is none",
+           "[platform][foreign]" ) {
+    REQUIRE( platform::readEngineReport( R"({"sequence":1,"queuedRequests":2})" ) );
+    for( const auto* field :
+         { "born", "sequence", "queuedRequests", "activeRequests", "cacheUsed", "cacheTotal" } ) {
+        for( const auto& value :
+             { std::string( 400, '9' ), std::string( "1e400" ), std::string( 30, '9' ),
+               std::string( "1e30" ), std::string( "\"1\"" ), std::string( "-1.5" ) } ) {
+            INFO( field << " = " << value );
+            const auto text = support::withField( { { "models", Json::array() } }, field, value );
+            CHECK_FALSE( platform::readEngineReport( text ) );
+        }
+    }
+    for( const auto* value : { "4294967296", "4294967312", "-1" } ) {
+        INFO( value );
+        CHECK_FALSE(
+            platform::readEngineReport( std::string( R"({"queuedRequests":)" ) + value + "}" ) );
+        CHECK_FALSE(
+            platform::readEngineReport( std::string( R"({"activeRequests":)" ) + value + "}" ) );
+    }
+}
