One unreadable object no longer hides the others from the older roles, or ends them

What callers saw: entries and agents that list VMs while an object of another writer stands among them (a number that no type holds, invalid UTF-8, no version) get no list at all; on an object that is nested deeply they end by SIGSEGV, again after each start.

Cause: the older roles' store parsed a list as one document and gave it up for one object; 'spec' was written out again without a bound on its depth, which uses stack for each level.

Change: lists and events are split and parsed object by object, with the functions and bounds of the platform's store (platform/json_text); what can't be read is passed over and logged (object_unreadable). A single object that can't be read is a failed call.

Evidence: 'An object that can't be read does not hide the others of a list...' stopped at its first list before; the cases of a watch and of a single object ended the test by SIGSEGV at the object that is nested deeply.

--- a/src/platform/http_store.cpp
+++ b/src/platform/http_store.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "coursehead/http/client.hpp"
+#include "coursehead/kernel/log.hpp"
 #include "coursehead/platform/store.hpp"
+#include "platform/json_text.hpp"
 
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
@@ -19,6 +21,9 @@
 //! Limit on an event of a watch; an object is well below a megabyte.
 constexpr std::size_t maxEventBytes = 16U << 20U;
 
+//! Length of an unreadable object's text in the log.
+constexpr std::size_t maxLoggedLength = 200;
+
 leaf::error_id fail( StoreStats& stats, StoreFailure failure, std::string detail ) {
     ++stats.failures;
     return leaf::new_error( StoreError{ failure, std::move( detail ) } );
@@ -34,17 +39,29 @@
     return out;
 }
 
-bool readObject( const Json& from, std::string_view kind, Object& out ) {
-    try {
-        const auto& metadata = from.at( "metadata" );
-        out.kind = kind;
-        out.name = metadata.at( "name" ).get<std::string>();
-        out.version = std::stoull( metadata.at( "resourceVersion" ).get<std::string>() );
-        out.spec = from.contains( "spec" ) ? from.at( "spec" ).dump() : "{}";
-        return true;
-    } catch( const std::exception& ) {
+bool readVersion( const Json& metadata, std::uint64_t& out ) {
+    const auto it = metadata.is_object() ? metadata.find( "resourceVersion" ) : metadata.end();
+    const auto version = it != metadata.end() && it->is_string()
+                             ? parseUnsigned( it->get_ref<const std::string&>() )
+                             : std::nullopt;
+    out = version.value_or( 0 );
+    return version.has_value();
+}
+
+//! False for an object that can't be read. Other systems write objects too.
+bool readObject( std::string_view text, std::string_view kind, Object& out ) {
+    const auto from = parseJson( text );
+    const auto metadata = from.is_object() ? from.value( "metadata", Json() ) : Json();
+    const auto name = metadata.is_object() ? metadata.value( "name", Json() ) : Json();
+    if( !name.is_string() || !readVersion( metadata, out.version ) ) {
+        log::warn( "object_unreadable",
+                   { { "kind", kind }, { "text", text.substr( 0, maxLoggedLength ) } } );
         return false;
     }
+    out.kind = kind;
+    out.name = name.get<std::string>();
+    out.spec = from.contains( "spec" ) ? from.at( "spec" ).dump() : "{}";
+    return true;
 }
 
 std::string writeObject( const Object& from ) {
@@ -75,11 +92,11 @@
     }
 }
 
-//! Makes a call and parses the JSON of the response.
-leaf::result<Json> exchange( const std::string& url, StoreStats& stats,
-                             const http::Request& request ) {
+//! Makes a call; the body of the response.
+leaf::result<std::string> exchange( const std::string& url, StoreStats& stats,
+                                    const http::Request& request ) {
     http::Client client( url, callTimeouts );
-    const auto outcome = client.call( request );
+    auto outcome = client.call( request );
     if( outcome.failure == http::Failure::notSent ) {
         return fail( stats, StoreFailure::notSent, outcome.detail );
     }
@@ -91,18 +108,14 @@
         return fail( stats, failureOf( outcome.response.status ),
                      "status " + std::to_string( outcome.response.status ) );
     }
-    auto parsed = Json::parse( outcome.response.body, nullptr, false );
-    if( parsed.is_discarded() ) {
-        return fail( stats, StoreFailure::unknown, "the response is not JSON" );
-    }
-    return parsed;
+    return std::move( outcome.response.body );
 }
 
 leaf::result<Object> exchangeObject( const std::string& url, StoreStats& stats,
                                      const http::Request& request, std::string_view kind ) {
-    BOOST_LEAF_AUTO( parsed, exchange( url, stats, request ) );
+    BOOST_LEAF_AUTO( text, exchange( url, stats, request ) );
     Object out;
-    if( !readObject( parsed, kind, out ) ) {
+    if( !readObject( text, kind, out ) ) {
         return fail( stats, StoreFailure::unknown, "the response is not a valid object" );
     }
     return out;
@@ -121,21 +134,18 @@
     if( !topic.name.empty() ) {
         request.query["fieldSelector"] = "metadata.name=" + topic.name;
     }
-    BOOST_LEAF_AUTO( parsed, exchange( url, stats, request ) );
+    BOOST_LEAF_AUTO( text, exchange( url, stats, request ) );
     Listing out;
-    try {
-        out.version =
-            std::stoull( parsed.at( "metadata" ).at( "resourceVersion" ).get<std::string>() );
-        for( const auto& it : parsed.at( "items" ) ) {
-            Object object;
-            if( !readObject( it, topic.kind, object ) ) {
-                return fail( stats, StoreFailure::unknown,
-                             "an item of the list is not a valid object" );
-            }
+    const auto members = splitObject( text );
+    const auto items = members ? splitArray( valueOf( *members, "items" ) ) : std::nullopt;
+    if( !items || !readVersion( parseJson( valueOf( *members, "metadata" ) ), out.version ) ) {
+        return fail( stats, StoreFailure::unknown, "the response is not a list" );
+    }
+    for( const auto& it : *items ) {
+        Object object;
+        if( readObject( it, topic.kind, object ) ) {
             out.objects.push_back( std::move( object ) );
         }
-    } catch( const std::exception& ex ) {
-        return fail( stats, StoreFailure::unknown, ex.what() );
     }
     return out;
 }
@@ -180,18 +190,19 @@
 
 private:
     bool parseLine( std::string_view text ) {
-        const auto parsed = Json::parse( text, nullptr, false );
-        if( !parsed.is_object() || !parsed.contains( "type" ) || !parsed.contains( "object" ) ) {
+        const auto members = splitObject( text );
+        const auto type = members ? parseText( valueOf( *members, "type" ) ) : std::nullopt;
+        if( !type ) {
             return true;
         }
-        const auto type = parsed["type"].is_string() ? parsed["type"].get<std::string>() : "";
-        if( type == "ERROR" ) {
+        if( *type == "ERROR" ) {
             m_expired = true;
             return false;
         }
         WatchEvent event;
-        event.type = eventType( type );
-        return !readObject( parsed["object"], m_kind, event.object ) || m_handler( event );
+        event.type = eventType( *type );
+        return !readObject( valueOf( *members, "object" ), m_kind, event.object ) ||
+               m_handler( event );
     }
 
     std::string m_kind;
