A lease or epoch of another type no longer ends the processes of the older roles

What callers saw: after another writer has put {"holder":7,"epoch":"many"} in the place of the planners' lease, each entry of the region ends; the same in the place of a VM's epoch ends its agent. Each start ends again.

Cause: the fields were converted without a look at their type, and the JSON library's exception left the thread.

Change: such a record is logged (lease_unreadable, epoch_unreadable) and read as one without a holder or an epoch, as a record that is no object was read before. The engine refuses tokens of a lower epoch, and the agent then takes a higher one.

Evidence: 'Records of the older roles that another writer has overwritten end no process': the entry ended before ('Connection refused'); now the entry takes the lease, the agent gives orders and a stream is served.

--- a/src/agent/residency.cpp
+++ b/src/agent/residency.cpp
@@ -53,6 +53,19 @@
            item.version;
 }
 
+//! The last epoch that was taken; 0 if there is none, or if another system has written something
+//! else in its place. The engine refuses tokens of a lower epoch than it has seen.
+std::uint64_t epochOf( const platform::Object& object ) {
+    const auto spec = nlohmann::json::parse( object.spec, nullptr, false );
+    const auto epoch =
+        spec.is_object() ? spec.value( "epoch", nlohmann::json( 0U ) ) : nlohmann::json( 0U );
+    if( !epoch.is_number_unsigned() ) {
+        log::warn( "epoch_unreadable", { { "vm", object.name } } );
+        return 0;
+    }
+    return epoch.get<std::uint64_t>();
+}
+
 } // namespace
 
 bool Residency::ItemLess::operator()( const Item& a, const Item& b ) const {
@@ -200,8 +213,7 @@
     }
     platform::Object next{ std::string( platform::epochKind ), m_settings.vm,
                            absent ? 0 : got.value.version, "" };
-    const auto spec = nlohmann::json::parse( got.value.spec, nullptr, false );
-    const auto epoch = spec.is_object() ? spec.value( "epoch", std::uint64_t{ 0 } ) + 1 : 1;
+    const auto epoch = epochOf( got.value ) + 1;
     // If the answer to this write is lost, the next try takes the epoch after it.
     next.spec = nlohmann::json{ { "epoch", epoch } }.dump();
     const auto wrote = platform::attempt(
--- a/src/entry/leader.cpp
+++ b/src/entry/leader.cpp
@@ -23,6 +23,17 @@
 constexpr std::size_t maxOwners = 32;
 constexpr Millis commitTimeout{ 2000 };
 constexpr std::size_t writeIdDigits = 32;
+
+//! Reads a lease; without a holder if another system has written something else in its place.
+planner::LeaseRecord recordOf( const platform::Object& lease ) {
+    try {
+        const auto spec = nlohmann::json::parse( lease.spec, nullptr, false );
+        return spec.is_object() ? spec.get<planner::LeaseRecord>() : planner::LeaseRecord{};
+    } catch( const nlohmann::json::exception& ex ) {
+        log::warn( "lease_unreadable", { { "lease", lease.name }, { "detail", ex.what() } } );
+        return {};
+    }
+}
 } // namespace
 
 Leader::Leader( LeaderSettings settings, const platform::ObjectStore& store, Directory& directory,
@@ -104,11 +115,7 @@
     if( !got.ok && !absent ) {
         return;
     }
-    planner::LeaseRecord record;
-    const auto spec = nlohmann::json::parse( got.value.spec, nullptr, false );
-    if( spec.is_object() ) {
-        record = spec.get<planner::LeaseRecord>();
-    }
+    const auto record = recordOf( got.value );
     const std::lock_guard lock( m_mutex );
     planner::observe( m_view, !absent, record, got.value.version, m_clock.now() );
 }
--- a/tests/promise/odd_entries.tests.cpp
+++ b/tests/promise/odd_entries.tests.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "support/odd_entries.hpp"
+#include "support/fleet.hpp"
 #include "support/world.hpp"
 
 // Guards against entries of another writer that stop the processes that read them.
@@ -120,3 +121,27 @@
     CHECK( served.streams == requestCount );
     CHECK( world.record.breaches() == std::vector<std::string>{} );
 }
+
+TEST_CASE( "Records of the older roles that another writer has overwritten end no process",
+           "[promise][foreign]" ) {
+    using fleet::Fleet;
+    Fleet f;
+    const auto put = []( const fleet::Node& store, const std::string& kind, const std::string& name,
+                         const std::string& spec ) {
+        const auto body = R"({"metadata":{"name":")" + name + R"("},"spec":)" + spec + "}";
+        REQUIRE(
+            fleet::call( store.url, "POST", "/apis/coursehead/v1/" + kind, body ).response.status ==
+            201 );
+    };
+    put( f.store(), "epochs", "a1", R"({"epoch":"many"})" );
+    put( f.store(), "leases", "planner-r1", R"({"holder":7,"epoch":"many","renewals":[]})" );
+    auto& engine = f.engine( "e1" );
+    auto& agent = f.agent( "a1", engine.url );
+    auto& entry = f.entry( "n1" );
+    Fleet::require( entry, fleet::defaultConfig() );
+    f.waitForAgents( entry, 1 );
+    CHECK( agent.process->wait( 2 ) == -1 );
+    CHECK( entry.process->wait( 2 ) == -1 );
+    const auto got = fleet::streamCall( entry.url, fleet::chatBody( "m", "hello", 4 ) );
+    CHECK( got.done );
+}
