A VM whose port is out of range is not taken for one at another port

An object of another writer with port 65616 made entries connect to port 80 of its address; 80.5 and text of true were ports too.

Cause: the port was converted to the type of a socket address without a look at its range.

--- a/tests/unit/http_store.tests.cpp
+++ b/tests/unit/http_store.tests.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "coursehead/platform/attempt.hpp"
 #include "coursehead/platform/store.hpp"
+#include "coursehead/platform/vm.hpp"
 #include "support/odd_entries.hpp"
 #include "support/scripted_upstream.hpp"
 #include "support/server_thread.hpp"
@@ -114,3 +115,19 @@
         CHECK_FALSE( got.ok );
     }
 }
+
+TEST_CASE( "A VM whose port is none is not taken for one at another port", "[platform][foreign]" ) {
+    const nlohmann::json valid{ { "ip", "127.0.0.1" }, { "port", 80 }, { "role", "runner" } };
+    const auto isVm = [&]( const std::string& port ) {
+        platform::Vm vm;
+        return platform::readVm( { "vms", "a", 1, support::withField( valid, "port", port ) }, vm );
+    };
+    for( const auto* it : { "1", "65535" } ) {
+        CHECK( isVm( it ) );
+    }
+    for( const auto* it : { "0", "-1", "65536", "65616", "99999", "4294967376", "80.5", "1e30",
+                            "1e400", "\"80\"", "true", "null" } ) {
+        INFO( it );
+        CHECK_FALSE( isVm( it ) );
+    }
+}
