Test: an answer that is cut in its head is not passed on as whole

Reported by other operators: an upstream stopped within its answer's head and closed, and clients got an empty or short 200, framed as whole.

Not reproduced here, so nothing is changed. 20 heads, cut within the status line, a name, a value or a line's end, also behind an interim answer; the connection ends in order, by a reset, or in order with a reset behind.

The upstream that answers early moves to a header with its gateway; no check of 'broken_answers' changes.

--- a/tests/unit/broken_answers.tests.cpp
+++ b/tests/unit/broken_answers.tests.cpp
@@ -1,8 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "coursehead/http/client.hpp"
 #include "net/json_client.hpp"
-#include "support/early_upstream.hpp"
-#include "support/gateway_fixture.hpp"
+#include "support/early_fixture.hpp"
 #include "support/server_thread.hpp"
 
 #include <catch2/catch.hpp>
@@ -16,60 +15,21 @@
 
 using namespace coursehead;
 using namespace std::chrono_literals;
+using support::callForJson;
 using support::completeAnswer;
 using support::ConnectionEnd;
-using support::EarlyAnswer;
+using support::dueAnswer;
+using support::EarlyFixture;
 using support::EarlyUpstream;
 using support::GatewayFixture;
 using support::ScriptStep;
 using support::sealField;
 using support::ServerThread;
 using support::startsWith;
+using support::uploadBytes;
 
 namespace {
 
-constexpr std::size_t uploadBytes = 6U << 20U;
-
-//! A gateway whose first upstream answers before it has read the request's body.
-struct EarlyFixture {
-    GatewayFixture gateway;
-    EarlyUpstream early;
-
-    explicit EarlyFixture( EarlyAnswer answer ) : early( gateway.context, std::move( answer ) ) {
-        auto configuration = support::configuration();
-        configuration.limits.bodyBytes = 2 * uploadBytes;
-        for( auto& it : configuration.routes ) {
-            it.timeout = 8s;
-        }
-        const auto now = MonoClock::now();
-        gateway.shared.table = std::make_shared<gateway::RouteTable>( configuration );
-        gateway.fleet.setConfiguration( gateway.shared.table, now );
-        std::map<std::string, gateway::Member> members;
-        members.emplace(
-            "u0",
-            gateway::Member{ GatewayFixture::makeUpstream( "u0", early.port(), "hall" ), false } );
-        members.emplace( "u2", gateway::Member{ GatewayFixture::makeUpstream(
-                                                    "u2", gateway.second.port(), "other" ),
-                                                false } );
-        gateway.fleet.sync( members, now );
-    }
-
-    std::string upload( const std::string& path ) {
-        return gateway.send( "POST " + path +
-                             " HTTP/1.1\r\nHost: h\r\nX-Request-Id: q1\r\nX-Deadline-Ms: 6000\r\n"
-                             "Connection: close\r\nContent-Length: " +
-                             std::to_string( uploadBytes ) + "\r\n\r\n" +
-                             std::string( uploadBytes, 'u' ) );
-    }
-};
-
-//! A complete answer to a request on the route.
-std::string dueAnswer( const std::string& path ) {
-    return startsWith( path, "/stream/" )
-               ? support::streamHead() + support::chunk( "id: 0\ndata: due\n\n" ) + "0\r\n\r\n"
-               : completeAnswer( 200, sealField, "due" );
-}
-
 //! An answer without a length, up to some point of its body.
 std::string partWithoutLength( const std::string& status, const std::string& body ) {
     return "HTTP/1.1 " + status + "\r\nX-Request-Id: {id}\r\n" + sealField + "\r\n" + body;
@@ -86,20 +46,6 @@
     return out;
 }
 
-//! Makes a call to a port on loopback, and runs the event loop until it ends.
-net::JsonResponse callForJson( net::asio::io_context& context, int port, net::JsonCall request ) {
-    net::JsonClient client( context, "127.0.0.1", port );
-    net::JsonResponse out;
-    request.target = "/a";
-    const auto call = [&]() -> net::Task<> {
-        out = co_await client.call( request );
-        context.stop();
-    };
-    net::asio::co_spawn( context, call, net::asio::detached );
-    context.run_for( 5s );
-    return out;
-}
-
 http::Request postRequest( std::size_t bytes ) {
     http::Request out;
     out.method = "POST";
