Test: a release while a gateway is out of step mixes no stream

Reported by other operators: while upstreams of a new software version joined, a gateway was cut off or stood still for seconds; streams that had begun on them through other gateways broke, were taken up there and went on at another version.

Not reproduced here, so nothing is changed. Real processes, three gateways, six engines with sidecars: half of the engines end and come back with a newer version while one gateway is stopped (SIGSTOP), or while it and all sidecars are cut off from the store; 45 slow streams begin at the other two gateways, which are killed; their clients take the streams up at the one that was out of step, at once. At most 2 streams hold events of two versions, and of those resumed after SIGCONT half or more go on to their end.

--- a/tests/promise/software_versions.tests.cpp
+++ b/tests/promise/software_versions.tests.cpp
@@ -16,6 +16,7 @@
 
 constexpr WorldSize twoVersions{ .gateways = 3, .engines = 6, .services = 1, .versions = 2 };
 constexpr std::size_t survivor = 2; //!< the gateway that no scenario kills
+constexpr WorldSize oneVersion{ .gateways = 3, .engines = 6, .services = 1, .versions = 1 };
 constexpr std::size_t streamCount = 45;
 constexpr std::size_t enoughResumed = 12;
 constexpr int maxAttempts = 4;
@@ -24,13 +25,18 @@
 
 //! Clients that begin streams at all gateways and resume broken ones at one of them.
 struct Clients {
-    World world{ twoVersions };
+    World world;
     //! Of the engines. With slow ones most streams last longer than it takes to kill processes.
     RunnerMode mode = RunnerMode::slow;
     std::size_t resumeAt = survivor; //!< the gateway at which broken streams are resumed
+    std::size_t beginAt = 3;         //!< number of gateways at which streams begin
+    //! Runs before the streams begin, once all processes are ready.
+    std::function<net::Task<>()> prepare;
     std::vector<ClientStream> streams{ streamCount };
     std::size_t finished = 0;
 
+    explicit Clients( WorldSize size = twoVersions ) : world( size ) {}
+
     net::Task<> run( ClientStream& stream, std::size_t firstGateway ) {
         co_await world.receiveStream( stream, firstGateway );
         while( !stream.complete && stream.last > 0 && stream.attempts < maxAttempts ) {
@@ -42,8 +48,7 @@
 
     void beginAll() {
         for( std::size_t n = 0; n < streams.size(); ++n ) {
-            net::start( world.context, run( streams[n], n % world.deployment->gateways().size() ),
-                        "client" );
+            net::start( world.context, run( streams[n], n % beginAt ), "client" );
         }
     }
 
@@ -74,6 +79,9 @@
             for( auto* it : world.runners( true ) ) {
                 it->setMode( mode );
             }
+            if( prepare ) {
+                co_await prepare();
+            }
             beginAll();
             while( begun() < streamCount * 2 / 3 ) {
                 co_await net::pause( world.context, shortPause );
@@ -91,6 +99,27 @@
         } );
     }
 
+    //! Half of the engines end, and others of a newer software version join in their place.
+    net::Task<> release() {
+        const auto engines = world.runners( true );
+        for( std::size_t n = 0; n < engines.size(); n += 2 ) {
+            engines[n]->setVersion( "v2" );
+            engines[n]->crash();
+        }
+        co_await net::pause( world.context, contactBound );
+        while( !std::all_of( engines.begin(), engines.end(),
+                             []( const auto* it ) { return it->alive(); } ) ) {
+            co_await net::pause( world.context, support::pollInterval );
+        }
+        co_await net::pause( world.context, contactBound );
+    }
+    void setStoreLinks( LinkMode linkMode ) {
+        world.deployment->gateways()[survivor]->toStore->setMode( linkMode );
+        for( auto& it : world.deployment->sidecars() ) {
+            it->toStore->setMode( linkMode );
+        }
+    }
+
     void kill( Process& process ) {
         process.down = true;
         process.misses = 2;
@@ -198,3 +227,44 @@
     } );
     CHECK( clients.world.record.streams().mixed() <= support::StreamWatch::maxMixed );
 }
+
+TEST_CASE( "A stream of a version that joined while a gateway stood still goes on at that version "
+           "when it is resumed there",
+           "[promise][versions]" ) {
+    Clients clients( oneVersion );
+    auto& late = *clients.world.deployment->gateways()[survivor];
+    clients.beginAt = survivor;
+    clients.prepare = [&]() -> net::Task<> {
+        late.paused = true;
+        late.child->signal( SIGSTOP );
+        co_await clients.release();
+    };
+    clients.breakStreams( [&] {
+        clients.killGateways();
+        late.child->signal( SIGCONT );
+        late.paused = false;
+    } );
+    clients.checkResumed();
+}
+
+TEST_CASE( "No stream goes on at another version at a gateway that was cut off while the version "
+           "that began it joined",
+           "[promise][versions]" ) {
+    constexpr Millis cutAfterBreak{ 1000 };
+    Clients clients( oneVersion );
+    clients.beginAt = survivor;
+    clients.prepare = [&]() -> net::Task<> {
+        clients.setStoreLinks( LinkMode::silent );
+        co_await clients.release();
+    };
+    const auto restoreLinks = [&]() -> net::Task<> {
+        co_await net::pause( clients.world.context, cutAfterBreak );
+        clients.setStoreLinks( LinkMode::pass );
+    };
+    clients.breakStreams( [&] {
+        clients.killGateways();
+        net::start( clients.world.context, restoreLinks(), "links" );
+    } );
+    CHECK( clients.world.record.streams().mixed() <= support::StreamWatch::maxMixed );
+    CHECK( clients.resumed() >= enoughResumed );
+}
--- a/tests/soak/runner.hpp
+++ b/tests/soak/runner.hpp
@@ -70,6 +70,8 @@
     //! Announces that the upstream leaves, keeps serving for a while, and then ends.
     void leave();
     void setMode( RunnerMode mode ) { m_mode = mode; }
+    //! The software version of the instances that start from now on.
+    void setVersion( std::string version ) { m_settings.version = std::move( version ); }
     //! Refuses the next `requests` requests; each refusal asks the gateway to send nothing for
     //! `backoff`.
     void turnAway( int requests, Millis backoff );
