Unparseable names: one rule for what is replaced; tests of cut responses

Change: validSize() says what stays, the rest becomes U+FFFD. A test cuts a page of the store at each byte and breaks its structure in 13 ways.

--- a/src/platform/json_text.cpp
+++ b/src/platform/json_text.cpp
@@ -119,31 +119,34 @@
 
 //! True if `rest` starts with an escape sequence of a surrogate, which may be unpaired.
 bool isSurrogateEscape( std::string_view rest ) {
-    return rest.size() > 3 && rest[1] == 'u' && ( rest[2] == 'd' || rest[2] == 'D' ) &&
-           rest[3] > '7';
+    return rest.size() > 3 && rest[0] == '\\' && rest[1] == 'u' &&
+           ( rest[2] == 'd' || rest[2] == 'D' ) && rest[3] > '7';
 }
 
-//! Replaces bytes outside printable ASCII, invalid escape sequences, and those of surrogates.
-std::string replaceInvalidText( std::string_view text ) {
+//! Size of the character or escape sequence that `rest` begins with; 0 if it is outside printable
+//! ASCII, invalid, or of a surrogate.
+std::size_t validSize( std::string_view rest ) {
     constexpr std::string_view known = "\"\\/bfnrtu";
+    const auto byte = static_cast<unsigned char>( rest.front() );
+    if( byte >= firstNonAscii || byte < firstPrintable ) {
+        return 0;
+    }
+    if( rest.front() != '\\' ) {
+        return 1;
+    }
+    const bool isKnown = rest.size() > 1 && known.find( rest[1] ) != std::string_view::npos;
+    return isKnown && !isSurrogateEscape( rest ) ? 2 : 0;
+}
+
+//! Replaces each invalid character or escape sequence by U+FFFD.
+std::string replaceInvalidText( std::string_view text ) {
     constexpr std::size_t unicodeEscapeSize = 6;
     std::string out;
-    for( std::size_t n = 0; n < text.size(); ++n ) {
-        const auto byte = static_cast<unsigned char>( text[n] );
-        const auto rest = text.substr( n );
-        if( byte >= firstNonAscii || byte < firstPrintable ) {
-            out += replacementCharacter;
-        } else if( text[n] != '\\' ) {
-            out += text[n];
-        } else if( isSurrogateEscape( rest ) ) {
-            out += replacementCharacter;
-            n += unicodeEscapeSize - 1;
-        } else if( rest.size() < 2 || known.find( rest[1] ) == std::string_view::npos ) {
-            out += replacementCharacter;
-        } else {
-            out += rest.substr( 0, 2 );
-            ++n;
-        }
+    while( !text.empty() ) {
+        const auto valid = validSize( text );
+        out += valid > 0 ? text.substr( 0, valid ) : replacementCharacter;
+        const auto invalid = isSurrogateEscape( text ) ? unicodeEscapeSize : 1;
+        text.remove_prefix( std::min( text.size(), valid > 0 ? valid : invalid ) );
     }
     return out;
 }
--- a/tests/unit/foreign_objects.tests.cpp
+++ b/tests/unit/foreign_objects.tests.cpp
@@ -142,6 +142,29 @@
     }
 }
 
+TEST_CASE( "A response of the store that is cut or has no structure is not taken for a list",
+           "[platform][foreign]" ) {
+    const auto page = pageOf( { object( "a [\\\"{", validSpec().dump() ), object( "b", "[]" ) } );
+    REQUIRE( platform::readPage( page ) );
+    CHECK( platform::readPage( " " + page + "\r\n" ) );
+    for( std::size_t n = 0; n < page.size(); ++n ) {
+        INFO( page.substr( 0, n ) );
+        CHECK_FALSE( platform::readPage( page.substr( 0, n ) ) );
+    }
+    for( const auto* items :
+         { "[1,]", "[,1]", "[1 2", "[{]", "[}", "{\"a\":1}", "[1]]", "[1]x" } ) {
+        INFO( items );
+        CHECK_FALSE(
+            platform::readPage( std::string( R"({"timestamp":1,"items":)" ) + items + "}" ) );
+    }
+    for( const auto* whole :
+         { "{}", R"({"timestamp":1,"items":[]}})", R"({"timestamp":1,"items":[]},)",
+           R"({timestamp:1,"items":[]})", R"({"timestamp":1;"items":[]})" } ) {
+        INFO( whole );
+        CHECK_FALSE( platform::readPage( whole ) );
+    }
+}
+
 TEST_CASE( "An entry with a number that its field does not take names no upstream",
            "[platform][foreign]" ) {
     const std::vector<std::pair<const char*, std::vector<std::string>>> invalid{
