Soak: odd entries stand in the store from the start, on pages of six

Change: putOddEntries() moves beside the other odd entries, and the soak writes them before its processes start.

--- a/tests/promise/odd_entries.tests.cpp
+++ b/tests/promise/odd_entries.tests.cpp
@@ -7,9 +7,7 @@
 
 using namespace coursehead;
 using namespace coursehead::soak;
-using support::objectText;
-using support::quoted;
-using support::withField;
+using support::putOddEntries;
 using support::World;
 using support::WorldSize;
 
@@ -17,40 +15,6 @@
 
 constexpr WorldSize worldSize{ .gateways = 3, .engines = 3, .services = 3 };
 constexpr int requestCount = 12;
-constexpr std::size_t maxNestedBytes = 400000;
-
-//! An entry of a plain upstream that nothing listens for.
-nlohmann::json absentUpstream() {
-    return { { "service", "plain" }, { "address", "127.0.0.1:9" },
-             { "zone", "hall-0" },   { "version", "v1" },
-             { "slots", 8 },         { "state", "ready" },
-             { "coldMs", 0 },        { "sequence", 1 } };
-}
-
-//! Writes entries that name no upstream, some of them in front of all others, some behind.
-void putOddEntries( support::ObjectStore& store ) {
-    const auto huge = withField( absentUpstream(), "slots", support::hugeNumbers().front() );
-    for( const auto& name : support::oddNames() ) {
-        for( const std::string prefix : { "", "i", "z" } ) {
-            store.putText( "servers", prefix + name, objectText( quoted( prefix + name ), huge ) );
-        }
-    }
-    const std::vector<std::string> specifications{
-        withField( absentUpstream(), "other", support::nested( maxNestedBytes ) ),
-        withField( absentUpstream(), "address", "\"127.0.0.1:99999\"" ),
-        withField( absentUpstream(), "address", "\"127.0.0.1:-1\"" ),
-        withField( absentUpstream(), "born", "1e400" ),
-        withField( absentUpstream(), "zone", "\"\xff\"" ),
-    };
-    for( std::size_t n = 0; n < specifications.size(); ++n ) {
-        const auto name = quoted( "odd-" + std::to_string( n ) );
-        store.putText( "servers", "odd-" + std::to_string( n ),
-                       objectText( name, specifications[n] ) );
-    }
-    for( const std::string kind : { "config", "quarantines", "evacuations" } ) {
-        store.putText( kind, "a &", objectText( quoted( "a &" ), huge ) );
-    }
-}
 
 //! Requests of a client to all gateways, and how many of them were served.
 struct Served {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: BSL-1.0
 #include "soak/callers.hpp"
 #include "soak/schedule.hpp"
+#include "support/odd_entries.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -28,6 +29,8 @@
 constexpr double minShareBesidePoison = 0.5;
 constexpr Millis settlingTime{ 4000 };
 constexpr Millis superviseInterval{ 100 };
+//! Few enough objects that lists have many pages.
+constexpr std::size_t storePageSize = 6;
 //! Memory limit for a gateway or sidecar process; equal to the target for control traffic alone.
 constexpr long memoryLimitKb = 64L * 1024;
 //! One gateway can't carry all callers with it, two can.
@@ -91,6 +94,8 @@
 private:
     net::Task<> runScenario() {
         m_record.markDisturbed( MonoClock::now() + startLimit );
+        m_deployment.store().setPageSize( storePageSize );
+        support::putOddEntries( m_deployment.store() );
         m_deployment.start();
         net::start( m_context, supervise(), "tend" );
         co_await waitUntilReady( startLimit, "after the start" );
--- a/tests/support/odd_entries.hpp
+++ b/tests/support/odd_entries.hpp
@@ -2,10 +2,11 @@
 #ifndef COURSEHEAD_SUPPORT_ODD_ENTRIES_HPP_INCLUDED
 #define COURSEHEAD_SUPPORT_ODD_ENTRIES_HPP_INCLUDED
 
+#include "support/object_store.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <string>
-#include <utility>
 #include <vector>
 
 //! Entries of the store as other systems may write them, as JSON text: a JSON library could not
@@ -61,6 +62,10 @@
              "é", "\xff", "\xc3x", "\x7f",     ";a=1,b", "<script>", "a\nb: c\r\n" };
 }
 
+//! Writes entries that name no upstream, some of them in front of all others and some behind, and
+//! one of each other kind.
+void putOddEntries( ObjectStore& store );
+
 } // namespace coursehead::support
 
 #endif // COURSEHEAD_SUPPORT_ODD_ENTRIES_HPP_INCLUDED
