Durations of the store are bounded, and an engine's event of another type is none

What callers saw: nothing yet. (1) An entry with remainingMs or coldMs of 9e15 was used as an upstream; its sum with a time overflows. (2) An event of an engine whose id is a number made engine::generate throw a JSON exception, which the older roles' agents do not catch: the process ends.

Cause: (1) the bound on durations was what a double holds exactly; (2) the id was converted without a look at its type.

Change: (1) durations of up to a year; (2) such an event belongs to another request, as one with another id does: the answer is cut.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -70,7 +70,8 @@
             return true;
         }
         const auto event = Json::parse( data, nullptr, false );
-        if( !event.is_object() || event.value( "id", "" ) != m_generation.requestId ) {
+        const auto id = event.is_object() ? event.value( "id", Json() ) : Json();
+        if( id != m_generation.requestId ) {
             // The event may have replaced one of this request, so the rest of the answer may be
             // incomplete.
             ++m_result.crossed;
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <limits>
 
 namespace coursehead::platform {
@@ -82,9 +83,8 @@
     return out;
 }
 
-//! Longest duration that an upstream may state: a number of milliseconds that a double holds
-//! exactly.
-constexpr double maxMillis = 9007199254740992.0;
+//! Longest duration that an upstream may state. Without a bound its sum with a time would overflow.
+constexpr double maxMillis = static_cast<double>( Millis( std::chrono::years( 1 ) ).count() );
 
 //! A duration in milliseconds; nullopt if the field is absent.
 std::optional<Millis> readMillis( const Json& in, const char* field, double min,
--- a/tests/unit/broken_answers.tests.cpp
+++ b/tests/unit/broken_answers.tests.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: BSL-1.0
+#include "coursehead/engine/engine.hpp"
 #include "coursehead/http/client.hpp"
 #include "net/json_client.hpp"
 #include "support/early_fixture.hpp"
@@ -315,3 +316,36 @@
         CHECK( upstream.endlessBytes() < maxHeldBytes );
     }
 }
+
+TEST_CASE( "An event of an engine whose fields have other types is none of the request's",
+           "[engine][broken]" ) {
+    const std::vector<std::string> events{ R"({"id":5})",
+                                           R"({"id":null})",
+                                           R"({"id":["r1"]})",
+                                           R"({"id":1e400})",
+                                           R"({"id":"r1","choices":5})",
+                                           R"({"id":"r1","choices":[7]})",
+                                           R"({"id":"r1","choices":{"0":{}}})",
+                                           R"({"id":"r1","usage":{"prompt_tokens":"many"}})" };
+    for( const auto& it : events ) {
+        INFO( it );
+        ServerThread server;
+        support::ScriptedUpstream upstream( server.context );
+        upstream.addStep( { "HTTP/1.1 200 OK\r\n\r\ndata: " + it + "\n\n", true } );
+        server.start();
+        engine::Endpoint endpoint;
+        endpoint.url = "127.0.0.1:" + std::to_string( upstream.port() );
+        engine::Generation generation;
+        generation.requestId = "r1";
+        generation.path = "/v1/chat/completions";
+        generation.body = "{}";
+        std::string text;
+        const auto result = engine::generate( endpoint, generation, [&]( auto piece ) {
+            text.append( piece );
+            return true;
+        } );
+        server.stop();
+        CHECK( result.end == engine::GenerationEnd::cut );
+        CHECK( text.empty() );
+    }
+}
