Tests: bytes are compared as unsigned, as arm64 has them

Cause: 'it >= 0' is always true where char is unsigned, as on arm64, and a warning there is an error.

--- a/tests/support/odd_entries.hpp
+++ b/tests/support/odd_entries.hpp
@@ -15,10 +15,10 @@
 
 //! A JSON string with these bytes, whatever they are.
 inline std::string quoted( const std::string& bytes ) {
-    constexpr char firstPrintable = ' ';
+    constexpr unsigned char firstPrintable = ' ';
     std::string out = "\"";
     for( const char it : bytes ) {
-        const bool isControl = it >= 0 && it < firstPrintable;
+        const bool isControl = static_cast<unsigned char>( it ) < firstPrintable;
         if( isControl ) {
             const std::string escaped = nlohmann::json( std::string( 1, it ) ).dump();
             out += escaped.substr( 1, escaped.size() - 2 );
